--- /dev/null
+++ b/bench/src/ready.rs
@@ -0,0 +1,34 @@
+//! Tells whether a fleet serves: a write and a read through every proxy in every group.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use anyhow::Context;
+use cactushatch::clock::Clock;
+use cactushatch::pgsql::Client;
+
+/// How long one attempt may take.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Fails unless every proxy of the fleet in `dir` serves every group.
+pub fn check(dir: &Path, groups: &[&str]) -> anyhow::Result<()> {
+    let proxies = std::fs::read_to_string(dir.join("proxies"))?;
+    let clock = Clock::system();
+    for proxy in proxies.lines() {
+        let address: SocketAddr =
+            proxy.parse().with_context(|| format!("{proxy} is no address"))?;
+        for group in groups {
+            smol::block_on(serve(&clock, address, group))?;
+        }
+    }
+    Ok(())
+}
+
+async fn serve(clock: &Clock, address: SocketAddr, group: &str) -> anyhow::Result<()> {
+    let parameters = [("user", "ready"), ("database", group)];
+    let mut client = Client::open(clock, address, &parameters, None, TIMEOUT).await?;
+    client.query(clock, "CREATE TABLE IF NOT EXISTS ready (id INTEGER)", TIMEOUT).await?;
+    client.query(clock, "SELECT count(*) FROM ready", TIMEOUT).await?;
+    Ok(())
+}
--- /dev/null
+++ b/bench/src/standin/fault.rs
@@ -0,0 +1,86 @@
+//! Faults on command: one JSON object a line on the fault port sets them all anew.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::TcpListener;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::server::Instance;
+
+/// The faults in force; the default is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Fault {
+    /// Nothing is answered, connections stay open.
+    pub silent: bool,
+    /// Connections whose application name ends in `/DOMAIN`, and followers of that domain, are not served.
+    pub cut: Vec<String>,
+    /// Replaces the settings' lag.
+    pub lag_ms: Option<u64>,
+    /// Every answer waits this long.
+    pub late_ms: u64,
+    /// How many of the next commits lose their answer with their connection.
+    pub lose_after_commit: u32,
+}
+
+#[derive(Debug)]
+pub struct Faults {
+    lag: Duration,
+    fault: Mutex<Fault>,
+}
+
+impl Faults {
+    pub fn new(lag: Duration) -> Self {
+        Self { lag, fault: Mutex::new(Fault::default()) }
+    }
+
+    pub fn lag(&self) -> Duration {
+        self.fault.lock().unwrap().lag_ms.map_or(self.lag, Duration::from_millis)
+    }
+
+    pub fn is_cut(&self, domain: &str) -> bool {
+        let fault = self.fault.lock().unwrap();
+        fault.silent || fault.cut.iter().any(|cut| cut == domain)
+    }
+
+    pub fn late(&self) -> Duration {
+        Duration::from_millis(self.fault.lock().unwrap().late_ms)
+    }
+
+    /// Tells whether this commit's answer is to be lost.
+    pub fn lose_commit(&self) -> bool {
+        let mut fault = self.fault.lock().unwrap();
+        let lose = fault.lose_after_commit > 0;
+        fault.lose_after_commit = fault.lose_after_commit.saturating_sub(1);
+        lose
+    }
+
+    fn set(&self, fault: Fault) {
+        *self.fault.lock().unwrap() = fault;
+    }
+}
+
+pub fn spawn(instance: &Arc<Instance>) -> anyhow::Result<()> {
+    let mut address = instance.settings.listen;
+    address.set_port(address.port() + 2);
+    let listener = TcpListener::bind(address)?;
+    let instance = Arc::clone(instance);
+    std::thread::spawn(move || {
+        for mut socket in listener.incoming().flatten() {
+            let Ok(reader) = socket.try_clone() else { continue };
+            for line in BufReader::new(reader).lines().map_while(Result::ok) {
+                let answer = match serde_json::from_str(&line) {
+                    Ok(fault) => {
+                        instance.faults.set(fault);
+                        "ok\n".to_owned()
+                    }
+                    Err(error) => format!("error: {error}\n"),
+                };
+                let _ = socket.write_all(answer.as_bytes());
+            }
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/bench/src/standin/journal.rs
@@ -0,0 +1,268 @@
+//! The log of committed transactions, the term history, and the SQLite file that they make.
+//!
+//! The log is the truth: a restart builds the database anew from it, and a rejoin cuts it at the fork.
+
+use std::fs::{File, OpenOptions};
+use std::io::{BufReader, Read, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use cactushatch::wire::Role;
+use rusqlite::Connection;
+use serde::{Deserialize, Serialize};
+
+use super::Settings;
+
+/// One committed transaction: its statements with their parameters filled in.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Record {
+    pub term: u64,
+    pub position: u64,
+    pub statements: Vec<String>,
+}
+
+/// What is replicated, under one lock.
+#[derive(Debug)]
+pub struct Log {
+    pub role: Role,
+    pub term: u64,
+    /// Where each term began.
+    pub history: Vec<(u64, u64)>,
+    pub records: Vec<Record>,
+    /// When each record was received, for the lag.
+    received_at: Vec<Instant>,
+    /// Up to where the database holds the records.
+    pub applied: u64,
+    /// What each follower holds, by the follower's name.
+    pub followers: Vec<(String, u64)>,
+    /// Grows whenever connections made earlier must be closed.
+    pub generation: u64,
+    file: File,
+}
+
+#[derive(Debug)]
+pub struct Journal {
+    pub log: Mutex<Log>,
+    pub changed: Condvar,
+    database: PathBuf,
+    path: PathBuf,
+}
+
+impl Journal {
+    pub fn open(settings: &Settings) -> anyhow::Result<Self> {
+        std::fs::create_dir_all(&settings.data)?;
+        let path = settings.data.join(format!("{}.log", settings.instance));
+        let database = settings.data.join(format!("{}.db", settings.instance));
+        let records = read_records(&path)?;
+        let mut history = vec![(1, 0)];
+        for record in &records {
+            if record.term > history.last().map_or(0, |last| last.0) {
+                history.push((record.term, record.position - 1));
+            }
+        }
+        let role = if settings.follow.is_some() { Role::Replica } else { Role::Primary };
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        let now = Instant::now();
+        let log = Log {
+            role,
+            term: history.last().map_or(1, |last| last.0),
+            history,
+            received_at: vec![now; records.len()],
+            applied: records.len() as u64,
+            records,
+            followers: Vec::new(),
+            generation: 0,
+            file,
+        };
+        let journal = Self { log: Mutex::new(log), changed: Condvar::new(), database, path };
+        journal.rebuild()?;
+        Ok(journal)
+    }
+
+    /// Opens a connection to the database.
+    pub fn connect(&self) -> rusqlite::Result<Connection> {
+        let connection = Connection::open(&self.database)?;
+        connection.pragma_update(None, "journal_mode", "WAL")?;
+        connection.pragma_update(None, "synchronous", "OFF")?;
+        connection.busy_timeout(Duration::from_secs(10))?;
+        Ok(connection)
+    }
+
+    /// Builds the database from the records up to `applied`.
+    fn rebuild(&self) -> anyhow::Result<()> {
+        for suffix in ["", "-wal", "-shm"] {
+            let _ = std::fs::remove_file(format!("{}{suffix}", self.database.display()));
+        }
+        let connection = self.connect()?;
+        let log = self.log.lock().unwrap();
+        connection.execute_batch("BEGIN")?;
+        for record in &log.records[..log.applied as usize] {
+            run_all(&connection, &record.statements);
+        }
+        connection.execute_batch("COMMIT")?;
+        Ok(())
+    }
+
+    /// Applies all that was received; returns when nothing is left.
+    pub fn apply_all(&self, connection: &Connection) {
+        while let Some(record) = self.next_unapplied() {
+            self.apply(connection, &record);
+        }
+    }
+
+    /// Applies records as their lag runs out, for ever.
+    pub fn apply_forever(&self, lag: impl Fn() -> Duration) -> anyhow::Result<()> {
+        let mut connection = self.connect()?;
+        let mut generation = 0;
+        loop {
+            let (record, due) = {
+                let mut log = self.log.lock().unwrap();
+                while log.applied as usize >= log.records.len() || log.role == Role::Primary {
+                    log = self.changed.wait(log).unwrap();
+                }
+                if log.generation != generation {
+                    generation = log.generation;
+                    connection = self.connect()?;
+                }
+                let next = log.applied as usize;
+                (log.records[next].clone(), log.received_at[next] + lag())
+            };
+            let wait = due.saturating_duration_since(Instant::now());
+            if !wait.is_zero() {
+                std::thread::sleep(wait.min(Duration::from_millis(20)));
+                continue;
+            }
+            self.apply(&connection, &record);
+        }
+    }
+
+    fn next_unapplied(&self) -> Option<Record> {
+        let log = self.log.lock().unwrap();
+        log.records.get(log.applied as usize).cloned()
+    }
+
+    fn apply(&self, connection: &Connection, record: &Record) {
+        let mut log = self.log.lock().unwrap();
+        if log.applied + 1 != record.position {
+            return;
+        }
+        let _ = connection.execute_batch("BEGIN IMMEDIATE");
+        run_all(connection, &record.statements);
+        let _ = connection.execute_batch("COMMIT");
+        log.applied = record.position;
+        self.changed.notify_all();
+    }
+
+    /// Appends a transaction that this primary commits; `commit` makes it visible.
+    pub fn commit<E>(
+        &self,
+        statements: Vec<String>,
+        commit: impl FnOnce() -> Result<(), E>,
+    ) -> Result<bool, E> {
+        let mut log = self.log.lock().unwrap();
+        if log.role != Role::Primary {
+            return Ok(false);
+        }
+        commit()?;
+        let record = Record { term: log.term, position: log.records.len() as u64 + 1, statements };
+        log.push(record);
+        log.applied = log.records.len() as u64;
+        self.changed.notify_all();
+        Ok(true)
+    }
+
+    /// Takes a record from the primary.
+    pub fn receive(&self, record: Record) -> bool {
+        let mut log = self.log.lock().unwrap();
+        if log.role == Role::Primary || record.position != log.records.len() as u64 + 1 {
+            return false;
+        }
+        log.push(record);
+        self.changed.notify_all();
+        true
+    }
+
+    /// Drops all beyond `position` and takes over the primary's term history.
+    pub fn rewind(&self, position: u64, term: u64, history: Vec<(u64, u64)>) -> anyhow::Result<()> {
+        let rebuilt = {
+            let mut log = self.log.lock().unwrap();
+            log.term = term;
+            log.history = history;
+            if position >= log.records.len() as u64 {
+                return Ok(());
+            }
+            log.records.truncate(position as usize);
+            log.received_at.truncate(position as usize);
+            log.generation += 1;
+            log.rewrite(&self.path)?;
+            let rebuilt = log.applied > position;
+            log.applied = log.applied.min(position);
+            rebuilt
+        };
+        if rebuilt { self.rebuild() } else { Ok(()) }
+    }
+}
+
+impl Log {
+    pub fn position(&self) -> u64 {
+        self.applied
+    }
+
+    pub fn received(&self) -> u64 {
+        self.records.len() as u64
+    }
+
+    /// Up to where a majority of `instances` holds the log.
+    pub fn durable(&self, instances: usize) -> u64 {
+        let mut held: Vec<u64> = self.followers.iter().map(|follower| follower.1).collect();
+        held.push(self.received());
+        held.resize(held.len().max(instances), 0);
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        held[instances / 2]
+    }
+
+    fn push(&mut self, record: Record) {
+        if let Ok(bytes) = postcard::to_stdvec(&record) {
+            let _ = self.file.write_all(&(bytes.len() as u32).to_be_bytes());
+            let _ = self.file.write_all(&bytes);
+        }
+        self.records.push(record);
+        self.received_at.push(Instant::now());
+    }
+
+    fn rewrite(&mut self, path: &Path) -> anyhow::Result<()> {
+        self.file = OpenOptions::new().create(true).write(true).truncate(true).open(path)?;
+        for record in &self.records {
+            let bytes = postcard::to_stdvec(record)?;
+            self.file.write_all(&(bytes.len() as u32).to_be_bytes())?;
+            self.file.write_all(&bytes)?;
+        }
+        Ok(())
+    }
+}
+
+fn run_all(connection: &Connection, statements: &[String]) {
+    for statement in statements {
+        if let Err(error) = connection.execute_batch(statement) {
+            log::error!("a replicated statement failed: {error}: {statement}");
+        }
+    }
+}
+
+fn read_records(path: &Path) -> anyhow::Result<Vec<Record>> {
+    let mut records = Vec::new();
+    let Ok(file) = File::open(path) else {
+        return Ok(records);
+    };
+    let mut reader = BufReader::new(file);
+    let mut header = [0; 4];
+    while reader.read_exact(&mut header).is_ok() {
+        let mut body = vec![0; u32::from_be_bytes(header) as usize];
+        if reader.read_exact(&mut body).is_err() {
+            break;
+        }
+        records.push(postcard::from_bytes(&body)?);
+    }
+    Ok(records)
+}
--- /dev/null
+++ b/bench/src/standin/replication.rs
@@ -0,0 +1,174 @@
+//! Replication between stand-ins: a follower says what it holds, the primary cuts it to the common history
+//! and sends what follows; the follower answers each batch with what it holds now.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use cactushatch::wire::Role;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::journal::Record;
+use super::server::Instance;
+
+/// How long a follower waits before it connects again.
+const RECONNECT: Duration = Duration::from_millis(50);
+
+/// The most records in one batch.
+const BATCH: usize = 500;
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Hello {
+    name: String,
+    domain: String,
+    received: u64,
+    history: Vec<(u64, u64)>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Welcome {
+    term: u64,
+    history: Vec<(u64, u64)>,
+    keep: u64,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Batch {
+    records: Vec<Record>,
+}
+
+/// Starts the threads that serve followers, follow a primary, and apply what was received.
+pub fn spawn(instance: &Arc<Instance>) -> anyhow::Result<()> {
+    let mut address = instance.settings.listen;
+    address.set_port(address.port() + 1);
+    let listener = TcpListener::bind(address)?;
+    let server = Arc::clone(instance);
+    std::thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let instance = Arc::clone(&server);
+            std::thread::spawn(move || {
+                let _ = feed(&instance, socket);
+            });
+        }
+    });
+    let applier = Arc::clone(instance);
+    std::thread::spawn(move || {
+        if let Err(error) = applier.journal.apply_forever(|| applier.faults.lag()) {
+            log::error!("applying stopped: {error}");
+        }
+    });
+    let follower = Arc::clone(instance);
+    std::thread::spawn(move || {
+        loop {
+            if let Some(primary) = follower.followed() {
+                let _ = follow(&follower, primary);
+            }
+            std::thread::sleep(RECONNECT);
+        }
+    });
+    Ok(())
+}
+
+fn follow(instance: &Instance, primary: SocketAddr) -> anyhow::Result<()> {
+    let mut address = primary;
+    address.set_port(address.port() + 1);
+    let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(Duration::from_secs(1)))?;
+    let hello = {
+        let log = instance.journal.log.lock().unwrap();
+        Hello {
+            name: instance.settings.instance.to_string(),
+            domain: instance.settings.domain.to_string(),
+            received: log.received(),
+            history: log.history.clone(),
+        }
+    };
+    write(&mut socket, &hello)?;
+    let welcome: Welcome = read(&mut socket)?;
+    instance.journal.rewind(welcome.keep, welcome.term, welcome.history)?;
+    while instance.followed() == Some(primary) {
+        let batch: Batch = read(&mut socket)?;
+        for record in batch.records {
+            if !instance.journal.receive(record) {
+                return Ok(());
+            }
+        }
+        let received = instance.journal.log.lock().unwrap().received();
+        write(&mut socket, &received)?;
+    }
+    Ok(())
+}
+
+fn feed(instance: &Instance, mut socket: TcpStream) -> anyhow::Result<()> {
+    socket.set_nodelay(true)?;
+    socket.set_read_timeout(Some(Duration::from_secs(2)))?;
+    let hello: Hello = read(&mut socket)?;
+    let (welcome, generation) = {
+        let log = instance.journal.log.lock().unwrap();
+        if log.role != Role::Primary {
+            return Ok(());
+        }
+        let keep = common(&hello, &log.history, log.received());
+        (Welcome { term: log.term, history: log.history.clone(), keep }, log.generation)
+    };
+    let mut sent = welcome.keep;
+    write(&mut socket, &welcome)?;
+    loop {
+        let records = next_batch(instance, sent, generation);
+        let Some(records) = records else {
+            return Ok(());
+        };
+        if instance.faults.is_cut(&hello.domain) {
+            return Ok(());
+        }
+        std::thread::sleep(instance.settings.delay);
+        sent += records.len() as u64;
+        write(&mut socket, &Batch { records })?;
+        let held: u64 = read(&mut socket)?;
+        let mut log = instance.journal.log.lock().unwrap();
+        log.followers.retain(|follower| follower.0 != hello.name);
+        log.followers.push((hello.name.clone(), held));
+        instance.journal.changed.notify_all();
+    }
+}
+
+/// Waits for records beyond `sent`; an empty batch keeps the connection alive.
+fn next_batch(instance: &Instance, sent: u64, generation: u64) -> Option<Vec<Record>> {
+    let log = instance.journal.log.lock().unwrap();
+    let idle = Duration::from_millis(200);
+    let (log, _) = instance
+        .journal
+        .changed
+        .wait_timeout_while(log, idle, |log| log.received() <= sent && log.generation == generation)
+        .unwrap();
+    if log.role != Role::Primary || log.generation != generation {
+        return None;
+    }
+    Some(log.records.iter().skip(sent as usize).take(BATCH).cloned().collect())
+}
+
+/// Returns up to where the follower's history is also the primary's.
+fn common(hello: &Hello, history: &[(u64, u64)], received: u64) -> u64 {
+    let shared = hello.history.iter().zip(history).take_while(|(a, b)| a == b).count();
+    let own_fork = hello.history.get(shared).map_or(u64::MAX, |next| next.1);
+    let fork = history.get(shared).map_or(u64::MAX, |next| next.1);
+    hello.received.min(received).min(own_fork).min(fork)
+}
+
+fn write(socket: &mut TcpStream, value: &impl Serialize) -> anyhow::Result<()> {
+    let body = postcard::to_stdvec(value)?;
+    let mut bytes = (body.len() as u32).to_be_bytes().to_vec();
+    bytes.extend_from_slice(&body);
+    Ok(socket.write_all(&bytes)?)
+}
+
+fn read<T: DeserializeOwned>(socket: &mut TcpStream) -> anyhow::Result<T> {
+    let mut header = [0; 4];
+    socket.read_exact(&mut header)?;
+    let mut body = vec![0; u32::from_be_bytes(header) as usize];
+    socket.read_exact(&mut body)?;
+    Ok(postcard::from_bytes(&body)?)
+}
--- /dev/null
+++ b/bench/src/standin/reply.rs
@@ -0,0 +1,170 @@
+//! Messages to the client.
+
+use bytes::{BufMut, BytesMut};
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::data::{
+    DataRow, FieldDescription, NoData, ParameterDescription, RowDescription,
+};
+use pgwire::messages::extendedquery::{BindComplete, CloseComplete, ParseComplete};
+use pgwire::messages::response::{
+    CommandComplete, EmptyQueryResponse, ErrorResponse, ReadyForQuery, TransactionStatus,
+};
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
+use rusqlite::types::Value;
+
+/// The type id of `int8`.
+pub const INT8: u32 = 20;
+/// The type id of `text`.
+pub const TEXT: u32 = 25;
+/// The type id of `float8`.
+pub const FLOAT8: u32 = 701;
+/// The type id of `bytea`.
+pub const BYTEA: u32 = 17;
+
+/// A column of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Column {
+    pub name: String,
+    pub kind: u32,
+}
+
+/// Returns the type id of a declared column type or a cast.
+pub fn type_of(declared: &str) -> u32 {
+    let declared = declared.trim().to_ascii_lowercase();
+    let has = |part| declared.starts_with(part);
+    if has("int") || has("big") || has("serial") || has("small") || has("bool") {
+        INT8
+    } else if has("real") || has("float") || has("double") || has("numeric") {
+        FLOAT8
+    } else if has("blob") || has("bytea") {
+        BYTEA
+    } else {
+        TEXT
+    }
+}
+
+/// Collects messages for one client.
+#[derive(Debug, Default)]
+pub struct Reply {
+    pub out: BytesMut,
+}
+
+impl Reply {
+    fn push(&mut self, message: &PgWireBackendMessage) {
+        message.encode(&mut self.out).expect("messages of the stand-in can be encoded");
+    }
+
+    pub fn welcome(&mut self, process: i32, secret: i32) {
+        self.push(&PgWireBackendMessage::Authentication(Authentication::Ok));
+        let parameters = [
+            ("server_version", "15.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+        ];
+        for (name, value) in parameters {
+            let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+            self.push(&PgWireBackendMessage::ParameterStatus(status));
+        }
+        let key = BackendKeyData::new(process, SecretKey::I32(secret));
+        self.push(&PgWireBackendMessage::BackendKeyData(key));
+    }
+
+    pub fn ready(&mut self, status: TransactionStatus) {
+        self.push(&PgWireBackendMessage::ReadyForQuery(ReadyForQuery::new(status)));
+    }
+
+    pub fn error(&mut self, code: &str, message: &str) {
+        let fields = vec![
+            (b'S', "ERROR".to_owned()),
+            (b'V', "ERROR".to_owned()),
+            (b'C', code.to_owned()),
+            (b'M', message.to_owned()),
+        ];
+        self.push(&PgWireBackendMessage::ErrorResponse(ErrorResponse::new(fields)));
+    }
+
+    pub fn complete(&mut self, tag: &str) {
+        self.push(&PgWireBackendMessage::CommandComplete(CommandComplete::new(tag.to_owned())));
+    }
+
+    pub fn empty(&mut self) {
+        self.push(&PgWireBackendMessage::EmptyQueryResponse(EmptyQueryResponse::new()));
+    }
+
+    pub fn parsed(&mut self) {
+        self.push(&PgWireBackendMessage::ParseComplete(ParseComplete::new()));
+    }
+
+    pub fn bound(&mut self) {
+        self.push(&PgWireBackendMessage::BindComplete(BindComplete::new()));
+    }
+
+    pub fn closed(&mut self) {
+        self.push(&PgWireBackendMessage::CloseComplete(CloseComplete::new()));
+    }
+
+    pub fn parameters(&mut self, types: &[u32]) {
+        let description = ParameterDescription::new(types.to_vec());
+        self.push(&PgWireBackendMessage::ParameterDescription(description));
+    }
+
+    pub fn columns(&mut self, columns: &[Column], formats: &[i16]) {
+        if columns.is_empty() {
+            self.push(&PgWireBackendMessage::NoData(NoData::new()));
+            return;
+        }
+        let field = |(at, column): (usize, &Column)| {
+            let size = if matches!(column.kind, INT8 | FLOAT8) { 8 } else { -1 };
+            let format = format_of(formats, at);
+            FieldDescription::new(column.name.clone(), 0, 0, column.kind, size, -1, format)
+        };
+        let fields = columns.iter().enumerate().map(field).collect();
+        self.push(&PgWireBackendMessage::RowDescription(RowDescription::new(fields)));
+    }
+
+    pub fn row(&mut self, columns: &[Column], values: &[Value], formats: &[i16]) {
+        let mut data = BytesMut::new();
+        for (at, value) in values.iter().enumerate() {
+            let binary = format_of(formats, at) == 1;
+            put(&mut data, value, columns[at].kind, binary);
+        }
+        let row = DataRow::new(data, values.len() as i16);
+        self.push(&PgWireBackendMessage::DataRow(row));
+    }
+}
+
+fn format_of(formats: &[i16], at: usize) -> i16 {
+    match formats {
+        [] => 0,
+        [one] => *one,
+        many => many.get(at).copied().unwrap_or(0),
+    }
+}
+
+fn put(data: &mut BytesMut, value: &Value, kind: u32, binary: bool) {
+    let bytes = match (value, kind, binary) {
+        (Value::Null, ..) => {
+            data.put_i32(-1);
+            return;
+        }
+        (Value::Integer(number), INT8, true) => number.to_be_bytes().to_vec(),
+        (Value::Integer(number), FLOAT8, true) => (*number as f64).to_be_bytes().to_vec(),
+        (Value::Real(number), FLOAT8, true) => number.to_be_bytes().to_vec(),
+        (Value::Integer(number), ..) => number.to_string().into_bytes(),
+        (Value::Real(number), ..) => number.to_string().into_bytes(),
+        (Value::Text(text), INT8, true) => {
+            text.parse::<i64>().unwrap_or_default().to_be_bytes().to_vec()
+        }
+        (Value::Text(text), ..) => text.clone().into_bytes(),
+        (Value::Blob(blob), BYTEA, false) => {
+            let hex: String = blob.iter().map(|byte| format!("{byte:02x}")).collect();
+            format!("\\x{hex}").into_bytes()
+        }
+        (Value::Blob(blob), ..) => blob.clone(),
+    };
+    data.put_i32(bytes.len() as i32);
+    data.put_slice(&bytes);
+}
--- /dev/null
+++ b/bench/src/standin/server.rs
@@ -0,0 +1,683 @@
+//! The instance as its clients see it.
+
+use std::collections::HashMap;
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use bytes::BytesMut;
+use cactushatch::wire::Role;
+use pgwire::messages::response::TransactionStatus;
+use pgwire::messages::{DecodeContext, PgWireFrontendMessage, ProtocolVersion};
+use rusqlite::Connection;
+use rusqlite::types::Value;
+
+use super::Settings;
+use super::fault::Faults;
+use super::journal::Journal;
+use super::reply::{Column, INT8, Reply, TEXT, type_of};
+use super::slot::Slots;
+use super::sql::{self, Statement};
+
+/// One running instance.
+#[derive(Debug)]
+pub struct Instance {
+    pub settings: Settings,
+    pub journal: Journal,
+    pub faults: Faults,
+    slots: Slots,
+    /// Whether a transaction that may write is open; there is one at a time.
+    writing: Mutex<bool>,
+    written: Condvar,
+    following: Mutex<Option<SocketAddr>>,
+    open: AtomicUsize,
+    processes: AtomicI32,
+}
+
+impl Instance {
+    pub fn new(settings: Settings, journal: Journal) -> Self {
+        Self {
+            faults: Faults::new(settings.lag),
+            slots: Slots::new(settings.slots),
+            writing: Mutex::new(false),
+            written: Condvar::new(),
+            following: Mutex::new(settings.follow),
+            open: AtomicUsize::new(0),
+            processes: AtomicI32::new(1),
+            settings,
+            journal,
+        }
+    }
+
+    /// Returns the primary that this instance follows.
+    pub fn followed(&self) -> Option<SocketAddr> {
+        *self.following.lock().unwrap()
+    }
+
+    fn acquire_writer(&self) {
+        let writing = self.writing.lock().unwrap();
+        *self.written.wait_while(writing, |writing| *writing).unwrap() = true;
+    }
+
+    fn release_writer(&self) {
+        *self.writing.lock().unwrap() = false;
+        self.written.notify_one();
+    }
+
+    fn promote(&self, term: u64) -> Result<(), String> {
+        {
+            let log = self.journal.log.lock().unwrap();
+            if log.term >= term {
+                return Err(format!("this instance is on term {} already", log.term));
+            }
+        }
+        *self.following.lock().unwrap() = None;
+        let connection = self.journal.connect().map_err(|error| error.to_string())?;
+        self.journal.apply_all(&connection);
+        let mut log = self.journal.log.lock().unwrap();
+        log.role = Role::Primary;
+        log.term = term;
+        let start = log.received();
+        log.history.push((term, start));
+        log.followers.clear();
+        self.journal.changed.notify_all();
+        Ok(())
+    }
+
+    fn follow(&self, primary: SocketAddr) {
+        *self.following.lock().unwrap() = Some(primary);
+        let mut log = self.journal.log.lock().unwrap();
+        if log.role == Role::Primary {
+            log.generation += 1;
+        }
+        log.role = Role::Replica;
+        self.journal.changed.notify_all();
+    }
+
+    fn demote(&self) {
+        self.acquire_writer();
+        self.journal.log.lock().unwrap().role = Role::Replica;
+        self.release_writer();
+    }
+
+    fn status(&self) -> Vec<Value> {
+        let log = self.journal.log.lock().unwrap();
+        let role = if log.role == Role::Primary { "primary" } else { "replica" };
+        let durable = match log.role {
+            Role::Primary => log.durable(3),
+            Role::Replica => 0,
+        };
+        let start = log.history.last().map_or(0, |last| last.1);
+        let numbers = [log.term, log.position(), log.received(), durable, start];
+        let mut row = vec![Value::Text(role.to_owned())];
+        row.extend(numbers.map(|number| Value::Integer(number as i64)));
+        row
+    }
+}
+
+fn status_columns() -> Vec<Column> {
+    let names = ["role", "term", "position", "received", "durable", "start"];
+    let column = |name: &str| Column {
+        name: name.to_owned(),
+        kind: if name == "role" { TEXT } else { INT8 },
+    };
+    names.iter().map(|name| column(name)).collect()
+}
+
+/// Takes connections until the process ends.
+pub fn listen(instance: &Arc<Instance>) -> anyhow::Result<()> {
+    let listener = TcpListener::bind(instance.settings.listen)?;
+    for socket in listener.incoming() {
+        let socket = socket?;
+        let instance = Arc::clone(instance);
+        std::thread::spawn(move || {
+            let open = instance.open.fetch_add(1, Ordering::SeqCst);
+            if let Err(error) = Session::serve(&instance, socket, open) {
+                log::debug!("a connection ended: {error}");
+            }
+            instance.open.fetch_sub(1, Ordering::SeqCst);
+        });
+    }
+    Ok(())
+}
+
+#[derive(Debug, Clone)]
+struct Prepared {
+    text: String,
+    types: Vec<u32>,
+}
+
+#[derive(Debug, Clone)]
+struct Portal {
+    text: String,
+    parameters: Vec<Value>,
+    formats: Vec<i16>,
+}
+
+struct Session<'a> {
+    instance: &'a Instance,
+    database: Connection,
+    generation: u64,
+    domain: String,
+    /// The write statements of the open transaction.
+    pending: Vec<String>,
+    status: TransactionStatus,
+    has_writer: bool,
+    prepared: HashMap<String, Prepared>,
+    portals: HashMap<String, Portal>,
+    reply: Reply,
+}
+
+/// An error for the client: SQLSTATE and message.
+type Refusal = (&'static str, String);
+
+impl<'a> Session<'a> {
+    fn serve(instance: &'a Instance, mut socket: TcpStream, open: usize) -> anyhow::Result<()> {
+        socket.set_nodelay(true)?;
+        let mut reader = BufReader::new(socket.try_clone()?);
+        let Some(domain) = start(&mut reader, &mut socket)? else {
+            return Ok(());
+        };
+        let mut reply = Reply::default();
+        if open >= instance.settings.connections {
+            reply.error("53300", "sorry, too many clients already");
+            socket.write_all(&reply.out)?;
+            return Ok(());
+        }
+        std::thread::sleep(instance.settings.connect_time);
+        while instance.faults.is_cut(&domain) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        let process = instance.processes.fetch_add(1, Ordering::SeqCst);
+        reply.welcome(process, process);
+        reply.ready(TransactionStatus::Idle);
+        socket.write_all(&reply.out)?;
+        reply.out.clear();
+        let generation = instance.journal.log.lock().unwrap().generation;
+        let mut session = Session {
+            instance,
+            database: instance.journal.connect()?,
+            generation,
+            domain,
+            pending: Vec::new(),
+            status: TransactionStatus::Idle,
+            has_writer: false,
+            prepared: HashMap::new(),
+            portals: HashMap::new(),
+            reply,
+        };
+        let result = session.run(&mut reader, &mut socket);
+        session.end_transaction();
+        result
+    }
+
+    fn run(&mut self, reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<()> {
+        let mut skipping = false;
+        loop {
+            let Some(message) = read_message(reader)? else {
+                return Ok(());
+            };
+            let flush = matches!(
+                message,
+                PgWireFrontendMessage::Query(_)
+                    | PgWireFrontendMessage::Sync(_)
+                    | PgWireFrontendMessage::Flush(_)
+            );
+            if matches!(message, PgWireFrontendMessage::Terminate(_)) {
+                return Ok(());
+            }
+            if matches!(message, PgWireFrontendMessage::Sync(_)) {
+                skipping = false;
+            }
+            if !skipping && let Err((code, text)) = self.handle(message) {
+                self.fail(code, &text);
+                skipping = true;
+            }
+            if flush {
+                self.flush(socket)?;
+            }
+        }
+    }
+
+    fn flush(&mut self, socket: &mut TcpStream) -> anyhow::Result<()> {
+        std::thread::sleep(self.instance.faults.late());
+        while self.instance.faults.is_cut(&self.domain) {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        if self.instance.journal.log.lock().unwrap().generation != self.generation {
+            anyhow::bail!("the instance changed its role");
+        }
+        socket.write_all(&self.reply.out)?;
+        self.reply.out.clear();
+        Ok(())
+    }
+
+    fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), Refusal> {
+        match message {
+            PgWireFrontendMessage::Query(query) => {
+                self.simple(&query.query);
+                Ok(())
+            }
+            PgWireFrontendMessage::Parse(parse) => {
+                let mut types = sql::parameter_types(&parse.query);
+                for (at, oid) in parse.type_oids.iter().enumerate() {
+                    if *oid != 0 && at < types.len() {
+                        types[at] = *oid;
+                    }
+                }
+                let name = parse.name.unwrap_or_default();
+                self.prepared.insert(name, Prepared { text: parse.query, types });
+                self.reply.parsed();
+                Ok(())
+            }
+            PgWireFrontendMessage::Bind(bind) => {
+                let statement = bind.statement_name.unwrap_or_default();
+                let prepared =
+                    self.prepared.get(&statement).ok_or_else(|| no_statement(&statement))?;
+                let mut parameters = Vec::new();
+                for (at, bytes) in bind.parameters.iter().enumerate() {
+                    let binary = match bind.parameter_format_codes.as_slice() {
+                        [] => false,
+                        [one] => *one == 1,
+                        many => many.get(at) == Some(&1),
+                    };
+                    let kind = prepared.types.get(at).copied().unwrap_or(TEXT);
+                    parameters.push(decode(bytes.as_deref(), kind, binary));
+                }
+                let portal = Portal {
+                    text: prepared.text.clone(),
+                    parameters,
+                    formats: bind.result_column_format_codes,
+                };
+                self.portals.insert(bind.portal_name.unwrap_or_default(), portal);
+                self.reply.bound();
+                Ok(())
+            }
+            PgWireFrontendMessage::Describe(describe) => {
+                self.describe(describe.target_type, &describe.name.unwrap_or_default())
+            }
+            PgWireFrontendMessage::Execute(execute) => {
+                let name = execute.name.unwrap_or_default();
+                let portal = self.portals.get(&name).cloned();
+                let portal = portal.ok_or(("34000", format!("portal {name:?} does not exist")))?;
+                self.statement(&portal.text, &portal.parameters, &portal.formats, false)
+            }
+            PgWireFrontendMessage::Close(close) => {
+                let name = close.name.unwrap_or_default();
+                if close.target_type == b'S' {
+                    self.prepared.remove(&name);
+                } else {
+                    self.portals.remove(&name);
+                }
+                self.reply.closed();
+                Ok(())
+            }
+            PgWireFrontendMessage::Sync(_) => {
+                self.portals.clear();
+                self.reply.ready(self.status);
+                Ok(())
+            }
+            PgWireFrontendMessage::Flush(_) => Ok(()),
+            _ => Err(("0A000", "the stand-in does not know this message".to_owned())),
+        }
+    }
+
+    fn simple(&mut self, text: &str) {
+        let statements = sql::split(text);
+        let implicit = statements.len() > 1 && self.status == TransactionStatus::Idle;
+        if statements.is_empty() {
+            self.reply.empty();
+        }
+        let mut result = Ok(());
+        if implicit {
+            result = self.begin(false);
+        }
+        for statement in statements {
+            if result.is_ok() {
+                result = self.statement(statement, &[], &[], true);
+            }
+        }
+        if implicit && result.is_ok() && self.status == TransactionStatus::Transaction {
+            result = self.commit();
+        }
+        if let Err((code, message)) = result {
+            self.fail(code, &message);
+            if implicit {
+                self.end_transaction();
+            }
+        }
+        self.reply.ready(self.status);
+    }
+
+    fn fail(&mut self, code: &str, message: &str) {
+        self.reply.error(code, message);
+        if self.status == TransactionStatus::Transaction {
+            self.status = TransactionStatus::Error;
+        }
+    }
+
+    fn describe(&mut self, target: u8, name: &str) -> Result<(), Refusal> {
+        if target == b'S' {
+            let prepared = self.prepared.get(name).cloned().ok_or_else(|| no_statement(name))?;
+            self.reply.parameters(&prepared.types);
+            let columns = self.columns_of(&prepared.text)?;
+            self.reply.columns(&columns, &[]);
+        } else {
+            let portal = self.portals.get(name).cloned();
+            let portal = portal.ok_or(("34000", format!("portal {name:?} does not exist")))?;
+            let columns = self.columns_of(&portal.text)?;
+            self.reply.columns(&columns, &portal.formats);
+        }
+        Ok(())
+    }
+
+    fn columns_of(&self, text: &str) -> Result<Vec<Column>, Refusal> {
+        match sql::parse(text) {
+            Statement::Status
+            | Statement::Promote(_)
+            | Statement::Follow(..)
+            | Statement::Demote(_) => Ok(status_columns()),
+            Statement::Plain(text) => {
+                let statement = self.database.prepare(&text).map_err(refusal)?;
+                Ok(columns(&statement))
+            }
+            _ => Ok(Vec::new()),
+        }
+    }
+
+    fn statement(
+        &mut self,
+        text: &str,
+        parameters: &[Value],
+        formats: &[i16],
+        describe: bool,
+    ) -> Result<(), Refusal> {
+        let statement = sql::parse(text);
+        let ends = matches!(statement, Statement::Commit | Statement::Rollback);
+        if self.status == TransactionStatus::Error && !ends {
+            let message = "current transaction is aborted, commands ignored until end of block";
+            return Err(("25P02", message.to_owned()));
+        }
+        match statement {
+            Statement::Empty => self.reply.empty(),
+            Statement::Begin { read_only } => {
+                self.begin(read_only)?;
+                self.reply.complete("BEGIN");
+            }
+            Statement::Commit if self.status == TransactionStatus::Error => {
+                self.end_transaction();
+                self.reply.complete("ROLLBACK");
+            }
+            Statement::Commit => {
+                self.commit()?;
+                self.reply.complete("COMMIT");
+            }
+            Statement::Rollback => {
+                self.end_transaction();
+                self.reply.complete("ROLLBACK");
+            }
+            Statement::Ignored(tag) => self.reply.complete(tag),
+            Statement::Status => self.answer_status(formats, describe),
+            Statement::Promote(term) => {
+                self.instance.promote(term).map_err(|message| ("55000", message))?;
+                self.answer_status(formats, describe);
+            }
+            Statement::Follow(primary, _) => {
+                self.instance.follow(primary);
+                self.generation = self.instance.journal.log.lock().unwrap().generation;
+                self.answer_status(formats, describe);
+            }
+            Statement::Demote(_) => {
+                self.instance.demote();
+                self.answer_status(formats, describe);
+            }
+            Statement::Plain(text) => self.plain(&text, parameters, formats, describe)?,
+        }
+        Ok(())
+    }
+
+    fn answer_status(&mut self, formats: &[i16], describe: bool) {
+        let columns = status_columns();
+        if describe {
+            self.reply.columns(&columns, formats);
+        }
+        let row = self.instance.status();
+        self.reply.row(&columns, &row, formats);
+        self.reply.complete("SELECT 1");
+    }
+
+    fn begin(&mut self, read_only: bool) -> Result<(), Refusal> {
+        if self.status != TransactionStatus::Idle {
+            return Ok(());
+        }
+        let primary = self.instance.journal.log.lock().unwrap().role == Role::Primary;
+        if primary && !read_only {
+            self.instance.acquire_writer();
+            self.has_writer = true;
+            self.database.execute_batch("BEGIN IMMEDIATE").map_err(refusal)?;
+        } else {
+            self.database.execute_batch("BEGIN").map_err(refusal)?;
+        }
+        self.status = TransactionStatus::Transaction;
+        Ok(())
+    }
+
+    fn commit(&mut self) -> Result<(), Refusal> {
+        if self.status == TransactionStatus::Idle {
+            return Ok(());
+        }
+        let pending = std::mem::take(&mut self.pending);
+        let committed = if pending.is_empty() {
+            self.database.execute_batch("COMMIT").map(|()| true)
+        } else {
+            let commit = || self.database.execute_batch("COMMIT");
+            self.instance.journal.commit(pending, commit)
+        };
+        let result = match committed {
+            Ok(true) => Ok(()),
+            Ok(false) => Err(("25006", "this instance is no longer the primary".to_owned())),
+            Err(error) => Err(refusal(error)),
+        };
+        self.end_transaction();
+        result
+    }
+
+    /// Ends the transaction, rolling back what was not committed.
+    fn end_transaction(&mut self) {
+        if !self.database.is_autocommit() {
+            let _ = self.database.execute_batch("ROLLBACK");
+        }
+        self.pending.clear();
+        self.status = TransactionStatus::Idle;
+        if std::mem::take(&mut self.has_writer) {
+            self.instance.release_writer();
+        }
+    }
+
+    fn plain(
+        &mut self,
+        text: &str,
+        parameters: &[Value],
+        formats: &[i16],
+        describe: bool,
+    ) -> Result<(), Refusal> {
+        let read_only = self.database.prepare(text).map_err(refusal)?.readonly();
+        let alone = !read_only && self.status == TransactionStatus::Idle;
+        if !read_only && self.instance.journal.log.lock().unwrap().role != Role::Primary {
+            return Err((
+                "25006",
+                "cannot execute this statement in a read-only transaction".to_owned(),
+            ));
+        }
+        if alone {
+            self.begin(false)?;
+        }
+        let instance = self.instance;
+        let result = instance.slots.with(|| {
+            std::thread::sleep(instance.settings.service_time);
+            self.execute(text, parameters, formats, describe, read_only)
+        });
+        if !alone {
+            return result;
+        }
+        // The command tag is in the reply already, so a commit that fails takes it back.
+        let len = self.reply.out.len();
+        let result = result.and_then(|()| self.commit());
+        if result.is_err() {
+            self.reply.out.truncate(len);
+            self.end_transaction();
+        } else if self.instance.faults.lose_commit() {
+            return Err((
+                "57P01",
+                "terminating connection due to administrator command".to_owned(),
+            ));
+        }
+        result
+    }
+
+    fn execute(
+        &mut self,
+        text: &str,
+        parameters: &[Value],
+        formats: &[i16],
+        describe: bool,
+        read_only: bool,
+    ) -> Result<(), Refusal> {
+        let mut statement = self.database.prepare_cached(text).map_err(refusal)?;
+        let wanted = statement.parameter_count().min(parameters.len());
+        for (at, value) in parameters[..wanted].iter().enumerate() {
+            statement.raw_bind_parameter(at + 1, value).map_err(refusal)?;
+        }
+        if !read_only {
+            self.pending.extend(statement.expanded_sql());
+        }
+        let columns = columns(&statement);
+        if describe && !columns.is_empty() {
+            self.reply.columns(&columns, formats);
+        }
+        let mut count = 0;
+        let mut rows = statement.raw_query();
+        while let Some(row) = rows.next().map_err(refusal)? {
+            let values: Result<Vec<Value>, _> = (0..columns.len()).map(|at| row.get(at)).collect();
+            self.reply.row(&columns, &values.map_err(refusal)?, formats);
+            count += 1;
+        }
+        drop(rows);
+        drop(statement);
+        if !read_only {
+            count = self.database.changes();
+        }
+        self.reply.complete(&tag(text, count));
+        Ok(())
+    }
+}
+
+fn tag(text: &str, count: u64) -> String {
+    let word = text.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
+    match word.as_str() {
+        "SELECT" | "WITH" | "VALUES" => format!("SELECT {count}"),
+        "INSERT" | "REPLACE" => format!("INSERT 0 {count}"),
+        "UPDATE" | "DELETE" => format!("{word} {count}"),
+        "CREATE" | "DROP" | "ALTER" => {
+            let kind = text.split_whitespace().nth(1).unwrap_or("").to_ascii_uppercase();
+            format!("{word} {kind}")
+        }
+        _ => word,
+    }
+}
+
+fn columns(statement: &rusqlite::Statement<'_>) -> Vec<Column> {
+    let column = |column: &rusqlite::Column<'_>| {
+        let name = column.name().to_owned();
+        let counts =
+            name.starts_with("count(") || name.starts_with("sum(") || name.starts_with("max(");
+        let guess = if counts { INT8 } else { TEXT };
+        Column { kind: column.decl_type().map_or(guess, type_of), name }
+    };
+    statement.columns().iter().map(column).collect()
+}
+
+fn decode(bytes: Option<&[u8]>, kind: u32, binary: bool) -> Value {
+    let Some(bytes) = bytes else {
+        return Value::Null;
+    };
+    let number = || match bytes.len() {
+        2 => i64::from(i16::from_be_bytes(bytes.try_into().unwrap_or_default())),
+        4 => i64::from(i32::from_be_bytes(bytes.try_into().unwrap_or_default())),
+        _ => i64::from_be_bytes(bytes.try_into().unwrap_or_default()),
+    };
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    match (kind, binary) {
+        (20 | 21 | 23, true) => Value::Integer(number()),
+        (20 | 21 | 23, false) => text.parse().map_or(Value::Text(text), Value::Integer),
+        (701, true) => Value::Real(f64::from_be_bytes(bytes.try_into().unwrap_or_default())),
+        (701, false) => text.parse().map_or(Value::Text(text), Value::Real),
+        (17, true) => Value::Blob(bytes.to_vec()),
+        _ => Value::Text(text),
+    }
+}
+
+fn no_statement(name: &str) -> Refusal {
+    ("26000", format!("prepared statement {name:?} does not exist"))
+}
+
+fn refusal(error: rusqlite::Error) -> Refusal {
+    let code = match &error {
+        rusqlite::Error::SqliteFailure(cause, _) => match cause.extended_code {
+            rusqlite::ffi::SQLITE_CONSTRAINT_PRIMARYKEY
+            | rusqlite::ffi::SQLITE_CONSTRAINT_UNIQUE => "23505",
+            rusqlite::ffi::SQLITE_CONSTRAINT_NOTNULL => "23502",
+            rusqlite::ffi::SQLITE_BUSY_SNAPSHOT => "40001",
+            _ => "42601",
+        },
+        _ => "42601",
+    };
+    (code, error.to_string())
+}
+
+/// Reads the start-up; returns the failure domain of the client, or `None` for a cancel request.
+fn start(reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<Option<String>> {
+    loop {
+        let mut header = [0; 8];
+        reader.read_exact(&mut header)?;
+        let len = u32::from_be_bytes(header[..4].try_into()?) as usize;
+        let code = u32::from_be_bytes(header[4..].try_into()?);
+        anyhow::ensure!((8..10_000).contains(&len), "a start-up packet of {len} bytes");
+        let mut body = vec![0; len - 8];
+        reader.read_exact(&mut body)?;
+        match code {
+            80_877_103 | 80_877_104 => socket.write_all(b"N")?,
+            80_877_102 => return Ok(None),
+            _ => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let mut words = text.split('\0');
+                let mut domain = String::new();
+                while let (Some(name), Some(value)) = (words.next(), words.next()) {
+                    if name == "application_name" {
+                        domain = value.rsplit('/').next().unwrap_or_default().to_owned();
+                    }
+                }
+                return Ok(Some(domain));
+            }
+        }
+    }
+}
+
+fn read_message(reader: &mut impl Read) -> anyhow::Result<Option<PgWireFrontendMessage>> {
+    let mut header = [0; 5];
+    if reader.read_exact(&mut header).is_err() {
+        return Ok(None);
+    }
+    let len = u32::from_be_bytes(header[1..].try_into()?) as usize;
+    anyhow::ensure!((4..64 * 1024 * 1024).contains(&len), "a message of {len} bytes");
+    let mut body = vec![0; len - 4];
+    reader.read_exact(&mut body)?;
+    let mut bytes = BytesMut::from(&header[..]);
+    bytes.extend_from_slice(&body);
+    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    context.awaiting_frontend_ssl = false;
+    context.awaiting_frontend_startup = false;
+    Ok(PgWireFrontendMessage::decode(&mut bytes, &context)?)
+}
--- /dev/null
+++ b/bench/src/standin/sql.rs
@@ -0,0 +1,139 @@
+//! What kind of statement a text is, as far as the stand-in must know before SQLite sees it.
+
+/// One statement as the stand-in handles it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Statement {
+    /// Nothing but blanks and comments.
+    Empty,
+    /// `BEGIN`, and whether it is declared read-only.
+    Begin { read_only: bool },
+    /// `COMMIT` or `END`.
+    Commit,
+    /// `ROLLBACK` or `ABORT` of the whole transaction.
+    Rollback,
+    /// A statement without effect here, with its command tag.
+    Ignored(&'static str),
+    /// The status view.
+    Status,
+    /// `cactushatch_promote(TERM)`.
+    Promote(u64),
+    /// `cactushatch_follow('ADDRESS', TERM)`.
+    Follow(std::net::SocketAddr, u64),
+    /// `cactushatch_demote(TERM)`.
+    Demote(u64),
+    /// Anything else: SQLite runs it.
+    Plain(String),
+}
+
+/// Splits a simple query into its statements.
+pub fn split(text: &str) -> Vec<&str> {
+    let mut statements = Vec::new();
+    let mut start = 0;
+    let mut quote = None;
+    let mut comment = false;
+    let bytes = text.as_bytes();
+    for (at, byte) in bytes.iter().enumerate() {
+        match (quote, byte) {
+            _ if comment => comment = !(byte == &b'/' && bytes[at - 1] == b'*'),
+            (Some(open), byte) if *byte == open => quote = None,
+            (Some(_), _) => {}
+            (None, b'\'' | b'"') => quote = Some(*byte),
+            (None, b'*') if at > 0 && bytes[at - 1] == b'/' => comment = true,
+            (None, b';') => {
+                statements.push(&text[start..at]);
+                start = at + 1;
+            }
+            _ => {}
+        }
+    }
+    statements.push(&text[start..]);
+    statements.retain(|statement| !bare(statement).is_empty());
+    statements
+}
+
+/// Recognises a statement.
+pub fn parse(text: &str) -> Statement {
+    let bare = bare(text);
+    let upper = bare.to_ascii_uppercase();
+    let mut words = upper.split_whitespace();
+    match words.next().unwrap_or("") {
+        "" => Statement::Empty,
+        "BEGIN" | "START" => Statement::Begin { read_only: upper.contains("READ ONLY") },
+        "COMMIT" | "END" => Statement::Commit,
+        "ROLLBACK" | "ABORT" if !upper.contains(" TO ") => Statement::Rollback,
+        "SET" => Statement::Ignored("SET"),
+        "RESET" => Statement::Ignored("RESET"),
+        "DISCARD" => Statement::Ignored("DISCARD ALL"),
+        _ => special(&bare).unwrap_or_else(|| Statement::Plain(without_casts(&bare))),
+    }
+}
+
+/// Returns the types that casts such as `$1::int8` give to parameters, as type ids, first parameter first.
+pub fn parameter_types(text: &str) -> Vec<u32> {
+    let mut types = Vec::new();
+    for (at, _) in text.match_indices('$') {
+        let rest = &text[at + 1..];
+        let digits = rest.find(|c: char| !c.is_ascii_digit()).unwrap_or(rest.len());
+        let Ok(number) = rest[..digits].parse::<usize>() else { continue };
+        if number == 0 || number > 1000 {
+            continue;
+        }
+        if types.len() < number {
+            types.resize(number, super::reply::TEXT);
+        }
+        if let Some(cast) = rest[digits..].strip_prefix("::") {
+            types[number - 1] = super::reply::type_of(cast);
+        }
+    }
+    types
+}
+
+fn special(text: &str) -> Option<Statement> {
+    if text.contains("cactushatch_status") {
+        return Some(Statement::Status);
+    }
+    let at = text.find("cactushatch_")?;
+    let (name, rest) = text[at..].split_once('(')?;
+    let (arguments, _) = rest.split_once(')')?;
+    let mut arguments = arguments.split(',').map(|argument| argument.trim().trim_matches('\''));
+    match name {
+        "cactushatch_promote" => Some(Statement::Promote(arguments.next()?.parse().ok()?)),
+        "cactushatch_demote" => Some(Statement::Demote(arguments.next()?.parse().ok()?)),
+        "cactushatch_follow" => {
+            let address = arguments.next()?.parse().ok()?;
+            Some(Statement::Follow(address, arguments.next()?.parse().ok()?))
+        }
+        _ => None,
+    }
+}
+
+/// Strips blanks and comments at both ends.
+fn bare(text: &str) -> String {
+    let mut text = text.trim();
+    loop {
+        if let Some(rest) = text.strip_prefix("/*").and_then(|rest| rest.split_once("*/")) {
+            text = rest.1.trim();
+        } else if let Some(rest) = text.strip_prefix("--") {
+            text = rest.split_once('\n').map_or("", |split| split.1).trim();
+        } else if text.ends_with("*/")
+            && let Some(start) = text.rfind("/*")
+        {
+            text = text[..start].trim();
+        } else {
+            return text.to_owned();
+        }
+    }
+}
+
+/// Removes `::type` casts, which SQLite doesn't know.
+fn without_casts(text: &str) -> String {
+    let mut out = String::with_capacity(text.len());
+    let mut rest = text;
+    while let Some((before, after)) = rest.split_once("::") {
+        out.push_str(before);
+        let end = after.find(|c: char| !c.is_ascii_alphanumeric()).unwrap_or(after.len());
+        rest = &after[end..];
+    }
+    out.push_str(rest);
+    out
+}
--- /dev/null
+++ b/src/admin/server.rs
@@ -0,0 +1,114 @@
+//! The HTTP server.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Method, Response, StatusCode};
+use serde::Serialize;
+use smol::net::{TcpListener, TcpStream};
+use smol_hyper::rt::FuturesIo;
+
+use super::MAX_BODY_BYTES;
+
+/// A request whose body has been read.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// The method.
+    pub method: Method,
+    /// The path, without the query.
+    pub path: String,
+    /// The query, or nothing.
+    pub query: String,
+    /// The body.
+    pub body: Bytes,
+}
+
+/// What is answered.
+#[derive(Debug, Clone)]
+pub struct Reply {
+    status: StatusCode,
+    kind: &'static str,
+    body: Bytes,
+}
+
+impl Reply {
+    /// Answers with JSON.
+    pub fn json(value: &impl Serialize) -> Self {
+        match serde_json::to_vec(value) {
+            Ok(body) => {
+                Self { status: StatusCode::OK, kind: "application/json", body: body.into() }
+            }
+            Err(error) => Self::refuse(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+        }
+    }
+
+    /// Answers with text.
+    pub fn text(body: String) -> Self {
+        Self { status: StatusCode::OK, kind: "text/plain; charset=utf-8", body: body.into() }
+    }
+
+    /// Answers with an error.
+    pub fn refuse(status: StatusCode, message: &str) -> Self {
+        Self { status, kind: "text/plain; charset=utf-8", body: message.to_owned().into() }
+    }
+}
+
+/// Serves every connection that `listener` takes; `handle` answers each request.
+///
+/// # Errors
+///
+/// Fails when the listener does.
+pub async fn serve<F>(
+    listener: TcpListener,
+    handle: impl Fn(Request) -> F + Clone + Send + Sync + 'static,
+) -> std::io::Result<()>
+where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    loop {
+        let (socket, _) = listener.accept().await?;
+        smol::spawn(connection(socket, handle.clone())).detach();
+    }
+}
+
+async fn connection<F>(socket: TcpStream, handle: impl Fn(Request) -> F + Send + Sync + 'static)
+where
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let handle = &handle;
+    let service = service_fn(move |request: hyper::Request<Incoming>| async move {
+        let reply = match read(request).await {
+            Ok(request) => handle(request).await,
+            Err(reply) => reply,
+        };
+        Ok::<_, Infallible>(response(reply))
+    });
+    let served = http1::Builder::new().serve_connection(FuturesIo::new(socket), service).await;
+    if let Err(error) = served {
+        log::debug!("an operator's connection ended: {error}");
+    }
+}
+
+async fn read(request: hyper::Request<Incoming>) -> Result<Request, Reply> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
+    let body = body.map_err(|e| Reply::refuse(StatusCode::PAYLOAD_TOO_LARGE, &e.to_string()))?;
+    Ok(Request {
+        method: head.method,
+        path: head.uri.path().to_owned(),
+        query: head.uri.query().unwrap_or("").to_owned(),
+        body: body.to_bytes(),
+    })
+}
+
+fn response(reply: Reply) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(reply.body));
+    *response.status_mut() = reply.status;
+    let kind = hyper::header::HeaderValue::from_static(reply.kind);
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,32 @@
+//! Control: the durable decisions, on a few VMs with disks.
+//!
+//! Everything that decides is a pure machine with `step(now, input) -> outputs`; the edges (sockets, disk,
+//! timers) are in `server` and `operator`. See `docs/DESIGN.md`, "Control".
+
+pub mod failover;
+pub mod lease;
+pub mod operator;
+mod probe;
+pub mod raft;
+mod server;
+pub mod state;
+pub mod store;
+
+pub use server::{Server, spawn};
+
+/// Why a control process can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings have no `[control]` table.
+    #[error("the settings have no [control] table")]
+    NotControl,
+    /// The settings name no data folder.
+    #[error("a control process needs a data folder")]
+    NoData,
+    /// A socket failed.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// The log on disk failed.
+    #[error("{0}")]
+    Store(#[from] store::Error),
+}
--- /dev/null
+++ b/src/control/operator.rs
@@ -0,0 +1,161 @@
+//! What operators ask of control, over HTTP with JSON.
+
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use hyper::{Method, StatusCode};
+use serde::{Deserialize, Serialize};
+use smol::net::TcpListener;
+
+use super::server::{Shared, instances, role_of};
+use super::state::{Action, Command, Intent, Origin};
+use crate::admin::{self, Reply, Request};
+use crate::id;
+use crate::wire::{Answer, Phase, Role, Stamp};
+
+/// The body of `POST /plan`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Plan {
+    /// Who sends it, and its id.
+    pub origin: Origin,
+    /// The plan's id, chosen by the sender.
+    pub plan: id::Plan,
+    /// The revision it stands on; the one in force when it is left out.
+    pub base: Option<id::Revision>,
+    /// What is wanted.
+    pub intent: Intent,
+}
+
+/// The body of `POST /confirm`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Confirm {
+    /// Who sends it, and its id.
+    pub origin: Origin,
+    /// The plan.
+    pub plan: id::Plan,
+}
+
+/// The answer to `GET /status`.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Status {
+    /// How new this is.
+    pub stamp: Stamp,
+    /// The configuration revision in force.
+    pub revision: id::Revision,
+    /// The groups and their epochs.
+    pub groups: Vec<Group>,
+    /// The instances.
+    pub instances: Vec<Instance>,
+    /// The proxies that may hold a lease.
+    pub proxies: Vec<id::Node>,
+}
+
+/// A group's epoch, for operators.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Group {
+    /// The group.
+    pub group: id::Group,
+    /// Its term.
+    pub term: id::Term,
+    /// Its primary.
+    pub primary: id::Instance,
+    /// Whether writes are stopped.
+    pub frozen: bool,
+}
+
+/// An instance, for operators.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Instance {
+    /// The instance.
+    pub instance: id::Instance,
+    /// Its group.
+    pub group: id::Group,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where it is.
+    pub address: std::net::SocketAddr,
+    /// What it is in the group's epoch.
+    pub role: Role,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
+    let handle = move |request| {
+        let shared = Arc::clone(&shared);
+        async move { answer(&shared, &request) }
+    };
+    if let Err(error) = admin::serve(listener, handle).await {
+        log::error!("operators can't be served any more: {error}");
+    }
+}
+
+fn answer(shared: &Shared, request: &Request) -> Reply {
+    match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/status") => Reply::json(&status(shared)),
+        (&Method::POST, "/plan") => parsed(request, |plan| self::plan(shared, plan)),
+        (&Method::POST, "/confirm") => parsed(request, |confirm| self::confirm(shared, confirm)),
+        _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
+    }
+}
+
+fn parsed<T: for<'a> Deserialize<'a>>(request: &Request, then: impl FnOnce(T) -> Answer) -> Reply {
+    match serde_json::from_slice(&request.body) {
+        Ok(body) => reply(then(body)),
+        Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+    }
+}
+
+fn reply(answer: Answer) -> Reply {
+    match answer {
+        Answer::Applied(outcome) => Reply::json(&outcome),
+        Answer::NotLeader(leader) => {
+            let leader = leader.map_or("not known".to_owned(), |leader| leader.to_string());
+            Reply::refuse(StatusCode::MISDIRECTED_REQUEST, &format!("the leader is {leader}"))
+        }
+        Answer::Unknown => {
+            let message = "the outcome is unknown; send the command again with the same id";
+            Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, message)
+        }
+    }
+}
+
+fn plan(shared: &Shared, plan: Plan) -> Answer {
+    let base = plan.base.unwrap_or_else(|| shared.core().state.revision);
+    let action = Action::Plan { plan: plan.plan, base, intent: plan.intent, made_ms: wall_ms() };
+    shared.submit(Command { origin: Some(plan.origin), action })
+}
+
+fn confirm(shared: &Shared, confirm: Confirm) -> Answer {
+    let action = Action::Confirm { plan: confirm.plan, now_ms: wall_ms() };
+    shared.submit(Command { origin: Some(confirm.origin), action })
+}
+
+fn status(shared: &Shared) -> Status {
+    let core = shared.core();
+    let group = |epoch: &crate::wire::Epoch| Group {
+        group: epoch.group.clone(),
+        term: epoch.term,
+        primary: epoch.primary.clone(),
+        frozen: epoch.phase == Phase::Frozen,
+    };
+    let instance = |replica: crate::wire::Replica| Instance {
+        role: role_of(&core.state, &replica),
+        draining: core.state.draining.contains(&replica.instance),
+        instance: replica.instance,
+        group: replica.group,
+        domain: replica.domain,
+        address: replica.address,
+    };
+    Status {
+        stamp: core.stamp(),
+        revision: core.state.revision,
+        groups: core.state.epochs.values().map(group).collect(),
+        instances: instances(&core).into_iter().map(instance).collect(),
+        proxies: core.state.nodes.keys().cloned().collect(),
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
+}
--- /dev/null
+++ b/src/control/state/mod.rs
@@ -0,0 +1,202 @@
+//! The replicated state: what the log's commands make of it. It is the one source of decisions.
+
+mod apply;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{id, wire};
+
+/// All that the log's commands have made so far. Two voters that applied the same entries hold equal states.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct State {
+    /// The revision of the configuration in force.
+    pub revision: id::Revision,
+    /// The declarations in force, in TOML.
+    pub text: String,
+    /// Who put this revision in force.
+    pub changed_by: Option<id::Operator>,
+    /// The epoch of each group.
+    pub epochs: BTreeMap<id::Group, wire::Epoch>,
+    /// The proxies that may hold a lease.
+    pub nodes: BTreeMap<id::Node, (id::Incarnation, id::Domain)>,
+    /// The instances that are leaving.
+    pub draining: BTreeSet<id::Instance>,
+    /// The plans that wait for their confirmation.
+    pub plans: BTreeMap<id::Plan, Planned>,
+    /// The first outcomes of operators' commands, and the order in which they came.
+    pub outcomes: BTreeMap<id::Command, Outcome>,
+    /// The commands of `outcomes`, oldest first.
+    pub order: VecDeque<id::Command>,
+}
+
+/// A plan that waits for its confirmation.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Planned {
+    /// The revision that it stands on.
+    pub base: id::Revision,
+    /// What it would do.
+    pub intent: Intent,
+    /// When it runs out, in milliseconds since 1970.
+    pub expires_ms: u64,
+}
+
+/// A command in the log. A command with an id that was applied before gets its first outcome again.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Command {
+    /// Who sent it, and its id; `None` for a command of the leader itself.
+    pub origin: Option<Origin>,
+    /// What it orders.
+    pub action: Action,
+}
+
+/// Who ordered a command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Origin {
+    /// The command's id, chosen by the sender and kept over resends.
+    pub command: id::Command,
+    /// The operator.
+    pub operator: id::Operator,
+}
+
+/// What a command orders.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Action {
+    /// The first entry of a leader's term; it orders nothing.
+    Noop,
+    /// Keep a plan until it is confirmed or runs out.
+    Plan {
+        /// The plan's id.
+        plan: id::Plan,
+        /// The revision the plan was made against; it is void on any other.
+        base: id::Revision,
+        /// What the plan would do.
+        intent: Intent,
+        /// The leader's wall-clock time when the plan was made, in milliseconds since 1970.
+        made_ms: u64,
+    },
+    /// Carry a plan out.
+    Confirm {
+        /// The plan's id.
+        plan: id::Plan,
+        /// The leader's wall-clock time, in milliseconds since 1970.
+        now_ms: u64,
+    },
+    /// Stop releasing the answers of a group's epoch.
+    Freeze {
+        /// The group.
+        group: id::Group,
+        /// The term that is frozen; the command is void when another is in force.
+        term: id::Term,
+    },
+    /// Put a new epoch in force (also the first one of a group).
+    Promote {
+        /// The group.
+        group: id::Group,
+        /// The new term.
+        term: id::Term,
+        /// The primary.
+        primary: id::Instance,
+        /// Where the new term's history begins.
+        start: id::Position,
+    },
+    /// A proxy may hold leases from now on.
+    Register {
+        /// The proxy.
+        node: id::Node,
+        /// Its incarnation; an older one is refused from now on.
+        incarnation: id::Incarnation,
+        /// Its failure domain.
+        domain: id::Domain,
+    },
+    /// A proxy is gone for good and may hold no lease; ordered after its lease ran out.
+    Forget {
+        /// The proxy.
+        node: id::Node,
+    },
+    /// Change the voters by one.
+    Member(Membership),
+}
+
+/// A change of the voters.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Membership {
+    /// A new voter, or one with a new disk, learns the log and doesn't vote yet.
+    Learn(Voter),
+    /// A learner that has caught up votes from now on.
+    Admit(id::Node),
+    /// A voter leaves.
+    Remove(id::Node),
+}
+
+/// A control process.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Voter {
+    /// Its name.
+    pub node: id::Node,
+    /// The incarnation of its disk.
+    pub incarnation: id::Incarnation,
+    /// Where it takes frames, over UDP and TCP alike.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: id::Domain,
+}
+
+/// What an operator wants; it becomes a plan first.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Intent {
+    /// Put these declarations (TOML) in force.
+    Configure {
+        /// The declarations.
+        text: String,
+    },
+    /// Drain an instance.
+    Drain {
+        /// The instance.
+        instance: id::Instance,
+    },
+    /// Take a drained instance back.
+    Undrain {
+        /// The instance.
+        instance: id::Instance,
+    },
+    /// Prepare a group for a peak.
+    Peak {
+        /// The group.
+        group: id::Group,
+        /// When it begins, in milliseconds since 1970.
+        at_ms: u64,
+        /// How long it lasts, in milliseconds.
+        lasts_ms: u64,
+    },
+    /// Change the voters.
+    Member(Membership),
+}
+
+/// What came of a command.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Outcome {
+    /// It was carried out; this is the configuration revision since.
+    Done {
+        /// The configuration revision in force.
+        revision: id::Revision,
+    },
+    /// The plan is kept and waits for its confirmation.
+    Planned {
+        /// The plan's id.
+        plan: id::Plan,
+        /// The revision the plan stands on.
+        base: id::Revision,
+        /// When the plan runs out, in milliseconds since 1970.
+        expires_ms: u64,
+    },
+    /// It was refused, and nothing changed.
+    Refused {
+        /// Why, for the operator.
+        reason: String,
+    },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,16 @@
+//! Cactushatch is a database proxy with session consistency.
+//!
+//! The library holds all that the `cactushatch` binary runs, so that tests and the bench drive the same
+//! state machines as production. `docs/DESIGN.md` describes how the modules fit together.
+
+pub mod admin;
+pub mod cli;
+pub mod clock;
+pub mod config;
+pub mod control;
+pub mod id;
+pub mod pgsql;
+pub mod proxy;
+pub mod report;
+pub mod upstream;
+pub mod wire;
--- /dev/null
+++ b/src/proxy/batch.rs
@@ -0,0 +1,244 @@
+//! The extended protocol: a caller's prepared statements, and its batches up to `Sync`, rewritten so that they
+//! run on whichever connection serves them.
+
+use std::collections::{HashMap, HashSet, VecDeque};
+
+use bytes::{Bytes, BytesMut};
+use pgwire::messages::extendedquery::{Bind, Close, Describe, Parse};
+use pgwire::messages::{DecodeContext, ProtocolVersion};
+use sha2::{Digest, Sha256};
+
+use super::class::{self, Kind, Tags};
+use super::relay::{Exchange, Step};
+use crate::pgsql::{Error, Message};
+
+/// The most prepared statements of one caller.
+const MAX_STATEMENTS: usize = 1_000;
+
+/// A statement that the caller prepared.
+#[derive(Debug, Clone)]
+struct Prepared {
+    /// The `Parse` as the upstream gets it.
+    parse: Message,
+    /// Its name at the upstream; the unnamed one stays unnamed.
+    name: String,
+    kind: Kind,
+    tags: Tags,
+}
+
+/// The prepared statements of one caller.
+#[derive(Debug, Default)]
+pub(super) struct Statements {
+    prepared: HashMap<String, Prepared>,
+}
+
+/// What the caller sent since the last `Sync`.
+#[derive(Debug, Default)]
+pub(super) struct Batch {
+    messages: Vec<Message>,
+}
+
+/// What a batch does, as far as routing depends on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Summary {
+    pub(super) kind: Kind,
+    pub(super) tags: Tags,
+}
+
+impl Batch {
+    pub(super) fn push(&mut self, message: Message) {
+        self.messages.push(message);
+    }
+
+    pub(super) fn is_empty(&self) -> bool {
+        self.messages.is_empty()
+    }
+
+    pub(super) fn bytes(&self) -> usize {
+        self.messages.iter().map(|message| message.body.len()).sum()
+    }
+}
+
+impl Statements {
+    /// Takes the batch's `Parse` and `Close` messages over and returns what the batch does.
+    pub(super) fn take(&mut self, batch: &Batch) -> Result<Summary, Error> {
+        let mut summary = Summary { kind: Kind::Empty, tags: Tags::default() };
+        let mut portals: HashMap<String, String> = HashMap::new();
+        for message in &batch.messages {
+            match message.tag {
+                b'P' => self.prepare(decode(message)?)?,
+                b'B' => {
+                    let bind: Bind = decode(message)?;
+                    let portal = bind.portal_name.unwrap_or_default();
+                    portals.insert(portal, bind.statement_name.unwrap_or_default());
+                }
+                b'E' => {
+                    let execute: pgwire::messages::extendedquery::Execute = decode(message)?;
+                    let portal = portals.get(&execute.name.unwrap_or_default());
+                    if let Some(prepared) = portal.and_then(|name| self.prepared.get(name)) {
+                        summary.kind = both(summary.kind, prepared.kind);
+                        summary.tags = prepared.tags.clone();
+                    }
+                }
+                _ => {}
+            }
+        }
+        for message in batch.messages.iter().filter(|message| message.tag == b'P') {
+            let parse: Parse = decode(message)?;
+            let name = parse.name.unwrap_or_default();
+            if let Some(Prepared { kind: refused @ Kind::Refused(_), .. }) =
+                self.prepared.get(&name)
+            {
+                summary.kind = *refused;
+            }
+        }
+        Ok(summary)
+    }
+
+    fn prepare(&mut self, mut parse: Parse) -> Result<(), Error> {
+        let own = parse.name.take().unwrap_or_default();
+        if self.prepared.len() >= MAX_STATEMENTS && !self.prepared.contains_key(&own) {
+            return Err(Error::Protocol("too many prepared statements"));
+        }
+        let name = if own.is_empty() { String::new() } else { upstream_name(&parse) };
+        let kind = class::kind(&parse.query);
+        let tags = class::tags(&parse.query);
+        parse.name = (!name.is_empty()).then(|| name.clone());
+        let parse = encode(b'P', &parse)?;
+        self.prepared.insert(own, Prepared { parse, name, kind, tags });
+        Ok(())
+    }
+
+    /// Makes the exchange that runs the batch on a connection that holds the statements `held`.
+    pub(super) fn exchange(
+        &mut self,
+        batch: &Batch,
+        held: &HashSet<String>,
+    ) -> Result<Exchange, Error> {
+        let mut writing =
+            Writing { bytes: BytesMut::new(), steps: VecDeque::new(), held: held.clone() };
+        let mut unnamed = false;
+        for message in &batch.messages {
+            match message.tag {
+                b'P' => {
+                    let parse: Parse = decode(message)?;
+                    let name = parse.name.unwrap_or_default();
+                    unnamed |= name.is_empty();
+                    if let Some(prepared) = self.prepared.get(&name) {
+                        writing.parse(prepared, true);
+                    }
+                }
+                b'B' => {
+                    let mut bind: Bind = decode(message)?;
+                    let name = bind.statement_name.take().unwrap_or_default();
+                    bind.statement_name = self.need(&name, &mut unnamed, &mut writing);
+                    writing.send(&encode(b'B', &bind)?, Step::Bind);
+                }
+                b'D' => {
+                    let mut describe: Describe = decode(message)?;
+                    if describe.target_type == b'S' {
+                        let name = describe.name.take().unwrap_or_default();
+                        describe.name = self.need(&name, &mut unnamed, &mut writing);
+                    }
+                    writing.send(&encode(b'D', &describe)?, Step::Describe);
+                }
+                b'C' => {
+                    let close: Close = decode(message)?;
+                    if close.target_type == b'S' {
+                        self.prepared.remove(&close.name.unwrap_or_default());
+                        let complete = Message { tag: b'3', body: Bytes::new() };
+                        writing.steps.push_back(Step::Answered(complete));
+                    } else {
+                        writing.send(message, Step::Close);
+                    }
+                }
+                b'E' => writing.send(message, Step::Execute),
+                _ => return Err(Error::Protocol("a message that has no place in a batch")),
+            }
+        }
+        writing.send(&Message { tag: b'S', body: Bytes::new() }, Step::Ready);
+        Ok(Exchange { bytes: writing.bytes, steps: writing.steps, hold: false })
+    }
+
+    /// Has the statement prepared on the connection, and returns its name there.
+    fn need(&self, name: &str, unnamed: &mut bool, writing: &mut Writing) -> Option<String> {
+        let Some(prepared) = self.prepared.get(name) else {
+            return Some(name.to_owned());
+        };
+        if prepared.name.is_empty() {
+            if !*unnamed {
+                writing.parse(prepared, false);
+                *unnamed = true;
+            }
+            return None;
+        }
+        if !writing.held.contains(&prepared.name) {
+            writing.parse(prepared, false);
+        }
+        Some(prepared.name.clone())
+    }
+}
+
+/// An exchange that is being written.
+struct Writing {
+    bytes: BytesMut,
+    steps: VecDeque<Step>,
+    held: HashSet<String>,
+}
+
+impl Writing {
+    fn send(&mut self, message: &Message, step: Step) {
+        message.write(&mut self.bytes);
+        self.steps.push_back(step);
+    }
+
+    fn parse(&mut self, prepared: &Prepared, asked: bool) {
+        if self.held.contains(&prepared.name) {
+            if asked {
+                let complete = Message { tag: b'1', body: Bytes::new() };
+                self.steps.push_back(Step::Answered(complete));
+            }
+            return;
+        }
+        if !prepared.name.is_empty() {
+            self.held.insert(prepared.name.clone());
+        }
+        self.send(&prepared.parse, Step::Parse { name: prepared.name.clone(), asked });
+    }
+}
+
+fn both(a: Kind, b: Kind) -> Kind {
+    match (a, b) {
+        (Kind::Empty, other) | (other, Kind::Empty) => other,
+        (Kind::Refused(why), _) | (_, Kind::Refused(why)) => Kind::Refused(why),
+        (Kind::Read, Kind::Read) => Kind::Read,
+        (Kind::Read | Kind::Write, Kind::Read | Kind::Write) => Kind::Write,
+        _ => Kind::Refused("transaction control goes in a batch of its own"),
+    }
+}
+
+/// Names a statement by its text and types, so that callers with the same statement share it.
+fn upstream_name(parse: &Parse) -> String {
+    let mut hash = Sha256::new();
+    hash.update(parse.query.as_bytes());
+    for oid in &parse.type_oids {
+        hash.update(oid.to_be_bytes());
+    }
+    let digest = hash.finalize();
+    let hex: String = digest[..16].iter().map(|byte| format!("{byte:02x}")).collect();
+    format!("ch_{hex}")
+}
+
+fn decode<T: pgwire::messages::Message>(message: &Message) -> Result<T, Error> {
+    let mut body = BytesMut::from(&message.body[..]);
+    let context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    T::decode_body(&mut body, message.body.len() + 4, &context)
+        .map_err(|_| Error::Protocol("a message that can't be decoded"))
+}
+
+fn encode(tag: u8, message: &impl pgwire::messages::Message) -> Result<Message, Error> {
+    let mut body = BytesMut::new();
+    let encoded = message.encode_body(&mut body);
+    encoded.map_err(|_| Error::Protocol("a message that can't be encoded"))?;
+    Ok(Message { tag, body: body.freeze() })
+}
--- /dev/null
+++ b/src/proxy/mod.rs
@@ -0,0 +1,30 @@
+//! The proxy: it serves callers, by the decisions of control and the positions of the upstreams.
+//!
+//! Data flows one way: frame, request, class, route, connection, answer, outcome. See `docs/DESIGN.md`,
+//! "The request path".
+
+mod batch;
+mod caller;
+pub mod class;
+pub mod fence;
+pub mod floor;
+mod heartbeat;
+pub mod outcome;
+mod pool;
+mod relay;
+pub mod route;
+mod server;
+mod watch;
+
+pub use server::{Server, spawn};
+
+/// Why a proxy can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The settings have no `[proxy]` table.
+    #[error("the settings have no [proxy] table")]
+    NotProxy,
+    /// A socket failed.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
--- /dev/null
+++ b/src/proxy/outcome.rs
@@ -0,0 +1,122 @@
+//! What a caller is told when its request was not simply done: the outcome, why, and when to come back.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use pgwire::messages::Message as _;
+use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
+
+/// An outcome other than done or the database's own error.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The request truly did not run; it may be sent again after the time given.
+    NotRun {
+        /// Why.
+        reason: Reason,
+        /// When to come back.
+        retry: Duration,
+    },
+    /// Whether the request ran is not known.
+    Unknown {
+        /// Why.
+        reason: Reason,
+    },
+    /// The request asks for something that the proxy doesn't do.
+    Unsupported(&'static str),
+    /// The session's floor names a write that a promotion left out.
+    FloorLost,
+}
+
+/// Why a request was not run, or why its outcome is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// The group is not declared or has no primary yet.
+    NoPrimary,
+    /// The proxy holds no valid lease.
+    NoLease,
+    /// The group's primary is being replaced.
+    Failover,
+    /// No connection became free in time.
+    Busy,
+    /// No replica reached the session's floor and the primary can't be used.
+    Behind,
+    /// The deadline passed.
+    Deadline,
+    /// The connection to the upstream was lost.
+    ConnectionLost,
+    /// The proxy is shutting down.
+    ShuttingDown,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoPrimary => "no_primary",
+            Self::NoLease => "no_lease",
+            Self::Failover => "failover",
+            Self::Busy => "busy",
+            Self::Behind => "behind",
+            Self::Deadline => "deadline",
+            Self::ConnectionLost => "connection_lost",
+            Self::ShuttingDown => "shutting_down",
+        })
+    }
+}
+
+impl Outcome {
+    /// Returns the SQLSTATE; `docs/CALLERS.md` lists them.
+    pub fn sqlstate(&self) -> &'static str {
+        match self {
+            Self::NotRun { reason: Reason::ShuttingDown, .. } => "57P01",
+            Self::NotRun { .. } => "57P03",
+            Self::Unknown { .. } => "08007",
+            Self::Unsupported(_) => "0A000",
+            Self::FloorLost => "55000",
+        }
+    }
+
+    /// Returns the machine-readable detail.
+    pub fn detail(&self) -> String {
+        match self {
+            Self::NotRun { reason, retry } => {
+                format!("outcome=not_run reason={reason} retry_after_ms={}", retry.as_millis())
+            }
+            Self::Unknown { reason } => format!("outcome=unknown reason={reason}"),
+            Self::Unsupported(_) => "outcome=not_run reason=unsupported".to_owned(),
+            Self::FloorLost => "outcome=not_run reason=floor_lost".to_owned(),
+        }
+    }
+
+    fn message(&self) -> String {
+        match self {
+            Self::NotRun { reason, retry } => {
+                format!("the request was not run ({reason}); try again in {} ms", retry.as_millis())
+            }
+            Self::Unknown { reason } => {
+                format!(
+                    "whether the request ran is unknown ({reason}); look before sending it again"
+                )
+            }
+            Self::Unsupported(why) => (*why).to_owned(),
+            Self::FloorLost => "a write of this session was lost in a promotion".to_owned(),
+        }
+    }
+
+    /// Appends the error as an `ErrorResponse`.
+    pub fn write(&self, out: &mut BytesMut) {
+        let fields = vec![
+            (b'S', "ERROR".to_owned()),
+            (b'V', "ERROR".to_owned()),
+            (b'C', self.sqlstate().to_owned()),
+            (b'M', self.message()),
+            (b'D', self.detail()),
+        ];
+        ErrorResponse::new(fields).encode(out).expect("an error of ours can be encoded");
+    }
+}
+
+/// Appends a `ReadyForQuery`.
+pub fn write_ready(status: TransactionStatus, out: &mut BytesMut) {
+    ReadyForQuery::new(status).encode(out).expect("a ready message can be encoded");
+}
--- /dev/null
+++ b/src/report/mod.rs
@@ -0,0 +1,1 @@
+//! Metrics and the report on service-level burn.
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,47 @@
+//! Frames between our own processes: postcard over UDP for heartbeats and grants, over TCP for the rest.
+//!
+//! Every frame names its version, its sender and the sender's incarnation, and is bounded in length. A frame
+//! that breaks a rule closes its connection with a typed error and touches no other; see `docs/DESIGN.md`,
+//! "Frames".
+
+mod frame;
+mod message;
+mod stream;
+
+pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
+pub use message::{
+    Answer, Body, Configuration, Epoch, Grant, Heartbeat, Phase, Replica, Role, Sighting, Stamp,
+    Table, Trouble,
+};
+pub use stream::Stream;
+
+/// Why a frame could not be read or written.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The frame is longer than its transport allows.
+    #[error("a frame of {len} bytes is over the limit of {limit}")]
+    TooLong {
+        /// The length in bytes.
+        len: usize,
+        /// The limit in bytes.
+        limit: usize,
+    },
+    /// The sender speaks another version of the protocol.
+    #[error("frame version {found} is not {VERSION}")]
+    Version {
+        /// The version found.
+        found: u8,
+    },
+    /// The bytes are no frame.
+    #[error("a frame can't be decoded: {0}")]
+    Codec(#[from] postcard::Error),
+    /// No key of ours made the seal on the frame.
+    #[error("the seal of a frame from {sender} is not valid")]
+    Seal {
+        /// Who the frame claims to come from.
+        sender: String,
+    },
+    /// The socket failed.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
--- /dev/null
+++ b/tests/env/mod.rs
@@ -0,0 +1,66 @@
+//! A fleet of real processes for tests, started by `scripts/fleet` and ended when dropped.
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+use postgres::{Client, Config, NoTls};
+
+/// A running fleet.
+#[derive(Debug)]
+pub struct Fleet {
+    dir: tempfile::TempDir,
+}
+
+impl Fleet {
+    /// Starts a fleet of the profile `imena`.
+    pub fn up() -> Self {
+        let dir = tempfile::tempdir().expect("a temporary folder");
+        script(&["up", &dir.path().display().to_string()]);
+        Self { dir }
+    }
+
+    /// Returns the fleet's folder.
+    pub fn path(&self) -> &Path {
+        self.dir.path()
+    }
+
+    /// Connects to the proxy with number `proxy`, counted from 0.
+    pub fn connect(&self, proxy: usize, group: &str) -> Client {
+        self.connect_with(proxy, group, "")
+    }
+
+    /// Connects with start-up options.
+    pub fn connect_with(&self, proxy: usize, group: &str, options: &str) -> Client {
+        let proxies = std::fs::read_to_string(self.path().join("proxies")).expect("proxies");
+        let address = proxies.lines().nth(proxy).expect("so many proxies");
+        let (host, port) = address.split_once(':').expect("an address");
+        let mut config = Config::new();
+        config.host(host).port(port.parse().expect("a port")).user("test").dbname(group);
+        if !options.is_empty() {
+            config.options(options);
+        }
+        config.connect(NoTls).expect("the proxy takes callers")
+    }
+
+    /// Kills the process with this name, by its pid.
+    pub fn kill(&self, name: &str) {
+        let names = std::fs::read_to_string(self.path().join("names")).expect("names");
+        let line = names.lines().find(|line| line.ends_with(&format!(" {name}")));
+        let pid = line.and_then(|line| line.split_once(' ')).expect("a process of that name").0;
+        let killed = Command::new("kill").args(["-9", pid]).status().expect("kill runs");
+        assert!(killed.success(), "{name} was not running");
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        script(&["down", &self.path().display().to_string()]);
+    }
+}
+
+fn script(arguments: &[&str]) {
+    let script: PathBuf = [env!("CARGO_MANIFEST_DIR"), "scripts", "fleet"].iter().collect();
+    let ran = Command::new(script).args(arguments).output().expect("scripts/fleet runs");
+    let errors = String::from_utf8_lossy(&ran.stderr);
+    assert!(ran.status.success(), "scripts/fleet {arguments:?}: {errors}");
+}
