Split the leader's soft state from the control server

The server keeps sockets and the log; leases, heartbeats and the table move to control::leader, so that the replicated log and the failover can grow apart.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,6 +4,7 @@
 //! timers) are in `server` and `operator`. See `docs/DESIGN.md`, "Control".
 
 pub mod failover;
+mod leader;
 pub mod lease;
 pub mod operator;
 mod probe;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,6 +1,5 @@
 //! A control process: its sockets, its timers, and the machines between them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -8,8 +7,8 @@
 use smol::net::{TcpListener, UdpSocket};
 
 use super::Error;
-use super::failover::{self, Input, Output};
-use super::lease::{LEASE, Leases};
+use super::failover::{Input, Output};
+use super::leader::Leader;
 use super::operator;
 use super::probe::{self, Probe};
 use super::raft::Entry;
@@ -18,11 +17,8 @@
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
-use crate::upstream::announcement;
 use crate::upstream::position;
-use crate::wire::{
-    Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp, Table,
-};
+use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
 
 /// How often the machines of the groups are told that time passed.
 const TICK: Duration = Duration::from_millis(10);
@@ -48,15 +44,10 @@
 pub(super) struct Core {
     pub(super) state: State,
     pub(super) fleet: config::Fleet,
+    pub(super) leader: Leader,
     store: Store,
     term: id::Term,
     index: id::Index,
-    leases: Leases,
-    groups: BTreeMap<id::Group, failover::Group>,
-    replicas: BTreeMap<id::Instance, (Instant, Replica)>,
-    proxies: BTreeMap<id::Node, SocketAddr>,
-    table: Table,
-    version: u64,
 }
 
 /// Binds the sockets of a control process and starts it.
@@ -103,17 +94,12 @@
         let mut core = Self {
             fleet: config::Fleet::parse("declarations", &state.text).unwrap_or_default(),
             state,
+            leader: Leader::default(),
             store,
             term: id::Term(last.map_or(0, |entry| entry.term.0) + 1),
             index: last.map_or(id::Index(0), |entry| entry.index),
-            leases: Leases::default(),
-            groups: BTreeMap::new(),
-            replicas: BTreeMap::new(),
-            proxies: BTreeMap::new(),
-            table: Table::default(),
-            version: 0,
         };
-        core.refresh();
+        core.leader.refresh(&core.state, &core.fleet);
         core
     }
 
@@ -133,100 +119,31 @@
         if let Ok(fleet) = config::Fleet::parse("declarations", &self.state.text) {
             self.fleet = fleet;
         }
-        self.refresh();
+        self.leader.refresh(&self.state, &self.fleet);
         Answer::Applied(outcome)
     }
 
-    /// Makes the table anew; its version grows when it differs.
-    fn refresh(&mut self) {
-        let table = Table {
-            epochs: self.state.epochs.values().cloned().collect(),
-            replicas: self.replicas.values().map(|(_, replica)| replica.clone()).collect(),
-            draining: self.state.draining.iter().cloned().collect(),
-            shares: self.shares(),
-        };
-        if table != self.table || self.version == 0 {
-            self.table = table;
-            self.version += 1;
-        }
-    }
-
-    /// Shares each group's connections evenly between the proxies; one is left for control itself.
-    fn shares(&self) -> Vec<(id::Group, u32)> {
-        let proxies = self.state.nodes.len().max(1) as u32;
-        let share = |connections: u32| (connections.saturating_sub(1) / proxies).max(1);
-        let groups = self.fleet.group.iter();
-        groups.map(|(name, group)| (name.clone(), share(group.connections))).collect()
-    }
-
-    /// Takes a heartbeat and makes the grant that answers it.
-    fn heartbeat(&mut self, now: Instant, sender: &Frame, heartbeat: &Heartbeat) -> Option<Grant> {
-        let registered = self.state.nodes.get(&sender.sender);
-        match registered {
-            Some((known, _)) if *known > sender.incarnation => return None,
-            Some((known, _)) if *known == sender.incarnation => {}
+    /// Takes a heartbeat, registers its sender where that is needed, and makes the answer.
+    fn heartbeat(&mut self, now: Instant, frame: &Frame, heartbeat: &Heartbeat) -> Option<Grant> {
+        match self.state.nodes.get(&frame.sender) {
+            Some((known, _)) if *known > frame.incarnation => return None,
+            Some((known, _)) if *known == frame.incarnation => {}
             _ => {
                 let action = Action::Register {
-                    node: sender.sender.clone(),
-                    incarnation: sender.incarnation,
+                    node: frame.sender.clone(),
+                    incarnation: frame.incarnation,
                     domain: heartbeat.domain.clone(),
                 };
                 self.commit(Command { origin: None, action });
             }
         }
-        self.proxies.insert(sender.sender.clone(), heartbeat.address);
-        self.sight(now, &sender.sender, heartbeat);
-        let known = if heartbeat.seen.term == self.term { heartbeat.table } else { 0 };
-        self.leases.grant(now, &sender.sender, known);
-        Some(Grant {
-            stamp: self.stamp(),
-            sequence: Some(heartbeat.sequence),
-            lease_ms: LEASE.as_millis() as u32,
-            version: self.version,
-            table: (known < self.version).then(|| self.table.clone()),
-            revision: self.state.revision,
-        })
-    }
-
-    fn sight(&mut self, now: Instant, node: &id::Node, heartbeat: &Heartbeat) {
-        for sighting in &heartbeat.sightings {
-            let replica = &sighting.replica;
-            if let Some(ago) = sighting.announced_ms {
-                let at = now - Duration::from_millis(u64::from(ago));
-                self.announced(at, replica);
-            }
-            let group = self.groups.entry(replica.group.clone());
-            let group = group.or_insert_with(|| failover::Group::new(now, replica.group.clone()));
-            let instance = replica.instance.clone();
-            let trouble = sighting.trouble;
-            group.step(now, Input::Reported { node: node.clone(), instance, trouble });
-        }
-        self.replicas.retain(|_, (at, _)| now.since(*at) < announcement::EXPIRY);
-        self.refresh();
-    }
-
-    /// Notes an announcement that some proxy took at `at`.
-    fn announced(&mut self, at: Instant, replica: &Replica) {
-        match self.replicas.get_mut(&replica.instance) {
-            Some((known, _)) if *known >= at => {}
-            _ => {
-                self.replicas.insert(replica.instance.clone(), (at, replica.clone()));
-            }
-        }
+        let stamp = self.stamp();
+        let decided = (&self.state, &self.fleet, stamp);
+        Some(self.leader.heartbeat(now, &frame.sender, heartbeat, decided))
     }
 
     fn tick(&mut self, now: Instant) -> Vec<Output> {
-        let fenced = self.leases.fenced(now, self.version);
-        let mut outputs = Vec::new();
-        for (name, group) in &mut self.groups {
-            let Some(declared) = self.fleet.group.get(name) else {
-                continue;
-            };
-            let epoch = self.state.epochs.get(name);
-            let instances = declared.instances as usize;
-            outputs.extend(group.step(now, Input::Tick { epoch, fenced, instances }));
-        }
-        outputs
+        self.leader.tick(now, &self.state, &self.fleet)
     }
 }
 
@@ -275,9 +192,9 @@
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
-        let before = self.core().replicas.len();
+        let before = self.core().leader.replicas.len();
         let grant = self.core().heartbeat(self.clock.now(), frame, heartbeat);
-        if self.core().replicas.len() > before {
+        if self.core().leader.replicas.len() > before {
             self.probe_new();
         }
         if let Some(grant) = grant {
@@ -289,11 +206,15 @@
     fn probe_new(self: &Arc<Self>) {
         let replicas: Vec<Replica> = {
             let core = self.core();
-            core.replicas.values().map(|(_, replica)| replica.clone()).collect()
+            core.leader.replicas.values().map(|(_, replica)| replica.clone()).collect()
         };
         for replica in replicas {
-            let known =
-                self.core().groups.get_mut(&replica.group).map(|g| g.watch(&replica.instance));
+            let known = self
+                .core()
+                .leader
+                .groups
+                .get_mut(&replica.group)
+                .map(|g| g.watch(&replica.instance));
             if known == Some(true) {
                 smol::spawn(Arc::clone(self).watch(replica)).detach();
             }
@@ -310,7 +231,7 @@
         loop {
             let seen = probe.status().await;
             let now = self.clock.now();
-            if let Some(group) = self.core().groups.get_mut(&replica.group) {
+            if let Some(group) = self.core().leader.groups.get_mut(&replica.group) {
                 group.step(now, Input::Probed { instance: replica.instance.clone(), seen });
             }
             self.clock.sleep(probe::INTERVAL).await;
@@ -324,7 +245,7 @@
             for output in outputs {
                 self.carry_out(output);
             }
-            let version = self.core().version;
+            let version = self.core().leader.version;
             if version != pushed {
                 pushed = version;
                 self.push().await;
@@ -341,11 +262,11 @@
                 stamp: core.stamp(),
                 sequence: None,
                 lease_ms: 0,
-                version: core.version,
-                table: Some(core.table.clone()),
+                version: core.leader.version,
+                table: Some(core.leader.table.clone()),
                 revision: core.state.revision,
             };
-            (grant, core.proxies.values().copied().collect::<Vec<_>>())
+            (grant, core.leader.proxies.values().copied().collect::<Vec<_>>())
         };
         for proxy in proxies {
             self.send(proxy, Body::Grant(grant.clone())).await;
@@ -362,7 +283,7 @@
                 smol::spawn(Arc::clone(self).order(instance, position::promote(term))).detach();
             }
             Output::Follow { instance, primary, term } => {
-                let primary = self.core().replicas.get(&primary).map(|(_, r)| r.address);
+                let primary = self.core().leader.replicas.get(&primary).map(|(_, r)| r.address);
                 if let Some(primary) = primary {
                     let sql = position::follow(primary, term);
                     smol::spawn(Arc::clone(self).order(instance, sql)).detach();
@@ -372,7 +293,8 @@
     }
 
     async fn order(self: Arc<Self>, instance: id::Instance, sql: String) {
-        let replica = self.core().replicas.get(&instance).map(|(_, replica)| replica.clone());
+        let replica =
+            self.core().leader.replicas.get(&instance).map(|(_, replica)| replica.clone());
         let Some(replica) = replica else {
             return;
         };
@@ -380,7 +302,7 @@
         match self.probe(replica).order(&sql).await {
             Ok(status) => {
                 let now = self.clock.now();
-                if let Some(group) = self.core().groups.get_mut(&group) {
+                if let Some(group) = self.core().leader.groups.get_mut(&group) {
                     group.step(now, Input::Probed { instance, seen: Ok(status) });
                 }
             }
@@ -441,5 +363,5 @@
 
 /// Lists the instances that control knows of.
 pub(super) fn instances(core: &Core) -> Vec<Replica> {
-    core.replicas.values().map(|(_, replica)| replica.clone()).collect()
+    core.leader.replicas.values().map(|(_, replica)| replica.clone()).collect()
 }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -137,6 +137,19 @@
     pub draining: Vec<id::Instance>,
     /// The connections this proxy may hold to each instance of a group.
     pub shares: Vec<(id::Group, u32)>,
+    /// The peaks that operators confirmed and that are not over.
+    pub peaks: Vec<Peak>,
+}
+
+/// A peak of a group: connections are opened ahead of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Peak {
+    /// The group.
+    pub group: id::Group,
+    /// When it begins, in milliseconds since 1970.
+    pub at_ms: u64,
+    /// How long it lasts, in milliseconds.
+    pub lasts_ms: u64,
 }
 
 /// A group's epoch: one primary under one term.
