Count what processes do and show it at GET /metrics

Ruled out: per-instance labels, whose series would multiply by proxies.

Start-up packets are read from the bare socket now, before any buffer, so that bytes sent ahead of a TLS handshake can't pass for encrypted ones.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -51,6 +51,12 @@
         Self { status: StatusCode::OK, kind: "text/plain; charset=utf-8", body: body.into() }
     }
 
+    /// Answers with metrics as Prometheus reads them.
+    pub fn metrics(body: String) -> Self {
+        let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+        Self { status: StatusCode::OK, kind, body: body.into() }
+    }
+
     /// Answers with an error.
     pub fn refuse(status: StatusCode, message: &str) -> Self {
         Self { status, kind: "text/plain; charset=utf-8", body: message.to_owned().into() }
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -92,6 +92,7 @@
 
 fn answer(shared: &Shared, request: &Request) -> Reply {
     match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/metrics") => Reply::metrics(metrics(shared)),
         (&Method::GET, "/status") => Reply::json(&status(shared)),
         (&Method::POST, "/plan") => parsed(request, |plan| self::plan(shared, plan)),
         (&Method::POST, "/confirm") => parsed(request, |confirm| self::confirm(shared, confirm)),
@@ -99,6 +100,17 @@
     }
 }
 
+/// Returns the metrics, with those set that follow from the state.
+fn metrics(shared: &Shared) -> String {
+    let (stamp, revision) = {
+        let core = shared.core();
+        (core.stamp(), core.state.revision)
+    };
+    shared.metrics.stamp(stamp);
+    shared.metrics.revision(revision);
+    shared.metrics.encode()
+}
+
 fn parsed<T: for<'a> Deserialize<'a>>(request: &Request, then: impl FnOnce(T) -> Answer) -> Reply {
     match serde_json::from_slice(&request.body) {
         Ok(body) => reply(then(body)),
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -17,6 +17,7 @@
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
+use crate::report::{Lease, Metrics, Peer};
 use crate::upstream::position;
 use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
 
@@ -32,6 +33,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     clock: Clock,
+    pub(super) metrics: Metrics,
     node: id::Node,
     domain: id::Domain,
     user: String,
@@ -64,6 +66,7 @@
     let admin = TcpListener::bind(control.admin).await?;
     let shared = Arc::new(Shared {
         clock,
+        metrics: Metrics::default(),
         node: settings.node.clone(),
         domain: settings.domain.clone(),
         user: control.user.clone(),
@@ -183,7 +186,10 @@
             };
             match Frame::decode(&buffer[..len]) {
                 Ok(frame) => self.datagram(from, &frame).await,
-                Err(error) => log::debug!("a datagram from {from} is dropped: {error}"),
+                Err(error) => {
+                    self.metrics.violated(Peer::Process, error.kind());
+                    log::debug!("a datagram from {from} is dropped: {error}");
+                }
             }
         }
     }
@@ -192,11 +198,14 @@
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
+        self.metrics.heartbeat_received();
         let before = self.core().leader.replicas.len();
         let grant = self.core().heartbeat(self.clock.now(), frame, heartbeat);
         if self.core().leader.replicas.len() > before {
             self.probe_new();
         }
+        let lease = if grant.is_some() { Lease::Granted } else { Lease::Refused };
+        self.metrics.lease(lease);
         if let Some(grant) = grant {
             self.send(from, Body::Grant(grant)).await;
         }
@@ -277,6 +286,11 @@
         match output {
             Output::Submit(action) => {
                 log::info!("control decides {action:?}");
+                match &action {
+                    Action::Freeze { .. } => self.metrics.frozen(),
+                    Action::Promote { .. } => self.metrics.promoted(),
+                    _ => {}
+                }
                 self.submit(Command { origin: None, action });
             }
             Output::Promote { instance, term } => {
--- a/src/pgsql/client.rs
+++ b/src/pgsql/client.rs
@@ -8,9 +8,8 @@
 use postgres_protocol::message::backend;
 use postgres_protocol::message::frontend;
 use smol::io::{AsyncWriteExt, BufReader};
-use smol::net::TcpStream;
 
-use super::{Error, Message, read_message};
+use super::{Error, Message, Socket, read_message};
 use crate::clock::Clock;
 
 /// The columns of one row as text; NULL is `None`.
@@ -19,7 +18,7 @@
 /// A connection to an upstream that has finished its start-up.
 #[derive(Debug)]
 pub struct Client {
-    reader: BufReader<TcpStream>,
+    reader: BufReader<Socket>,
     /// The process id and the secret that a cancel request names.
     key: (i32, i32),
     /// The parameters that the server reported.
@@ -48,8 +47,7 @@
         parameters: &[(&str, &str)],
         password: Option<&str>,
     ) -> Result<Self, Error> {
-        let socket = TcpStream::connect(address).await?;
-        socket.set_nodelay(true)?;
+        let socket = Socket::open(address).await?;
         let mut client =
             Self { reader: BufReader::new(socket), key: (0, 0), parameters: Vec::new() };
         let mut out = BytesMut::new();
@@ -124,7 +122,9 @@
     ///
     /// Fails when the socket does.
     pub async fn send(&mut self, bytes: &[u8]) -> Result<(), Error> {
-        Ok(self.reader.get_mut().write_all(bytes).await?)
+        let socket = self.reader.get_mut();
+        socket.write_all(bytes).await?;
+        Ok(socket.flush().await?)
     }
 
     /// Receives one message; an error at start-up is a message too.
@@ -184,7 +184,7 @@
     }
 
     /// Gives the socket with what was read ahead, for relaying.
-    pub fn into_reader(self) -> BufReader<TcpStream> {
+    pub fn into_reader(self) -> BufReader<Socket> {
         self.reader
     }
 }
--- a/src/pgsql/mod.rs
+++ b/src/pgsql/mod.rs
@@ -3,9 +3,11 @@
 
 mod client;
 mod message;
+mod socket;
 
 pub use client::{Client, Row};
 pub use message::{Message, Startup, read_message, read_startup};
+pub use socket::Socket;
 
 /// The longest message that is held whole, in bytes; longer ones are relayed in pieces or refused.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024 * 1024;
@@ -42,3 +44,16 @@
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
+
+impl Error {
+    /// Returns what kind of error this is in one of a few fixed words, for counting.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::TooLong { .. } => "too_long",
+            Self::Protocol(_) => "protocol",
+            Self::Server { .. } => "server",
+            Self::Timeout(_) => "timeout",
+            Self::Io(_) => "io",
+        }
+    }
+}
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -21,13 +21,17 @@
 use super::server::Shared;
 use crate::clock::Instant;
 use crate::id;
-use crate::pgsql::{Error, Message, Startup, read_message, read_startup};
+use crate::pgsql::{Error, Message, Socket, Startup, read_message, read_startup};
+use crate::report::{self, Failure, Peer};
 use crate::upstream::position::{QUERY, Status};
 use crate::wire::Epoch;
 
 /// The deadline of a request whose class is not declared.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(5);
 
+/// The class that requests of undeclared groups are counted under.
+const UNDECLARED: &str = "undeclared";
+
 /// When a caller is told to come back when nothing better is known.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -48,7 +52,11 @@
         };
         let shared = Arc::clone(&shared);
         let serve = async move {
-            if let Err(error) = Caller::serve(shared, socket).await {
+            shared.metrics.caller_came();
+            let served = Caller::serve(Arc::clone(&shared), socket).await;
+            shared.metrics.caller_left();
+            if let Err(error) = served {
+                shared.metrics.violated(Peer::Caller, error.kind());
                 log::debug!("the connection of {from} ended: {error}");
             }
         };
@@ -72,7 +80,7 @@
 
 struct Caller {
     shared: Arc<Shared>,
-    reader: BufReader<TcpStream>,
+    reader: BufReader<Socket>,
     writer: Writer,
     group: id::Group,
     arrived: Instant,
@@ -87,12 +95,12 @@
 
 impl Caller {
     async fn serve(shared: Arc<Shared>, socket: TcpStream) -> Result<(), Error> {
-        socket.set_nodelay(true)?;
-        let mut reader = BufReader::new(socket.clone());
-        let mut writer = Writer::new(socket);
-        let Some(parameters) = start(&mut reader, &mut writer).await? else {
+        let mut socket = Socket::accepted(socket)?;
+        let Some(parameters) = start(&mut socket).await? else {
             return Ok(());
         };
+        let reader = BufReader::new(socket.clone());
+        let writer = Writer::new(socket);
         let find = |name: &str| parameters.iter().find(|(known, _)| known == name).map(|(_, v)| v);
         let database = find("database").or(find("user"));
         let group = database.and_then(|name| name.parse().ok());
@@ -174,7 +182,9 @@
 
     /// Runs one request and answers it, whatever comes of it.
     async fn request(&mut self, summary: Summary, asked: Asked) -> Result<(), Error> {
-        let deadline = self.shared.clock.now() + self.deadline(&summary.tags);
+        let arrived = self.shared.clock.now();
+        let (class, limit) = self.class(&summary.tags);
+        let deadline = arrived + limit;
         let left = deadline.since(self.shared.clock.now());
         let clock = self.shared.clock.clone();
         let ran = clock.timeout(left, self.dispatch(&summary, &asked, deadline)).await;
@@ -187,21 +197,30 @@
                 Some(Outcome::Unknown { reason: Reason::Deadline })
             }
         };
+        let elapsed = self.shared.clock.now().since(arrived);
+        let counted = outcome.as_ref().map_or(report::Outcome::Answered, Outcome::counted);
+        self.shared.metrics.request(&class, counted, elapsed);
         if let Some(outcome) = outcome {
+            if let Outcome::NotRun { reason, .. } = outcome {
+                self.shared.metrics.refused(reason.refusal());
+            }
             outcome.write(&mut self.writer.out);
             self.failed = self.transaction.is_some();
         }
         self.ready().await
     }
 
-    fn deadline(&self, tags: &Tags) -> Duration {
+    /// Returns the class of a request and how long its answer may take.
+    fn class(&self, tags: &Tags) -> (id::Class, Duration) {
         let fleet = self.shared.fleet();
         let Some(group) = fleet.group.get(&self.group) else {
-            return DEFAULT_DEADLINE;
+            let undeclared = UNDECLARED.parse().expect("the constant is a name");
+            return (undeclared, DEFAULT_DEADLINE);
         };
         let request = tags.request.as_ref().and_then(|name| group.request.get(name));
         let class = request.map_or(&group.default_class, |request| &request.class);
-        fleet.class.get(class).map_or(DEFAULT_DEADLINE, |class| class.deadline.0)
+        let deadline = fleet.class.get(class).map_or(DEFAULT_DEADLINE, |class| class.deadline.0);
+        (class.clone(), deadline)
     }
 
     async fn ready(&mut self) -> Result<(), Error> {
@@ -285,10 +304,17 @@
         let mut exchange = self.exchange(asked, &loan_held(&mut loan))?;
         match run(&mut loan, &mut exchange, &mut self.writer).await {
             Ok(finish) => {
+                let primary = self.shared.epoch(&self.group).map(|epoch| epoch.primary);
+                let replica = primary.as_ref() != Some(instance);
+                let target =
+                    if replica { report::Target::Replica } else { report::Target::Primary };
+                self.shared.metrics.read(target);
                 self.keep(loan, &finish, term, false, summary);
                 Ok(true)
             }
             Err(Broken::Upstream { error, relayed: false }) => {
+                self.shared.metrics.upstream_failed(Failure::Lost);
+                self.shared.metrics.retried();
                 log::debug!("a read on {instance} is tried elsewhere: {error}");
                 Ok(false)
             }
@@ -521,20 +547,14 @@
 }
 
 /// Reads start-up packets until a session begins; returns `None` when none does.
-async fn start(
-    reader: &mut BufReader<TcpStream>,
-    writer: &mut Writer,
-) -> Result<Option<Vec<(String, String)>>, Error> {
+async fn start(socket: &mut Socket) -> Result<Option<Vec<(String, String)>>, Error> {
     loop {
-        match read_startup(reader).await? {
+        match read_startup(socket).await? {
             Startup::Tls | Startup::Gss => {
-                reader.get_mut().write_all(b"N").await?;
+                socket.write_all(b"N").await?;
             }
             Startup::Cancel { .. } => return Ok(None),
-            Startup::Session(parameters) => {
-                writer.out.clear();
-                return Ok(Some(parameters));
-            }
+            Startup::Session(parameters) => return Ok(Some(parameters)),
         }
     }
 }
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -11,6 +11,7 @@
 use crate::clock::Instant;
 use crate::config::Fleet;
 use crate::id;
+use crate::report::Peer;
 use crate::wire::{Body, Frame, Grant, MAX_DATAGRAM_BYTES, Stream};
 
 /// How often the proxy sends a heartbeat when nothing changed.
@@ -58,6 +59,7 @@
         let body = Body::Heartbeat(shared.heartbeat(sequence));
         match shared.frame(body).encode() {
             Ok(bytes) => {
+                shared.metrics.heartbeat_sent();
                 for voter in &shared.voters {
                     let _ = socket.send_to(&bytes, voter.address).await;
                 }
@@ -77,7 +79,10 @@
         match Frame::decode(&buffer[..len]) {
             Ok(Frame { body: Body::Grant(grant), .. }) => take(&shared, from, &sent, grant),
             Ok(_) => {}
-            Err(error) => log::debug!("a datagram from {from} is dropped: {error}"),
+            Err(error) => {
+                shared.metrics.violated(Peer::Process, error.kind());
+                log::debug!("a datagram from {from} is dropped: {error}");
+            }
         }
     }
 }
--- a/src/proxy/outcome.rs
+++ b/src/proxy/outcome.rs
@@ -7,6 +7,8 @@
 use pgwire::messages::Message as _;
 use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
 
+use crate::report::{self, Refusal};
+
 /// An outcome other than done or the database's own error.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -64,7 +66,32 @@
     }
 }
 
+impl Reason {
+    /// Returns the label that a refusal for this reason is counted under.
+    pub fn refusal(self) -> Refusal {
+        match self {
+            Self::NoPrimary => Refusal::NoPrimary,
+            Self::NoLease => Refusal::NoLease,
+            Self::Failover | Self::ConnectionLost => Refusal::Failover,
+            Self::Busy => Refusal::Busy,
+            Self::Behind => Refusal::Behind,
+            Self::Deadline => Refusal::Deadline,
+            Self::ShuttingDown => Refusal::ShuttingDown,
+        }
+    }
+}
+
 impl Outcome {
+    /// Returns the label that this outcome is counted under.
+    pub fn counted(&self) -> report::Outcome {
+        match self {
+            Self::NotRun { .. } => report::Outcome::NotRun,
+            Self::Unknown { .. } => report::Outcome::Unknown,
+            Self::Unsupported(_) => report::Outcome::Unsupported,
+            Self::FloorLost => report::Outcome::FloorLost,
+        }
+    }
+
     /// Returns the SQLSTATE; `docs/CALLERS.md` lists them.
     pub fn sqlstate(&self) -> &'static str {
         match self {
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -68,6 +68,11 @@
         self.lock().limit = limit;
     }
 
+    /// Returns how many connections are open.
+    pub(super) fn open(&self) -> u32 {
+        self.lock().open
+    }
+
     /// Returns how many connections are on loan.
     pub(super) fn busy(&self) -> u32 {
         let inner = self.lock();
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -5,10 +5,9 @@
 
 use bytes::{BufMut, BytesMut};
 use smol::io::AsyncWriteExt;
-use smol::net::TcpStream;
 
 use super::pool::Connection;
-use crate::pgsql::{Error, Message};
+use crate::pgsql::{Error, Message, Socket};
 
 /// How many bytes are collected before they are written to the caller.
 const FLUSH_BYTES: usize = 16 * 1024;
@@ -79,13 +78,13 @@
 /// The way to the caller, with what was not written yet.
 #[derive(Debug)]
 pub(super) struct Writer {
-    socket: TcpStream,
+    socket: Socket,
     pub(super) out: BytesMut,
     written: bool,
 }
 
 impl Writer {
-    pub(super) fn new(socket: TcpStream) -> Self {
+    pub(super) fn new(socket: Socket) -> Self {
         Self { socket, out: BytesMut::new(), written: false }
     }
 
@@ -93,6 +92,7 @@
     pub(super) async fn flush(&mut self) -> std::io::Result<()> {
         self.written |= !self.out.is_empty();
         self.socket.write_all(&self.out).await?;
+        self.socket.flush().await?;
         self.out.clear();
         Ok(())
     }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -15,9 +15,10 @@
 use crate::clock::{Clock, Instant};
 use crate::config::{self, Fleet};
 use crate::id;
+use crate::report::{Failure, Metrics};
 use crate::upstream::announcement::{self, Announcement};
 use crate::upstream::position::Status;
-use crate::wire::{Body, Epoch, Frame, Grant, Heartbeat, Replica, Sighting, Trouble};
+use crate::wire::{Body, Epoch, Frame, Grant, Heartbeat, Replica, Role, Sighting, Trouble};
 
 /// A running proxy.
 #[derive(Debug, Clone)]
@@ -36,6 +37,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) clock: Clock,
+    pub(super) metrics: Metrics,
     pub(super) node: id::Node,
     pub(super) domain: id::Domain,
     pub(super) user: String,
@@ -91,6 +93,7 @@
         incarnation: id::Incarnation(clock.now().0),
         settings: proxy.clone(),
         state: Mutex::new(State::default()),
+        metrics: Metrics::default(),
         clock,
     });
     heartbeat::spawn(&shared, udp);
@@ -141,6 +144,7 @@
     pub(super) fn granted(self: &Arc<Self>, sent: Option<Instant>, grant: Grant) -> bool {
         let (changed, replicas, shares) = {
             let mut state = self.lock();
+            self.metrics.stamp(grant.stamp);
             let changed = state.fence.step(sent, grant);
             let table = state.fence.table();
             (changed, table.replicas.clone(), table.shares.clone())
@@ -180,6 +184,7 @@
         let mut state = self.lock();
         if revision > state.revision {
             log::info!("configuration revision {revision} is in force");
+            self.metrics.revision(revision);
             state.revision = revision;
             state.fleet = Arc::new(fleet);
         }
@@ -260,6 +265,11 @@
         drop(state);
         if changed {
             log::info!("{instance} is {trouble:?}");
+            match trouble {
+                Trouble::Fine => {}
+                Trouble::Refused => self.metrics.upstream_failed(Failure::Refused),
+                Trouble::Silent => self.metrics.upstream_failed(Failure::Silent),
+            }
             self.nudge();
         }
     }
@@ -294,6 +304,22 @@
         instances.map(candidate).collect()
     }
 
+    /// Sets the gauges of open and busy connections.
+    fn count_connections(&self) {
+        let state = self.lock();
+        let mut counts = [(Role::Primary, 0, 0), (Role::Replica, 0, 0)];
+        for known in state.instances.values() {
+            let epoch = state.fence.epoch(&known.replica.group);
+            let primary = epoch.is_some_and(|epoch| epoch.primary == known.replica.instance);
+            let (_, open, busy) = &mut counts[usize::from(!primary)];
+            *open += known.pool.open();
+            *busy += known.pool.busy();
+        }
+        for (role, open, busy) in counts {
+            self.metrics.connections(role, open, busy);
+        }
+    }
+
     /// Returns the pool of an instance.
     pub(super) fn pool(&self, instance: &id::Instance) -> Option<Arc<Pool>> {
         self.lock().instances.get(instance).map(|known| Arc::clone(&known.pool))
@@ -319,6 +345,10 @@
             }
             Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
         },
+        (&Method::GET, "/metrics") => {
+            shared.count_connections();
+            Reply::metrics(shared.metrics.encode())
+        }
         (&Method::GET, "/revision") => Reply::json(&shared.lock().revision),
         _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
     }
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -1,1 +1,9 @@
-//! Metrics and the report on service-level burn.
+//! What a process tells about itself: metrics, and the report on service-level burn.
+//!
+//! Metrics are counted first and logged only when a state changes. See `docs/DESIGN.md`, "Metrics".
+
+mod label;
+mod metrics;
+
+pub use label::{Failure, Lease, Outcome, Peer, Refusal, Target};
+pub use metrics::Metrics;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -45,3 +45,16 @@
     #[error("{0}")]
     Io(#[from] std::io::Error),
 }
+
+impl Error {
+    /// Returns what kind of error this is in one of a few fixed words, for counting.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::TooLong { .. } => "too_long",
+            Self::Version { .. } => "version",
+            Self::Codec(_) => "codec",
+            Self::Seal { .. } => "seal",
+            Self::Io(_) => "io",
+        }
+    }
+}
