Check settings and declarations as a whole

The first error ended a check, and its message was the parser's. Files are now read from their parsed document, so that every fault comes at once with line, key, given value and valid range, an unknown key with the nearest known one, and cross checks (classes, once and keep, listeners that clash) with their place. Secrets are files that only their owner can read. Ruled out: serde with spans, which still stops at the first fault.

Seen to fail: settings after a bad name were reported as unknown keys, because the reader left before asking for them; the reader asks first now.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -68,7 +68,11 @@
 
 fn check(matches: &ArgMatches) -> anyhow::Result<Exit> {
     if let Some(path) = matches.get_one::<PathBuf>("settings") {
-        Node::read(path)?;
+        let settings = Node::read(path)?;
+        println!("{}: settings of {} in {}", path.display(), settings.node, settings.domain);
+        for warning in settings.warnings() {
+            eprintln!("[cactushatch warning]: {}: {warning}", path.display());
+        }
     }
     if let Some(path) = matches.get_one::<PathBuf>("declarations") {
         let fleet = Fleet::parse(&path.display().to_string(), &read(path)?)?;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,14 +1,20 @@
 //! Settings: a node's own file, and the declarations of the fleet's groups.
 //!
-//! Both are TOML, read into the `raw` shape and checked as a whole before anything is bound.
+//! Both are TOML. A file is checked as a whole before anything is bound, and every fault is reported at once with
+//! its line, key, given value and valid range. See `docs/operators/settings.md`.
 
+mod fault;
 mod fleet;
 mod node;
+mod read;
+mod secret;
 mod unit;
 
-pub use fleet::{Class, Durability, Fleet, Group, Peak, Request};
-pub use node::{Control, Node, Proxy, Voter};
-pub use unit::Span;
+pub use fault::{Fault, Faults};
+pub use fleet::{Class, Durability, Fleet, Group, Objective, Peak, Request};
+pub use node::{Control, Format, Log, Node, Proxy, Security, Tls, Voter};
+pub use secret::Secret;
+pub use unit::{Daytime, Rate, Share, Size, Span};
 
 /// Why settings were refused.
 #[derive(Debug, thiserror::Error)]
@@ -22,11 +28,6 @@
         source: std::io::Error,
     },
     /// The file is not what it should be.
-    #[error("{path}: {message}")]
-    Invalid {
-        /// The file.
-        path: String,
-        /// What is wrong and what would be valid.
-        message: String,
-    },
+    #[error("{0}")]
+    Invalid(#[from] Faults),
 }
--- a/src/config/unit.rs
+++ b/src/config/unit.rs
@@ -61,3 +61,139 @@
         span.to_string()
     }
 }
+
+/// A size written with its unit: `512B`, `64KiB`, `16MiB`, `1GiB`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Size(pub u64);
+
+/// The units of a size and how many bytes each one has, the largest first.
+const SIZES: [(&str, u64); 4] = [("GiB", 1 << 30), ("MiB", 1 << 20), ("KiB", 1 << 10), ("B", 1)];
+
+impl FromStr for Size {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let split = text.find(|c: char| !c.is_ascii_digit()).unwrap_or(text.len());
+        let (number, unit) = text.split_at(split);
+        let number: Option<u64> = number.parse().ok();
+        let unit = SIZES.iter().find(|(name, _)| *name == unit.trim());
+        let bytes = number.zip(unit).and_then(|(number, (_, bytes))| number.checked_mul(*bytes));
+        bytes.map(Self).ok_or_else(|| format!("{text:?} is no size such as 64KiB, 16MiB or 1GiB"))
+    }
+}
+
+impl fmt::Display for Size {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let whole = SIZES.iter().find(|(_, unit)| self.0 >= *unit && self.0.is_multiple_of(*unit));
+        let (name, unit) = whole.unwrap_or(&("B", 1));
+        write!(f, "{}{name}", self.0 / unit)
+    }
+}
+
+/// A rate written with its unit: `50/s`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rate(pub u32);
+
+/// The greatest rate, a second.
+const MAX_RATE: u32 = 100_000;
+
+impl FromStr for Rate {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number = text.strip_suffix("/s").and_then(|number| number.parse().ok());
+        let number = number.filter(|number| (1..=MAX_RATE).contains(number));
+        number.map(Self).ok_or_else(|| format!("{text:?} is no rate such as 50/s"))
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+/// A share written in percent: `99.9%`; kept in millionths, so that equal texts are equal shares.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Share(u32);
+
+/// The whole, in the unit of a share.
+const WHOLE: u32 = 1_000_000;
+
+impl Share {
+    /// Returns the share of so many millionths, at most the whole.
+    pub const fn per_million(millionths: u32) -> Self {
+        if millionths > WHOLE { Self(WHOLE) } else { Self(millionths) }
+    }
+
+    /// Returns the share as a fraction of one.
+    pub fn fraction(self) -> f64 {
+        f64::from(self.0) / f64::from(WHOLE)
+    }
+}
+
+impl FromStr for Share {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let number: Option<f64> = text.strip_suffix('%').and_then(|number| number.parse().ok());
+        let number = number.filter(|number| (0.0..=100.0).contains(number));
+        let millionths = number.map(|number| (number * f64::from(WHOLE) / 100.0).round() as u32);
+        millionths.map(Self).ok_or_else(|| format!("{text:?} is no share such as 99.9%"))
+    }
+}
+
+impl fmt::Display for Share {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}%", f64::from(self.0) / f64::from(WHOLE / 100))
+    }
+}
+
+impl TryFrom<String> for Share {
+    type Error = String;
+
+    fn try_from(text: String) -> Result<Self, String> {
+        text.parse()
+    }
+}
+
+impl From<Share> for String {
+    fn from(share: Share) -> Self {
+        share.to_string()
+    }
+}
+
+/// A time of day, UTC, written `HH:MM`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Daytime {
+    minutes: u16,
+}
+
+impl Daytime {
+    /// Returns the minutes since midnight.
+    pub fn minutes(self) -> u16 {
+        self.minutes
+    }
+}
+
+impl FromStr for Daytime {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let two = |part: &str| part.parse().ok().filter(|_: &u16| part.len() == 2);
+        let parts = text.split_once(':').and_then(|(hour, minute)| two(hour).zip(two(minute)));
+        match parts {
+            Some((hour, minute)) if hour < 24 && minute < 60 => {
+                Ok(Self { minutes: hour * 60 + minute })
+            }
+            _ => Err(format!("{text:?} is no time of day such as 07:30")),
+        }
+    }
+}
+
+impl fmt::Display for Daytime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:02}:{:02}", self.minutes / 60, self.minutes % 60)
+    }
+}
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,228 @@
+//! Settings and declarations: every fault of a file at once, each with its line, key, value and valid range.
+
+use std::os::unix::fs::PermissionsExt;
+
+use cactushatch::config::{Error, Fault, Fleet, Node, Share, Size, Span};
+
+fn faults(result: Result<impl std::fmt::Debug, Error>) -> Vec<Fault> {
+    match result {
+        Err(Error::Invalid(faults)) => faults.0,
+        other => panic!("no faults but {other:?}"),
+    }
+}
+
+/// Fails unless the file has exactly these faults: the line, the key, and a part of the problem.
+fn expect(found: &[Fault], expected: &[(usize, &str, &str)]) {
+    let shown = found.iter().map(Fault::to_string).collect::<Vec<_>>().join("\n");
+    assert_eq!(found.len(), expected.len(), "{shown}");
+    for (fault, (line, key, problem)) in found.iter().zip(expected) {
+        assert_eq!((fault.line, fault.key.as_str()), (*line, *key), "{shown}");
+        assert!(fault.problem.contains(problem), "{problem:?} is not in:\n{shown}");
+    }
+}
+
+const FLEET: &str = r#"
+[class.push]
+priority = 0
+deadline = "2s"
+
+[group.ops-1]
+instances = 3
+slots = 2
+connections = 16
+connect_time = "10ms"
+default_class = "push"
+"#;
+
+#[test]
+fn all_faults_of_declarations_come_at_once() {
+    let text = r#"
+[class.push]
+priority = 700
+deadline = "2 weeks"
+dedline = "2s"
+
+[class."no spaces"]
+priority = 1
+deadline = "1s"
+
+[class.late]
+priority = 1
+deadline = "6m"
+objective = { answered = "101%" }
+
+[group.ops-1]
+instances = 0
+slots = 4
+connections = 5
+durability = "all"
+default_class = "pull"
+
+[group.ops-1.request.book]
+class = "late"
+once = true
+max_age = "2s"
+idempotent = true
+
+[group.ops-1.request.menu]
+class = "a b"
+keep = "1s"
+
+[[group.ops-1.peak]]
+at = "24:10"
+lasts = "30s"
+"#;
+    let found = faults(Fleet::parse("groups.toml", text));
+    let expected = [
+        (3, "class.push.priority", "0 to 255"),
+        (4, "class.push.deadline", "10ms to 5m"),
+        (5, "class.push.dedline", "did you mean deadline?"),
+        (7, "class.no spaces", "letters, digits"),
+        (13, "class.late.deadline", "10ms to 5m"),
+        (14, "class.late.objective.answered", "0% to 100%"),
+        (16, "group.ops-1.connect_time", "is missing"),
+        (17, "group.ops-1.instances", "1 to 15"),
+        (19, "group.ops-1.connections", "6 to 100000"),
+        (20, "group.ops-1.durability", "majority, primary"),
+        (21, "group.ops-1.default_class", "is not declared"),
+        (23, "group.ops-1.request.book.keep", "a once request needs it"),
+        (24, "group.ops-1.request.book.class", "is not declared"),
+        (26, "group.ops-1.request.book.max_age", "once"),
+        (27, "group.ops-1.request.book.idempotent", "once"),
+        (30, "group.ops-1.request.menu.class", "letters, digits"),
+        (31, "group.ops-1.request.menu.keep", "1m to 90d"),
+        (34, "group.ops-1.peak[0].at", "00:00 to 23:59"),
+        (35, "group.ops-1.peak[0].lasts", "1m to 1d"),
+    ];
+    expect(&found, &expected);
+    assert_eq!(found[0].given.as_deref(), Some("700"));
+    assert_eq!(found[0].path, "groups.toml");
+    assert!(found[0].to_string().starts_with("groups.toml:3: class.push.priority = 700: "));
+}
+
+#[test]
+fn several_broken_lines_are_reported_together() {
+    let found = faults(Fleet::parse("groups.toml", "[class.a]\npriority = \n[group]]\n"));
+    let lines: Vec<usize> = found.iter().map(|fault| fault.line).collect();
+    assert_eq!(lines, [2, 3], "{found:?}");
+}
+
+#[test]
+fn a_class_has_objectives_without_being_asked() {
+    let fleet = Fleet::parse("groups.toml", FLEET).unwrap();
+    let class = fleet.class.values().next().unwrap();
+    assert_eq!(class.objective.answered, "99.9%".parse().unwrap());
+    assert_eq!(class.objective.replica_reads, None);
+}
+
+#[test]
+fn all_faults_of_settings_come_at_once() {
+    let text = r#"
+node = "proxy 1"
+domain = "a"
+history = "1KiB"
+voters = [
+  { node = "control-1", address = "10.0.0.1:0", domain = "a", admin = "10.0.0.1:7001" },
+  { node = "control-2", address = "host:7000", domain = "b", admin = "10.0.0.2:7001" },
+]
+
+[proxy]
+listen = "0.0.0.0:5432"
+address = "10.0.0.9:7000"
+admin = "10.0.0.9:5432"
+lisen = "10.0.0.9:1"
+
+[log]
+format = "xml"
+rate = "many"
+
+[securty]
+"#;
+    let found = faults(Node::parse("node.toml", text));
+    let expected = [
+        (2, "node", "letters, digits"),
+        (4, "history", "64KiB to 1GiB"),
+        (6, "voters[0].address", "port 0"),
+        (7, "voters[1].address", "an IP number and a port"),
+        (14, "proxy.lisen", "did you mean listen?"),
+        (17, "log.format", "text, json"),
+        (18, "log.rate", "1/s to 100000/s"),
+        (20, "securty", "did you mean security?"),
+    ];
+    expect(&found, &expected);
+}
+
+#[test]
+fn listeners_that_clash_and_roles_that_lack_something_are_refused() {
+    let text = r#"
+node = "both"
+domain = "a"
+voters = [
+  { node = "both", address = "10.0.0.1:7000", domain = "a", admin = "10.0.0.1:7001" },
+  { node = "both", address = "10.0.0.1:7000", domain = "a", admin = "10.0.0.1:7001" },
+]
+
+[proxy]
+listen = "0.0.0.0:5432"
+address = "10.0.0.1:7003"
+admin = "10.0.0.1:5432"
+
+[control]
+address = "10.0.0.1:7003"
+admin = "10.0.0.1:7001"
+"#;
+    let found = faults(Node::parse("node.toml", text));
+    let expected = [
+        (1, "data", "needs a data folder"),
+        (4, "voters", "names both twice"),
+        (4, "voters", "one address"),
+        (4, "voters", "10.0.0.1:7003"),
+        (9, "proxy", "proxy.admin = 10.0.0.1:5432 clashes with proxy.listen = 0.0.0.0:5432"),
+        (14, "control", "control.address = 10.0.0.1:7003 clashes with proxy.address"),
+    ];
+    expect(&found, &expected);
+}
+
+#[test]
+fn a_secret_that_others_can_read_is_refused() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("keys");
+    std::fs::write(&path, "1 00").unwrap();
+    let text = |path: &std::path::Path| {
+        format!(
+            "node = \"p\"\ndomain = \"a\"\n\
+             voters = [{{ node = \"c\", address = \"10.0.0.1:1\", domain = \"a\", admin = \"10.0.0.1:2\" }}]\n\
+             [proxy]\nlisten = \"10.0.0.1:3\"\naddress = \"10.0.0.1:4\"\nadmin = \"10.0.0.1:5\"\n\
+             [security]\nkeys = \"{}\"\n",
+            path.display()
+        )
+    };
+    let mode = |mode| {
+        std::fs::set_permissions(&path, std::fs::Permissions::from_mode(mode)).unwrap();
+    };
+    mode(0o640);
+    expect(&faults(Node::parse("n", &text(&path))), &[(9, "security.keys", "640")]);
+    mode(0o600);
+    Node::parse("n", &text(&path)).unwrap();
+    let missing = dir.path().join("other");
+    expect(&faults(Node::parse("n", &text(&missing))), &[(9, "security.keys", "can't be read")]);
+}
+
+#[test]
+fn values_with_units_read_as_they_are_written() {
+    for text in ["64KiB", "16MiB", "1GiB", "513B"] {
+        assert_eq!(text.parse::<Size>().unwrap().to_string(), text);
+    }
+    for text in ["250us", "10ms", "5s", "2m", "24h", "7d"] {
+        let span: Span = text.parse().unwrap();
+        assert_eq!(span.to_string().parse::<Span>().unwrap(), span);
+    }
+    for text in ["99.9%", "99.99%", "0%", "100%"] {
+        assert_eq!(text.parse::<Share>().unwrap().to_string(), text);
+    }
+    for text in ["", "12", "-1s", "99999999999999999999s", "1 fortnight"] {
+        assert!(text.parse::<Span>().is_err(), "{text}");
+        assert!(text.parse::<Size>().is_err(), "{text}");
+        assert!(text.parse::<Share>().is_err(), "{text}");
+    }
+}
