--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -3,7 +3,7 @@
 mod client;
 mod server;
 
-pub use client::{get, post};
+pub use client::{Client, get, post};
 pub use server::{Reply, Request, serve};
 
 /// The longest body that is read, in bytes.
@@ -12,6 +12,9 @@
 /// Why a request over HTTP failed.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
+    /// The connection can't be made, so nothing was sent.
+    #[error("{0}")]
+    Connect(std::io::Error),
     /// The connection failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
--- a/src/cli/online.rs
+++ b/src/cli/online.rs
@@ -1,123 +1,187 @@
 //! The commands that talk to a running control process.
 
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use anyhow::Context;
 use clap::ArgMatches;
-use serde::Serialize;
-use serde::de::DeserializeOwned;
 
-use super::{Exit, read};
-use crate::admin;
-use crate::config::Fleet;
+use super::exit::Stop;
+use super::paint::Paint;
+use super::{Exit, ask, read};
+use crate::config::{Daytime, Fleet, Span};
 use crate::control::operator::{Confirm, Plan, Status};
-use crate::control::state::{Intent, Origin, Outcome};
+use crate::control::state::{Intent, Membership, Origin, Outcome, Voter};
+use crate::id;
 use crate::wire::Role;
 
+/// The milliseconds of a day.
+const DAY_MS: u64 = 24 * 60 * 60 * 1000;
+
 /// `cactushatch plan DECLARATIONS`.
 pub(super) fn plan(matches: &ArgMatches) -> anyhow::Result<Exit> {
-    let path = matches.get_one::<PathBuf>("declarations").context("no declarations are given")?;
+    let path = required::<PathBuf>(matches, "declarations")?;
     let text = read(Path::new(path))?;
     Fleet::parse(&path.display().to_string(), &text)?;
-    let origin = origin(matches)?;
-    let plan = format!("plan-{}", origin.command).parse()?;
-    let body = Plan { origin, plan, base: None, intent: Intent::Configure { text } };
-    outcome(matches, "/plan", &body)
+    change(matches, Intent::Configure { text })
 }
 
 /// `cactushatch confirm PLAN`.
 pub(super) fn confirm(matches: &ArgMatches) -> anyhow::Result<Exit> {
-    let plan = matches.get_one::<String>("plan").context("no plan is given")?;
-    let body = Confirm { origin: origin(matches)?, plan: plan.parse()? };
-    outcome(matches, "/confirm", &body)
+    carry_out(matches, required::<id::Plan>(matches, "plan")?)
+}
+
+/// `cactushatch drain INSTANCE`.
+pub(super) fn drain(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let instance = required::<id::Instance>(matches, "instance")?.clone();
+    change(matches, Intent::Drain { instance })
+}
+
+/// `cactushatch undrain INSTANCE`.
+pub(super) fn undrain(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let instance = required::<id::Instance>(matches, "instance")?.clone();
+    change(matches, Intent::Undrain { instance })
+}
+
+/// `cactushatch peak GROUP --at TIME --lasts SPAN`.
+pub(super) fn peak(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let group = required::<id::Group>(matches, "group")?.clone();
+    let at_ms = moment(required::<String>(matches, "at")?, wall_ms())?;
+    let lasts_ms = required::<Span>(matches, "lasts")?.0.as_millis() as u64;
+    change(matches, Intent::Peak { group, at_ms, lasts_ms })
+}
+
+/// `cactushatch member list|add|remove|replace`.
+pub(super) fn member(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    match matches.subcommand() {
+        Some(("list", matches)) => members(matches),
+        Some(("add" | "replace", matches)) => {
+            let voter = Voter {
+                node: required::<id::Node>(matches, "node")?.clone(),
+                // The leader learns the incarnation of the disk from the process itself.
+                incarnation: id::Incarnation(0),
+                address: *required(matches, "address")?,
+                domain: required::<id::Domain>(matches, "domain")?.clone(),
+            };
+            change(matches, Intent::Member(Membership::Learn(voter)))
+        }
+        Some(("remove", matches)) => {
+            let node = required::<id::Node>(matches, "node")?.clone();
+            change(matches, Intent::Member(Membership::Remove(node)))
+        }
+        _ => anyhow::bail!("there is no such command"),
+    }
+}
+
+fn members(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let status: serde_json::Value = ask::get(matches, "/status")?;
+    let voters = status.get("voters").cloned().unwrap_or_default();
+    println!("{}", serde_json::to_string_pretty(&voters)?);
+    Ok(Exit::Success)
 }
 
 /// `cactushatch status`.
 pub(super) fn status(matches: &ArgMatches) -> anyhow::Result<Exit> {
-    let status: Status = try_each(matches, |address| {
-        let body = smol::block_on(admin::get(address, "/status"))?;
-        Ok(serde_json::from_slice(&body)?)
-    })?;
+    let answer: serde_json::Value = ask::get(matches, "/status")?;
     if matches.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&status)?);
+        println!("{}", serde_json::to_string_pretty(&answer)?);
         return Ok(Exit::Success);
     }
+    show(&serde_json::from_value(answer)?);
+    Ok(Exit::Success)
+}
+
+fn show(status: &Status) {
+    let paint = Paint::stdout();
     println!("revision {} at {}.{}", status.revision, status.stamp.term, status.stamp.index);
     for group in &status.groups {
-        let frozen = if group.frozen { ", writes stopped" } else { "" };
-        println!("group {}: term {}, primary {}{frozen}", group.group, group.term, group.primary);
+        let stopped = paint.alarm(", writes stopped");
+        let frozen = if group.frozen { stopped.as_str() } else { "" };
+        let name = paint.bold(&group.group);
+        println!("group {name}: term {}, primary {}{frozen}", group.term, group.primary);
     }
     for instance in &status.instances {
         let role = if instance.role == Role::Primary { "primary" } else { "replica" };
         let leaving = if instance.draining { ", draining" } else { "" };
         println!(
             "instance {}: {role} of {} in {} at {}{leaving}",
-            instance.instance, instance.group, instance.domain, instance.address
+            paint.bold(&instance.instance),
+            instance.group,
+            instance.domain,
+            instance.address
         );
     }
     for proxy in &status.proxies {
-        println!("proxy {proxy}");
+        println!("proxy {}", paint.bold(proxy));
     }
-    Ok(Exit::Success)
+}
+
+/// Makes a plan of the intent, or carries out the plan that is confirmed.
+fn change(matches: &ArgMatches, intent: Intent) -> anyhow::Result<Exit> {
+    if let Some(plan) = matches.get_one::<id::Plan>("confirm") {
+        return carry_out(matches, plan);
+    }
+    let origin = origin(matches)?;
+    let command = origin.command.to_string();
+    let plan = format!("plan-{command}").parse()?;
+    let body = Plan { origin, plan, base: None, intent };
+    outcome(matches, &ask::post(matches, "/plan", &command, &body)?)
+}
+
+fn carry_out(matches: &ArgMatches, plan: &id::Plan) -> anyhow::Result<Exit> {
+    let origin = origin(matches)?;
+    let command = origin.command.to_string();
+    let body = Confirm { origin, plan: plan.clone() };
+    outcome(matches, &ask::post(matches, "/confirm", &command, &body)?)
 }
 
 fn origin(matches: &ArgMatches) -> anyhow::Result<Origin> {
-    let operator = matches.get_one::<String>("operator").context("no operator is given")?;
-    let command = match matches.get_one::<String>("command") {
+    let operator = required::<id::Operator>(matches, "operator")?.clone();
+    let command = match matches.get_one::<id::Command>("command") {
         Some(command) => command.clone(),
-        None => format!("{:016x}", fastrand::u64(..)),
+        None => format!("{:016x}", fastrand::u64(..)).parse()?,
     };
-    Ok(Origin { command: command.parse()?, operator: operator.parse()? })
+    Ok(Origin { command, operator })
 }
 
-fn outcome(matches: &ArgMatches, path: &str, body: &impl Serialize) -> anyhow::Result<Exit> {
-    let outcome: Outcome = try_each(matches, |address| post(address, path, body))?;
-    if matches.get_flag("json") {
-        println!("{}", serde_json::to_string_pretty(&outcome)?);
+fn outcome(matches: &ArgMatches, outcome: &Outcome) -> anyhow::Result<Exit> {
+    let json = matches.get_flag("json");
+    if json {
+        println!("{}", serde_json::to_string_pretty(outcome)?);
     }
     match outcome {
-        Outcome::Done { revision } => {
-            if !matches.get_flag("json") {
-                println!("done, revision {revision} is in force");
-            }
-            Ok(Exit::Success)
-        }
-        Outcome::Planned { plan, base, .. } => {
-            if !matches.get_flag("json") {
-                println!(
-                    "{plan} stands on revision {base}; nothing happens until: cactushatch confirm {plan}"
-                );
-            }
-            Ok(Exit::Success)
-        }
-        Outcome::Refused { reason } => {
-            eprintln!("[cactushatch error]: {reason}");
-            Ok(Exit::Refused)
+        Outcome::Refused { reason } => return Err(Stop::Refused(reason.clone()).into()),
+        Outcome::Done { revision } if !json => println!("done, revision {revision} is in force"),
+        Outcome::Planned { plan, base, .. } if !json => {
+            println!("{} stands on revision {base}", Paint::stdout().bold(plan));
+            println!("nothing happens until: cactushatch confirm {plan}");
         }
+        _ => {}
     }
+    Ok(Exit::Success)
 }
 
-fn post<T: DeserializeOwned>(
-    address: SocketAddr,
-    path: &str,
-    body: &impl Serialize,
-) -> anyhow::Result<T> {
-    Ok(smol::block_on(admin::post(address, path, body))?)
-}
-
-/// Asks each control process in turn until one answers.
-fn try_each<T>(
-    matches: &ArgMatches,
-    ask: impl Fn(SocketAddr) -> anyhow::Result<T>,
-) -> anyhow::Result<T> {
-    let mut last = anyhow::anyhow!("no control process is given");
-    for text in matches.get_many::<String>("admin").unwrap_or_default() {
-        let address = text.parse().with_context(|| format!("{text} is no address"))?;
-        match ask(address) {
-            Ok(answer) => return Ok(answer),
-            Err(error) => last = error.context(format!("control at {address}")),
-        }
+fn required<'a, T: Clone + Send + Sync + 'static>(
+    matches: &'a ArgMatches,
+    name: &str,
+) -> anyhow::Result<&'a T> {
+    matches.get_one::<T>(name).with_context(|| format!("{name} is not given"))
+}
+
+/// Reads a moment: the next `HH:MM` in UTC, `+SPAN` from now, or milliseconds since 1970.
+fn moment(text: &str, now_ms: u64) -> Result<u64, Stop> {
+    if let Some(span) = text.strip_prefix('+') {
+        let span: Span = span.parse().map_err(Stop::Usage)?;
+        return Ok(now_ms + span.0.as_millis() as u64);
+    }
+    if let Ok(at_ms) = text.parse() {
+        return Ok(at_ms);
     }
-    Err(last)
+    let time: Daytime = text.parse().map_err(Stop::Usage)?;
+    let today = now_ms - now_ms % DAY_MS + u64::from(time.minutes()) * 60 * 1000;
+    Ok(if today > now_ms { today } else { today + DAY_MS })
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,8 +6,8 @@
     match cactushatch::cli::run() {
         Ok(code) => code.into(),
         Err(error) => {
-            eprintln!("[cactushatch error]: {error:#}");
-            cactushatch::cli::Exit::Failure.into()
+            eprintln!("[cactushatch error]: {}", cactushatch::cli::describe(&error));
+            cactushatch::cli::Exit::of(&error).into()
         }
     }
 }
--- /dev/null
+++ b/tests/cli.rs
@@ -0,0 +1,115 @@
+//! The real binary: exit codes, errors, help, plans and their confirmation.
+
+#[allow(dead_code, reason = "this file needs a part of it")]
+mod env;
+
+use std::io::Write;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Command, Output};
+
+use cactushatch::cli::Exit;
+use env::Fleet;
+
+fn run(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_cactushatch"))
+        .args(arguments)
+        .env_remove("CACTUSHATCH_ADMIN")
+        .env_remove("CACTUSHATCH_TOKEN")
+        .env("USER", "anna")
+        .output()
+        .expect("the binary runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8(bytes.to_vec()).expect("UTF-8")
+}
+
+/// Runs and fails unless it ends with `exit`; returns standard output and standard error.
+fn ends(exit: Exit, arguments: &[&str]) -> (String, String) {
+    let output = run(arguments);
+    let (out, err) = (text(&output.stdout), text(&output.stderr));
+    assert_eq!(output.status.code(), Some(i32::from(exit.code())), "{arguments:?}: {out}{err}");
+    (out, err)
+}
+
+fn write(dir: &Path, name: &str, content: &str) -> String {
+    let path = dir.join(name);
+    std::fs::File::create(&path).unwrap().write_all(content.as_bytes()).unwrap();
+    path.display().to_string()
+}
+
+#[test]
+fn exit_codes_tell_what_happened() {
+    let dir = tempfile::tempdir().unwrap();
+    let bad = write(dir.path(), "bad.toml", "[class.a]\npriority = 999\n[clas.b]\n");
+    let (_, err) = ends(Exit::Invalid, &["check", &bad]);
+    assert_eq!(err.matches("[cactushatch error]").count(), 1, "{err}");
+    assert_eq!(err.lines().count(), 3, "{err}");
+    ends(Exit::Invalid, &["proxy", "--settings", &bad]);
+    ends(Exit::Usage, &["drain"]);
+    ends(Exit::Usage, &["peak", "g", "--at", "24:61", "--lasts", "1m", "--admin", "127.0.0.1:9"]);
+    ends(Exit::Usage, &["status", "--admin", "nowhere"]);
+    ends(Exit::Failure, &["check", "/nonexistent.toml"]);
+    let free = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let (_, err) = ends(Exit::Unreachable, &["status", "--admin", &free]);
+    assert!(err.starts_with("[cactushatch error]: no process could be reached"), "{err}");
+    ends(Exit::Unreachable, &["drain", "ops-1-1", "--admin", &free]);
+}
+
+#[test]
+fn a_lost_answer_is_unknown_and_names_the_command() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    let closing = std::thread::spawn(move || {
+        let (mut socket, _) = listener.accept().unwrap();
+        let mut byte = [0];
+        std::io::Read::read_exact(&mut socket, &mut byte).unwrap();
+    });
+    let arguments = ["drain", "ops-1-1", "--admin", &address, "--command", "c-17"];
+    let (_, err) = ends(Exit::Unknown, &arguments);
+    assert!(err.contains("--command c-17"), "{err}");
+    closing.join().unwrap();
+}
+
+#[test]
+fn help_has_examples_and_pages_are_generated() {
+    for command in ["proxy", "control", "check", "plan", "status", "drain", "peak", "member"] {
+        let (help, _) = ends(Exit::Success, &[command, "--help"]);
+        assert!(help.contains("Example"), "{command} has no example:\n{help}");
+    }
+    let (help, _) = ends(Exit::Success, &["--help"]);
+    assert!(help.contains("Exit codes:"), "{help}");
+    for shell in ["bash", "zsh", "fish"] {
+        let (script, _) = ends(Exit::Success, &["completions", shell]);
+        assert!(script.contains("undrain"), "{shell}");
+    }
+    let dir = tempfile::tempdir().unwrap();
+    ends(Exit::Success, &["man", "--dir", &dir.path().display().to_string()]);
+    assert!(dir.path().join("cactushatch-member-replace.1").exists());
+}
+
+#[test]
+fn a_change_is_planned_first_and_confirmed_by_id() {
+    let fleet = Fleet::up();
+    let admin = std::fs::read_to_string(fleet.path().join("admin")).unwrap();
+    let admin = admin.lines().next().unwrap();
+    let json = |arguments: &[&str]| -> serde_json::Value {
+        let (out, _) = ends(Exit::Success, &[arguments, &["--admin", admin, "--json"]].concat());
+        assert!(!out.contains('\x1b'), "colour off a terminal: {out}");
+        serde_json::from_str(&out).expect("JSON")
+    };
+    let draining = || {
+        let status = json(&["status"]);
+        let instances = status["instances"].as_array().unwrap().clone();
+        instances.iter().any(|i| i["instance"] == "ops-1-3" && i["draining"] == true)
+    };
+    let planned = json(&["drain", "ops-1-3"]);
+    let plan = planned["planned"]["plan"].as_str().unwrap().to_owned();
+    assert!(!draining(), "a plan alone changed something");
+    json(&["drain", "ops-1-3", "--confirm", &plan]);
+    assert!(draining(), "a confirmed plan changed nothing");
+    let again = ["confirm", &plan, "--admin", admin];
+    let (_, err) = ends(Exit::Refused, &again);
+    assert!(err.contains(&plan), "{err}");
+}
