--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -13,7 +13,7 @@
 pub use fault::{Fault, Faults};
 pub use fleet::{Class, Durability, Fleet, Group, Objective, Peak, Request};
 pub use node::{Control, Format, Log, Node, Proxy, Security, Tls, Voter};
-pub use secret::Secret;
+pub use secret::{Error as SecretError, Secret};
 pub use unit::{Daytime, Rate, Share, Size, Span};
 
 /// Why settings were refused.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod pgsql;
 pub mod proxy;
 pub mod report;
+pub mod security;
 pub mod upstream;
 pub mod wire;
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -36,11 +36,8 @@
     #[error("a frame can't be decoded: {0}")]
     Codec(#[from] postcard::Error),
     /// No key of ours made the seal on the frame.
-    #[error("the seal of a frame from {sender} is not valid")]
-    Seal {
-        /// Who the frame claims to come from.
-        sender: String,
-    },
+    #[error("the seal of a frame is missing or not valid")]
+    Seal,
     /// The socket failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
@@ -53,7 +50,7 @@
             Self::TooLong { .. } => "too_long",
             Self::Version { .. } => "version",
             Self::Codec(_) => "codec",
-            Self::Seal { .. } => "seal",
+            Self::Seal => "seal",
             Self::Io(_) => "io",
         }
     }
