--- /dev/null
+++ b/bench/src/check/answer.rs
@@ -0,0 +1,155 @@
+//! Rules on single answers: whole and one's own, read-your-writes, stated age, and that there is one.
+
+use std::collections::{HashMap, HashSet};
+
+use super::{Rule, Violation};
+use crate::history::{Event, Kind, Outcome, Request};
+
+/// What sessions were acknowledged: (what, when).
+type Acknowledged<'a> = HashMap<(&'a str, &'a str), Vec<(String, u64)>>;
+
+pub fn check(requests: &[&Request], events: &[&Event]) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    let entries = acknowledged(requests, entry);
+    let items = acknowledged(requests, item);
+    for request in requests {
+        if let Outcome::Cut { error } = &request.outcome
+            && !is_excused(request, events)
+        {
+            let seen = format!("request {} at {}: {error}", request.id, request.proxy);
+            violations.push(Violation::new(Rule::CutOff, seen));
+        }
+        let Outcome::Done { rows } = &request.outcome else { continue };
+        match &request.kind {
+            Kind::Read { of, max_age, nonce } => match values(rows, nonce) {
+                Ok(values) => {
+                    let written = entries.get(&(request.group.as_str(), of.as_str()));
+                    let written = written.map_or(&[][..], Vec::as_slice);
+                    violations.extend(read(request, &values, written, of, *max_age));
+                }
+                Err(seen) => violations.push(wrong(request, &seen)),
+            },
+            Kind::List { list, nonce } => match values(rows, nonce) {
+                Ok(values) => violations.extend(own_items(request, *list, &values, &items)),
+                Err(seen) => violations.push(wrong(request, &seen)),
+            },
+            Kind::Transaction { lists, read, .. } => {
+                let values = read.iter().map(String::as_str).collect();
+                violations.extend(own_items(request, lists.0, &values, &items));
+            }
+            Kind::Write { .. } | Kind::Once { .. } => {}
+        }
+    }
+    violations
+}
+
+/// A process that was killed or stopped gives no answers.
+fn is_excused(request: &Request, events: &[&Event]) -> bool {
+    let mut since = None;
+    for event in events.iter().filter(|event| event.address == request.proxy) {
+        match event.what.as_str() {
+            "kill" if event.at <= request.returned => return true,
+            "stop" => since = Some(event.at),
+            "resume" => {
+                let stopped = since.take();
+                let overlaps = event.at >= request.invoked;
+                if overlaps && stopped.is_some_and(|at| at <= request.returned) {
+                    return true;
+                }
+            }
+            _ => {}
+        }
+    }
+    since.is_some_and(|at| at <= request.returned)
+}
+
+fn wrong(request: &Request, seen: &str) -> Violation {
+    Violation::new(Rule::Answer, format!("request {}: {seen}", request.id))
+}
+
+/// Returns the values of a read whose rows are all there and its own.
+pub(super) fn values<'a>(
+    rows: &'a [(String, String)],
+    nonce: &str,
+) -> Result<HashSet<&'a str>, String> {
+    if let Some((foreign, _)) = rows.iter().find(|(found, _)| found != nonce) {
+        return Err(format!("a row of {foreign} in the answer to {nonce}"));
+    }
+    let Some(((_, count), values)) = rows.split_last() else {
+        return Err("an answer without its last row".to_owned());
+    };
+    if count.parse() != Ok(values.len()) {
+        return Err(format!("{} rows where {count} were announced", values.len()));
+    }
+    Ok(values.iter().map(|(_, value)| value.as_str()).collect())
+}
+
+fn read(
+    request: &Request,
+    values: &HashSet<&str>,
+    written: &[(String, u64)],
+    of: &str,
+    max_age: Option<u64>,
+) -> Option<Violation> {
+    let own = of == request.session;
+    let missing = |before: u64| {
+        written.iter().find(|(entry, at)| *at < before && !values.contains(entry.as_str()))
+    };
+    if own && let Some((entry, _)) = missing(request.invoked) {
+        let seen = format!("request {} of {of} misses {entry}", request.id);
+        return Some(Violation::new(Rule::ReadYourWrites, seen));
+    }
+    let before = request.invoked.saturating_sub(max_age?);
+    let (entry, at) = missing(before)?;
+    let age = request.invoked - at;
+    let seen = format!("request {} misses {entry}, which is {age} us old", request.id);
+    Some(Violation::new(Rule::Age, seen))
+}
+
+fn own_items(
+    request: &Request,
+    list: u32,
+    values: &HashSet<&str>,
+    items: &Acknowledged<'_>,
+) -> Option<Violation> {
+    let written = items.get(&(request.group.as_str(), request.session.as_str()))?;
+    let prefix = format!("{list}:");
+    let mine = written.iter().filter(|(_, at)| *at < request.invoked);
+    let mut mine = mine.filter_map(|(item, _)| item.strip_prefix(&prefix));
+    let missing = mine.find(|item| !values.contains(item))?;
+    let seen = format!("request {} of {} misses {missing}", request.id, request.session);
+    Some(Violation::new(Rule::ReadYourWrites, seen))
+}
+
+fn acknowledged<'a>(
+    requests: &[&'a Request],
+    written: fn(&Kind) -> Vec<String>,
+) -> Acknowledged<'a> {
+    let mut all = Acknowledged::new();
+    for request in requests {
+        if matches!(request.outcome, Outcome::Done { .. }) {
+            let key = (request.group.as_str(), request.session.as_str());
+            let written = written(&request.kind).into_iter();
+            all.entry(key).or_default().extend(written.map(|what| (what, request.returned)));
+        }
+    }
+    all
+}
+
+fn entry(kind: &Kind) -> Vec<String> {
+    match kind {
+        Kind::Write { entry } => vec![entry.clone()],
+        _ => Vec::new(),
+    }
+}
+
+fn item(kind: &Kind) -> Vec<String> {
+    match kind {
+        Kind::Transaction { tx, lists, .. } => vec![
+            format!("{}:{tx}/0", lists.0),
+            format!("{}:{tx}/1", lists.0),
+            format!("{}:{tx}/2", lists.1),
+        ],
+        _ => Vec::new(),
+    }
+}
--- /dev/null
+++ b/bench/src/check/epoch.rs
@@ -0,0 +1,34 @@
+//! The rule that nothing is acknowledged in a replaced epoch.
+
+use std::collections::BTreeMap;
+
+use super::{Rule, Violation};
+use crate::history::{Outcome, Request};
+
+/// Finds acknowledgements under a term whose request was sent after an acknowledgement under a newer term
+/// had come back.
+pub fn check(requests: &[&Request]) -> Vec<Violation> {
+    let mut groups: BTreeMap<&str, Vec<(u64, &Request)>> = BTreeMap::new();
+    for request in requests {
+        if let (Some((term, _)), Outcome::Done { .. }) = (request.mark, &request.outcome) {
+            groups.entry(&request.group).or_default().push((term, request));
+        }
+    }
+    let mut violations = Vec::new();
+    for acknowledged in groups.values() {
+        let mut first: BTreeMap<u64, u64> = BTreeMap::new();
+        for (term, request) in acknowledged {
+            let at = first.entry(*term).or_insert(request.returned);
+            *at = request.returned.min(*at);
+        }
+        for (term, request) in acknowledged {
+            let newer = first.range(term + 1..).find(|(_, at)| **at < request.invoked);
+            if let Some((newer, _)) = newer {
+                let id = request.id;
+                let seen = format!("request {id} was acknowledged under term {term} after {newer}");
+                violations.push(Violation::new(Rule::ReplacedEpoch, seen));
+            }
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/bench/src/check/gap.rs
@@ -0,0 +1,54 @@
+//! How long writes were not possible after a fault of an instance, as the writing callers saw it.
+
+use serde::Serialize;
+
+use super::{events, requests};
+use crate::history::{Event, Kind, Outcome, Record};
+
+/// How long after a fault the gap is looked for, in microseconds.
+const WINDOW: u64 = 15_000_000;
+
+/// From the last acknowledged write to the first one after it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Gap {
+    /// What was done.
+    pub what: String,
+    /// To which instance.
+    pub target: String,
+    /// The length in milliseconds; `None` when no write was acknowledged any more.
+    pub milliseconds: Option<f64>,
+}
+
+/// Returns the longest time between two acknowledged writes of the group after each fault of an instance.
+pub fn gaps(records: &[Record]) -> Vec<Gap> {
+    let faults = ["kill", "stop", "fault"];
+    let events = events(records).into_iter();
+    let events = events.filter(|event| faults.contains(&event.what.as_str()));
+    events.filter(|event| !event.group.is_empty()).map(|event| gap(event, records)).collect()
+}
+
+/// Returns the longest gap; one without an end is longer than all others.
+pub fn worst(gaps: &[Gap]) -> Option<&Gap> {
+    let length = |gap: &&Gap| gap.milliseconds.unwrap_or(f64::INFINITY);
+    gaps.iter().max_by(|a, b| length(a).total_cmp(&length(b)))
+}
+
+fn gap(event: &Event, records: &[Record]) -> Gap {
+    let writes = requests(records).into_iter().filter(|request| {
+        request.group == event.group
+            && matches!(request.kind, Kind::Write { .. } | Kind::Once { .. })
+            && matches!(request.outcome, Outcome::Done { .. })
+    });
+    let mut times: Vec<u64> = writes.map(|request| request.returned).collect();
+    times.sort_unstable();
+    let after = |pair: &&[u64]| pair[1] > event.at && pair[0] < event.at + WINDOW;
+    if times.last().is_none_or(|last| *last < event.at) {
+        return Gap { what: event.what.clone(), target: event.target.clone(), milliseconds: None };
+    }
+    let longest = times.windows(2).filter(after).map(|pair| pair[1] - pair[0]).max();
+    Gap {
+        what: event.what.clone(),
+        target: event.target.clone(),
+        milliseconds: longest.map(|micros| micros as f64 / 1_000.0),
+    }
+}
--- /dev/null
+++ b/bench/src/check/order.rs
@@ -0,0 +1,122 @@
+//! Rules on transactions: seen whole or not at all, and one order of all of them.
+//!
+//! The items of a list are in the order of the surviving log. Write-write, write-read and read-write
+//! dependencies make a graph; a cycle in it means that there is no one order.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use petgraph::algo::tarjan_scc;
+use petgraph::graph::{DiGraph, NodeIndex};
+
+use super::{Rule, Violation};
+use crate::history::{Database, Kind, Outcome, Request, Survivors};
+
+pub fn check(requests: &[&Request], survivors: &Survivors) -> Vec<Violation> {
+    let mut violations = Vec::new();
+    for (group, database) in survivors {
+        let requests: Vec<&Request> =
+            requests.iter().filter(|request| request.group == *group).copied().collect();
+        violations.extend(parts(group, database));
+        let reads: Vec<Read<'_>> = requests.iter().filter_map(|request| read(request)).collect();
+        violations.extend(reads.iter().filter_map(torn));
+        violations.extend(cycle(group, &reads, database));
+    }
+    violations
+}
+
+/// What a request saw of one list.
+struct Read<'a> {
+    id: u64,
+    list: u32,
+    /// The transaction that read, when it also writes.
+    tx: Option<&'a str>,
+    items: Vec<(&'a str, &'a str)>,
+}
+
+fn read(request: &Request) -> Option<Read<'_>> {
+    let Outcome::Done { rows } = &request.outcome else { return None };
+    match &request.kind {
+        Kind::List { list, .. } => {
+            let items = rows.iter().filter_map(|(_, value)| value.split_once('/')).collect();
+            Some(Read { id: request.id, list: *list, tx: None, items })
+        }
+        Kind::Transaction { tx, lists, read } => {
+            let items = read.iter().filter_map(|value| value.split_once('/')).collect();
+            Some(Read { id: request.id, list: lists.0, tx: Some(tx), items })
+        }
+        _ => None,
+    }
+}
+
+/// Every surviving transaction has all its parts.
+fn parts(group: &str, database: &Database) -> Vec<Violation> {
+    let mut found: BTreeMap<&str, HashSet<u32>> = BTreeMap::new();
+    for item in &database.items {
+        found.entry(&item.tx).or_default().insert(item.part);
+    }
+    let partial = found.iter().filter(|(_, parts)| parts.len() != 3);
+    let violation = |(tx, parts): (&&str, &HashSet<u32>)| {
+        Violation::new(Rule::Mixed, format!("{group} holds {} parts of {tx}", parts.len()))
+    };
+    partial.map(violation).collect()
+}
+
+/// A read that saw one of two items that are appended together.
+fn torn(read: &Read<'_>) -> Option<Violation> {
+    let seen: HashSet<(&str, &str)> = read.items.iter().copied().collect();
+    let torn = |(tx, part): &&(&str, &str)| match *part {
+        "0" => !seen.contains(&(*tx, "1")),
+        "1" => !seen.contains(&(*tx, "0")),
+        _ => false,
+    };
+    let (tx, part) = read.items.iter().find(torn)?;
+    let seen = format!("request {} saw only part {part} of {tx}", read.id);
+    Some(Violation::new(Rule::Mixed, seen))
+}
+
+fn cycle(group: &str, reads: &[Read<'_>], database: &Database) -> Option<Violation> {
+    let mut graph = DiGraph::<String, ()>::new();
+    let mut nodes: HashMap<String, NodeIndex> = HashMap::new();
+    let mut node = |graph: &mut DiGraph<String, ()>, name: &str| {
+        *nodes.entry(name.to_owned()).or_insert_with(|| graph.add_node(name.to_owned()))
+    };
+    let lists = lists(database);
+    for order in lists.values() {
+        for pair in order.windows(2) {
+            let (earlier, later) = (node(&mut graph, pair[0]), node(&mut graph, pair[1]));
+            graph.add_edge(earlier, later, ());
+        }
+    }
+    for read in reads {
+        let Some(order) = lists.get(&read.list) else { continue };
+        let seen: HashSet<&str> = read.items.iter().map(|(tx, _)| *tx).collect();
+        let name = read.tx.map_or_else(|| format!("request {}", read.id), ToOwned::to_owned);
+        let reader = node(&mut graph, &name);
+        // What a promotion left out has no place in the order.
+        if let Some(last) = order.iter().rfind(|tx| seen.contains(**tx) && **tx != name) {
+            let writer = node(&mut graph, last);
+            graph.add_edge(writer, reader, ());
+        }
+        if let Some(first) = order.iter().find(|tx| !seen.contains(**tx) && **tx != name) {
+            let writer = node(&mut graph, first);
+            graph.add_edge(reader, writer, ());
+        }
+    }
+    let mut components = tarjan_scc(&graph).into_iter();
+    let component = components.find(|component| component.len() > 1)?;
+    let names: Vec<&str> = component.iter().take(5).map(|at| graph[*at].as_str()).collect();
+    let seen = format!("{group}: no one order of {}", names.join(", "));
+    Some(Violation::new(Rule::Mixed, seen))
+}
+
+/// Returns the transactions of each list in the order of the log.
+fn lists(database: &Database) -> BTreeMap<u32, Vec<&str>> {
+    let mut lists: BTreeMap<u32, Vec<&str>> = BTreeMap::new();
+    for item in &database.items {
+        let order = lists.entry(item.list).or_default();
+        if order.last() != Some(&item.tx.as_str()) {
+            order.push(&item.tx);
+        }
+    }
+    lists
+}
--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -8,14 +8,21 @@
 use cactushatch::config::Span;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-use crate::{ready, standin};
+use crate::{check, load, ready, standin};
 
+/// Runs the command that the arguments name.
+///
+/// # Errors
+///
+/// Fails when the command does.
 pub fn run() -> anyhow::Result<()> {
     let matches = command().get_matches();
     match matches.subcommand() {
         Some(("standin", matches)) => standin::run(standin_settings(matches)?),
         Some(("ports", matches)) => ports(matches),
         Some(("ready", matches)) => ready(matches),
+        Some(("load", matches)) => load(matches),
+        Some(("check", matches)) => check(matches),
         _ => anyhow::bail!("no such command"),
     }
 }
@@ -27,6 +34,8 @@
         .subcommand(standin_command())
         .subcommand(ports_command())
         .subcommand(ready_command())
+        .subcommand(load_command())
+        .subcommand(check_command())
 }
 
 fn ready_command() -> Command {
@@ -48,6 +57,109 @@
     ready::check(std::path::Path::new(dir), &groups)
 }
 
+fn load_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        let parser = clap::value_parser!(u64);
+        Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
+    };
+    let span = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name).long(name).default_value(default).help(help)
+    };
+    Command::new("load")
+        .about("Runs sessions against a fleet and records their history in its folder")
+        .arg(Arg::new("dir").required(true).help("The fleet's folder"))
+        .arg(number("sessions", "60", "How many sessions run at once"))
+        .arg(number("probers", "0", "Callers for each group and proxy that only write"))
+        .arg(span("lasts", "5s", "How long requests are sent"))
+        .arg(span("rush", "0us", "Within which time all sessions arrive"))
+        .arg(number("reads", "80", "The share of reads, in percent"))
+        .arg(number("roam", "5", "How often a session changes its proxy, in percent of requests"))
+        .arg(span("pause", "0us", "How long a session waits between requests"))
+        .arg(
+            Arg::new("rate")
+                .long("rate")
+                .value_parser(clap::value_parser!(u32))
+                .help("Requests a second that arrive in an open loop"),
+        )
+        .arg(number("seed", "1", "The seed of all choices"))
+        .arg(
+            Arg::new("do")
+                .long("do")
+                .action(ArgAction::Append)
+                .help("An action, such as \"3s kill primary:ops-1\""),
+        )
+}
+
+fn load(matches: &ArgMatches) -> anyhow::Result<()> {
+    let summary = load::run(load_settings(matches)?)?;
+    println!("{}", serde_json::to_string(&summary)?);
+    Ok(())
+}
+
+fn load_settings(matches: &ArgMatches) -> anyhow::Result<load::Settings> {
+    let dir = matches.get_one::<String>("dir").context("no folder is given")?;
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let actions = matches.get_many::<String>("do").unwrap_or_default();
+    let actions: Result<Vec<load::Action>, String> = actions.map(|text| text.parse()).collect();
+    Ok(load::Settings {
+        dir: PathBuf::from(dir),
+        sessions: number("sessions") as usize,
+        probers: number("probers") as usize,
+        lasts: span(matches, "lasts")?,
+        rush: span(matches, "rush")?,
+        reads: number("reads") as u32,
+        roam: number("roam") as u32,
+        pause: span(matches, "pause")?,
+        rate: matches.get_one::<u32>("rate").copied(),
+        seed: number("seed"),
+        actions: actions.map_err(anyhow::Error::msg)?,
+    })
+}
+
+fn span(matches: &ArgMatches, name: &str) -> anyhow::Result<Duration> {
+    let text = matches.get_one::<String>(name).with_context(|| format!("no {name} is given"))?;
+    let span: Result<Span, String> = text.parse();
+    Ok(span.map_err(anyhow::Error::msg)?.0)
+}
+
+fn check_command() -> Command {
+    Command::new("check")
+        .about("Decides from a fleet's history and databases whether the rules held")
+        .arg(Arg::new("dir").required(true).help("The fleet's folder"))
+}
+
+/// How many violations of a rule are printed.
+const PRINTED: usize = 5;
+
+fn check(matches: &ArgMatches) -> anyhow::Result<()> {
+    let dir = matches.get_one::<String>("dir").context("no folder is given")?;
+    let report = check::run(std::path::Path::new(dir))?;
+    for (outcome, count) in &report.outcomes {
+        println!("outcome {outcome}: {count}");
+    }
+    for gap in &report.gaps {
+        println!("gap after {} of {}: {}", gap.what, gap.target, milliseconds(gap.milliseconds));
+    }
+    if let Some(worst) = check::worst(&report.gaps) {
+        println!("failover_gap_ms: {}", milliseconds(worst.milliseconds));
+    }
+    for rule in check::RULES {
+        println!("{rule}: {}", report.count(rule));
+        let of_rule = report.violations.iter().filter(|violation| violation.rule == rule);
+        for violation in of_rule.take(PRINTED) {
+            println!("  {}", violation.seen);
+        }
+    }
+    anyhow::ensure!(report.violations.is_empty(), "the history is rejected");
+    let ended = report.gaps.iter().all(|gap| gap.milliseconds.is_some());
+    anyhow::ensure!(ended, "writes did not come back");
+    Ok(())
+}
+
+fn milliseconds(length: Option<f64>) -> String {
+    length.map_or("none".to_owned(), |length| format!("{length:.1}"))
+}
+
 fn ports_command() -> Command {
     Command::new("ports")
         .about("Prints the first of COUNT ports on loopback that are free in a row")
@@ -96,6 +208,7 @@
                 .help("A proxy's admin address"),
         )
         .arg(span("slots", "2", "How many statements run at once"))
+        .arg(span("instances", "3", "How many instances the group has"))
         .arg(span("connections", "16", "How many connections it takes"))
         .arg(span("connect-time", "10ms", "How long a new connection takes"))
         .arg(span("service-time", "500us", "How long a statement holds its slot"))
@@ -105,10 +218,6 @@
 
 fn standin_settings(matches: &ArgMatches) -> anyhow::Result<standin::Settings> {
     let text = |name: &str| matches.get_one::<String>(name).expect("clap checked it").as_str();
-    let span = |name: &str| -> anyhow::Result<Duration> {
-        let span: Result<Span, String> = text(name).parse();
-        Ok(span.map_err(anyhow::Error::msg)?.0)
-    };
     let address = |text: &str| -> anyhow::Result<SocketAddr> {
         text.parse().with_context(|| format!("{text} is no address"))
     };
@@ -121,11 +230,12 @@
         listen: address(text("listen"))?,
         data: PathBuf::from(text("data")),
         slots: text("slots").parse()?,
+        instances: text("instances").parse()?,
         connections: text("connections").parse()?,
-        connect_time: span("connect-time")?,
-        service_time: span("service-time")?,
-        lag: span("lag")?,
-        delay: span("delay")?,
+        connect_time: span(matches, "connect-time")?,
+        service_time: span(matches, "service-time")?,
+        lag: span(matches, "lag")?,
+        delay: span(matches, "delay")?,
         follow: follow.map(|text| address(text)).transpose()?,
         announce: announce.map(|text| address(text)).collect::<anyhow::Result<_>>()?,
     })
--- /dev/null
+++ b/bench/src/fleet.rs
@@ -0,0 +1,146 @@
+//! A fleet's folder as `scripts/fleet` wrote it, and orders to its processes.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use anyhow::Context;
+use cactushatch::clock::Clock;
+use cactushatch::config;
+use cactushatch::pgsql::{Client, Row};
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::standin::Report;
+use cactushatch::wire::Role;
+
+/// How long an instance or proxy may take to answer the bench.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long the fault port of an instance may take to answer.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A fleet's folder.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    /// The folder.
+    pub dir: PathBuf,
+    /// The proxies' addresses for callers.
+    pub proxies: Vec<SocketAddr>,
+    /// The instances, by name.
+    pub upstreams: BTreeMap<String, SocketAddr>,
+    /// The declarations.
+    pub declared: config::Fleet,
+}
+
+impl Fleet {
+    /// Reads the folder of a fleet that is up.
+    pub fn open(dir: &Path) -> anyhow::Result<Self> {
+        let text = |name: &str| {
+            let path = dir.join(name);
+            std::fs::read_to_string(&path).with_context(|| path.display().to_string())
+        };
+        let proxies = text("proxies")?;
+        let proxies: Result<_, _> = proxies.lines().map(str::parse).collect();
+        let mut upstreams = BTreeMap::new();
+        for line in text("upstreams")?.lines() {
+            let (name, address) = line.split_once(' ').context("upstreams: no address")?;
+            upstreams.insert(name.to_owned(), address.parse()?);
+        }
+        let declared = config::Fleet::parse("groups.toml", &text("groups.toml")?)?;
+        Ok(Self { dir: dir.to_owned(), proxies: proxies?, upstreams, declared })
+    }
+
+    /// Returns the groups' names.
+    pub fn groups(&self) -> Vec<String> {
+        self.declared.group.keys().map(ToString::to_string).collect()
+    }
+
+    /// Returns the group of an instance.
+    pub fn group_of(&self, instance: &str) -> String {
+        let groups = self.groups();
+        let owner = groups.iter().find(|group| instance.starts_with(&format!("{group}-")));
+        owner.cloned().unwrap_or_default()
+    }
+
+    /// Returns a group's instances.
+    pub fn instances(&self, group: &str) -> impl Iterator<Item = (&String, SocketAddr)> {
+        let prefix = format!("{group}-");
+        let all = self.upstreams.iter().map(|(name, address)| (name, *address));
+        all.filter(move |(name, _)| name.starts_with(&prefix))
+    }
+
+    /// Returns the first request of a group that is declared `once`.
+    pub fn once(&self, group: &str) -> Option<String> {
+        let requests = &self.declared.group.get(&group.parse().ok()?)?.request;
+        let once = requests.iter().find(|(_, request)| request.once);
+        once.map(|(name, _)| name.to_string())
+    }
+
+    /// Returns the first request of a group that may read old data, and how old.
+    pub fn aged(&self, group: &str) -> Option<(String, Duration)> {
+        let requests = &self.declared.group.get(&group.parse().ok()?)?.request;
+        let aged =
+            requests.iter().find_map(|(name, request)| request.max_age.map(|age| (name, age)));
+        aged.map(|(name, age)| (name.to_string(), age.0))
+    }
+
+    /// Finds the process id of a process of the fleet.
+    pub fn pid(&self, name: &str) -> anyhow::Result<Pid> {
+        let names = std::fs::read_to_string(self.dir.join("names"))?;
+        let line = names.lines().rev().find(|line| line.ends_with(&format!(" {name}")));
+        let pid = line.and_then(|line| line.split_once(' ')).and_then(|(pid, _)| pid.parse().ok());
+        pid.and_then(Pid::from_raw).with_context(|| format!("there is no process {name}"))
+    }
+
+    /// Sends a signal to a process of the fleet.
+    pub fn signal(&self, name: &str, signal: Signal) -> anyhow::Result<()> {
+        kill_process(self.pid(name)?, signal).with_context(|| format!("signal to {name}"))
+    }
+
+    /// Returns a group's primary: the instance that says so on the highest term.
+    pub fn primary(&self, group: &str) -> anyhow::Result<String> {
+        let mut best: Option<(u64, String)> = None;
+        for (name, _) in self.instances(group) {
+            let Ok(status) = self.report(name) else { continue };
+            let newer = best.as_ref().is_none_or(|(term, _)| status.term > *term);
+            if status.role == Role::Primary && newer {
+                best = Some((status.term, name.clone()));
+            }
+        }
+        best.map(|(_, name)| name).with_context(|| format!("{group} has no primary"))
+    }
+
+    /// Sets the faults of an instance.
+    pub fn fault(&self, instance: &str, fault: &str) -> anyhow::Result<()> {
+        let answer = self.order(instance, fault)?;
+        anyhow::ensure!(answer == "ok", "{instance}: {answer}");
+        Ok(())
+    }
+
+    /// Reads the counters, the role and the position of an instance.
+    pub fn report(&self, instance: &str) -> anyhow::Result<Report> {
+        Ok(serde_json::from_str(&self.order(instance, "{\"counters\":true}")?)?)
+    }
+
+    fn order(&self, instance: &str, line: &str) -> anyhow::Result<String> {
+        let address = self.upstreams.get(instance);
+        let mut address = *address.with_context(|| format!("there is no instance {instance}"))?;
+        address.set_port(address.port() + 2);
+        let mut socket = TcpStream::connect_timeout(&address, ORDER_TIMEOUT)?;
+        socket.set_read_timeout(Some(ORDER_TIMEOUT))?;
+        socket.write_all(format!("{line}\n").as_bytes())?;
+        let mut answer = String::new();
+        BufReader::new(socket).read_line(&mut answer)?;
+        Ok(answer.trim().to_owned())
+    }
+}
+
+/// Runs a query on an instance, past the proxies.
+pub async fn query(address: SocketAddr, sql: &str) -> anyhow::Result<Vec<Row>> {
+    let clock = Clock::system();
+    let parameters = [("user", "bench"), ("database", "bench")];
+    let mut client = Client::open(&clock, address, &parameters, None, TIMEOUT).await?;
+    Ok(client.query(&clock, sql, 5 * TIMEOUT).await?)
+}
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,9 @@
+//! The bench: stand-in upstream, load generator and history checker. It is never shipped.
+
+pub mod check;
+pub mod cli;
+mod fleet;
+pub mod history;
+mod load;
+mod ready;
+mod standin;
--- /dev/null
+++ b/bench/src/load/caller.rs
@@ -0,0 +1,111 @@
+//! One caller's connection: a statement and everything that comes back.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use cactushatch::clock::Clock;
+use cactushatch::pgsql::{Client, Error};
+use fallible_iterator::FallibleIterator;
+use postgres_protocol::message::{backend, frontend};
+
+use crate::history::Refusal;
+
+/// How long a caller waits for the start of a session.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a caller waits for a final answer; longer than every declared deadline.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(12);
+
+/// What a statement brought.
+#[derive(Debug)]
+pub enum Reply {
+    /// Its rows, every column as text.
+    Done(Vec<Vec<String>>),
+    /// An error.
+    Refused(Refusal),
+}
+
+/// One connection to a proxy, or directly to an instance.
+#[derive(Debug)]
+pub struct Caller {
+    client: Client,
+    clock: Clock,
+    /// The floor that the proxy told last.
+    pub floor: Option<String>,
+}
+
+impl Caller {
+    /// Connects; `options` go into the start-up.
+    pub async fn open(address: SocketAddr, group: &str, options: &str) -> Result<Self, Error> {
+        let clock = Clock::system();
+        let mut parameters = vec![("user", "load"), ("database", group)];
+        if !options.is_empty() {
+            parameters.push(("options", options));
+        }
+        let client = Client::open(&clock, address, &parameters, None, OPEN_TIMEOUT).await?;
+        Ok(Self { client, clock, floor: None })
+    }
+
+    /// Runs a simple query; fails when no final answer came.
+    pub async fn ask(&mut self, sql: &str) -> Result<Reply, Error> {
+        let clock = self.clock.clone();
+        let answer = clock.timeout(ANSWER_TIMEOUT, self.exchange(sql)).await;
+        answer.unwrap_or(Err(Error::Timeout(ANSWER_TIMEOUT)))
+    }
+
+    async fn exchange(&mut self, sql: &str) -> Result<Reply, Error> {
+        let mut out = BytesMut::new();
+        frontend::query(sql, &mut out)?;
+        self.client.send(&out).await?;
+        let mut rows = Vec::new();
+        let mut refused = None;
+        loop {
+            let message = self.client.receive().await?;
+            let mut bytes = BytesMut::with_capacity(message.body.len() + 5);
+            message.write(&mut bytes);
+            match backend::Message::parse(&mut bytes)? {
+                Some(backend::Message::DataRow(body)) => rows.push(columns(&body)?),
+                Some(backend::Message::ErrorResponse(body)) => refused = Some(refusal(&body)),
+                Some(backend::Message::ParameterStatus(body)) => self.note(&body)?,
+                Some(backend::Message::ReadyForQuery(_)) => break,
+                _ => {}
+            }
+        }
+        Ok(refused.map_or(Reply::Done(rows), Reply::Refused))
+    }
+
+    fn note(&mut self, body: &backend::ParameterStatusBody) -> Result<(), Error> {
+        if body.name()? == "cactushatch.floor" {
+            self.floor = Some(body.value()?.to_owned());
+        }
+        Ok(())
+    }
+}
+
+fn columns(body: &backend::DataRowBody) -> Result<Vec<String>, Error> {
+    let buffer = body.buffer_bytes();
+    let mut columns = Vec::new();
+    let mut ranges = body.ranges();
+    while let Some(range) = ranges.next()? {
+        let bytes = range.map_or(&[][..], |range| &buffer[range]);
+        columns.push(String::from_utf8_lossy(bytes).into_owned());
+    }
+    Ok(columns)
+}
+
+fn refusal(body: &backend::ErrorResponseBody) -> Refusal {
+    let mut refusal =
+        Refusal { code: String::new(), detail: String::new(), message: String::new() };
+    let mut fields = body.fields();
+    while let Ok(Some(field)) = fields.next() {
+        let value = String::from_utf8_lossy(field.value_bytes()).into_owned();
+        match field.type_() {
+            b'C' => refusal.code = value,
+            b'D' => refusal.detail = value,
+            b'M' => refusal.message = value,
+            _ => {}
+        }
+    }
+    refusal
+}
--- /dev/null
+++ b/bench/src/load/mod.rs
@@ -0,0 +1,242 @@
+//! The load generator: concurrent sessions against the proxies of a fleet, and their history.
+
+mod action;
+mod caller;
+mod census;
+mod session;
+
+use std::fs::File;
+use std::io::{BufWriter, Write};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use cactushatch::clock::Clock;
+use serde::Serialize;
+
+pub use action::Action;
+pub use caller::{Caller, Reply};
+pub use census::{Census, replica_share};
+
+use crate::fleet::Fleet;
+use crate::history::{Event, Record, Request};
+use crate::standin::Counts;
+use session::Session;
+
+/// How often the counters of the instances are read.
+const CENSUS: Duration = Duration::from_millis(200);
+
+/// How long requests may still take after the end of the load.
+const DRAIN: Duration = Duration::from_secs(15);
+
+/// The file of the history in the fleet's folder.
+pub const HISTORY: &str = "history.jsonl";
+
+/// What a load is like.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The fleet's folder.
+    pub dir: PathBuf,
+    /// How many sessions run at once.
+    pub sessions: usize,
+    /// How many more callers there are for each group and proxy that write without pause.
+    pub probers: usize,
+    /// How long new requests are sent.
+    pub lasts: Duration,
+    /// Within which time all sessions arrive.
+    pub rush: Duration,
+    /// The share of reads, in percent.
+    pub reads: u32,
+    /// How often a session goes on at another proxy before a request, in percent.
+    pub roam: u32,
+    /// How long a session waits between requests.
+    pub pause: Duration,
+    /// How many requests a second arrive, for an open loop; each is due at its own time.
+    pub rate: Option<u32>,
+    /// The seed of all choices.
+    pub seed: u64,
+    /// What is done to the fleet meanwhile.
+    pub actions: Vec<Action>,
+}
+
+/// What a load did, for the scripts.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Summary {
+    /// How many requests got an answer or were cut off.
+    pub requests: u64,
+    /// What the instances ran.
+    pub counts: Counts,
+    /// The share of reads that replicas ran.
+    pub replica_read_share: f64,
+}
+
+/// A load that runs.
+pub struct Load {
+    settings: Settings,
+    fleet: Fleet,
+    groups: Vec<String>,
+    clock: Clock,
+    start: u64,
+    over: AtomicBool,
+    ids: AtomicU64,
+    requests: AtomicU64,
+    history: Mutex<BufWriter<File>>,
+    census: Census,
+}
+
+/// Runs a load and leaves its history in the fleet's folder.
+///
+/// # Errors
+///
+/// Fails when the fleet can't be used or an action can't be done.
+pub fn run(settings: Settings) -> anyhow::Result<Summary> {
+    smol::block_on(async {
+        let load = Arc::new(Load::open(settings).await?);
+        load.census.look(&load.fleet);
+        let looker = Arc::clone(&load);
+        let looking = std::thread::spawn(move || {
+            while !looker.is_over() {
+                looker.census.look(&looker.fleet);
+                std::thread::sleep(CENSUS);
+            }
+        });
+        let sessions = load.spawn();
+        let acted = Arc::clone(&load).act().await;
+        load.sleep_until(load.start + load.settings.lasts.as_micros() as u64).await;
+        load.over.store(true, Ordering::SeqCst);
+        let ended = async {
+            for session in sessions {
+                session.await;
+            }
+        };
+        load.clock.timeout(DRAIN, ended).await;
+        let _ = looking.join();
+        load.census.look(&load.fleet);
+        acted?;
+        load.history.lock().expect("nothing panics under this lock").flush()?;
+        let counts = load.census.total();
+        Ok(Summary {
+            requests: load.requests.load(Ordering::SeqCst),
+            counts,
+            replica_read_share: replica_share(counts),
+        })
+    })
+}
+
+impl Load {
+    async fn open(settings: Settings) -> anyhow::Result<Self> {
+        let fleet = Fleet::open(&settings.dir)?;
+        let groups = fleet.groups();
+        for group in &groups {
+            create_tables(&fleet, group).await?;
+        }
+        let history = BufWriter::new(File::create(settings.dir.join(HISTORY))?);
+        let clock = Clock::system();
+        Ok(Self {
+            start: clock.now().0,
+            settings,
+            fleet,
+            groups,
+            clock,
+            over: AtomicBool::new(false),
+            ids: AtomicU64::new(1),
+            requests: AtomicU64::new(0),
+            history: Mutex::new(history),
+            census: Census::default(),
+        })
+    }
+
+    fn spawn(self: &Arc<Self>) -> Vec<smol::Task<()>> {
+        let probers = self.settings.probers * self.groups.len() * self.fleet.proxies.len();
+        let count = self.settings.sessions + probers;
+        (0..count).map(|number| smol::spawn(Session::new(Arc::clone(self), number).run())).collect()
+    }
+
+    async fn act(self: Arc<Self>) -> anyhow::Result<()> {
+        for action in &self.settings.actions {
+            self.sleep_until(self.start + action.after.as_micros() as u64).await;
+            let name = action::resolve(&self.fleet, &action.target)?;
+            if self.fleet.upstreams.contains_key(&name) {
+                self.census.look_at(&self.fleet, &name);
+            }
+            let at = self.now();
+            action::run(&self.fleet, &action.deed, &name)?;
+            let address = self.proxy_address(&name);
+            let group = self.fleet.group_of(&name);
+            let what = action.deed.name().to_owned();
+            self.write(&Record::Event(Event { at, what, target: name, address, group }));
+        }
+        Ok(())
+    }
+
+    fn proxy_address(&self, name: &str) -> String {
+        let number = name.strip_prefix("proxy-").and_then(|number| number.parse::<usize>().ok());
+        let address = number.and_then(|number| self.fleet.proxies.get(number - 1));
+        address.map(ToString::to_string).unwrap_or_default()
+    }
+
+    fn is_prober(&self, number: usize) -> bool {
+        number >= self.settings.sessions
+    }
+
+    /// Returns when a session arrives.
+    fn arrival(&self, number: usize) -> u64 {
+        let rush = self.settings.rush.as_micros() as u64;
+        self.start + rush * number as u64 / (self.settings.sessions.max(1) as u64)
+    }
+
+    /// Returns when the next request of a session is due, in an open loop.
+    fn due(&self, number: usize, done: u64) -> Option<u64> {
+        let rate = u64::from(self.settings.rate?);
+        let slot = done * self.settings.sessions as u64 + number as u64;
+        Some(self.start + slot * 1_000_000 / rate)
+    }
+
+    fn now(&self) -> u64 {
+        self.clock.now().0
+    }
+
+    fn is_over(&self) -> bool {
+        self.over.load(Ordering::SeqCst)
+    }
+
+    fn next_id(&self) -> u64 {
+        self.ids.fetch_add(1, Ordering::Relaxed)
+    }
+
+    async fn sleep_until(&self, moment: u64) {
+        self.clock.sleep_until(cactushatch::clock::Instant(moment)).await;
+    }
+
+    fn record(&self, request: Request) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+        self.write(&Record::Request(request));
+    }
+
+    fn write(&self, record: &Record) {
+        let line = serde_json::to_string(record).expect("records can be encoded");
+        let mut history = self.history.lock().expect("nothing panics under this lock");
+        if let Err(error) = writeln!(history, "{line}") {
+            eprintln!("[bench error]: the history can't be written: {error}");
+        }
+    }
+}
+
+async fn create_tables(fleet: &Fleet, group: &str) -> anyhow::Result<()> {
+    let statements = [
+        "CREATE TABLE IF NOT EXISTS entry (session TEXT, entry TEXT)",
+        "CREATE INDEX IF NOT EXISTS entry_session ON entry (session)",
+        "CREATE TABLE IF NOT EXISTS effect (effect TEXT)",
+        "CREATE TABLE IF NOT EXISTS item (list INTEGER, tx TEXT, part INTEGER)",
+        "CREATE INDEX IF NOT EXISTS item_list ON item (list)",
+    ];
+    let mut caller = Caller::open(fleet.proxies[0], group, "").await?;
+    for statement in statements {
+        match caller.ask(statement).await? {
+            Reply::Done(_) => {}
+            Reply::Refused(refusal) => anyhow::bail!("{statement}: {}", refusal.message),
+        }
+    }
+    Ok(())
+}
--- a/bench/src/main.rs
+++ b/bench/src/main.rs
@@ -1,15 +1,13 @@
-//! The bench: stand-in upstream, load generator and history checker. It is never shipped.
+//! The command of the bench.
 
-mod cli;
-mod ready;
-mod standin;
+use std::process::ExitCode;
 
-fn main() -> std::process::ExitCode {
-    match cli::run() {
-        Ok(()) => std::process::ExitCode::SUCCESS,
+fn main() -> ExitCode {
+    match bench::cli::run() {
+        Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("[bench error]: {error:#}");
-            std::process::ExitCode::FAILURE
+            ExitCode::FAILURE
         }
     }
 }
--- a/bench/src/standin/announce.rs
+++ b/bench/src/standin/announce.rs
@@ -9,7 +9,7 @@
 use cactushatch::upstream::announcement::Announcement;
 use cactushatch::wire::Replica;
 
-use super::server::Instance;
+use super::instance::Instance;
 
 /// How often an instance announces itself.
 const INTERVAL: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/bench/src/standin/codec.rs
@@ -0,0 +1,90 @@
+//! Messages from the client.
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use bytes::BytesMut;
+use pgwire::messages::{DecodeContext, PgWireFrontendMessage, ProtocolVersion};
+use rusqlite::types::Value;
+
+/// The user that may connect beyond the limit, as a server reserves connections for its superuser.
+pub const RESERVED: &str = "bench";
+
+/// Who connects.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Client {
+    /// Its failure domain.
+    pub domain: String,
+    /// Whether the limit on connections does not bind it.
+    pub reserved: bool,
+}
+
+/// Reads the start-up; returns the client, or `None` for a cancel request.
+pub fn start(reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<Option<Client>> {
+    loop {
+        let mut header = [0; 8];
+        reader.read_exact(&mut header)?;
+        let len = u32::from_be_bytes(header[..4].try_into()?) as usize;
+        let code = u32::from_be_bytes(header[4..].try_into()?);
+        anyhow::ensure!((8..10_000).contains(&len), "a start-up packet of {len} bytes");
+        let mut body = vec![0; len - 8];
+        reader.read_exact(&mut body)?;
+        match code {
+            80_877_103 | 80_877_104 => socket.write_all(b"N")?,
+            80_877_102 => return Ok(None),
+            _ => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let mut words = text.split('\0');
+                let mut client = Client { domain: String::new(), reserved: false };
+                while let (Some(name), Some(value)) = (words.next(), words.next()) {
+                    match name {
+                        "application_name" => {
+                            client.domain = value.rsplit('/').next().unwrap_or_default().to_owned();
+                        }
+                        "user" => client.reserved = value == RESERVED,
+                        _ => {}
+                    }
+                }
+                return Ok(Some(client));
+            }
+        }
+    }
+}
+
+pub fn read_message(reader: &mut impl Read) -> anyhow::Result<Option<PgWireFrontendMessage>> {
+    let mut header = [0; 5];
+    if reader.read_exact(&mut header).is_err() {
+        return Ok(None);
+    }
+    let len = u32::from_be_bytes(header[1..].try_into()?) as usize;
+    anyhow::ensure!((4..64 * 1024 * 1024).contains(&len), "a message of {len} bytes");
+    let mut body = vec![0; len - 4];
+    reader.read_exact(&mut body)?;
+    let mut bytes = BytesMut::from(&header[..]);
+    bytes.extend_from_slice(&body);
+    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
+    context.awaiting_frontend_ssl = false;
+    context.awaiting_frontend_startup = false;
+    Ok(PgWireFrontendMessage::decode(&mut bytes, &context)?)
+}
+
+/// Decodes a parameter of the type `kind`.
+pub fn decode(bytes: Option<&[u8]>, kind: u32, binary: bool) -> Value {
+    let Some(bytes) = bytes else {
+        return Value::Null;
+    };
+    let number = || match bytes.len() {
+        2 => i64::from(i16::from_be_bytes(bytes.try_into().unwrap_or_default())),
+        4 => i64::from(i32::from_be_bytes(bytes.try_into().unwrap_or_default())),
+        _ => i64::from_be_bytes(bytes.try_into().unwrap_or_default()),
+    };
+    let text = String::from_utf8_lossy(bytes).into_owned();
+    match (kind, binary) {
+        (20 | 21 | 23, true) => Value::Integer(number()),
+        (20 | 21 | 23, false) => text.parse().map_or(Value::Text(text), Value::Integer),
+        (701, true) => Value::Real(f64::from_be_bytes(bytes.try_into().unwrap_or_default())),
+        (701, false) => text.parse().map_or(Value::Text(text), Value::Real),
+        (17, true) => Value::Blob(bytes.to_vec()),
+        _ => Value::Text(text),
+    }
+}
--- a/bench/src/standin/fault.rs
+++ b/bench/src/standin/fault.rs
@@ -1,13 +1,15 @@
-//! Faults on command: one JSON object a line on the fault port sets them all anew.
+//! Faults on command: one JSON object a line on the fault port sets them all anew; `{"counters":true}` reads
+//! the counters, the role and the position instead.
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicI32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use super::server::Instance;
+use super::instance::Instance;
 
 /// The faults in force; the default is none.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,17 +25,29 @@
     pub late_ms: u64,
     /// How many of the next commits lose their answer with their connection.
     pub lose_after_commit: u32,
+    /// The connections that are open now stay silent for good, new ones work.
+    pub half_open: bool,
+}
+
+/// What a line on the fault port asks for.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Line {
+    Counters { counters: bool },
+    Fault(Fault),
 }
 
 #[derive(Debug)]
 pub struct Faults {
     lag: Duration,
     fault: Mutex<Fault>,
+    /// Connections with a lower process id are half-open.
+    half_open_below: AtomicI32,
 }
 
 impl Faults {
     pub fn new(lag: Duration) -> Self {
-        Self { lag, fault: Mutex::new(Fault::default()) }
+        Self { lag, fault: Mutex::new(Fault::default()), half_open_below: AtomicI32::new(0) }
     }
 
     pub fn lag(&self) -> Duration {
@@ -57,11 +71,34 @@
         lose
     }
 
-    fn set(&self, fault: Fault) {
+    /// Tells whether the connection with this process id has gone silent for good.
+    pub fn is_half_open(&self, process: i32) -> bool {
+        process < self.half_open_below.load(Ordering::SeqCst)
+    }
+
+    /// Puts faults in force; `next_process` is the id that the next connection gets.
+    fn set(&self, fault: Fault, next_process: i32) {
+        let below = if fault.half_open { next_process } else { 0 };
+        self.half_open_below.store(below, Ordering::SeqCst);
         *self.fault.lock().unwrap() = fault;
     }
 }
 
+fn answer(instance: &Instance, line: &str) -> String {
+    match serde_json::from_str(line) {
+        Ok(Line::Counters { counters: true }) => match serde_json::to_string(&instance.report()) {
+            Ok(report) => format!("{report}\n"),
+            Err(error) => format!("error: {error}\n"),
+        },
+        Ok(Line::Fault(fault)) => {
+            instance.faults.set(fault, instance.next_process());
+            "ok\n".to_owned()
+        }
+        Ok(Line::Counters { counters: false }) => "ok\n".to_owned(),
+        Err(error) => format!("error: {error}\n"),
+    }
+}
+
 pub fn spawn(instance: &Arc<Instance>) -> anyhow::Result<()> {
     let mut address = instance.settings.listen;
     address.set_port(address.port() + 2);
@@ -71,13 +108,7 @@
         for mut socket in listener.incoming().flatten() {
             let Ok(reader) = socket.try_clone() else { continue };
             for line in BufReader::new(reader).lines().map_while(Result::ok) {
-                let answer = match serde_json::from_str(&line) {
-                    Ok(fault) => {
-                        instance.faults.set(fault);
-                        "ok\n".to_owned()
-                    }
-                    Err(error) => format!("error: {error}\n"),
-                };
+                let answer = answer(&instance, &line);
                 let _ = socket.write_all(answer.as_bytes());
             }
         }
--- /dev/null
+++ b/bench/src/standin/instance.rs
@@ -0,0 +1,139 @@
+//! One running instance: its role, its writer, and its status.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
+use std::sync::{Condvar, Mutex};
+
+use cactushatch::wire::Role;
+use rusqlite::types::Value;
+
+use super::Settings;
+use super::counter::{Counters, Report};
+use super::fault::Faults;
+use super::journal::Journal;
+use super::reply::{Column, INT8, TEXT};
+use super::slot::Slots;
+
+/// One running instance.
+#[derive(Debug)]
+pub struct Instance {
+    pub settings: Settings,
+    pub journal: Journal,
+    pub faults: Faults,
+    pub counters: Counters,
+    pub slots: Slots,
+    /// Whether a transaction that may write is open; there is one at a time.
+    writing: Mutex<bool>,
+    written: Condvar,
+    following: Mutex<Option<SocketAddr>>,
+    pub open: AtomicUsize,
+    pub processes: AtomicI32,
+}
+
+impl Instance {
+    pub fn new(settings: Settings, journal: Journal) -> Self {
+        Self {
+            faults: Faults::new(settings.lag),
+            counters: Counters::default(),
+            slots: Slots::new(settings.slots),
+            writing: Mutex::new(false),
+            written: Condvar::new(),
+            following: Mutex::new(settings.follow),
+            open: AtomicUsize::new(0),
+            processes: AtomicI32::new(1),
+            settings,
+            journal,
+        }
+    }
+
+    /// Returns the process id that the next connection gets.
+    pub fn next_process(&self) -> i32 {
+        self.processes.load(Ordering::SeqCst)
+    }
+
+    /// Returns what the fault port tells.
+    pub fn report(&self) -> Report {
+        let log = self.journal.log.lock().unwrap();
+        Report {
+            counts: self.counters.read(),
+            role: log.role,
+            term: log.term,
+            position: log.position(),
+        }
+    }
+
+    /// Returns the primary that this instance follows.
+    pub fn followed(&self) -> Option<SocketAddr> {
+        *self.following.lock().unwrap()
+    }
+
+    pub fn acquire_writer(&self) {
+        let writing = self.writing.lock().unwrap();
+        *self.written.wait_while(writing, |writing| *writing).unwrap() = true;
+    }
+
+    pub fn release_writer(&self) {
+        *self.writing.lock().unwrap() = false;
+        self.written.notify_one();
+    }
+
+    pub fn promote(&self, term: u64) -> Result<(), String> {
+        {
+            let log = self.journal.log.lock().unwrap();
+            if log.term >= term {
+                return Err(format!("this instance is on term {} already", log.term));
+            }
+        }
+        *self.following.lock().unwrap() = None;
+        let connection = self.journal.connect().map_err(|error| error.to_string())?;
+        self.journal.apply_all(&connection);
+        let mut log = self.journal.log.lock().unwrap();
+        log.role = Role::Primary;
+        log.term = term;
+        let start = log.received();
+        log.history.push((term, start));
+        log.followers.clear();
+        self.journal.changed.notify_all();
+        Ok(())
+    }
+
+    pub fn follow(&self, primary: SocketAddr) {
+        *self.following.lock().unwrap() = Some(primary);
+        let mut log = self.journal.log.lock().unwrap();
+        if log.role == Role::Primary {
+            log.generation += 1;
+        }
+        log.role = Role::Replica;
+        self.journal.changed.notify_all();
+    }
+
+    pub fn demote(&self) {
+        self.acquire_writer();
+        self.journal.log.lock().unwrap().role = Role::Replica;
+        self.release_writer();
+    }
+
+    pub fn status(&self) -> Vec<Value> {
+        let log = self.journal.log.lock().unwrap();
+        let role = if log.role == Role::Primary { "primary" } else { "replica" };
+        let durable = match log.role {
+            Role::Primary => log.durable(self.settings.instances),
+            Role::Replica => 0,
+        };
+        let start = log.history.last().map_or(0, |last| last.1);
+        let numbers = [log.term, log.position(), log.received(), durable, start];
+        let mut row = vec![Value::Text(role.to_owned())];
+        row.extend(numbers.map(|number| Value::Integer(number as i64)));
+        row
+    }
+}
+
+/// Returns the columns of the status view.
+pub fn status_columns() -> Vec<Column> {
+    let names = ["role", "term", "position", "received", "durable", "start"];
+    let column = |name: &str| Column {
+        name: name.to_owned(),
+        kind: if name == "role" { TEXT } else { INT8 },
+    };
+    names.iter().map(|name| column(name)).collect()
+}
--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -3,7 +3,10 @@
 //! faults on command. One thread for each connection.
 
 mod announce;
+mod codec;
+mod counter;
 mod fault;
+mod instance;
 mod journal;
 mod replication;
 mod reply;
@@ -18,6 +21,8 @@
 
 use cactushatch::id;
 
+pub use counter::{Counts, Report};
+
 /// What one stand-in instance is like.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -33,6 +38,8 @@
     pub data: PathBuf,
     /// How many statements run at once.
     pub slots: usize,
+    /// How many instances the group has.
+    pub instances: usize,
     /// How many connections it takes.
     pub connections: usize,
     /// How long a new connection takes.
@@ -56,7 +63,7 @@
 /// Fails when a socket or file can't be opened.
 pub fn run(settings: Settings) -> anyhow::Result<()> {
     let journal = journal::Journal::open(&settings)?;
-    let instance = Arc::new(server::Instance::new(settings, journal));
+    let instance = Arc::new(instance::Instance::new(settings, journal));
     replication::spawn(&instance)?;
     announce::spawn(&instance);
     fault::spawn(&instance)?;
--- a/bench/src/standin/replication.rs
+++ b/bench/src/standin/replication.rs
@@ -10,8 +10,8 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use super::instance::Instance;
 use super::journal::Record;
-use super::server::Instance;
 
 /// How long a follower waits before it connects again.
 const RECONNECT: Duration = Duration::from_millis(50);
--- a/bench/src/standin/reply.rs
+++ b/bench/src/standin/reply.rs
@@ -168,3 +168,30 @@
     data.put_i32(bytes.len() as i32);
     data.put_slice(&bytes);
 }
+
+/// Returns the command tag of a statement that touched `count` rows.
+pub fn tag(text: &str, count: u64) -> String {
+    let word = text.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
+    match word.as_str() {
+        "SELECT" | "WITH" | "VALUES" => format!("SELECT {count}"),
+        "INSERT" | "REPLACE" => format!("INSERT 0 {count}"),
+        "UPDATE" | "DELETE" => format!("{word} {count}"),
+        "CREATE" | "DROP" | "ALTER" => {
+            let kind = text.split_whitespace().nth(1).unwrap_or("").to_ascii_uppercase();
+            format!("{word} {kind}")
+        }
+        _ => word,
+    }
+}
+
+/// Returns the columns of a prepared statement.
+pub fn columns(statement: &rusqlite::Statement<'_>) -> Vec<Column> {
+    let column = |column: &rusqlite::Column<'_>| {
+        let name = column.name().to_owned();
+        let counts =
+            name.starts_with("count(") || name.starts_with("sum(") || name.starts_with("max(");
+        let guess = if counts { INT8 } else { TEXT };
+        Column { kind: column.decl_type().map_or(guess, type_of), name }
+    };
+    statement.columns().iter().map(column).collect()
+}
--- a/bench/src/standin/server.rs
+++ b/bench/src/standin/server.rs
@@ -2,129 +2,27 @@
 
 use std::collections::HashMap;
 use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
-use std::time::Duration;
+use std::net::{TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
 
-use bytes::BytesMut;
 use cactushatch::wire::Role;
+use pgwire::messages::PgWireFrontendMessage;
 use pgwire::messages::response::TransactionStatus;
-use pgwire::messages::{DecodeContext, PgWireFrontendMessage, ProtocolVersion};
 use rusqlite::Connection;
 use rusqlite::types::Value;
 
-use super::Settings;
-use super::fault::Faults;
-use super::journal::Journal;
-use super::reply::{Column, INT8, Reply, TEXT, type_of};
-use super::slot::Slots;
+use super::codec::{Client, decode, read_message, start};
+use super::instance::{Instance, status_columns};
+use super::reply::{Column, Reply, TEXT, columns, tag};
 use super::sql::{self, Statement};
 
-/// One running instance.
-#[derive(Debug)]
-pub struct Instance {
-    pub settings: Settings,
-    pub journal: Journal,
-    pub faults: Faults,
-    slots: Slots,
-    /// Whether a transaction that may write is open; there is one at a time.
-    writing: Mutex<bool>,
-    written: Condvar,
-    following: Mutex<Option<SocketAddr>>,
-    open: AtomicUsize,
-    processes: AtomicI32,
-}
-
-impl Instance {
-    pub fn new(settings: Settings, journal: Journal) -> Self {
-        Self {
-            faults: Faults::new(settings.lag),
-            slots: Slots::new(settings.slots),
-            writing: Mutex::new(false),
-            written: Condvar::new(),
-            following: Mutex::new(settings.follow),
-            open: AtomicUsize::new(0),
-            processes: AtomicI32::new(1),
-            settings,
-            journal,
-        }
-    }
-
-    /// Returns the primary that this instance follows.
-    pub fn followed(&self) -> Option<SocketAddr> {
-        *self.following.lock().unwrap()
-    }
-
-    fn acquire_writer(&self) {
-        let writing = self.writing.lock().unwrap();
-        *self.written.wait_while(writing, |writing| *writing).unwrap() = true;
-    }
-
-    fn release_writer(&self) {
-        *self.writing.lock().unwrap() = false;
-        self.written.notify_one();
-    }
-
-    fn promote(&self, term: u64) -> Result<(), String> {
-        {
-            let log = self.journal.log.lock().unwrap();
-            if log.term >= term {
-                return Err(format!("this instance is on term {} already", log.term));
-            }
-        }
-        *self.following.lock().unwrap() = None;
-        let connection = self.journal.connect().map_err(|error| error.to_string())?;
-        self.journal.apply_all(&connection);
-        let mut log = self.journal.log.lock().unwrap();
-        log.role = Role::Primary;
-        log.term = term;
-        let start = log.received();
-        log.history.push((term, start));
-        log.followers.clear();
-        self.journal.changed.notify_all();
-        Ok(())
-    }
+/// How long a transaction may wait for its client.
+const IDLE_IN_TRANSACTION: Duration = Duration::from_secs(2);
 
-    fn follow(&self, primary: SocketAddr) {
-        *self.following.lock().unwrap() = Some(primary);
-        let mut log = self.journal.log.lock().unwrap();
-        if log.role == Role::Primary {
-            log.generation += 1;
-        }
-        log.role = Role::Replica;
-        self.journal.changed.notify_all();
-    }
-
-    fn demote(&self) {
-        self.acquire_writer();
-        self.journal.log.lock().unwrap().role = Role::Replica;
-        self.release_writer();
-    }
-
-    fn status(&self) -> Vec<Value> {
-        let log = self.journal.log.lock().unwrap();
-        let role = if log.role == Role::Primary { "primary" } else { "replica" };
-        let durable = match log.role {
-            Role::Primary => log.durable(3),
-            Role::Replica => 0,
-        };
-        let start = log.history.last().map_or(0, |last| last.1);
-        let numbers = [log.term, log.position(), log.received(), durable, start];
-        let mut row = vec![Value::Text(role.to_owned())];
-        row.extend(numbers.map(|number| Value::Integer(number as i64)));
-        row
-    }
-}
-
-fn status_columns() -> Vec<Column> {
-    let names = ["role", "term", "position", "received", "durable", "start"];
-    let column = |name: &str| Column {
-        name: name.to_owned(),
-        kind: if name == "role" { TEXT } else { INT8 },
-    };
-    names.iter().map(|name| column(name)).collect()
-}
+/// How often a connection that is cut looks whether it still is.
+const LOOK: Duration = Duration::from_millis(5);
 
 /// Takes connections until the process ends.
 pub fn listen(instance: &Arc<Instance>) -> anyhow::Result<()> {
@@ -133,6 +31,7 @@
         let socket = socket?;
         let instance = Arc::clone(instance);
         std::thread::spawn(move || {
+            instance.counters.note_connection();
             let open = instance.open.fetch_add(1, Ordering::SeqCst);
             if let Err(error) = Session::serve(&instance, socket, open) {
                 log::debug!("a connection ended: {error}");
@@ -161,6 +60,9 @@
     database: Connection,
     generation: u64,
     domain: String,
+    process: i32,
+    /// Whether the connection ends without the answer.
+    lost: bool,
     /// The write statements of the open transaction.
     pending: Vec<String>,
     status: TransactionStatus,
@@ -177,18 +79,18 @@
     fn serve(instance: &'a Instance, mut socket: TcpStream, open: usize) -> anyhow::Result<()> {
         socket.set_nodelay(true)?;
         let mut reader = BufReader::new(socket.try_clone()?);
-        let Some(domain) = start(&mut reader, &mut socket)? else {
+        let Some(Client { domain, reserved }) = start(&mut reader, &mut socket)? else {
             return Ok(());
         };
         let mut reply = Reply::default();
-        if open >= instance.settings.connections {
+        if open >= instance.settings.connections && !reserved {
             reply.error("53300", "sorry, too many clients already");
             socket.write_all(&reply.out)?;
             return Ok(());
         }
         std::thread::sleep(instance.settings.connect_time);
         while instance.faults.is_cut(&domain) {
-            std::thread::sleep(Duration::from_millis(5));
+            std::thread::sleep(LOOK);
         }
         let process = instance.processes.fetch_add(1, Ordering::SeqCst);
         reply.welcome(process, process);
@@ -201,6 +103,8 @@
             database: instance.journal.connect()?,
             generation,
             domain,
+            process,
+            lost: false,
             pending: Vec::new(),
             status: TransactionStatus::Idle,
             has_writer: false,
@@ -216,9 +120,12 @@
     fn run(&mut self, reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<()> {
         let mut skipping = false;
         loop {
+            // A transaction whose client went away must not hold the writer for ever.
+            socket.set_read_timeout(self.has_writer.then_some(IDLE_IN_TRANSACTION))?;
             let Some(message) = read_message(reader)? else {
                 return Ok(());
             };
+            self.wait_while_cut()?;
             let flush = matches!(
                 message,
                 PgWireFrontendMessage::Query(_)
@@ -235,6 +142,9 @@
                 self.fail(code, &text);
                 skipping = true;
             }
+            if self.lost {
+                anyhow::bail!("the answer is lost on command");
+            }
             if flush {
                 self.flush(socket)?;
             }
@@ -243,9 +153,7 @@
 
     fn flush(&mut self, socket: &mut TcpStream) -> anyhow::Result<()> {
         std::thread::sleep(self.instance.faults.late());
-        while self.instance.faults.is_cut(&self.domain) {
-            std::thread::sleep(Duration::from_millis(5));
-        }
+        self.wait_while_cut()?;
         if self.instance.journal.log.lock().unwrap().generation != self.generation {
             anyhow::bail!("the instance changed its role");
         }
@@ -254,6 +162,19 @@
         Ok(())
     }
 
+    /// Waits until messages pass again. An open transaction does not outlive a long cut.
+    fn wait_while_cut(&self) -> anyhow::Result<()> {
+        let start = Instant::now();
+        let faults = &self.instance.faults;
+        while faults.is_cut(&self.domain) || faults.is_half_open(self.process) {
+            if self.has_writer && start.elapsed() > IDLE_IN_TRANSACTION {
+                anyhow::bail!("a transaction was idle for too long");
+            }
+            std::thread::sleep(LOOK);
+        }
+        Ok(())
+    }
+
     fn handle(&mut self, message: PgWireFrontendMessage) -> Result<(), Refusal> {
         match message {
             PgWireFrontendMessage::Query(query) => {
@@ -443,6 +364,7 @@
         if describe {
             self.reply.columns(&columns, formats);
         }
+        self.instance.counters.note_status();
         let row = self.instance.status();
         self.reply.row(&columns, &row, formats);
         self.reply.complete("SELECT 1");
@@ -469,6 +391,7 @@
             return Ok(());
         }
         let pending = std::mem::take(&mut self.pending);
+        let wrote = !pending.is_empty();
         let committed = if pending.is_empty() {
             self.database.execute_batch("COMMIT").map(|()| true)
         } else {
@@ -476,7 +399,10 @@
             self.instance.journal.commit(pending, commit)
         };
         let result = match committed {
-            Ok(true) => Ok(()),
+            Ok(true) => {
+                self.lost = wrote && self.instance.faults.lose_commit();
+                Ok(())
+            }
             Ok(false) => Err(("25006", "this instance is no longer the primary".to_owned())),
             Err(error) => Err(refusal(error)),
         };
@@ -505,7 +431,13 @@
     ) -> Result<(), Refusal> {
         let read_only = self.database.prepare(text).map_err(refusal)?.readonly();
         let alone = !read_only && self.status == TransactionStatus::Idle;
-        if !read_only && self.instance.journal.log.lock().unwrap().role != Role::Primary {
+        let role = self.instance.journal.log.lock().unwrap().role;
+        if read_only {
+            self.instance.counters.note_read(role);
+        } else {
+            self.instance.counters.note_write();
+        }
+        if !read_only && role != Role::Primary {
             return Err((
                 "25006",
                 "cannot execute this statement in a read-only transaction".to_owned(),
@@ -528,11 +460,6 @@
         if result.is_err() {
             self.reply.out.truncate(len);
             self.end_transaction();
-        } else if self.instance.faults.lose_commit() {
-            return Err((
-                "57P01",
-                "terminating connection due to administrator command".to_owned(),
-            ));
         }
         result
     }
@@ -574,51 +501,6 @@
     }
 }
 
-fn tag(text: &str, count: u64) -> String {
-    let word = text.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
-    match word.as_str() {
-        "SELECT" | "WITH" | "VALUES" => format!("SELECT {count}"),
-        "INSERT" | "REPLACE" => format!("INSERT 0 {count}"),
-        "UPDATE" | "DELETE" => format!("{word} {count}"),
-        "CREATE" | "DROP" | "ALTER" => {
-            let kind = text.split_whitespace().nth(1).unwrap_or("").to_ascii_uppercase();
-            format!("{word} {kind}")
-        }
-        _ => word,
-    }
-}
-
-fn columns(statement: &rusqlite::Statement<'_>) -> Vec<Column> {
-    let column = |column: &rusqlite::Column<'_>| {
-        let name = column.name().to_owned();
-        let counts =
-            name.starts_with("count(") || name.starts_with("sum(") || name.starts_with("max(");
-        let guess = if counts { INT8 } else { TEXT };
-        Column { kind: column.decl_type().map_or(guess, type_of), name }
-    };
-    statement.columns().iter().map(column).collect()
-}
-
-fn decode(bytes: Option<&[u8]>, kind: u32, binary: bool) -> Value {
-    let Some(bytes) = bytes else {
-        return Value::Null;
-    };
-    let number = || match bytes.len() {
-        2 => i64::from(i16::from_be_bytes(bytes.try_into().unwrap_or_default())),
-        4 => i64::from(i32::from_be_bytes(bytes.try_into().unwrap_or_default())),
-        _ => i64::from_be_bytes(bytes.try_into().unwrap_or_default()),
-    };
-    let text = String::from_utf8_lossy(bytes).into_owned();
-    match (kind, binary) {
-        (20 | 21 | 23, true) => Value::Integer(number()),
-        (20 | 21 | 23, false) => text.parse().map_or(Value::Text(text), Value::Integer),
-        (701, true) => Value::Real(f64::from_be_bytes(bytes.try_into().unwrap_or_default())),
-        (701, false) => text.parse().map_or(Value::Text(text), Value::Real),
-        (17, true) => Value::Blob(bytes.to_vec()),
-        _ => Value::Text(text),
-    }
-}
-
 fn no_statement(name: &str) -> Refusal {
     ("26000", format!("prepared statement {name:?} does not exist"))
 }
@@ -636,48 +518,3 @@
     };
     (code, error.to_string())
 }
-
-/// Reads the start-up; returns the failure domain of the client, or `None` for a cancel request.
-fn start(reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<Option<String>> {
-    loop {
-        let mut header = [0; 8];
-        reader.read_exact(&mut header)?;
-        let len = u32::from_be_bytes(header[..4].try_into()?) as usize;
-        let code = u32::from_be_bytes(header[4..].try_into()?);
-        anyhow::ensure!((8..10_000).contains(&len), "a start-up packet of {len} bytes");
-        let mut body = vec![0; len - 8];
-        reader.read_exact(&mut body)?;
-        match code {
-            80_877_103 | 80_877_104 => socket.write_all(b"N")?,
-            80_877_102 => return Ok(None),
-            _ => {
-                let text = String::from_utf8_lossy(&body).into_owned();
-                let mut words = text.split('\0');
-                let mut domain = String::new();
-                while let (Some(name), Some(value)) = (words.next(), words.next()) {
-                    if name == "application_name" {
-                        domain = value.rsplit('/').next().unwrap_or_default().to_owned();
-                    }
-                }
-                return Ok(Some(domain));
-            }
-        }
-    }
-}
-
-fn read_message(reader: &mut impl Read) -> anyhow::Result<Option<PgWireFrontendMessage>> {
-    let mut header = [0; 5];
-    if reader.read_exact(&mut header).is_err() {
-        return Ok(None);
-    }
-    let len = u32::from_be_bytes(header[1..].try_into()?) as usize;
-    anyhow::ensure!((4..64 * 1024 * 1024).contains(&len), "a message of {len} bytes");
-    let mut body = vec![0; len - 4];
-    reader.read_exact(&mut body)?;
-    let mut bytes = BytesMut::from(&header[..]);
-    bytes.extend_from_slice(&body);
-    let mut context = DecodeContext::new(ProtocolVersion::PROTOCOL3_0);
-    context.awaiting_frontend_ssl = false;
-    context.awaiting_frontend_startup = false;
-    Ok(PgWireFrontendMessage::decode(&mut bytes, &context)?)
-}
--- /dev/null
+++ b/bench/tests/check.rs
@@ -0,0 +1,279 @@
+//! The checker accepts a good history and rejects one that breaks each rule.
+
+use std::collections::BTreeMap;
+
+use bench::check::{Rule, decide, gaps};
+use bench::history::{Database, Event, Item, Kind, Outcome, Record, Refusal, Request, Survivors};
+
+const GROUP: &str = "ops-1";
+const PROXY: &str = "127.0.0.1:1";
+
+/// Builds a history, one request after the other, ten milliseconds each.
+#[derive(Debug, Default)]
+struct History {
+    records: Vec<Record>,
+    database: Database,
+    now: u64,
+}
+
+impl History {
+    fn push(&mut self, session: &str, kind: Kind, outcome: Outcome) -> &mut Request {
+        self.now += 10_000;
+        self.records.push(Record::Request(Request {
+            id: self.records.len() as u64,
+            group: GROUP.to_owned(),
+            session: session.to_owned(),
+            proxy: PROXY.to_owned(),
+            invoked: self.now - 9_000,
+            returned: self.now,
+            due: None,
+            kind,
+            outcome,
+            mark: None,
+        }));
+        match self.records.last_mut() {
+            Some(Record::Request(request)) => request,
+            _ => unreachable!("a request was pushed"),
+        }
+    }
+
+    fn event(&mut self, what: &str, target: &str, address: &str, group: &str) {
+        self.now += 10_000;
+        self.records.push(Record::Event(Event {
+            at: self.now,
+            what: what.to_owned(),
+            target: target.to_owned(),
+            address: address.to_owned(),
+            group: group.to_owned(),
+        }));
+    }
+
+    fn write(&mut self, session: &str, entry: &str, outcome: Outcome) -> &mut Request {
+        self.push(session, Kind::Write { entry: entry.to_owned() }, outcome)
+    }
+
+    fn hold(&mut self, session: &str, entry: &str) {
+        self.database.entries.push((session.to_owned(), entry.to_owned()));
+    }
+
+    fn read(&mut self, session: &str, of: &str, max_age: Option<u64>, entries: &[&str]) {
+        let kind = Kind::Read { of: of.to_owned(), max_age, nonce: "n1".to_owned() };
+        self.push(session, kind, rows("n1", entries, entries.len()));
+    }
+
+    fn transaction(&mut self, tx: &str, lists: (u32, u32), read: &[&str]) {
+        let read = read.iter().map(|item| (*item).to_owned()).collect();
+        self.push("s1", Kind::Transaction { tx: tx.to_owned(), lists, read }, done());
+    }
+
+    fn item(&mut self, list: u32, tx: &str, part: u32) {
+        self.database.items.push(Item { list, tx: tx.to_owned(), part });
+    }
+
+    fn broken(&self) -> Vec<Rule> {
+        let survivors: Survivors = BTreeMap::from([(GROUP.to_owned(), self.database.clone())]);
+        let violations = decide(&self.records, &survivors);
+        let mut rules: Vec<Rule> = violations.iter().map(|violation| violation.rule).collect();
+        rules.dedup();
+        rules
+    }
+}
+
+fn done() -> Outcome {
+    Outcome::Done { rows: Vec::new() }
+}
+
+fn rows(nonce: &str, values: &[&str], count: usize) -> Outcome {
+    let count = count.to_string();
+    let all = values.iter().copied().chain([count.as_str()]);
+    Outcome::Done { rows: all.map(|value| (nonce.to_owned(), value.to_owned())).collect() }
+}
+
+fn refusal() -> Refusal {
+    Refusal { code: "57P03".to_owned(), detail: String::new(), message: String::new() }
+}
+
+fn cut() -> Outcome {
+    Outcome::Cut { error: "unexpected end of file".to_owned() }
+}
+
+fn once(key: &str) -> Kind {
+    Kind::Once { key: key.to_owned() }
+}
+
+#[test]
+fn a_good_history_passes() {
+    let mut history = History::default();
+    history.write("s1", "e1", done()).mark = Some((1, 5));
+    history.hold("s1", "e1");
+    history.read("s1", "s1", None, &["e1"]);
+    history.write("s1", "e2", Outcome::NotRun(refusal()));
+    history.write("s1", "e3", Outcome::Unknown(refusal()));
+    history.hold("s1", "e3");
+    history.push("s1", once("k1"), Outcome::Unknown(refusal()));
+    history.push("s1", once("k1"), done());
+    history.database.keys.push("k1".to_owned());
+    history.transaction("t1", (1, 2), &[]);
+    history.transaction("t2", (1, 2), &["t1/0", "t1/1"]);
+    for (tx, list, part) in
+        [("t1", 1, 0), ("t1", 1, 1), ("t1", 2, 2), ("t2", 1, 0), ("t2", 1, 1), ("t2", 2, 2)]
+    {
+        history.item(list, tx, part);
+    }
+    history.read("s2", "s1", Some(2_000_000), &["e1"]);
+    history.event("kill", "proxy-1", PROXY, "");
+    history.write("s1", "e4", cut());
+    assert_eq!(history.broken(), []);
+}
+
+#[test]
+fn a_session_that_misses_its_write_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", done());
+    history.hold("s1", "e1");
+    history.read("s1", "s1", None, &[]);
+    assert_eq!(history.broken(), [Rule::ReadYourWrites]);
+}
+
+#[test]
+fn a_lost_acknowledged_write_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", done());
+    assert_eq!(history.broken(), [Rule::Lost]);
+}
+
+#[test]
+fn a_lost_acknowledged_transaction_is_rejected() {
+    let mut history = History::default();
+    history.transaction("t1", (1, 2), &[]);
+    assert_eq!(history.broken(), [Rule::Lost]);
+}
+
+#[test]
+fn a_doubled_effect_is_rejected() {
+    let mut history = History::default();
+    history.push("s1", once("k1"), Outcome::Unknown(refusal()));
+    history.push("s1", once("k1"), done());
+    history.database.keys = vec!["k1".to_owned(), "k1".to_owned()];
+    assert_eq!(history.broken(), [Rule::Doubled]);
+}
+
+#[test]
+fn a_write_that_was_not_run_and_is_there_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", Outcome::NotRun(refusal()));
+    history.hold("s1", "e1");
+    assert_eq!(history.broken(), [Rule::NotRun]);
+}
+
+#[test]
+fn a_read_of_what_was_not_run_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", Outcome::NotRun(refusal()));
+    history.read("s1", "s1", None, &["e1"]);
+    assert_eq!(history.broken(), [Rule::NotRun]);
+}
+
+#[test]
+fn an_acknowledgement_after_a_newer_epoch_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", done()).mark = Some((2, 5));
+    history.write("s2", "e2", done()).mark = Some((1, 9));
+    history.hold("s1", "e1");
+    history.hold("s2", "e2");
+    assert_eq!(history.broken(), [Rule::ReplacedEpoch]);
+}
+
+#[test]
+fn a_row_of_another_request_is_rejected() {
+    let mut history = History::default();
+    let kind = Kind::Read { of: "s1".to_owned(), max_age: None, nonce: "n1".to_owned() };
+    history.push("s1", kind, rows("n2", &[], 0));
+    assert_eq!(history.broken(), [Rule::Answer]);
+}
+
+#[test]
+fn an_answer_that_is_not_whole_is_rejected() {
+    for outcome in [done(), rows("n1", &["e1"], 2)] {
+        let mut history = History::default();
+        let kind = Kind::Read { of: "s2".to_owned(), max_age: None, nonce: "n1".to_owned() };
+        history.push("s1", kind, outcome);
+        assert_eq!(history.broken(), [Rule::Answer]);
+    }
+}
+
+#[test]
+fn a_read_of_half_a_transaction_is_rejected() {
+    let mut history = History::default();
+    let kind = Kind::List { list: 1, nonce: "n1".to_owned() };
+    history.push("s2", kind, rows("n1", &["t1/0"], 1));
+    assert_eq!(history.broken(), [Rule::Mixed]);
+}
+
+#[test]
+fn a_surviving_half_of_a_transaction_is_rejected() {
+    let mut history = History::default();
+    history.item(1, "t1", 0);
+    assert_eq!(history.broken(), [Rule::Mixed]);
+}
+
+#[test]
+fn transactions_without_one_order_are_rejected() {
+    let mut history = History::default();
+    history.transaction("t1", (1, 2), &[]);
+    history.transaction("t2", (2, 1), &[]);
+    // Each one misses what the other appended to the list that it read.
+    for (tx, list, part) in
+        [("t1", 1, 0), ("t1", 1, 1), ("t2", 1, 2), ("t2", 2, 0), ("t2", 2, 1), ("t1", 2, 2)]
+    {
+        history.item(list, tx, part);
+    }
+    assert!(history.broken().contains(&Rule::Mixed));
+}
+
+#[test]
+fn data_that_is_too_old_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", done());
+    history.hold("s1", "e1");
+    history.now += 3_000_000;
+    history.read("s2", "s1", Some(2_000_000), &[]);
+    assert_eq!(history.broken(), [Rule::Age]);
+}
+
+#[test]
+fn a_request_without_an_answer_is_rejected() {
+    let mut history = History::default();
+    history.write("s1", "e1", cut());
+    assert_eq!(history.broken(), [Rule::CutOff]);
+}
+
+#[test]
+fn a_request_cut_off_after_a_resumed_stop_is_rejected() {
+    let mut history = History::default();
+    history.event("stop", "proxy-1", PROXY, "");
+    history.event("resume", "proxy-1", PROXY, "");
+    history.write("s1", "e1", cut());
+    assert_eq!(history.broken(), [Rule::CutOff]);
+}
+
+#[test]
+fn the_gap_is_the_longest_time_without_an_acknowledged_write() {
+    let mut history = History::default();
+    history.write("s1", "e1", done());
+    history.event("kill", "ops-1-1", "", GROUP);
+    history.write("s1", "e2", Outcome::NotRun(refusal()));
+    history.write("s1", "e3", done());
+    history.write("s1", "e4", done());
+    let gaps = gaps(&history.records);
+    assert_eq!(gaps.len(), 1);
+    assert_eq!(gaps[0].milliseconds, Some(30.0));
+}
+
+#[test]
+fn a_gap_without_an_end_has_no_length() {
+    let mut history = History::default();
+    history.write("s1", "e1", done());
+    history.event("kill", "ops-1-1", "", GROUP);
+    assert_eq!(gaps(&history.records)[0].milliseconds, None);
+}
