Let only fenced, read and reserved promotions happen

Cause: read critically, the failover machines were unsafe in several ways. A fresh probe counted though it was asked before the fence held; any replica count was enough whatever was announced; a replica that had taken a term over before it received up to its start was preferred to one with more of the history; a term could be given to two instances by two leaders; a grant to an earlier life of a proxy renewed the lease of the next one; a new leader knew nothing of its predecessors' leases; an answer with an error (no connections left) counted as a crash; one proxy's report sufficed; a primary that came back as a replica stayed in force.

Change: leases per life of a proxy, inherited ones waited for, grants only while a majority confirms the leader (lease::CONFIRMATION); acknowledgements and reports never go back; the table travels as per-group deltas with versions, and the fence compares the version of the group's phase; Action::Claim reserves a term for one instance before it is ordered to take it; candidates compare by their place on the epoch's history, read after the fence held; evidence of proxies with leases plus control's own probe, two at least; failovers are damped (damper::DAMP), hand-overs of drained primaries and their undoing; heartbeats go to the leader alone while it answers and carry only changed sightings, the rest in turn; connections shared by control::budget; a proxy's incarnation is from the wall clock, since CLOCK_BOOTTIME starts anew with the VM.

floor::Mark::reach took the first fork after its term, though a later one may lie before it: seen to fail (tests/failover_floor.rs: Reached instead of Lost), then mended.

--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -11,15 +11,29 @@
 use crate::id;
 
 /// How long a lease runs, from when the proxy sent its heartbeat.
-pub const LEASE: Duration = Duration::from_millis(1_200);
+pub const LEASE: Duration = Duration::from_millis(1_000);
 
 /// How much longer control takes a lease to run, for clocks that drift apart.
 pub const MARGIN: Duration = Duration::from_millis(100);
 
-/// The leases that control has granted.
+/// How long a leader may grant leases after it asked what a majority of the voters last confirmed. A later
+/// leader counts on it: none of its predecessors grants anything once this time has passed since its election.
+pub const CONFIRMATION: Duration = Duration::from_millis(300);
+
+/// How long after its election a leader must reckon with leases that its predecessors granted.
+pub const INHERITED: Duration = Duration::from_millis(
+    (LEASE.as_millis() + MARGIN.as_millis() + CONFIRMATION.as_millis()) as u64,
+);
+
+/// A life of a proxy. Each life has a lease of its own, so that a process that lives on beside its successor
+/// is waited for.
+pub type Life = (id::Node, id::Incarnation);
+
+/// The leases that this leader has granted, and those that it must reckon with.
 #[derive(Debug, Default)]
 pub struct Leases {
-    holders: BTreeMap<id::Node, Holder>,
+    elected: Instant,
+    holders: BTreeMap<Life, Holder>,
 }
 
 #[derive(Debug)]
@@ -29,20 +43,57 @@
 }
 
 impl Leases {
-    /// Grants `node` a lease; `table` is the version that its heartbeat acknowledged.
-    pub fn grant(&mut self, now: Instant, node: &id::Node, table: u64) {
-        let holder = Holder { expires: now + LEASE + MARGIN, table };
-        self.holders.insert(node.clone(), holder);
+    /// Starts with the leases that earlier leaders may have granted up to now and for
+    /// [`CONFIRMATION`] longer.
+    pub fn new(elected: Instant) -> Self {
+        Self { elected, holders: BTreeMap::new() }
+    }
+
+    /// Grants a proxy a lease; `table` is the version of this leader's table that its heartbeat acknowledged.
+    pub fn grant(&mut self, now: Instant, life: Life, table: u64) {
+        let expires = now + LEASE + MARGIN;
+        let holder = self.holders.entry(life).or_insert(Holder { expires, table });
+        holder.expires = holder.expires.max(expires);
+        holder.table = holder.table.max(table);
     }
 
     /// Tells whether no proxy can release anything under a table older than `version`: each one has
-    /// acknowledged that version, or its lease has run out.
-    pub fn fenced(&self, now: Instant, version: u64) -> bool {
-        self.holders.values().all(|holder| holder.table >= version || holder.expires <= now)
+    /// acknowledged that version, or its lease has run out. For [`INHERITED`] after the election, every
+    /// `registered` proxy must have acknowledged it, since an earlier leader may have granted it a lease.
+    pub fn fenced(
+        &self,
+        now: Instant,
+        version: u64,
+        mut registered: impl Iterator<Item = Life>,
+    ) -> bool {
+        let harmless = |holder: &Holder| holder.table >= version || holder.expires <= now;
+        let known = self.holders.values().all(harmless);
+        let inherited = self.inherited(now);
+        known && (!inherited || registered.all(|life| self.acknowledged(&life, version)))
+    }
+
+    /// Tells whether an earlier leader may have granted leases that have not run out.
+    pub fn inherited(&self, now: Instant) -> bool {
+        now.since(self.elected) < INHERITED
+    }
+
+    /// Tells whether a proxy has acknowledged that version of this leader's table; it never goes back.
+    pub fn acknowledged(&self, life: &Life, version: u64) -> bool {
+        self.holders.get(life).is_some_and(|holder| holder.table >= version)
+    }
+
+    /// Tells whether a proxy may hold a lease, granted by this leader or an earlier one.
+    pub fn may_hold(&self, now: Instant, life: &Life) -> bool {
+        self.inherited(now) || self.holders.get(life).is_some_and(|holder| holder.expires > now)
+    }
+
+    /// Returns the proxies whose lease from this leader has not run out.
+    pub fn live(&self, now: Instant) -> impl Iterator<Item = &Life> {
+        self.holders.iter().filter(move |(_, holder)| holder.expires > now).map(|(life, _)| life)
     }
 
-    /// Returns the proxies whose lease has not run out.
-    pub fn live(&self, now: Instant) -> impl Iterator<Item = &id::Node> {
-        self.holders.iter().filter(move |(_, holder)| holder.expires > now).map(|(node, _)| node)
+    /// Drops the leases that have run out of lives that are over.
+    pub fn prune(&mut self, now: Instant, over: impl Fn(&Life) -> bool) {
+        self.holders.retain(|life, holder| holder.expires > now || !over(life));
     }
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,8 +3,9 @@
 //! Everything that decides is a pure machine with `step(now, input) -> outputs`; the edges (sockets, disk,
 //! timers) are in `server` and `operator`. See `docs/DESIGN.md`, "Control".
 
+pub mod budget;
 pub mod failover;
-mod leader;
+pub mod leader;
 pub mod lease;
 pub mod operator;
 mod probe;
--- a/src/control/probe.rs
+++ b/src/control/probe.rs
@@ -4,14 +4,14 @@
 
 use crate::clock::Clock;
 use crate::pgsql::{Client, Error};
-use crate::upstream::position::{QUERY, Status};
+use crate::upstream::position::{QUERY, Status, trouble};
 use crate::wire::{Replica, Trouble};
 
 /// How often an instance is asked.
 pub(super) const INTERVAL: Duration = Duration::from_millis(50);
 
 /// How long an instance may take to answer before it counts as silent.
-const TIMEOUT: Duration = Duration::from_millis(500);
+const TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long an order may take.
 const ORDER_TIMEOUT: Duration = Duration::from_secs(5);
@@ -33,12 +33,22 @@
 
     /// Asks the instance for its status.
     pub(super) async fn status(&mut self) -> Result<Status, Trouble> {
-        self.ask(QUERY, TIMEOUT).await.map_err(|error| trouble(&error))
+        self.again(QUERY, TIMEOUT).await.map_err(|error| trouble(&error))
     }
 
-    /// Gives the instance an order that answers with its status.
+    /// Gives the instance an order that answers with its status; an order names its term, so that it may be
+    /// given twice.
     pub(super) async fn order(&mut self, sql: &str) -> Result<Status, Error> {
-        self.ask(sql, ORDER_TIMEOUT).await
+        self.again(sql, ORDER_TIMEOUT).await
+    }
+
+    /// Asks, and once more when an old connection broke, which proves little.
+    async fn again(&mut self, sql: &str, timeout: Duration) -> Result<Status, Error> {
+        let reused = self.client.is_some();
+        match self.ask(sql, timeout).await {
+            Err(Error::Io(_) | Error::Protocol(_)) if reused => self.ask(sql, timeout).await,
+            answer => answer,
+        }
     }
 
     async fn ask(&mut self, sql: &str, timeout: Duration) -> Result<Status, Error> {
@@ -71,11 +81,3 @@
         Client::open(&self.clock, self.replica.address, &parameters, None, TIMEOUT).await
     }
 }
-
-fn trouble(error: &Error) -> Trouble {
-    match error {
-        Error::Timeout(_) => Trouble::Silent,
-        Error::Io(error) if error.kind() == std::io::ErrorKind::TimedOut => Trouble::Silent,
-        _ => Trouble::Refused,
-    }
-}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,9 +1,11 @@
 //! A control process: its sockets, its timers, and the machines between them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use smol::channel::{Receiver, Sender, unbounded};
 use smol::net::{TcpListener, UdpSocket};
 
 use super::Error;
@@ -36,9 +38,20 @@
     domain: id::Domain,
     user: String,
     core: Mutex<Core>,
+    /// Where the orders to each instance go.
+    probes: Mutex<BTreeMap<id::Instance, Sender<Order>>>,
     udp: UdpSocket,
 }
 
+/// What the connection to an instance is used for besides the regular probe.
+#[derive(Debug)]
+enum Order {
+    Probe,
+    Promote(id::Term),
+    Demote(id::Term),
+    Follow(SocketAddr, id::Term),
+}
+
 /// Everything that decides, under one lock that is never held over an `await`.
 #[derive(Debug)]
 pub(super) struct Core {
@@ -63,11 +76,12 @@
     let tcp = TcpListener::bind(control.address).await?;
     let admin = TcpListener::bind(control.admin).await?;
     let shared = Arc::new(Shared {
-        clock,
         node: settings.node.clone(),
         domain: settings.domain.clone(),
         user: control.user.clone(),
-        core: Mutex::new(Core::new(store, &entries)),
+        core: Mutex::new(Core::new(clock.now(), store, &entries)),
+        probes: Mutex::new(BTreeMap::new()),
+        clock,
         udp,
     });
     smol::spawn(Arc::clone(&shared).receive()).detach();
@@ -85,22 +99,21 @@
 }
 
 impl Core {
-    fn new(store: Store, entries: &[Entry]) -> Self {
+    fn new(now: Instant, store: Store, entries: &[Entry]) -> Self {
         let mut state = State::default();
         for entry in entries {
             state.apply(&entry.command);
         }
         let last = entries.last();
-        let mut core = Self {
-            fleet: config::Fleet::parse("declarations", &state.text).unwrap_or_default(),
+        let fleet = config::Fleet::parse("declarations", &state.text).unwrap_or_default();
+        Self {
+            leader: Leader::elected(now, &state, &fleet),
+            fleet,
             state,
-            leader: Leader::default(),
             store,
             term: id::Term(last.map_or(0, |entry| entry.term.0) + 1),
             index: last.map_or(id::Index(0), |entry| entry.index),
-        };
-        core.leader.refresh(&core.state, &core.fleet);
-        core
+        }
     }
 
     pub(super) fn stamp(&self) -> Stamp {
@@ -108,7 +121,7 @@
     }
 
     /// Appends a command, syncs it, and applies it.
-    fn commit(&mut self, command: Command) -> Answer {
+    fn commit(&mut self, now: Instant, command: Command) -> Answer {
         let entry = Entry { term: self.term, index: self.index.next(), command };
         if let Err(error) = self.store.append(&entry) {
             log::error!("the log can't be written, this voter stops: {error}");
@@ -119,7 +132,7 @@
         if let Ok(fleet) = config::Fleet::parse("declarations", &self.state.text) {
             self.fleet = fleet;
         }
-        self.leader.refresh(&self.state, &self.fleet);
+        self.leader.refresh(now, &self.state, &self.fleet);
         Answer::Applied(outcome)
     }
 
@@ -134,12 +147,14 @@
                     incarnation: frame.incarnation,
                     domain: heartbeat.domain.clone(),
                 };
-                self.commit(Command { origin: None, action });
+                self.commit(now, Command { origin: None, action });
             }
         }
         let stamp = self.stamp();
-        let decided = (&self.state, &self.fleet, stamp);
-        Some(self.leader.heartbeat(now, &frame.sender, heartbeat, decided))
+        let life = (frame.sender.clone(), frame.incarnation);
+        // The only voter confirms itself.
+        self.leader.confirmed(now);
+        self.leader.heartbeat(now, life, heartbeat, (&self.state, stamp))
     }
 
     fn tick(&mut self, now: Instant) -> Vec<Output> {
@@ -153,7 +168,7 @@
     }
 
     pub(super) fn submit(&self, command: Command) -> Answer {
-        let answer = self.core().commit(command);
+        let answer = self.core().commit(self.clock.now(), command);
         if let Answer::Applied(Outcome::Refused { reason }) = &answer {
             log::info!("a command was refused: {reason}");
         }
@@ -192,50 +207,45 @@
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
-        let before = self.core().leader.replicas.len();
         let grant = self.core().heartbeat(self.clock.now(), frame, heartbeat);
-        if self.core().leader.replicas.len() > before {
-            self.probe_new();
-        }
         if let Some(grant) = grant {
             self.send(from, Body::Grant(grant)).await;
         }
     }
 
+    fn probes(&self) -> MutexGuard<'_, BTreeMap<id::Instance, Sender<Order>>> {
+        self.probes.lock().expect("nothing panics while it holds the lock")
+    }
+
     /// Starts a probe for each instance that has none yet.
     fn probe_new(self: &Arc<Self>) {
-        let replicas: Vec<Replica> = {
-            let core = self.core();
-            core.leader.replicas.values().map(|(_, replica)| replica.clone()).collect()
-        };
+        let replicas: Vec<Replica> = self.core().leader.replicas().cloned().collect();
         for replica in replicas {
-            let known = self
-                .core()
-                .leader
-                .groups
-                .get_mut(&replica.group)
-                .map(|g| g.watch(&replica.instance));
-            if known == Some(true) {
-                smol::spawn(Arc::clone(self).watch(replica)).detach();
+            let mut probes = self.probes();
+            if !probes.contains_key(&replica.instance) {
+                let (orders, ordered) = unbounded();
+                probes.insert(replica.instance.clone(), orders);
+                smol::spawn(Arc::clone(self).watch(replica, ordered)).detach();
             }
         }
     }
 
-    fn probe(&self, replica: Replica) -> Probe {
+    /// Probes an instance, and carries out the orders to it, for as long as it announces itself.
+    async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
         let application = format!("cactushatch/{}/{}", self.node, self.domain);
-        Probe::new(self.clock.clone(), self.user.clone(), application, replica)
-    }
-
-    async fn watch(self: Arc<Self>, replica: Replica) {
-        let mut probe = self.probe(replica.clone());
-        loop {
-            let seen = probe.status().await;
-            let now = self.clock.now();
-            if let Some(group) = self.core().leader.groups.get_mut(&replica.group) {
-                group.step(now, Input::Probed { instance: replica.instance.clone(), seen });
+        let user = self.user.clone();
+        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone());
+        let mut order = Order::Probe;
+        while self.core().leader.replica(&replica.instance) == Some(&replica) {
+            let asked = self.clock.now();
+            if let Some(input) = run(&mut probe, &replica.instance, asked, order).await {
+                let now = self.clock.now();
+                self.core().leader.step(now, &replica.group, input);
             }
-            self.clock.sleep(probe::INTERVAL).await;
+            let waited = self.clock.timeout(probe::INTERVAL, ordered.recv()).await;
+            order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
         }
+        self.probes().remove(&replica.instance);
     }
 
     async fn tick(self: Arc<Self>) {
@@ -245,7 +255,8 @@
             for output in outputs {
                 self.carry_out(output);
             }
-            let version = self.core().leader.version;
+            self.probe_new();
+            let version = self.core().leader.version();
             if version != pushed {
                 pushed = version;
                 self.push().await;
@@ -254,59 +265,38 @@
         }
     }
 
-    /// Sends the table to every proxy at once, without renewing a lease.
+    /// Sends what changed in the table to every proxy at once.
     async fn push(&self) {
-        let (grant, proxies) = {
+        let grants = {
             let core = self.core();
-            let grant = Grant {
-                stamp: core.stamp(),
-                sequence: None,
-                lease_ms: 0,
-                version: core.leader.version,
-                table: Some(core.leader.table.clone()),
-                revision: core.state.revision,
-            };
-            (grant, core.leader.proxies.values().copied().collect::<Vec<_>>())
+            core.leader.push(core.stamp(), core.state.revision)
         };
-        for proxy in proxies {
-            self.send(proxy, Body::Grant(grant.clone())).await;
+        for (proxy, grant) in grants {
+            self.send(proxy, Body::Grant(grant)).await;
         }
     }
 
-    fn carry_out(self: &Arc<Self>, output: Output) {
+    fn carry_out(&self, output: Output) {
         match output {
             Output::Submit(action) => {
                 log::info!("control decides {action:?}");
                 self.submit(Command { origin: None, action });
             }
-            Output::Promote { instance, term } => {
-                smol::spawn(Arc::clone(self).order(instance, position::promote(term))).detach();
-            }
+            Output::Probe { instance } => self.order(&instance, Order::Probe),
+            Output::Promote { instance, term } => self.order(&instance, Order::Promote(term)),
+            Output::Demote { instance, term } => self.order(&instance, Order::Demote(term)),
             Output::Follow { instance, primary, term } => {
-                let primary = self.core().leader.replicas.get(&primary).map(|(_, r)| r.address);
-                if let Some(primary) = primary {
-                    let sql = position::follow(primary, term);
-                    smol::spawn(Arc::clone(self).order(instance, sql)).detach();
+                let address = self.core().leader.replica(&primary).map(|replica| replica.address);
+                if let Some(address) = address {
+                    self.order(&instance, Order::Follow(address, term));
                 }
             }
         }
     }
 
-    async fn order(self: Arc<Self>, instance: id::Instance, sql: String) {
-        let replica =
-            self.core().leader.replicas.get(&instance).map(|(_, replica)| replica.clone());
-        let Some(replica) = replica else {
-            return;
-        };
-        let group = replica.group.clone();
-        match self.probe(replica).order(&sql).await {
-            Ok(status) => {
-                let now = self.clock.now();
-                if let Some(group) = self.core().leader.groups.get_mut(&group) {
-                    group.step(now, Input::Probed { instance, seen: Ok(status) });
-                }
-            }
-            Err(error) => log::warn!("{instance} did not carry out {sql:?}: {error}"),
+    fn order(&self, instance: &id::Instance, order: Order) {
+        if let Some(orders) = self.probes().get(instance) {
+            let _ = orders.try_send(order);
         }
     }
 
@@ -352,6 +342,34 @@
     }
 }
 
+/// Asks an instance or gives it an order, and returns what the group's machine is to know of it.
+async fn run(
+    probe: &mut Probe,
+    instance: &id::Instance,
+    asked: Instant,
+    order: Order,
+) -> Option<Input<'static>> {
+    let instance = instance.clone();
+    let demotes = matches!(order, Order::Demote(_));
+    let sql = match order {
+        Order::Probe => {
+            let seen = probe.status().await;
+            return Some(Input::Probed { instance, asked, seen });
+        }
+        Order::Promote(term) => position::promote(term),
+        Order::Demote(term) => position::demote(term),
+        Order::Follow(primary, term) => position::follow(primary, term),
+    };
+    match probe.order(&sql).await {
+        Ok(status) if demotes => Some(Input::Demoted { instance, status }),
+        Ok(status) => Some(Input::Probed { instance, asked, seen: Ok(status) }),
+        Err(error) => {
+            log::warn!("{instance} did not carry out {sql:?}: {error}");
+            None
+        }
+    }
+}
+
 /// Tells how an instance stands, for operators.
 pub(super) fn role_of(state: &State, replica: &Replica) -> Role {
     let epoch = state.epochs.get(&replica.group);
@@ -363,5 +381,5 @@
 
 /// Lists the instances that control knows of.
 pub(super) fn instances(core: &Core) -> Vec<Replica> {
-    core.leader.replicas.values().map(|(_, replica)| replica.clone()).collect()
+    core.leader.replicas().cloned().collect()
 }
--- a/src/control/state/apply.rs
+++ b/src/control/state/apply.rs
@@ -1,6 +1,6 @@
 //! How commands change the state.
 
-use super::{Action, Command, Intent, Outcome, Planned, State};
+use super::{Action, Claim, Command, Intent, Outcome, Planned, State};
 use crate::config;
 use crate::id;
 use crate::wire;
@@ -55,6 +55,7 @@
                 self.done()
             }
             Action::Member(_) => refused("membership changes are not carried out yet"),
+            Action::Claim { group, term, primary } => self.claim(group, *term, primary),
         }
     }
 
@@ -147,6 +148,10 @@
             if epoch.term >= term {
                 return refused(format!("group {group} is on term {} already", epoch.term));
             }
+            let claim = Claim { term, primary: primary.clone() };
+            if epoch.phase != wire::Phase::Frozen || self.claims.get(group) != Some(&claim) {
+                return refused(format!("term {term} of group {group} is not {primary}'s to take"));
+            }
             forks = epoch.forks.clone();
         }
         forks.push((term, start));
@@ -161,6 +166,19 @@
         self.done()
     }
 
+    fn claim(&mut self, group: &id::Group, term: id::Term, primary: &id::Instance) -> Outcome {
+        let frozen = self.epochs.get(group).filter(|epoch| epoch.phase == wire::Phase::Frozen);
+        let Some(epoch) = frozen else {
+            return refused(format!("group {group} is not frozen"));
+        };
+        let newest = self.claims.get(group).map_or(epoch.term, |claim| claim.term.max(epoch.term));
+        if term <= newest {
+            return refused(format!("term {newest} of group {group} was given already"));
+        }
+        self.claims.insert(group.clone(), Claim { term, primary: primary.clone() });
+        self.done()
+    }
+
     fn register(
         &mut self,
         node: &id::Node,
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -20,6 +20,8 @@
     pub changed_by: Option<id::Operator>,
     /// The epoch of each group.
     pub epochs: BTreeMap<id::Group, wire::Epoch>,
+    /// The newest term of each group that an instance was or may have been ordered to take.
+    pub claims: BTreeMap<id::Group, Claim>,
     /// The proxies that may hold a lease.
     pub nodes: BTreeMap<id::Node, (id::Incarnation, id::Domain)>,
     /// The instances that are leaving.
@@ -32,6 +34,15 @@
     pub order: VecDeque<id::Command>,
 }
 
+/// A term that one instance alone may be promoted to; the log gives no term to two instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The term.
+    pub term: id::Term,
+    /// The instance.
+    pub primary: id::Instance,
+}
+
 /// A plan that waits for its confirmation.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Planned {
@@ -118,6 +129,15 @@
     },
     /// Change the voters by one.
     Member(Membership),
+    /// Reserve a term of a frozen group for one instance, before it is ordered to take it.
+    Claim {
+        /// The group.
+        group: id::Group,
+        /// The term; the command is void unless it is newer than any other that was reserved.
+        term: id::Term,
+        /// The instance.
+        primary: id::Instance,
+    },
 }
 
 /// A change of the voters.
--- a/src/proxy/floor.rs
+++ b/src/proxy/floor.rs
@@ -38,9 +38,9 @@
         if self.term == at.term {
             return if self.position <= at.position { Reach::Reached } else { Reach::Behind };
         }
-        let fork = epoch.forks.iter().find(|(term, _)| *term > self.term && *term <= at.term);
-        match fork {
-            Some((_, start)) if self.position > *start => Reach::Lost,
+        let forks = epoch.forks.iter().filter(|(term, _)| *term > self.term && *term <= at.term);
+        match forks.map(|(_, start)| *start).min() {
+            Some(start) if self.position > start => Reach::Lost,
             Some(_) if self.position <= at.position => Reach::Reached,
             _ => Reach::Behind,
         }
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -1,6 +1,5 @@
 //! The proxy's talk with control: heartbeats out, grants in, the configuration fetched when it changed.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -10,56 +9,34 @@
 use super::server::Shared;
 use crate::clock::Instant;
 use crate::config::Fleet;
-use crate::id;
 use crate::wire::{Body, Frame, Grant, MAX_DATAGRAM_BYTES, Stream};
 
 /// How often the proxy sends a heartbeat when nothing changed.
 const INTERVAL: Duration = Duration::from_millis(150);
 
-/// How many heartbeats may be unanswered before the oldest is forgotten.
-const KEPT: usize = 64;
+/// How long the leader may leave heartbeats unanswered until every voter is asked.
+const UNANSWERED: Duration = Duration::from_millis(200);
 
 /// How long to wait before a failed fetch is tried again.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// The heartbeats that were sent and not answered yet.
-#[derive(Debug, Default)]
-pub(super) struct Sent {
-    next: id::Sequence,
-    sent: VecDeque<(id::Sequence, Instant)>,
-}
-
-impl Sent {
-    fn note(&mut self, now: Instant) -> id::Sequence {
-        self.next = self.next.next();
-        if self.sent.len() == KEPT {
-            self.sent.pop_front();
-        }
-        self.sent.push_back((self.next, now));
-        self.next
-    }
-
-    fn find(&self, sequence: id::Sequence) -> Option<Instant> {
-        self.sent.iter().find(|(known, _)| *known == sequence).map(|(_, at)| *at)
-    }
-}
+/// The voter that answered last, and when.
+type Leader = Arc<Mutex<Option<(SocketAddr, Instant)>>>;
 
 /// Runs the talk with control for ever.
 pub(super) fn spawn(shared: &Arc<Shared>, socket: UdpSocket) {
-    let sent = Arc::new(Mutex::new(Sent::default()));
-    smol::spawn(send(Arc::clone(shared), socket.clone(), Arc::clone(&sent))).detach();
-    smol::spawn(receive(Arc::clone(shared), socket, sent)).detach();
+    let leader = Leader::default();
+    smol::spawn(send(Arc::clone(shared), socket.clone(), Arc::clone(&leader))).detach();
+    smol::spawn(receive(Arc::clone(shared), socket, leader)).detach();
 }
 
-async fn send(shared: Arc<Shared>, socket: UdpSocket, sent: Arc<Mutex<Sent>>) {
+async fn send(shared: Arc<Shared>, socket: UdpSocket, leader: Leader) {
     loop {
-        let sequence =
-            sent.lock().expect("nothing panics under this lock").note(shared.clock.now());
-        let body = Body::Heartbeat(shared.heartbeat(sequence));
+        let body = Body::Heartbeat(shared.heartbeat());
         match shared.frame(body).encode() {
             Ok(bytes) => {
-                for voter in &shared.voters {
-                    let _ = socket.send_to(&bytes, voter.address).await;
+                for address in addressed(&shared, &leader) {
+                    let _ = socket.send_to(&bytes, address).await;
                 }
             }
             Err(error) => log::error!("a heartbeat can't be encoded: {error}"),
@@ -68,26 +45,37 @@
     }
 }
 
-async fn receive(shared: Arc<Shared>, socket: UdpSocket, sent: Arc<Mutex<Sent>>) {
+/// Returns whom to send a heartbeat: the leader, or every voter when the leader doesn't answer.
+fn addressed(shared: &Shared, leader: &Leader) -> Vec<SocketAddr> {
+    let now = shared.clock.now();
+    let known = *leader.lock().expect("nothing panics under this lock");
+    match known {
+        Some((address, at)) if now.since(at) < UNANSWERED => vec![address],
+        _ => shared.voters.iter().map(|voter| voter.address).collect(),
+    }
+}
+
+async fn receive(shared: Arc<Shared>, socket: UdpSocket, leader: Leader) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
         match Frame::decode(&buffer[..len]) {
-            Ok(Frame { body: Body::Grant(grant), .. }) => take(&shared, from, &sent, grant),
+            Ok(Frame { body: Body::Grant(grant), .. }) => take(&shared, from, &leader, grant),
             Ok(_) => {}
             Err(error) => log::debug!("a datagram from {from} is dropped: {error}"),
         }
     }
 }
 
-fn take(shared: &Arc<Shared>, from: SocketAddr, sent: &Mutex<Sent>, grant: Grant) {
-    let at = grant
-        .sequence
-        .and_then(|sequence| sent.lock().expect("nothing panics under this lock").find(sequence));
+fn take(shared: &Arc<Shared>, from: SocketAddr, leader: &Leader, grant: Grant) {
     let unasked = grant.sequence.is_none();
-    if shared.granted(at, grant) || unasked {
+    let now = shared.clock.now();
+    if !unasked {
+        *leader.lock().expect("nothing panics under this lock") = Some((from, now));
+    }
+    if shared.granted(grant) || unasked {
         shared.nudge();
     }
     if shared.wants_configuration() {
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -65,7 +65,11 @@
 
     /// Sets how many connections the pool may hold.
     pub(super) fn limit(&self, limit: u32) {
-        self.lock().limit = limit;
+        let mut inner = self.lock();
+        inner.limit = limit;
+        while inner.open > limit && inner.idle.pop().is_some() {
+            inner.open -= 1;
+        }
     }
 
     /// Returns how many connections are on loan.
@@ -74,6 +78,14 @@
         inner.open - inner.idle.len() as u32
     }
 
+    /// Returns how many connections are open, how many would be used, and how many may be held.
+    pub(super) fn demand(&self) -> (u32, u32, u32) {
+        let inner = self.lock();
+        let waiting = inner.waiting.iter().filter(|waiter| !waiter.is_closed()).count() as u32;
+        let busy = inner.open - inner.idle.len() as u32;
+        (inner.open, busy + waiting, inner.limit)
+    }
+
     /// Borrows a connection, opening one when the limit allows it; waits until `deadline` for a free one.
     /// Returns `None` when none became free.
     pub(super) async fn borrow(self: &Arc<Self>, deadline: Instant) -> Result<Option<Loan>, Error> {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::{Method, StatusCode};
 use smol::channel::{Receiver, Sender, bounded};
@@ -17,7 +18,7 @@
 use crate::id;
 use crate::upstream::announcement::{self, Announcement};
 use crate::upstream::position::Status;
-use crate::wire::{Body, Epoch, Frame, Grant, Heartbeat, Replica, Sighting, Trouble};
+use crate::wire::{Body, Demand, Epoch, Frame, Grant, Heartbeat, Replica, Sighting, Trouble};
 
 /// A running proxy.
 #[derive(Debug, Clone)]
@@ -56,6 +57,10 @@
     revision: id::Revision,
     fetching: bool,
     instances: BTreeMap<id::Instance, Instance>,
+    /// When the next unchanged sighting is due, and of which instance it was last.
+    rotation: (Instant, Option<id::Instance>),
+    /// Whether the lease has run out, so that each pool holds one connection.
+    lapsed: bool,
 }
 
 #[derive(Debug)]
@@ -66,9 +71,16 @@
     status: Option<(Instant, Status)>,
     trouble: Trouble,
     good: Instant,
+    /// When control last listed it.
+    listed: Option<Instant>,
+    /// What control was told of it, and with which heartbeat.
+    told: Option<(id::Sequence, Trouble)>,
     pool: Arc<Pool>,
 }
 
+/// How long until control has been told of every instance again, changed or not.
+const ROTATION: Duration = Duration::from_secs(3);
+
 /// Binds the sockets of a proxy and starts it.
 ///
 /// # Errors
@@ -80,6 +92,7 @@
     let admin = TcpListener::bind(proxy.admin).await?;
     let udp = UdpSocket::bind(proxy.address).await?;
     let (nudge, nudged) = bounded(1);
+    let incarnation = new_incarnation();
     let shared = Arc::new(Shared {
         node: settings.node.clone(),
         domain: settings.domain.clone(),
@@ -88,9 +101,9 @@
         voters: settings.voters.clone(),
         nudged,
         nudge,
-        incarnation: id::Incarnation(clock.now().0),
+        incarnation,
         settings: proxy.clone(),
-        state: Mutex::new(State::default()),
+        state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
         clock,
     });
     heartbeat::spawn(&shared, udp);
@@ -99,6 +112,12 @@
     Ok(Server { shared })
 }
 
+/// Numbers this life of the process; the wall clock goes on when the VM is started anew.
+fn new_incarnation() -> id::Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("nothing panics while it holds the lock")
@@ -113,16 +132,12 @@
         let _ = self.nudge.try_send(());
     }
 
-    pub(super) fn heartbeat(&self, sequence: id::Sequence) -> Heartbeat {
+    pub(super) fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        state.lapse(now);
+        let sequence = state.fence.send(now);
         let (seen, table, _) = state.fence.seen();
-        let sighting = |instance: &Instance| Sighting {
-            replica: instance.replica.clone(),
-            trouble: instance.trouble,
-            silent_ms: now.since(instance.good).as_millis() as u32,
-            announced_ms: instance.announced.map(|at| now.since(at).as_millis() as u32),
-        };
         Heartbeat {
             sequence,
             domain: self.domain.clone(),
@@ -131,17 +146,22 @@
             seen,
             table,
             revision: state.revision,
-            sightings: state.instances.values().map(sighting).collect(),
-            demand: Vec::new(),
+            sightings: state.sightings(now, sequence),
+            demand: state.demand(),
             draining: false,
         }
     }
 
     /// Takes a grant; returns whether what is in force changed.
-    pub(super) fn granted(self: &Arc<Self>, sent: Option<Instant>, grant: Grant) -> bool {
+    pub(super) fn granted(self: &Arc<Self>, grant: Grant) -> bool {
         let (changed, replicas, shares) = {
+            let now = self.clock.now();
             let mut state = self.lock();
-            let changed = state.fence.step(sent, grant);
+            let mut changed = state.fence.step(grant);
+            if state.lapsed && state.fence.leased(now) {
+                state.lapsed = false;
+                changed = true;
+            }
             let table = state.fence.table();
             (changed, table.replicas.clone(), table.shares.clone())
         };
@@ -196,6 +216,9 @@
             && known.replica.address == replica.address
         {
             known.announced = announced.or(known.announced);
+            if announced.is_none() {
+                known.listed = Some(now);
+            }
             return;
         }
         let share = state.fence.table().shares.iter().find(|(group, _)| *group == replica.group);
@@ -213,6 +236,8 @@
             status: None,
             trouble: Trouble::Silent,
             good: now,
+            listed: announced.is_none().then_some(now),
+            told: None,
             pool: Arc::new(pool),
         };
         state.instances.insert(replica.instance.clone(), instance);
@@ -223,11 +248,10 @@
     pub(super) fn is_announced(&self, replica: &Replica) -> bool {
         let now = self.clock.now();
         let state = self.lock();
-        let listed = state.fence.table().replicas.contains(replica);
         state.instances.get(&replica.instance).is_some_and(|known| {
             let recent = |at| now.since(at) < announcement::EXPIRY;
             known.pool.address() == replica.address
-                && (listed || known.announced.is_some_and(recent))
+                && (known.listed.is_some_and(recent) || known.announced.is_some_and(recent))
         })
     }
 
@@ -300,6 +324,77 @@
     }
 }
 
+impl State {
+    /// Keeps one connection to each instance once the lease has run out, since control gives the rest to others.
+    fn lapse(&mut self, now: Instant) {
+        if self.fence.leased(now) || self.lapsed {
+            return;
+        }
+        self.lapsed = true;
+        for instance in self.instances.values() {
+            instance.pool.limit(1);
+        }
+    }
+
+    /// Collects what control is to hear of instances: what changed, until it is answered, and the rest in turn.
+    fn sightings(&mut self, now: Instant, sequence: id::Sequence) -> Vec<Sighting> {
+        let due = self.due(now);
+        let mut sightings = Vec::new();
+        for (name, instance) in &mut self.instances {
+            let told = instance.told.is_some_and(|(told, trouble)| {
+                self.fence.heard(told) && trouble == instance.trouble
+            });
+            if told && !due.contains(name) {
+                continue;
+            }
+            instance.told = Some((sequence, instance.trouble));
+            sightings.push(Sighting {
+                replica: instance.replica.clone(),
+                trouble: instance.trouble,
+                silent_ms: now.since(instance.good).as_millis() as u32,
+                announced_ms: instance.announced.map(|at| now.since(at).as_millis() as u32),
+            });
+        }
+        sightings
+    }
+
+    /// Returns the instances whose turn it is.
+    fn due(&mut self, now: Instant) -> Vec<id::Instance> {
+        let (next, last) = &self.rotation;
+        if now < *next || self.instances.is_empty() {
+            return Vec::new();
+        }
+        let step = ROTATION / self.instances.len() as u32;
+        let passed = now.since(*next).as_micros() / step.as_micros().max(1);
+        let count = (passed as usize + 1).min(self.instances.len());
+        let after =
+            self.instances.keys().filter(|name| last.as_ref().is_none_or(|last| *name > last));
+        let due: Vec<id::Instance> =
+            after.chain(self.instances.keys()).take(count).cloned().collect();
+        self.rotation = (now + step, due.last().cloned());
+        due
+    }
+
+    /// Tells how many connections each group holds and wants.
+    fn demand(&self) -> Vec<Demand> {
+        let mut demands: BTreeMap<&id::Group, Demand> = BTreeMap::new();
+        for instance in self.instances.values() {
+            let group = &instance.replica.group;
+            let (open, wanted, share) = instance.pool.demand();
+            let demand = demands.entry(group).or_insert_with(|| Demand {
+                group: group.clone(),
+                wanted: 0,
+                open: 0,
+                share: 0,
+            });
+            demand.open = demand.open.max(open);
+            demand.wanted = demand.wanted.max(wanted);
+            demand.share = demand.share.max(share);
+        }
+        demands.into_values().collect()
+    }
+}
+
 async fn serve_admin(shared: Arc<Shared>, listener: TcpListener) {
     let handle = move |request| {
         let shared = Arc::clone(&shared);
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -6,14 +6,14 @@
 use super::server::Shared;
 use crate::clock::Instant;
 use crate::pgsql::{Client, Error};
-use crate::upstream::position::{QUERY, Status};
+use crate::upstream::position::{QUERY, Status, trouble};
 use crate::wire::{Replica, Trouble};
 
 /// How often an instance is asked.
 const INTERVAL: Duration = Duration::from_millis(10);
 
 /// How long an instance may take to answer before it counts as silent.
-const TIMEOUT: Duration = Duration::from_millis(500);
+const TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// How long to wait before an instance that failed is asked again.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -21,14 +21,22 @@
 /// Watches one instance for as long as it is announced.
 pub(super) async fn watch(shared: Arc<Shared>, replica: Replica) {
     let mut client = None;
+    let mut good = false;
     while shared.is_announced(&replica) {
         let sent = shared.clock.now();
         match ask(&shared, &replica, &mut client).await {
             Ok(status) => {
+                good = true;
                 shared.saw(&replica.instance, sent, Ok(status));
                 shared.clock.sleep(INTERVAL).await;
             }
+            // A connection that broke proves little, so a new one is tried first.
+            Err(error) if good && trouble(&error) != Trouble::Silent => {
+                good = false;
+                client = None;
+            }
             Err(error) => {
+                good = false;
                 client = None;
                 shared.saw(&replica.instance, sent, Err(trouble(&error)));
                 shared.clock.sleep(PAUSE).await;
@@ -62,11 +70,3 @@
     ];
     Client::open(&shared.clock, replica.address, &parameters, None, TIMEOUT).await
 }
-
-fn trouble(error: &Error) -> Trouble {
-    match error {
-        Error::Timeout(_) => Trouble::Silent,
-        Error::Io(error) if error.kind() == std::io::ErrorKind::TimedOut => Trouble::Silent,
-        _ => Trouble::Refused,
-    }
-}
--- a/src/upstream/position.rs
+++ b/src/upstream/position.rs
@@ -4,7 +4,7 @@
 
 use crate::id;
 use crate::pgsql;
-use crate::wire::Role;
+use crate::wire::{Role, Trouble};
 
 /// Reads an instance's status: one row of role, term, position, received, durable, start.
 pub const QUERY: &str =
@@ -59,6 +59,23 @@
     })
 }
 
+/// Tells what an error says of the instance: only a refused connection shows that its process has ended. One
+/// that answers with errors lives, and may be short of connections.
+pub fn trouble(error: &pgsql::Error) -> Trouble {
+    use std::io::ErrorKind;
+    match error {
+        pgsql::Error::Timeout(_) => Trouble::Silent,
+        pgsql::Error::Io(error) => match error.kind() {
+            ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable => {
+                Trouble::Silent
+            }
+            ErrorKind::ConnectionRefused => Trouble::Refused,
+            _ => Trouble::Faulty,
+        },
+        _ => Trouble::Faulty,
+    }
+}
+
 /// Returns the statement that makes an instance primary of `term`. It answers with the new status row, and
 /// fails when the instance is on that term or a later one.
 pub fn promote(term: id::Term) -> String {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -56,12 +56,25 @@
     pub revision: id::Revision,
     /// The announced instances it knows of, and what it sees of each.
     pub sightings: Vec<Sighting>,
-    /// How many connections it would use to each group's instances, for sharing the budget.
-    pub demand: Vec<(id::Group, u32)>,
+    /// What it holds and wants of each group's connections, for sharing the budget.
+    pub demand: Vec<Demand>,
     /// Whether the proxy is leaving and needs no share.
     pub draining: bool,
 }
 
+/// What a proxy holds and wants of the connections to each instance of one group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The group.
+    pub group: id::Group,
+    /// How many it would use to one instance, waiting requests included.
+    pub wanted: u32,
+    /// How many it has open to one instance at the most.
+    pub open: u32,
+    /// The share that it has in force; a new leader starts from it.
+    pub share: u32,
+}
+
 /// What a proxy knows of one instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Sighting {
@@ -84,6 +97,8 @@
     Refused,
     /// It does not answer.
     Silent,
+    /// It answers with errors, or breaks connections off; it may have ended or be too busy.
+    Faulty,
 }
 
 /// Whether an instance takes writes.
@@ -114,18 +129,46 @@
 pub struct Grant {
     /// How new this is.
     pub stamp: Stamp,
+    /// The life of the proxy that this is for; a later life, whose numbers start anew, ignores it.
+    pub incarnation: id::Incarnation,
     /// The heartbeat that this answers, or none when it was sent unasked (then it renews no lease).
     pub sequence: Option<id::Sequence>,
     /// How long the lease runs, in milliseconds, from when the proxy sent that heartbeat.
     pub lease_ms: u32,
     /// The version of the leader's table.
     pub version: u64,
-    /// The table, when it is newer than the heartbeat's.
-    pub table: Option<Table>,
+    /// What changed in the table since the version that the proxy has in force, when anything did.
+    pub delta: Option<Delta>,
     /// The newest accepted configuration.
     pub revision: id::Revision,
 }
 
+/// The groups of the table that changed after a version.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The version after which they changed; 0 when these are all groups.
+    pub since: u64,
+    /// The groups that changed, whole.
+    pub routes: Vec<Route>,
+}
+
+/// What the table says of one group.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The group.
+    pub group: id::Group,
+    /// Its epoch, once it has one.
+    pub epoch: Option<Epoch>,
+    /// Its instances.
+    pub replicas: Vec<Replica>,
+    /// Those that are leaving.
+    pub draining: Vec<id::Instance>,
+    /// The connections that the receiving proxy may hold to each instance.
+    pub share: u32,
+    /// The confirmed peaks of the group that are not over.
+    pub peaks: Vec<Peak>,
+}
+
 /// What control knows and every proxy routes by.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Table {
@@ -141,6 +184,35 @@
     pub peaks: Vec<Peak>,
 }
 
+impl Table {
+    /// Takes the changes over; all of the table when they are all groups.
+    pub fn merge(&mut self, delta: Delta) {
+        if delta.since == 0 {
+            *self = Self::default();
+        }
+        for route in delta.routes {
+            self.replace(route);
+        }
+    }
+
+    fn replace(&mut self, route: Route) {
+        let group = &route.group;
+        let known = self.replicas.iter().filter(|replica| replica.group == *group);
+        let known: Vec<id::Instance> = known.map(|replica| replica.instance.clone()).collect();
+        self.draining.retain(|instance| !known.contains(instance));
+        self.draining.retain(|instance| !route.draining.contains(instance));
+        self.epochs.retain(|epoch| epoch.group != *group);
+        self.replicas.retain(|replica| replica.group != *group);
+        self.shares.retain(|(name, _)| name != group);
+        self.peaks.retain(|peak| peak.group != *group);
+        self.epochs.extend(route.epoch);
+        self.replicas.extend(route.replicas);
+        self.draining.extend(route.draining);
+        self.shares.push((route.group, route.share));
+        self.peaks.extend(route.peaks);
+    }
+}
+
 /// A peak of a group: connections are opened ahead of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peak {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -10,8 +10,8 @@
 
 pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
 pub use message::{
-    Answer, Body, Configuration, Epoch, Grant, Heartbeat, Peak, Phase, Replica, Role, Sighting,
-    Stamp, Table, Trouble,
+    Answer, Body, Configuration, Delta, Demand, Epoch, Grant, Heartbeat, Peak, Phase, Replica,
+    Role, Route, Sighting, Stamp, Table, Trouble,
 };
 pub use stream::Stream;
 
--- /dev/null
+++ b/tests/machine/mod.rs
@@ -0,0 +1,181 @@
+//! What the tests of the pure machines share: names, statuses, tables, and a leader with its log.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::time::Duration;
+
+use cactushatch::clock::Instant;
+use cactushatch::config::Fleet;
+use cactushatch::control::failover::Output;
+use cactushatch::control::leader::Leader;
+use cactushatch::control::lease::Life;
+use cactushatch::control::state::{Action, Command, Outcome, State};
+use cactushatch::id;
+use cactushatch::proxy::fence::Fence;
+use cactushatch::upstream::position::Status;
+use cactushatch::wire::{
+    Demand, Epoch, Grant, Heartbeat, Phase, Replica, Role, Sighting, Stamp, Trouble,
+};
+
+pub const START: Instant = Instant(1_000_000_000);
+
+pub fn at(ms: u64) -> Instant {
+    START + Duration::from_millis(ms)
+}
+
+pub fn name<T: std::str::FromStr<Err = id::Error>>(text: &str) -> T {
+    text.parse().expect("a name")
+}
+
+pub fn group() -> id::Group {
+    name("g")
+}
+
+pub fn status(role: Role, term: u64, received: u64, start: u64) -> Status {
+    Status {
+        role,
+        term: id::Term(term),
+        position: id::Position(received),
+        received: id::Position(received),
+        durable: id::Position(0),
+        start: id::Position(start),
+    }
+}
+
+pub fn epoch(term: u64, primary: &str, phase: Phase, forks: &[(u64, u64)]) -> Epoch {
+    let forks = forks.iter().map(|(term, start)| (id::Term(*term), id::Position(*start)));
+    Epoch {
+        group: group(),
+        term: id::Term(term),
+        primary: name(primary),
+        phase,
+        forks: forks.collect(),
+    }
+}
+
+pub fn replica(instance: &str, port: u16) -> Replica {
+    Replica {
+        group: group(),
+        instance: name(instance),
+        address: ([127, 0, 0, 1], port).into(),
+        domain: name("a"),
+    }
+}
+
+pub fn fleet(instances: u32, connections: u32, durability: &str) -> Fleet {
+    let text = format!(
+        "[class.c]\npriority = 0\ndeadline = \"1s\"\n[group.g]\ninstances = {instances}\nslots = 2\n\
+         connections = {connections}\nconnect_time = \"10ms\"\ndurability = \"{durability}\"\n\
+         default_class = \"c\"\n"
+    );
+    Fleet::parse("fleet", &text).expect("valid declarations")
+}
+
+/// A leader with the state that its log made.
+#[derive(Debug)]
+pub struct Control {
+    pub state: State,
+    pub fleet: Fleet,
+    pub leader: Leader,
+    pub stamp: Stamp,
+}
+
+impl Control {
+    pub fn elected(now: Instant, state: State, term: u64) -> Self {
+        let fleet = fleet(3, 16, "majority");
+        let leader = Leader::elected(now, &state, &fleet);
+        let stamp = Stamp { term: id::Term(term), index: id::Index(1) };
+        Self { state, fleet, leader, stamp }
+    }
+
+    pub fn commit(&mut self, now: Instant, action: Action) -> Outcome {
+        self.stamp.index = self.stamp.index.next();
+        let outcome = self.state.apply(&Command { origin: None, action });
+        self.leader.refresh(now, &self.state, &self.fleet);
+        outcome
+    }
+
+    pub fn register(&mut self, now: Instant, (node, incarnation): &Life) {
+        let (node, incarnation) = (node.clone(), *incarnation);
+        self.commit(now, Action::Register { node, incarnation, domain: name("a") });
+    }
+
+    pub fn heartbeat(&mut self, now: Instant, life: &Life, heartbeat: &Heartbeat) -> Option<Grant> {
+        self.leader.confirmed(now);
+        self.leader.heartbeat(now, life.clone(), heartbeat, (&self.state, self.stamp))
+    }
+
+    pub fn fenced(&self, now: Instant) -> bool {
+        self.leader.fenced(now, &group(), &self.state)
+    }
+
+    pub fn tick(&mut self, now: Instant) -> Vec<Output> {
+        self.leader.tick(now, &self.state, &self.fleet)
+    }
+
+    /// Puts the group's first epoch in force.
+    pub fn begin(&mut self, now: Instant, primary: &str) {
+        let (term, start) = (id::Term(1), id::Position(0));
+        let action = Action::Promote { group: group(), term, primary: name(primary), start };
+        self.commit(now, action);
+    }
+
+    pub fn freeze(&mut self, now: Instant) {
+        let term = self.state.epochs[&group()].term;
+        self.commit(now, Action::Freeze { group: group(), term });
+    }
+}
+
+/// A proxy as far as its fence goes.
+#[derive(Debug)]
+pub struct Proxy {
+    pub life: Life,
+    pub fence: Fence,
+    pub sightings: Vec<Sighting>,
+    pub demand: Vec<Demand>,
+}
+
+impl Proxy {
+    pub fn new(node: &str, incarnation: u64) -> Self {
+        let incarnation = id::Incarnation(incarnation);
+        let fence = Fence::new(incarnation);
+        let life = (name(node), incarnation);
+        Self { life, fence, sightings: Vec::new(), demand: Vec::new() }
+    }
+
+    pub fn send(&mut self, now: Instant) -> Heartbeat {
+        let sequence = self.fence.send(now);
+        let (seen, table, revision) = self.fence.seen();
+        Heartbeat {
+            sequence,
+            domain: name("a"),
+            address: ([127, 0, 0, 1], 1).into(),
+            admin: ([127, 0, 0, 1], 2).into(),
+            seen,
+            table,
+            revision,
+            sightings: self.sightings.clone(),
+            demand: self.demand.clone(),
+            draining: false,
+        }
+    }
+
+    /// Sends a heartbeat and takes the grant that answers it.
+    pub fn beat(&mut self, now: Instant, control: &mut Control) {
+        let heartbeat = self.send(now);
+        if let Some(grant) = control.heartbeat(now, &self.life.clone(), &heartbeat) {
+            self.fence.step(grant);
+        }
+    }
+
+    pub fn releases(&self, now: Instant, term: u64) -> bool {
+        use cactushatch::proxy::fence::Verdict;
+        self.fence.verdict(now, &group(), id::Term(term)) == Verdict::Release
+    }
+
+    pub fn sees(&mut self, instance: &str, port: u16, trouble: Trouble, announced_ms: u32) {
+        let replica = replica(instance, port);
+        self.sightings.retain(|sighting| sighting.replica.instance != replica.instance);
+        let announced_ms = Some(announced_ms);
+        self.sightings.push(Sighting { replica, trouble, silent_ms: 0, announced_ms });
+    }
+}
