Let in only who proves who he is

The sockets use the security module now: callers by TLS and SCRAM, the frames between our own processes sealed, operators by token with the token's name in the control log, upstreams by TLS with a password.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -25,6 +25,8 @@
     pub query: String,
     /// The body.
     pub body: Bytes,
+    /// The token that the sender presents, or none.
+    pub token: Option<String>,
 }
 
 /// What is answered.
@@ -108,9 +110,16 @@
         path: head.uri.path().to_owned(),
         query: head.uri.query().unwrap_or("").to_owned(),
         body: body.to_bytes(),
+        token: bearer(&head.headers),
     })
 }
 
+/// Returns the token of `Authorization: Bearer TOKEN`.
+fn bearer(headers: &hyper::HeaderMap) -> Option<String> {
+    let header = headers.get(hyper::header::AUTHORIZATION)?.to_str().ok()?;
+    header.strip_prefix("Bearer ").map(str::to_owned)
+}
+
 fn response(reply: Reply) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(reply.body));
     *response.status_mut() = reply.status;
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -27,6 +27,7 @@
         .subcommand(undrain())
         .subcommand(peak())
         .subcommand(member())
+        .subcommand(secret())
         .subcommand(completions())
         .subcommand(man())
 }
@@ -189,6 +190,43 @@
         )
 }
 
+fn secret() -> Command {
+    let name = || Arg::new("name").value_name("NAME").required(true).help("Whose it is");
+    let number = Arg::new("number")
+        .value_name("NUMBER")
+        .required(true)
+        .value_parser(value_parser!(u8).range(1..))
+        .help("The key's number in the ring, 1 to 255");
+    Command::new("secret")
+        .about("Make the lines of the files that hold secrets")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(Command::new("key").about("Print a new line for a key ring").arg(number))
+        .subcommand(
+            Command::new("user")
+                .about("Read a password from standard input and print the line of a user")
+                .arg(name()),
+        )
+        .subcommand(
+            Command::new("operator")
+                .about("Write a new token to a file and print the line of an operator")
+                .arg(name().value_parser(value_parser!(id::Operator)))
+                .arg(
+                    Arg::new("token")
+                        .long("token")
+                        .value_name("FILE")
+                        .required(true)
+                        .value_parser(value_parser!(PathBuf))
+                        .help("The file to write the token to; it must not exist"),
+                ),
+        )
+        .after_help(
+            "Examples:\n  cactushatch secret key 1 >> /etc/cactushatch/keys\n  \
+             cactushatch secret user anna < password >> /etc/cactushatch/users\n  \
+             cactushatch secret operator anna --token anna.token >> /etc/cactushatch/operators",
+        )
+}
+
 fn completions() -> Command {
     Command::new("completions")
         .about("Print the completions for a shell")
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -25,6 +25,9 @@
     /// The settings name no data folder.
     #[error("a control process needs a data folder")]
     NoData,
+    /// A file of keys, certificates or users can't be used.
+    #[error("{0}")]
+    Security(#[from] crate::security::Error),
     /// A socket failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -11,6 +11,8 @@
 use super::state::{Action, Command, Intent, Origin};
 use crate::admin::{self, Reply, Request};
 use crate::id;
+use crate::report::Peer;
+use crate::security::Denied;
 use crate::wire::{Answer, Phase, Role, Stamp};
 
 /// The body of `POST /plan`.
@@ -91,11 +93,19 @@
 }
 
 fn answer(shared: &Shared, request: &Request) -> Reply {
+    if request.path == "/metrics" {
+        return Reply::metrics(metrics(shared));
+    }
+    let Ok(operator) = shared.guard.operators.identify(request.token.as_deref()) else {
+        shared.metrics.violated(Peer::Operator, "token");
+        return Reply::refuse(StatusCode::UNAUTHORIZED, &Denied.to_string());
+    };
     match (&request.method, request.path.as_str()) {
-        (&Method::GET, "/metrics") => Reply::metrics(metrics(shared)),
         (&Method::GET, "/status") => Reply::json(&status(shared)),
-        (&Method::POST, "/plan") => parsed(request, |plan| self::plan(shared, plan)),
-        (&Method::POST, "/confirm") => parsed(request, |confirm| self::confirm(shared, confirm)),
+        (&Method::POST, "/plan") => parsed(request, |plan| self::plan(shared, operator, plan)),
+        (&Method::POST, "/confirm") => {
+            parsed(request, |confirm| self::confirm(shared, operator, confirm))
+        }
         _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
     }
 }
@@ -132,15 +142,21 @@
     }
 }
 
-fn plan(shared: &Shared, plan: Plan) -> Answer {
+/// Puts the operator whom a token proved in the place of the one whom the command names.
+fn proved(origin: Origin, operator: Option<id::Operator>) -> Option<Origin> {
+    let operator = operator.unwrap_or(origin.operator);
+    Some(Origin { operator, ..origin })
+}
+
+fn plan(shared: &Shared, operator: Option<id::Operator>, plan: Plan) -> Answer {
     let base = plan.base.unwrap_or_else(|| shared.core().state.revision);
     let action = Action::Plan { plan: plan.plan, base, intent: plan.intent, made_ms: wall_ms() };
-    shared.submit(Command { origin: Some(plan.origin), action })
+    shared.submit(Command { origin: proved(plan.origin, operator), action })
 }
 
-fn confirm(shared: &Shared, confirm: Confirm) -> Answer {
+fn confirm(shared: &Shared, operator: Option<id::Operator>, confirm: Confirm) -> Answer {
     let action = Action::Confirm { plan: confirm.plan, now_ms: wall_ms() };
-    shared.submit(Command { origin: Some(confirm.origin), action })
+    shared.submit(Command { origin: proved(confirm.origin, operator), action })
 }
 
 fn status(shared: &Shared) -> Status {
--- a/src/control/probe.rs
+++ b/src/control/probe.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Clock;
 use crate::pgsql::{Client, Error};
+use crate::security::Upstream;
 use crate::upstream::position::{QUERY, Status, trouble};
 use crate::wire::{Replica, Trouble};
 
@@ -23,12 +24,19 @@
     user: String,
     application: String,
     replica: Replica,
+    upstream: Upstream,
     client: Option<Client>,
 }
 
 impl Probe {
     pub(super) fn new(clock: Clock, user: String, application: String, replica: Replica) -> Self {
-        Self { clock, user, application, replica, client: None }
+        let upstream = Upstream::default();
+        Self { clock, user, application, replica, upstream, client: None }
+    }
+
+    /// Has connections made by TLS and with a password when `upstream` has them.
+    pub(super) fn with(self, upstream: Upstream) -> Self {
+        Self { upstream, ..self }
     }
 
     /// Asks the instance for its status.
@@ -78,6 +86,7 @@
             ("database", self.replica.group.as_str()),
             ("application_name", self.application.as_str()),
         ];
-        Client::open(&self.clock, self.replica.address, &parameters, None, TIMEOUT).await
+        let upstream = Some(&self.upstream);
+        Client::open(&self.clock, self.replica.address, &parameters, upstream, TIMEOUT).await
     }
 }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -20,6 +20,7 @@
 use crate::config;
 use crate::id;
 use crate::report::{Lease, Metrics, Peer};
+use crate::security::Guard;
 use crate::upstream::position;
 use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
 
@@ -36,6 +37,7 @@
 pub(super) struct Shared {
     clock: Clock,
     pub(super) metrics: Metrics,
+    pub(super) guard: Guard,
     node: id::Node,
     domain: id::Domain,
     user: String,
@@ -73,12 +75,14 @@
 pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
     let control = settings.control.as_ref().ok_or(Error::NotControl)?;
     let data = settings.data.as_ref().ok_or(Error::NoData)?;
+    let guard = Guard::open(&settings.security)?;
     let (store, entries) = Store::open(data)?;
     let udp = UdpSocket::bind(control.address).await?;
     let tcp = TcpListener::bind(control.address).await?;
     let admin = TcpListener::bind(control.admin).await?;
     let shared = Arc::new(Shared {
         metrics: Metrics::default(),
+        guard,
         node: settings.node.clone(),
         domain: settings.domain.clone(),
         user: control.user.clone(),
@@ -87,6 +91,7 @@
         clock,
         udp,
     });
+    smol::spawn(shared.guard.clone().watch(shared.clock.clone())).detach();
     smol::spawn(Arc::clone(&shared).receive()).detach();
     smol::spawn(Arc::clone(&shared).tick()).detach();
     smol::spawn(accept(Arc::clone(&shared), tcp)).detach();
@@ -183,7 +188,7 @@
     }
 
     async fn send(&self, to: SocketAddr, body: Body) {
-        match self.frame(body).encode() {
+        match self.guard.seal.encode(&self.frame(body)) {
             Ok(bytes) => {
                 if let Err(error) = self.udp.send_to(&bytes, to).await {
                     log::debug!("a datagram to {to} was not sent: {error}");
@@ -199,7 +204,7 @@
             let Ok((len, from)) = self.udp.recv_from(&mut buffer).await else {
                 continue;
             };
-            match Frame::decode(&buffer[..len]) {
+            match self.guard.seal.decode(&buffer[..len]) {
                 Ok(frame) => self.datagram(from, &frame).await,
                 Err(error) => {
                     self.metrics.violated(Peer::Process, error.kind());
@@ -243,7 +248,8 @@
     async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
         let application = format!("cactushatch/{}/{}", self.node, self.domain);
         let user = self.user.clone();
-        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone());
+        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone())
+            .with(self.guard.upstream.clone());
         let mut order = Order::Probe;
         while self.core().leader.replica(&replica.instance) == Some(&replica) {
             let asked = self.clock.now();
@@ -346,7 +352,7 @@
 }
 
 async fn converse(shared: &Shared, socket: smol::net::TcpStream) -> Result<(), crate::wire::Error> {
-    let mut stream = crate::wire::Stream::accepted(socket)?;
+    let mut stream = crate::wire::Stream::accepted(socket)?.sealed(&shared.guard.seal);
     loop {
         let frame = stream.receive().await?;
         let Some(answer) = shared.answer(frame.body) else {
--- a/src/pgsql/client.rs
+++ b/src/pgsql/client.rs
@@ -11,6 +11,7 @@
 
 use super::{Error, Message, Socket, read_message};
 use crate::clock::Clock;
+use crate::security::{File, Upstream};
 
 /// The columns of one row as text; NULL is `None`.
 pub type Row = Vec<Option<String>>;
@@ -26,7 +27,8 @@
 }
 
 impl Client {
-    /// Connects and starts a session with `parameters` (at least `user` and `database`).
+    /// Connects and starts a session with `parameters` (at least `user` and `database`), by TLS and with a password
+    /// when `upstream` has them.
     ///
     /// # Errors
     ///
@@ -35,25 +37,28 @@
         clock: &Clock,
         address: SocketAddr,
         parameters: &[(&str, &str)],
-        password: Option<&str>,
+        upstream: Option<&Upstream>,
         timeout: Duration,
     ) -> Result<Self, Error> {
-        let opened = clock.timeout(timeout, Self::start(address, parameters, password)).await;
+        let opened = clock.timeout(timeout, Self::start(address, parameters, upstream)).await;
         opened.unwrap_or(Err(Error::Timeout(timeout)))
     }
 
     async fn start(
         address: SocketAddr,
         parameters: &[(&str, &str)],
-        password: Option<&str>,
+        upstream: Option<&Upstream>,
     ) -> Result<Self, Error> {
-        let socket = Socket::open(address).await?;
+        let connector = upstream.and_then(|upstream| upstream.connector.as_ref());
+        let password = upstream.and_then(|upstream| upstream.password.as_ref());
+        let password = password.map(File::get);
+        let socket = Socket::open(address, connector).await?;
         let mut client =
             Self { reader: BufReader::new(socket), key: (0, 0), parameters: Vec::new() };
         let mut out = BytesMut::new();
         frontend::startup_message(parameters.iter().copied(), &mut out)?;
         client.send(&out).await?;
-        client.authenticate(password).await?;
+        client.authenticate(password.as_deref().map(String::as_str)).await?;
         client.greet().await?;
         Ok(client)
     }
--- a/src/pgsql/message.rs
+++ b/src/pgsql/message.rs
@@ -56,11 +56,23 @@
 ///
 /// Fails when the message is too long or cut short; the length is checked before memory is taken.
 pub async fn read_message(from: &mut (impl AsyncRead + Unpin)) -> Result<Option<Message>, Error> {
+    read_bounded(from, MAX_MESSAGE_BYTES).await
+}
+
+/// Reads one message of at most `limit` bytes, or `None` when the peer closed between messages.
+///
+/// # Errors
+///
+/// Fails when the message is too long or cut short; the length is checked before memory is taken.
+pub async fn read_bounded(
+    from: &mut (impl AsyncRead + Unpin),
+    limit: usize,
+) -> Result<Option<Message>, Error> {
     let mut tag = [0; 1];
     if from.read(&mut tag).await? == 0 {
         return Ok(None);
     }
-    let body = read_body(from, MAX_MESSAGE_BYTES).await?;
+    let body = read_body(from, limit).await?;
     Ok(Some(Message { tag: tag[0], body }))
 }
 
--- a/src/pgsql/mod.rs
+++ b/src/pgsql/mod.rs
@@ -6,7 +6,7 @@
 mod socket;
 
 pub use client::{Client, Row};
-pub use message::{Message, Startup, read_message, read_startup};
+pub use message::{Message, Startup, read_bounded, read_message, read_startup};
 pub use socket::Socket;
 
 /// The longest message that is held whole, in bytes; longer ones are relayed in pieces or refused.
@@ -26,6 +26,14 @@
         /// The limit in bytes.
         limit: usize,
     },
+    /// The peer did not prove who it is.
+    #[error("{reason}")]
+    Denied {
+        /// The SQLSTATE that the peer is told.
+        code: &'static str,
+        /// What it is told.
+        reason: &'static str,
+    },
     /// A message breaks the protocol.
     #[error("protocol violation: {0}")]
     Protocol(&'static str),
@@ -50,6 +58,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             Self::TooLong { .. } => "too_long",
+            Self::Denied { .. } => "denied",
             Self::Protocol(_) => "protocol",
             Self::Server { .. } => "server",
             Self::Timeout(_) => "timeout",
--- a/src/pgsql/socket.rs
+++ b/src/pgsql/socket.rs
@@ -5,10 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::task::{Context, Poll};
 
+use bytes::BytesMut;
 use futures_rustls::TlsStream;
-use smol::io::{AsyncRead, AsyncWrite};
+use postgres_protocol::message::frontend;
+use smol::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use smol::net::TcpStream;
 
+use crate::security::Connector;
+
 /// A connection to a caller or an upstream. Clones share it, so that one half reads while the other writes; both
 /// halves must be used by the same task.
 #[derive(Debug, Clone)]
@@ -20,13 +24,27 @@
 }
 
 impl Socket {
-    /// Connects to `address` without TLS.
+    /// Connects to the upstream at `address`, by TLS when there is a connector; it never goes on in clear when the
+    /// upstream refuses TLS.
     ///
     /// # Errors
     ///
-    /// Fails when the connection can't be made.
-    pub async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        Self::accepted(TcpStream::connect(address).await?)
+    /// Fails when the connection can't be made, or the upstream has no TLS or can't prove who it is.
+    pub async fn open(address: SocketAddr, connector: Option<&Connector>) -> std::io::Result<Self> {
+        let mut socket = TcpStream::connect(address).await?;
+        socket.set_nodelay(true)?;
+        let Some(connector) = connector else {
+            return Ok(Self::Plain(socket));
+        };
+        let mut request = BytesMut::new();
+        frontend::ssl_request(&mut request);
+        socket.write_all(&request).await?;
+        let mut answer = [0; 1];
+        socket.read_exact(&mut answer).await?;
+        if answer != *b"S" {
+            return Err(std::io::Error::other("the upstream has no TLS"));
+        }
+        Ok(connector.connect(socket).await?.into())
     }
 
     /// Takes a connection that a listener accepted.
--- a/src/proxy/caller.rs
+++ b/src/proxy/caller.rs
@@ -12,6 +12,7 @@
 
 use super::batch::{Batch, Statements, Summary};
 use super::class::{self, Kind, Tags};
+use super::door;
 use super::fence::Verdict;
 use super::floor::{Floor, Mark};
 use super::outcome::{Outcome, Reason, write_ready};
@@ -23,6 +24,7 @@
 use crate::id;
 use crate::pgsql::{Error, Message, Socket, Startup, read_message, read_startup};
 use crate::report::{self, Failure, Peer};
+use crate::security::Guard;
 use crate::upstream::position::{QUERY, Status};
 use crate::wire::Epoch;
 
@@ -96,7 +98,7 @@
 impl Caller {
     async fn serve(shared: Arc<Shared>, socket: TcpStream) -> Result<(), Error> {
         let mut socket = Socket::accepted(socket)?;
-        let Some(parameters) = start(&mut socket).await? else {
+        let Some(parameters) = start(&shared.guard, &mut socket).await? else {
             return Ok(());
         };
         let reader = BufReader::new(socket.clone());
@@ -547,14 +549,16 @@
 }
 
 /// Reads start-up packets until a session begins; returns `None` when none does.
-async fn start(socket: &mut Socket) -> Result<Option<Vec<(String, String)>>, Error> {
+async fn start(guard: &Guard, socket: &mut Socket) -> Result<Option<Vec<(String, String)>>, Error> {
     loop {
         match read_startup(socket).await? {
-            Startup::Tls | Startup::Gss => {
-                socket.write_all(b"N").await?;
-            }
+            Startup::Tls => door::secure(guard, socket).await?,
+            Startup::Gss => socket.write_all(b"N").await?,
             Startup::Cancel { .. } => return Ok(None),
-            Startup::Session(parameters) => return Ok(Some(parameters)),
+            Startup::Session(parameters) => {
+                door::admit(guard, socket, &parameters).await?;
+                return Ok(Some(parameters));
+            }
         }
     }
 }
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -34,7 +34,7 @@
 async fn send(shared: Arc<Shared>, socket: UdpSocket, leader: Leader) {
     loop {
         let body = Body::Heartbeat(shared.heartbeat());
-        match shared.frame(body).encode() {
+        match shared.guard.seal.encode(&shared.frame(body)) {
             Ok(bytes) => {
                 shared.metrics.heartbeat_sent();
                 for address in addressed(&shared, &leader) {
@@ -63,7 +63,7 @@
         let Ok((len, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match Frame::decode(&buffer[..len]) {
+        match shared.guard.seal.decode(&buffer[..len]) {
             Ok(Frame { body: Body::Grant(grant), .. }) => take(&shared, from, &leader, grant),
             Ok(_) => {}
             Err(error) => {
@@ -90,7 +90,7 @@
 
 async fn fetch(shared: Arc<Shared>, from: SocketAddr) {
     let fetched = async {
-        let mut stream = Stream::open(from).await?;
+        let mut stream = Stream::open(from).await?.sealed(&shared.guard.seal);
         stream.send(&shared.frame(Body::Fetch)).await?;
         stream.receive().await
     };
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -6,6 +6,7 @@
 mod batch;
 mod caller;
 pub mod class;
+mod door;
 pub mod fence;
 pub mod floor;
 mod heartbeat;
@@ -24,6 +25,9 @@
     /// The settings have no `[proxy]` table.
     #[error("the settings have no [proxy] table")]
     NotProxy,
+    /// A file of keys, certificates or users can't be used.
+    #[error("{0}")]
+    Security(#[from] crate::security::Error),
     /// A socket failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -9,6 +9,7 @@
 
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{Client, Error};
+use crate::security::Upstream;
 use crate::wire::Replica;
 
 /// How long a new connection may take.
@@ -29,6 +30,7 @@
     replica: Replica,
     user: String,
     application: String,
+    upstream: Upstream,
     inner: Mutex<Inner>,
 }
 
@@ -56,7 +58,13 @@
         limit: u32,
     ) -> Self {
         let inner = Inner { idle: Vec::new(), open: 0, limit, waiting: VecDeque::new() };
-        Self { clock, replica, user, application, inner: Mutex::new(inner) }
+        let upstream = Upstream::default();
+        Self { clock, replica, user, application, upstream, inner: Mutex::new(inner) }
+    }
+
+    /// Has connections made by TLS and with a password when `upstream` has them.
+    pub(super) fn with(self, upstream: Upstream) -> Self {
+        Self { upstream, ..self }
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -128,7 +136,9 @@
             ("application_name", self.application.as_str()),
         ];
         let address = self.replica.address;
-        let client = Client::open(&self.clock, address, &parameters, None, CONNECT_TIMEOUT).await?;
+        let client =
+            Client::open(&self.clock, address, &parameters, Some(&self.upstream), CONNECT_TIMEOUT)
+                .await?;
         loan.connection = Some(Connection { client, prepared: HashSet::new() });
         Ok(loan)
     }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -17,6 +17,7 @@
 use crate::config::{self, Fleet};
 use crate::id;
 use crate::report::{Failure, Metrics};
+use crate::security::Guard;
 use crate::upstream::announcement::{self, Announcement};
 use crate::upstream::position::Status;
 use crate::wire::{Body, Demand, Epoch, Frame, Grant, Heartbeat, Replica, Role, Sighting, Trouble};
@@ -39,6 +40,7 @@
 pub(super) struct Shared {
     pub(super) clock: Clock,
     pub(super) metrics: Metrics,
+    pub(super) guard: Guard,
     pub(super) node: id::Node,
     pub(super) domain: id::Domain,
     pub(super) user: String,
@@ -90,6 +92,7 @@
 /// Fails when the settings don't make a proxy, or a socket can't be bound.
 pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
     let proxy = settings.proxy.as_ref().ok_or(Error::NotProxy)?;
+    let guard = Guard::open(&settings.security)?;
     let listener = TcpListener::bind(proxy.listen).await?;
     let admin = TcpListener::bind(proxy.admin).await?;
     let udp = UdpSocket::bind(proxy.address).await?;
@@ -107,8 +110,10 @@
         settings: proxy.clone(),
         state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
         metrics: Metrics::default(),
+        guard,
         clock,
     });
+    smol::spawn(shared.guard.clone().watch(shared.clock.clone())).detach();
     heartbeat::spawn(&shared, udp);
     smol::spawn(caller::accept(Arc::clone(&shared), listener)).detach();
     smol::spawn(serve_admin(Arc::clone(&shared), admin)).detach();
@@ -234,7 +239,8 @@
             self.user.clone(),
             self.application.clone(),
             limit,
-        );
+        )
+        .with(self.guard.upstream.clone());
         let instance = Instance {
             replica: replica.clone(),
             announced,
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -68,5 +68,6 @@
         ("database", replica.group.as_str()),
         ("application_name", shared.application.as_str()),
     ];
-    Client::open(&shared.clock, replica.address, &parameters, None, TIMEOUT).await
+    let upstream = Some(&shared.guard.upstream);
+    Client::open(&shared.clock, replica.address, &parameters, upstream, TIMEOUT).await
 }
--- a/src/security/file.rs
+++ b/src/security/file.rs
@@ -39,7 +39,11 @@
 
 impl<T> File<T> {
     /// Reads the files with `load`.
-    pub(super) fn open(
+    ///
+    /// # Errors
+    ///
+    /// Fails when `load` does.
+    pub fn open(
         paths: &[&Path],
         load: impl Fn() -> Result<T, Error> + Send + Sync + 'static,
     ) -> Result<Self, Error> {
@@ -78,7 +82,11 @@
 }
 
 /// Reads a secret's file and parses it by `parse`, which gets the path and the text.
-pub(super) fn secret<T: 'static>(
+///
+/// # Errors
+///
+/// Fails when the file can't be read or `parse` refuses it.
+pub fn secret<T: 'static>(
     secret: &Secret,
     parse: fn(&str, &str) -> Result<T, Error>,
 ) -> Result<File<T>, Error> {
@@ -94,7 +102,7 @@
 }
 
 /// Returns the lines that hold something, with their numbers; `#` begins a comment.
-pub(super) fn lines(text: &str) -> impl Iterator<Item = (usize, &str)> {
+pub fn lines(text: &str) -> impl Iterator<Item = (usize, &str)> {
     let numbered = text.lines().enumerate().map(|(at, line)| (at + 1, line.trim()));
     numbered.filter(|(_, line)| !line.is_empty() && !line.starts_with('#'))
 }
--- a/src/security/mod.rs
+++ b/src/security/mod.rs
@@ -9,7 +9,6 @@
 mod operators;
 mod random;
 mod scram;
-mod seal;
 mod tls;
 mod users;
 
@@ -17,11 +16,12 @@
 
 use crate::clock::Clock;
 use crate::config;
+use crate::wire::Seal;
 
+pub use file::{File, lines, secret as read};
 pub use operators::{Denied, Operators, digest};
-pub use random::hex as random_hex;
+pub use random::{from_hex, hex as random_hex};
 pub use scram::{Exchange, Verifier};
-pub use seal::{SEAL_BYTES, Seal};
 pub use tls::{Acceptor, Connector};
 pub use users::Users;
 
@@ -76,12 +76,19 @@
     pub acceptor: Option<Acceptor>,
     /// The callers that are let in, when they are asked.
     pub users: Option<Users>,
+    /// What upstreams are reached with.
+    pub upstream: Upstream,
+    /// Who may order something.
+    pub operators: Operators,
+}
+
+/// What upstreams are reached with: TLS and a password, or neither.
+#[derive(Debug, Clone, Default)]
+pub struct Upstream {
     /// TLS towards upstreams.
     pub connector: Option<Connector>,
     /// The password towards upstreams.
-    pub password: Option<file::File<String>>,
-    /// Who may order something.
-    pub operators: Operators,
+    pub password: Option<File<String>>,
 }
 
 impl Guard {
@@ -91,13 +98,15 @@
     ///
     /// Fails when one of them can't be used.
     pub fn open(security: &config::Security) -> Result<Self, Error> {
-        let password = |secret: &config::Secret| file::secret(secret, trimmed);
+        let password = |secret: &config::Secret| read(secret, trimmed);
         Ok(Self {
             seal: security.keys.as_ref().map(Seal::open).transpose()?.unwrap_or_default(),
             acceptor: security.tls.as_ref().map(Acceptor::open).transpose()?,
             users: security.users.as_ref().map(Users::open).transpose()?,
-            connector: security.upstream_roots.as_deref().map(Connector::open).transpose()?,
-            password: security.upstream_password.as_ref().map(password).transpose()?,
+            upstream: Upstream {
+                connector: security.upstream_roots.as_deref().map(Connector::open).transpose()?,
+                password: security.upstream_password.as_ref().map(password).transpose()?,
+            },
             operators: Operators::open(security.operators.as_ref())?,
         })
     }
@@ -115,8 +124,8 @@
         self.seal.refresh();
         self.acceptor.iter().for_each(Acceptor::refresh);
         self.users.iter().for_each(Users::refresh);
-        self.connector.iter().for_each(Connector::refresh);
-        self.password.iter().for_each(file::File::refresh);
+        self.upstream.connector.iter().for_each(Connector::refresh);
+        self.upstream.password.iter().for_each(File::refresh);
         self.operators.refresh();
     }
 }
--- a/src/security/random.rs
+++ b/src/security/random.rs
@@ -23,7 +23,8 @@
     bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
-pub(super) fn from_hex(text: &str) -> Option<Vec<u8>> {
+/// Returns the bytes that hexadecimal digits stand for.
+pub fn from_hex(text: &str) -> Option<Vec<u8>> {
     if !text.len().is_multiple_of(2) || !text.is_ascii() {
         return None;
     }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -6,6 +6,7 @@
 
 mod frame;
 mod message;
+mod seal;
 mod stream;
 
 pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
@@ -13,6 +14,7 @@
     Answer, Body, Configuration, Delta, Demand, Epoch, Grant, Heartbeat, Peak, Phase, Replica,
     Role, Route, Sighting, Stamp, Table, Trouble,
 };
+pub use seal::{SEAL_BYTES, Seal};
 pub use stream::Stream;
 
 /// Why a frame could not be read or written.
--- a/src/security/seal.rs
+++ b/src/wire/seal.rs
@@ -8,10 +8,9 @@
 use sha2::Sha256;
 use smallvec::SmallVec;
 
-use super::file::{self, File};
-use super::{Error, random};
+use super::{Error, Frame};
 use crate::config::Secret;
-use crate::wire;
+use crate::security::{self, File};
 
 /// The first byte of a sealed frame, where a plain one has its version.
 const SEALED: u8 = 0x81;
@@ -44,8 +43,8 @@
     /// # Errors
     ///
     /// Fails when the file can't be read or is no key ring.
-    pub fn open(secret: &Secret) -> Result<Self, Error> {
-        Ok(Self { ring: Some(file::secret(secret, parse)?) })
+    pub fn open(secret: &Secret) -> Result<Self, security::Error> {
+        Ok(Self { ring: Some(security::read(secret, parse)?) })
     }
 
     /// Reads the ring again when its file changed.
@@ -58,13 +57,13 @@
     /// # Errors
     ///
     /// Fails when the frame is too long.
-    pub fn encode(&self, frame: &wire::Frame) -> Result<Vec<u8>, wire::Error> {
+    pub fn encode(&self, frame: &Frame) -> Result<Vec<u8>, Error> {
         let plain = frame.encode()?;
         let Some(ring) = &self.ring else {
             return Ok(plain);
         };
         let ring = ring.get();
-        let key = ring.0.first().ok_or(wire::Error::Seal)?;
+        let key = ring.0.first().ok_or(Error::Seal)?;
         let mut sealed = Vec::with_capacity(plain.len() + SEAL_BYTES);
         sealed.extend_from_slice(&[SEALED, key.number]);
         sealed.extend_from_slice(&plain);
@@ -78,27 +77,27 @@
     /// # Errors
     ///
     /// Fails when no key of the ring made the seal, or the bytes are no frame.
-    pub fn decode(&self, bytes: &[u8]) -> Result<wire::Frame, wire::Error> {
+    pub fn decode(&self, bytes: &[u8]) -> Result<Frame, Error> {
         let Some(ring) = &self.ring else {
-            return wire::Frame::decode(bytes);
+            return Frame::decode(bytes);
         };
-        let split = bytes.len().checked_sub(TAG_BYTES).ok_or(wire::Error::Seal)?;
+        let split = bytes.len().checked_sub(TAG_BYTES).ok_or(Error::Seal)?;
         let (sealed, tag) = bytes.split_at(split);
         let [SEALED, number, plain @ ..] = sealed else {
-            return Err(wire::Error::Seal);
+            return Err(Error::Seal);
         };
         let ring = ring.get();
-        let key = ring.0.iter().find(|key| key.number == *number).ok_or(wire::Error::Seal)?;
+        let key = ring.0.iter().find(|key| key.number == *number).ok_or(Error::Seal)?;
         let verified = key.mac.clone().chain_update(sealed).verify_slice(tag);
-        verified.map_err(|_| wire::Error::Seal)?;
-        wire::Frame::decode(plain)
+        verified.map_err(|_| Error::Seal)?;
+        Frame::decode(plain)
     }
 }
 
-fn parse(path: &str, text: &str) -> Result<Ring, Error> {
+fn parse(path: &str, text: &str) -> Result<Ring, security::Error> {
     let mut ring = Ring::default();
-    for (line, content) in file::lines(text) {
-        let fault = |problem| Error::Line { path: path.to_owned(), line, problem };
+    for (line, content) in security::lines(text) {
+        let fault = |problem| security::Error::Line { path: path.to_owned(), line, problem };
         let (number, key) = content
             .split_once(char::is_whitespace)
             .ok_or_else(|| fault("valid: a key's number and its hexadecimal digits"))?;
@@ -106,13 +105,17 @@
         if number == 0 || ring.0.iter().any(|known| known.number == number) {
             return Err(fault("a key's number is 1 to 255, and each one is given once"));
         }
-        let key = random::from_hex(key.trim()).filter(|key| key.len() >= MIN_KEY_BYTES);
+        let key = security::from_hex(key.trim()).filter(|key| key.len() >= MIN_KEY_BYTES);
         let key = key.ok_or_else(|| fault("a key has at least 64 hexadecimal digits"))?;
         let mac = Hmac::new_from_slice(&key).map_err(|_| fault("the key can't be used"))?;
         ring.0.push(Key { number, mac });
     }
     if ring.0.is_empty() {
-        return Err(Error::Line { path: path.to_owned(), line: 1, problem: "there is no key" });
+        return Err(security::Error::Line {
+            path: path.to_owned(),
+            line: 1,
+            problem: "there is no key",
+        });
     }
     Ok(ring)
 }
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -6,12 +6,13 @@
 use smol::net::TcpStream;
 
 use super::frame::check_length;
-use super::{Error, Frame, MAX_FRAME_BYTES};
+use super::{Error, Frame, MAX_FRAME_BYTES, SEAL_BYTES, Seal};
 
 /// A connection that carries frames.
 #[derive(Debug, Clone)]
 pub struct Stream {
     socket: TcpStream,
+    seal: Seal,
 }
 
 impl Stream {
@@ -31,7 +32,12 @@
     /// Fails when the socket can't be set up.
     pub fn accepted(socket: TcpStream) -> Result<Self, Error> {
         socket.set_nodelay(true)?;
-        Ok(Self { socket })
+        Ok(Self { socket, seal: Seal::default() })
+    }
+
+    /// Seals what is sent from now on, and takes sealed frames only when the seal has keys.
+    pub fn sealed(self, seal: &Seal) -> Self {
+        Self { seal: seal.clone(), ..self }
     }
 
     /// Sends one frame.
@@ -40,7 +46,7 @@
     ///
     /// Fails when the frame is too long or the socket fails.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
-        let body = frame.encode()?;
+        let body = self.seal.encode(frame)?;
         let mut bytes = Vec::with_capacity(4 + body.len());
         bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
         bytes.extend_from_slice(&body);
@@ -57,9 +63,9 @@
         let mut header = [0; 4];
         self.socket.read_exact(&mut header).await?;
         let len = u32::from_be_bytes(header) as usize;
-        check_length(len, MAX_FRAME_BYTES)?;
+        check_length(len, MAX_FRAME_BYTES + SEAL_BYTES)?;
         let mut body = vec![0; len];
         self.socket.read_exact(&mut body).await?;
-        Frame::decode(&body)
+        self.seal.decode(&body)
     }
 }
--- a/tests/security.rs
+++ b/tests/security.rs
@@ -7,10 +7,8 @@
 
 use cactushatch::config::{Secret, SecretError};
 use cactushatch::id;
-use cactushatch::security::{
-    Denied, Exchange, Operators, Seal, Users, Verifier, digest, random_hex,
-};
-use cactushatch::wire::{Body, Error, Frame};
+use cactushatch::security::{Denied, Exchange, Operators, Users, Verifier, digest, random_hex};
+use cactushatch::wire::{Body, Error, Frame, Seal};
 use postgres_protocol::authentication::sasl::{ChannelBinding, ScramSha256};
 use postgres_protocol::password::scram_sha_256;
 
