Call a gap without an end one, also when a write was acknowledged right after the fault

A run whose last success came 1.7 ms after the kill, with nothing but failures after it, was reported as a gap of 1.7 ms.

--- a/bench/src/check/gap.rs
+++ b/bench/src/check/gap.rs
@@ -3,7 +3,7 @@
 use serde::Serialize;
 
 use super::{events, requests};
-use crate::history::{Event, Kind, Outcome, Record};
+use crate::history::{Event, Kind, Outcome, Record, Request};
 
 /// How long after a fault the gap is looked for, in microseconds.
 const WINDOW: u64 = 15_000_000;
@@ -37,18 +37,20 @@
     let writes = requests(records).into_iter().filter(|request| {
         request.group == event.group
             && matches!(request.kind, Kind::Write { .. } | Kind::Once { .. })
-            && matches!(request.outcome, Outcome::Done { .. })
     });
-    let mut times: Vec<u64> = writes.map(|request| request.returned).collect();
+    let (done, tried): (Vec<&Request>, Vec<&Request>) =
+        writes.partition(|request| matches!(request.outcome, Outcome::Done { .. }));
+    let mut times: Vec<u64> = done.iter().map(|request| request.returned).collect();
     times.sort_unstable();
     let after = |pair: &&[u64]| pair[1] > event.at && pair[0] < event.at + WINDOW;
-    if times.last().is_none_or(|last| *last < event.at) {
-        return Gap { what: event.what.clone(), target: event.target.clone(), milliseconds: None };
-    }
     let longest = times.windows(2).filter(after).map(|pair| pair[1] - pair[0]).max();
+    // Attempts that go on after the last success for longer than any other gap make one without an end.
+    let last = times.last().copied().unwrap_or(event.at);
+    let open = tried.iter().map(|request| request.invoked.saturating_sub(last)).max();
+    let ended = longest.filter(|longest| open.is_none_or(|open| open <= *longest));
     Gap {
         what: event.what.clone(),
         target: event.target.clone(),
-        milliseconds: longest.map(|micros| micros as f64 / 1_000.0),
+        milliseconds: ended.map(|micros| micros as f64 / 1_000.0),
     }
 }
--- a/bench/tests/check.rs
+++ b/bench/tests/check.rs
@@ -277,3 +277,15 @@
     history.event("kill", "ops-1-1", "", GROUP);
     assert_eq!(gaps(&history.records)[0].milliseconds, None);
 }
+
+#[test]
+fn a_gap_whose_last_attempts_fail_has_no_length() {
+    let mut history = History::default();
+    history.write("s1", "e1", done());
+    history.event("kill", "ops-1-1", "", GROUP);
+    history.write("s1", "e2", done());
+    for at in 0..5 {
+        history.write("s1", &format!("f{at}"), Outcome::Unknown(refusal()));
+    }
+    assert_eq!(gaps(&history.records)[0].milliseconds, None);
+}
