Give a hand-over's and a follow's orders terms that the stand-in keeps

Cause: a follow order of a former leader that arrives late would turn the new primary into a follower and drop what it acknowledged; a repeated promote could begin one term twice; a demoted instance stopped feeding its followers, so a hand-over could never end.

--- a/bench/src/standin/instance.rs
+++ b/bench/src/standin/instance.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex};
+use std::time::Duration;
 
 use cactushatch::wire::Role;
 use rusqlite::types::Value;
@@ -10,10 +11,13 @@
 use super::Settings;
 use super::counter::{Counters, Report};
 use super::fault::Faults;
-use super::journal::Journal;
+use super::journal::{Journal, Log};
 use super::reply::{Column, INT8, TEXT};
 use super::slot::Slots;
 
+/// How long open write transactions are waited for before a demotion is refused.
+const DEMOTE: Duration = Duration::from_millis(200);
+
 /// One running instance.
 #[derive(Debug)]
 pub struct Instance {
@@ -72,6 +76,17 @@
         *self.written.wait_while(writing, |writing| *writing).unwrap() = true;
     }
 
+    /// Waits for the writer's turn no longer than `limit`; tells whether it came.
+    fn acquire_writer_within(&self, limit: Duration) -> bool {
+        let writing = self.writing.lock().unwrap();
+        let (mut writing, waited) =
+            self.written.wait_timeout_while(writing, limit, |writing| *writing).unwrap();
+        if !waited.timed_out() {
+            *writing = true;
+        }
+        !waited.timed_out()
+    }
+
     pub fn release_writer(&self) {
         *self.writing.lock().unwrap() = false;
         self.written.notify_one();
@@ -88,7 +103,11 @@
         let connection = self.journal.connect().map_err(|error| error.to_string())?;
         self.journal.apply_all(&connection);
         let mut log = self.journal.log.lock().unwrap();
+        if log.term >= term {
+            return Err(format!("this instance is on term {} already", log.term));
+        }
         log.role = Role::Primary;
+        log.stopped = false;
         log.term = term;
         let start = log.received();
         log.history.push((term, start));
@@ -97,28 +116,44 @@
         Ok(())
     }
 
-    pub fn follow(&self, primary: SocketAddr) {
-        *self.following.lock().unwrap() = Some(primary);
+    pub fn follow(&self, primary: SocketAddr, term: u64) -> Result<(), String> {
         let mut log = self.journal.log.lock().unwrap();
+        if log.term > term || (log.term == term && log.role == Role::Primary) {
+            return Err(format!("this instance is on term {} already", log.term));
+        }
+        *self.following.lock().unwrap() = Some(primary);
         if log.role == Role::Primary {
             log.generation += 1;
         }
         log.role = Role::Replica;
+        log.stopped = false;
         self.journal.changed.notify_all();
+        Ok(())
     }
 
-    pub fn demote(&self) {
-        self.acquire_writer();
-        self.journal.log.lock().unwrap().role = Role::Replica;
+    /// Stops writes once open write transactions have ended; the followers are served on.
+    pub fn demote(&self, term: u64) -> Result<(), String> {
+        let stops = |log: &Log| log.term == term && (log.role == Role::Primary || log.stopped);
+        if !self.acquire_writer_within(DEMOTE) {
+            return Err("write transactions are open".to_owned());
+        }
+        let mut log = self.journal.log.lock().unwrap();
+        let stopped = stops(&log);
+        if stopped {
+            log.role = Role::Replica;
+            log.stopped = true;
+        }
+        drop(log);
         self.release_writer();
+        if stopped { Ok(()) } else { Err(format!("this is not the primary of term {term}")) }
     }
 
     pub fn status(&self) -> Vec<Value> {
         let log = self.journal.log.lock().unwrap();
         let role = if log.role == Role::Primary { "primary" } else { "replica" };
         let durable = match log.role {
-            Role::Primary => log.durable(self.settings.instances),
-            Role::Replica => 0,
+            Role::Replica if !log.stopped => 0,
+            _ => log.durable(self.settings.instances),
         };
         let start = log.history.last().map_or(0, |last| last.1);
         let numbers = [log.term, log.position(), log.received(), durable, start];
--- a/bench/src/standin/journal.rs
+++ b/bench/src/standin/journal.rs
@@ -26,6 +26,8 @@
 #[derive(Debug)]
 pub struct Log {
     pub role: Role,
+    /// Whether it was primary and was told to stop writes; it feeds its followers on.
+    pub stopped: bool,
     pub term: u64,
     /// Where each term began.
     pub history: Vec<(u64, u64)>,
@@ -66,6 +68,7 @@
         let now = Instant::now();
         let log = Log {
             role,
+            stopped: false,
             term: history.last().map_or(1, |last| last.0),
             history,
             received_at: vec![now; records.len()],
--- a/bench/src/standin/replication.rs
+++ b/bench/src/standin/replication.rs
@@ -108,7 +108,7 @@
     let hello: Hello = read(&mut socket)?;
     let (welcome, generation) = {
         let log = instance.journal.log.lock().unwrap();
-        if log.role != Role::Primary {
+        if log.role != Role::Primary && !log.stopped {
             return Ok(());
         }
         let keep = common(&hello, &log.history, log.received());
@@ -117,7 +117,7 @@
     let mut sent = welcome.keep;
     write(&mut socket, &welcome)?;
     loop {
-        let records = next_batch(instance, sent, generation);
+        let records = next_batch(instance, sent, (welcome.term, generation));
         let Some(records) = records else {
             return Ok(());
         };
@@ -136,15 +136,18 @@
 }
 
 /// Waits for records beyond `sent`; an empty batch keeps the connection alive.
-fn next_batch(instance: &Instance, sent: u64, generation: u64) -> Option<Vec<Record>> {
+fn next_batch(instance: &Instance, sent: u64, since: (u64, u64)) -> Option<Vec<Record>> {
     let log = instance.journal.log.lock().unwrap();
     let idle = Duration::from_millis(200);
     let (log, _) = instance
         .journal
         .changed
-        .wait_timeout_while(log, idle, |log| log.received() <= sent && log.generation == generation)
+        .wait_timeout_while(log, idle, |log| {
+            log.received() <= sent && (log.term, log.generation) == since
+        })
         .unwrap();
-    if log.role != Role::Primary || log.generation != generation {
+    let feeds = log.role == Role::Primary || log.stopped;
+    if !feeds || (log.term, log.generation) != since {
         return None;
     }
     Some(log.records.iter().skip(sent as usize).take(BATCH).cloned().collect())
--- a/bench/src/standin/server.rs
+++ b/bench/src/standin/server.rs
@@ -345,13 +345,14 @@
                 self.instance.promote(term).map_err(|message| ("55000", message))?;
                 self.answer_status(formats, describe);
             }
-            Statement::Follow(primary, _) => {
-                self.instance.follow(primary);
+            Statement::Follow(primary, term) => {
+                let followed = self.instance.follow(primary, term);
+                followed.map_err(|message| ("55000", message))?;
                 self.generation = self.instance.journal.log.lock().unwrap().generation;
                 self.answer_status(formats, describe);
             }
-            Statement::Demote(_) => {
-                self.instance.demote();
+            Statement::Demote(term) => {
+                self.instance.demote(term).map_err(|message| ("55000", message))?;
                 self.answer_status(formats, describe);
             }
             Statement::Plain(text) => self.plain(&text, parameters, formats, describe)?,
--- a/src/control/failover/handover.rs
+++ b/src/control/failover/handover.rs
@@ -49,7 +49,7 @@
     }
 
     /// Takes the primary's last status.
-    pub(super) fn demoted(&mut self, _now: Instant, instance: &id::Instance, status: Status) {
+    pub(super) fn demoted(&mut self, instance: &id::Instance, status: Status) {
         if let Stage::Ordered { primary, since } = &self.stage
             && primary == instance
         {
@@ -58,7 +58,14 @@
         }
     }
 
-    /// Notes that an epoch came in force: the hand-over has ended, well if the primary is another one.
+    /// Notes that the primary goes on, since transactions are open; it is asked again later.
+    pub(super) fn refused(&mut self, now: Instant, instance: &id::Instance) {
+        if matches!(&self.stage, Stage::Ordered { primary, .. } if primary == instance) {
+            self.ended(now, instance);
+        }
+    }
+
+    /// Notes that the hand-over has ended, well if the primary is another one.
     pub(super) fn ended(&mut self, now: Instant, current: &id::Instance) {
         let stage = std::mem::take(&mut self.stage);
         let (Stage::Ordered { primary, .. } | Stage::Stopped { primary, .. }) = stage else {
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -64,6 +64,11 @@
         /// Its final status.
         status: Status,
     },
+    /// The primary refused to stop writes, and goes on.
+    Refused {
+        /// The instance.
+        instance: id::Instance,
+    },
     /// What a proxy with a lease sees of an instance.
     Reported {
         /// The proxy.
@@ -180,9 +185,10 @@
         match input {
             Input::Probed { instance, asked, seen } => self.probed(now, instance, asked, seen),
             Input::Demoted { instance, status } => {
-                self.handover.demoted(now, &instance, status);
+                self.handover.demoted(&instance, status);
                 self.probed(now, instance, now, Ok(status));
             }
+            Input::Refused { instance } => self.handover.refused(now, &instance),
             Input::Reported { node, instance, trouble } => {
                 self.evidence.report(now, node, instance, trouble);
             }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -19,6 +19,7 @@
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
+use crate::pgsql;
 use crate::upstream::position;
 use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
 
@@ -365,7 +366,8 @@
         Ok(status) => Some(Input::Probed { instance, asked, seen: Ok(status) }),
         Err(error) => {
             log::warn!("{instance} did not carry out {sql:?}: {error}");
-            None
+            let refused = demotes && matches!(error, pgsql::Error::Server { .. });
+            refused.then_some(Input::Refused { instance })
         }
     }
 }
--- a/tests/failover_group.rs
+++ b/tests/failover_group.rs
@@ -463,6 +463,17 @@
     assert!(asks(&mut rig, settled + PAUSE));
 }
 
+#[test]
+fn a_primary_that_refuses_to_stop_goes_on_and_is_asked_again_later() {
+    let mut rig = draining();
+    rig.group.step(at(12), Input::Refused { instance: name("i1") });
+    assert_eq!(rig.tick(at(10) + HANDOVER), [], "its epoch stays in force");
+    let again = at(12) + PAUSE;
+    rig.probe(again, "i2", replica(1, 9, 0));
+    let demote = Output::Demote { instance: name("i1"), term: id::Term(1) };
+    assert_eq!(rig.tick(again), [demote]);
+}
+
 #[test]
 fn a_primary_is_not_handed_over_without_a_replica_that_stays() {
     let mut rig = Rig::active();
