--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -20,6 +20,7 @@
 use crate::config;
 use crate::id;
 use crate::pgsql;
+use crate::report::{Lease, Metrics, Peer};
 use crate::upstream::position;
 use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
 
@@ -35,6 +36,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     clock: Clock,
+    pub(super) metrics: Metrics,
     node: id::Node,
     domain: id::Domain,
     user: String,
@@ -77,6 +79,7 @@
     let tcp = TcpListener::bind(control.address).await?;
     let admin = TcpListener::bind(control.admin).await?;
     let shared = Arc::new(Shared {
+        metrics: Metrics::default(),
         node: settings.node.clone(),
         domain: settings.domain.clone(),
         user: control.user.clone(),
@@ -199,7 +202,10 @@
             };
             match Frame::decode(&buffer[..len]) {
                 Ok(frame) => self.datagram(from, &frame).await,
-                Err(error) => log::debug!("a datagram from {from} is dropped: {error}"),
+                Err(error) => {
+                    self.metrics.violated(Peer::Process, error.kind());
+                    log::debug!("a datagram from {from} is dropped: {error}");
+                }
             }
         }
     }
@@ -208,7 +214,10 @@
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
+        self.metrics.heartbeat_received();
         let grant = self.core().heartbeat(self.clock.now(), frame, heartbeat);
+        let lease = if grant.is_some() { Lease::Granted } else { Lease::Refused };
+        self.metrics.lease(lease);
         if let Some(grant) = grant {
             self.send(from, Body::Grant(grant)).await;
         }
@@ -281,6 +290,11 @@
         match output {
             Output::Submit(action) => {
                 log::info!("control decides {action:?}");
+                match &action {
+                    Action::Freeze { .. } => self.metrics.frozen(),
+                    Action::Promote { .. } => self.metrics.promoted(),
+                    _ => {}
+                }
                 self.submit(Command { origin: None, action });
             }
             Output::Probe { instance } => self.order(&instance, Order::Probe),
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -9,6 +9,7 @@
 use super::server::Shared;
 use crate::clock::Instant;
 use crate::config::Fleet;
+use crate::report::Peer;
 use crate::wire::{Body, Frame, Grant, MAX_DATAGRAM_BYTES, Stream};
 
 /// How often the proxy sends a heartbeat when nothing changed.
@@ -35,6 +36,7 @@
         let body = Body::Heartbeat(shared.heartbeat());
         match shared.frame(body).encode() {
             Ok(bytes) => {
+                shared.metrics.heartbeat_sent();
                 for address in addressed(&shared, &leader) {
                     let _ = socket.send_to(&bytes, address).await;
                 }
@@ -64,7 +66,10 @@
         match Frame::decode(&buffer[..len]) {
             Ok(Frame { body: Body::Grant(grant), .. }) => take(&shared, from, &leader, grant),
             Ok(_) => {}
-            Err(error) => log::debug!("a datagram from {from} is dropped: {error}"),
+            Err(error) => {
+                shared.metrics.violated(Peer::Process, error.kind());
+                log::debug!("a datagram from {from} is dropped: {error}");
+            }
         }
     }
 }
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns how many connections are open.
+    pub(super) fn open(&self) -> u32 {
+        self.lock().open
+    }
+
     /// Returns how many connections are on loan.
     pub(super) fn busy(&self) -> u32 {
         let inner = self.lock();
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -16,9 +16,10 @@
 use crate::clock::{Clock, Instant};
 use crate::config::{self, Fleet};
 use crate::id;
+use crate::report::{Failure, Metrics};
 use crate::upstream::announcement::{self, Announcement};
 use crate::upstream::position::Status;
-use crate::wire::{Body, Demand, Epoch, Frame, Grant, Heartbeat, Replica, Sighting, Trouble};
+use crate::wire::{Body, Demand, Epoch, Frame, Grant, Heartbeat, Replica, Role, Sighting, Trouble};
 
 /// A running proxy.
 #[derive(Debug, Clone)]
@@ -37,6 +38,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) clock: Clock,
+    pub(super) metrics: Metrics,
     pub(super) node: id::Node,
     pub(super) domain: id::Domain,
     pub(super) user: String,
@@ -104,6 +106,7 @@
         incarnation,
         settings: proxy.clone(),
         state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
+        metrics: Metrics::default(),
         clock,
     });
     heartbeat::spawn(&shared, udp);
@@ -157,6 +160,7 @@
         let (changed, replicas, shares) = {
             let now = self.clock.now();
             let mut state = self.lock();
+            self.metrics.stamp(grant.stamp);
             let mut changed = state.fence.step(grant);
             if state.lapsed && state.fence.leased(now) {
                 state.lapsed = false;
@@ -200,6 +204,7 @@
         let mut state = self.lock();
         if revision > state.revision {
             log::info!("configuration revision {revision} is in force");
+            self.metrics.revision(revision);
             state.revision = revision;
             state.fleet = Arc::new(fleet);
         }
@@ -284,6 +289,12 @@
         drop(state);
         if changed {
             log::info!("{instance} is {trouble:?}");
+            match trouble {
+                Trouble::Fine => {}
+                Trouble::Refused => self.metrics.upstream_failed(Failure::Refused),
+                Trouble::Silent => self.metrics.upstream_failed(Failure::Silent),
+                Trouble::Faulty => self.metrics.upstream_failed(Failure::Faulty),
+            }
             self.nudge();
         }
     }
@@ -318,6 +329,22 @@
         instances.map(candidate).collect()
     }
 
+    /// Sets the gauges of open and busy connections.
+    fn count_connections(&self) {
+        let state = self.lock();
+        let mut counts = [(Role::Primary, 0, 0), (Role::Replica, 0, 0)];
+        for known in state.instances.values() {
+            let epoch = state.fence.epoch(&known.replica.group);
+            let primary = epoch.is_some_and(|epoch| epoch.primary == known.replica.instance);
+            let (_, open, busy) = &mut counts[usize::from(!primary)];
+            *open += known.pool.open();
+            *busy += known.pool.busy();
+        }
+        for (role, open, busy) in counts {
+            self.metrics.connections(role, open, busy);
+        }
+    }
+
     /// Returns the pool of an instance.
     pub(super) fn pool(&self, instance: &id::Instance) -> Option<Arc<Pool>> {
         self.lock().instances.get(instance).map(|known| Arc::clone(&known.pool))
@@ -414,6 +441,10 @@
             }
             Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
         },
+        (&Method::GET, "/metrics") => {
+            shared.count_connections();
+            Reply::metrics(shared.metrics.encode())
+        }
         (&Method::GET, "/revision") => Reply::json(&shared.lock().revision),
         _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
     }
