Tell true outcomes, read by proof, run once requests once, and admit by class

Cause: a deadline always said 'unknown', waits looked again each millisecond, a caller's own cancel and settings were dropped or refused, once requests had no key in the database, and a pool had no order. Change: the request path is split by job (caller/{start,read,write,once}); decisions are plain machines (admission, route, trail, cancel, setting, retry). Waits are woken by positions and tables, and one status question serves all that wait. A flush that is cancelled goes on where it stopped, so that an error follows whole messages only. A transaction whose connection was lost, or that was refused a statement, stays failed until its caller ends it. Ruled out: a position after each read for monotonic reads (it doubles the messages of a read); the key written after the statement (a duplicate would run first).

--- /dev/null
+++ b/src/proxy/admission.rs
@@ -0,0 +1,276 @@
+//! Admission to one instance: who runs next, who waits, and who is refused at once.
+//!
+//! The gate is a plain machine. It holds as many requests at the instance as its window allows, orders those that
+//! wait by class, fair share and deadline, and refuses on arrival what can't make its deadline. The window follows
+//! the service time that it sees, since the gate doesn't know how many other proxies use the same slots. See
+//! `docs/DESIGN.md`, "Admission".
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::clock::Instant;
+use crate::id;
+
+/// The most requests that wait at one gate.
+pub const MAX_WAITING: usize = 1_024;
+
+/// Every so many starts go to the request with the earliest deadline, whatever its class, so that none starves.
+const FAIR_START: u64 = 8;
+
+/// How much of a new sample the mean service time takes, as one part of this many.
+const SMOOTHING: u32 = 8;
+
+/// The window shrinks when the service time is over this many times the best one.
+const CONGESTED: u32 = 3;
+
+/// Requests above the number of slots that the window begins with, to keep the slots busy between two requests.
+const MARGIN: u32 = 1;
+
+/// Numbers the requests of one gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// What is known of a request on its arrival.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// The priority of its class; lower goes first.
+    pub priority: u8,
+    /// When it must be answered.
+    pub deadline: Instant,
+    /// Who sends it.
+    pub customer: id::Customer,
+    /// The connection that it comes by.
+    pub caller: u64,
+}
+
+/// What happens to a gate.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Input {
+    /// A request arrives.
+    Arrive(Ticket, Arrival),
+    /// A request that ran has ended; the time is that of one statement, or `None` when it says nothing.
+    Done(Option<Duration>),
+    /// A request that ran keeps its connection for its transaction, whose pauses take no slot.
+    Hold,
+    /// A transaction has ended.
+    Free,
+    /// A request that waits is given up.
+    Gone(Ticket),
+    /// The instance has so many slots, and the proxy may hold so many connections to it.
+    Limit {
+        /// The slots of the instance.
+        slots: u32,
+        /// The proxy's share of its connections.
+        connections: u32,
+    },
+}
+
+/// What a gate decides.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// The request runs now.
+    Start(Ticket),
+    /// The request is refused; there is room for it after this time.
+    Refuse(Ticket, Duration),
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ticket: Ticket,
+    arrival: Arrival,
+}
+
+/// The gate before one instance.
+#[derive(Debug)]
+pub struct Gate {
+    connections: u32,
+    slots: u32,
+    window: f64,
+    running: u32,
+    held: u32,
+    waiting: Vec<Waiting>,
+    /// How many starts each customer had since nobody waited.
+    customers: BTreeMap<id::Customer, u64>,
+    /// How many starts each caller had since nobody waited.
+    callers: BTreeMap<u64, u64>,
+    started: u64,
+    mean: Duration,
+    best: Duration,
+    shrunk: Instant,
+}
+
+impl Gate {
+    /// Makes a gate that lets one request through until it knows its limits.
+    pub fn new() -> Self {
+        Self {
+            connections: 1,
+            slots: 1,
+            window: 1.0,
+            running: 0,
+            held: 0,
+            waiting: Vec::new(),
+            customers: BTreeMap::new(),
+            callers: BTreeMap::new(),
+            started: 0,
+            mean: Duration::ZERO,
+            best: Duration::ZERO,
+            shrunk: Instant::default(),
+        }
+    }
+
+    /// Returns how many connections are in use.
+    pub fn used(&self) -> u32 {
+        self.running + self.held
+    }
+
+    /// Returns how many requests run or wait, and transactions that are open.
+    pub fn busy(&self) -> u32 {
+        self.used() + self.waiting.len() as u32
+    }
+
+    /// Returns how many requests may run at once.
+    pub fn window(&self) -> u32 {
+        (self.window as u32).clamp(1, self.connections.max(1))
+    }
+
+    /// Takes an input and returns what is to be done.
+    pub fn step(&mut self, now: Instant, input: Input) -> Vec<Output> {
+        let mut outputs = Vec::new();
+        match input {
+            Input::Arrive(ticket, arrival) => self.arrive(now, ticket, arrival, &mut outputs),
+            Input::Done(took) => {
+                self.running = self.running.saturating_sub(1);
+                if let Some(took) = took {
+                    self.learn(now, took);
+                }
+            }
+            Input::Hold => {
+                self.running = self.running.saturating_sub(1);
+                self.held += 1;
+            }
+            Input::Free => self.held = self.held.saturating_sub(1),
+            Input::Gone(ticket) => self.waiting.retain(|waiting| waiting.ticket != ticket),
+            Input::Limit { slots, connections } => self.limit(slots, connections),
+        }
+        self.start(now, &mut outputs);
+        outputs
+    }
+
+    fn limit(&mut self, slots: u32, connections: u32) {
+        if self.slots != slots {
+            self.window = f64::from(slots + MARGIN);
+        }
+        self.slots = slots;
+        self.connections = connections;
+    }
+
+    fn arrive(
+        &mut self,
+        now: Instant,
+        ticket: Ticket,
+        arrival: Arrival,
+        outputs: &mut Vec<Output>,
+    ) {
+        let ahead = |waiting: &&Waiting| waiting.arrival.priority <= arrival.priority;
+        let ahead = self.waiting.iter().filter(ahead).count();
+        let wait = self.wait(ahead);
+        if now + wait + self.mean > arrival.deadline {
+            outputs.push(Output::Refuse(ticket, wait));
+            return;
+        }
+        self.waiting.push(Waiting { ticket, arrival });
+        if self.waiting.len() > MAX_WAITING {
+            outputs.extend(self.evict());
+        }
+    }
+
+    /// Refuses the request that would go last.
+    fn evict(&mut self) -> Option<Output> {
+        let waiting = self.waiting.iter().enumerate();
+        let key = |waiting: &Waiting| (waiting.arrival.priority, waiting.arrival.deadline);
+        let (last, _) = waiting.max_by_key(|(_, waiting)| (key(waiting), waiting.ticket))?;
+        let wait = self.wait(self.waiting.len());
+        Some(Output::Refuse(self.waiting.swap_remove(last).ticket, wait))
+    }
+
+    /// Estimates how long a request waits that has `ahead` others before it.
+    fn wait(&self, ahead: usize) -> Duration {
+        let free = self.window().saturating_sub(self.running) as usize;
+        if ahead < free {
+            return Duration::ZERO;
+        }
+        let turns = (ahead - free) as u32 / self.window() + 1;
+        self.mean * turns
+    }
+
+    fn start(&mut self, now: Instant, outputs: &mut Vec<Output>) {
+        while self.running < self.window() && self.used() < self.connections.max(1) {
+            let Some(at) = self.next() else {
+                return;
+            };
+            let Waiting { ticket, arrival } = self.waiting.swap_remove(at);
+            if now + self.mean > arrival.deadline {
+                outputs.push(Output::Refuse(ticket, self.wait(self.waiting.len())));
+                continue;
+            }
+            self.running += 1;
+            self.started += 1;
+            self.count(arrival);
+            outputs.push(Output::Start(ticket));
+        }
+    }
+
+    /// Counts a start, as long as others wait that it went before.
+    fn count(&mut self, arrival: Arrival) {
+        if self.waiting.is_empty() {
+            self.customers.clear();
+            self.callers.clear();
+            return;
+        }
+        *self.customers.entry(arrival.customer).or_default() += 1;
+        *self.callers.entry(arrival.caller).or_default() += 1;
+    }
+
+    /// Returns the place of the request that goes next.
+    fn next(&self) -> Option<usize> {
+        let waiting = self.waiting.iter().enumerate();
+        if self.started % FAIR_START == FAIR_START - 1 {
+            let earliest = waiting.min_by_key(|(_, w)| (w.arrival.deadline, w.ticket));
+            return earliest.map(|(at, _)| at);
+        }
+        let key = |waiting: &Waiting| {
+            let arrival = &waiting.arrival;
+            let customer = self.customers.get(&arrival.customer).copied().unwrap_or(0);
+            let caller = self.callers.get(&arrival.caller).copied().unwrap_or(0);
+            (arrival.priority, customer, caller, arrival.deadline, waiting.ticket)
+        };
+        waiting.min_by_key(|(_, w)| key(w)).map(|(at, _)| at)
+    }
+
+    /// Adapts the window to a service time: it grows by one over a window of good ones, and shrinks by a tenth,
+    /// at most once a service time, when the instance seems to queue.
+    fn learn(&mut self, now: Instant, took: Duration) {
+        if self.mean.is_zero() {
+            self.mean = took;
+            self.best = took;
+        }
+        self.mean = (self.mean * (SMOOTHING - 1) + took) / SMOOTHING;
+        // The best time rises slowly, so that a lasting change becomes the new measure.
+        self.best = took.min(self.best + self.best / 1_024);
+        if self.mean > self.best * CONGESTED {
+            if now.since(self.shrunk) > self.mean {
+                self.window = (self.window * 0.9).max(1.0);
+                self.shrunk = now;
+            }
+        } else {
+            let most = f64::from((self.slots + MARGIN).min(self.connections.max(1)));
+            self.window = (self.window + 1.0 / self.window).min(most);
+        }
+    }
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/src/proxy/batch.rs
+++ b/src/proxy/batch.rs
@@ -8,7 +8,7 @@
 use pgwire::messages::{DecodeContext, ProtocolVersion};
 use sha2::{Digest, Sha256};
 
-use super::class::{self, Kind, Tags};
+use super::class::{self, Kind, Kinds, Tags};
 use super::relay::{Exchange, Step};
 use crate::pgsql::{Error, Message};
 
@@ -43,6 +43,8 @@
 pub(super) struct Summary {
     pub(super) kind: Kind,
     pub(super) tags: Tags,
+    /// How many statements it executes.
+    pub(super) executes: u32,
 }
 
 impl Batch {
@@ -57,16 +59,44 @@
     pub(super) fn bytes(&self) -> usize {
         self.messages.iter().map(|message| message.body.len()).sum()
     }
+
+    /// Returns the text of the statement that the batch prepares, if it prepares one.
+    pub(super) fn text(&self) -> Option<Vec<u8>> {
+        let parse = self.messages.iter().find(|message| message.tag == b'P')?;
+        let parse: Parse = decode(parse).ok()?;
+        Some(parse.query.into_bytes())
+    }
+
+    /// Writes the answer to the batch when the proxy runs it itself.
+    pub(super) fn complete(&self, tag: &str, out: &mut BytesMut) {
+        for message in &self.messages {
+            let (kind, body) = match message.tag {
+                b'P' => (b'1', Bytes::new()),
+                b'B' => (b'2', Bytes::new()),
+                b'C' => (b'3', Bytes::new()),
+                b'D' => {
+                    if message.body.first() == Some(&b'S') {
+                        // A statement that the proxy runs has no parameters, or the caller knows them.
+                        Message { tag: b't', body: Bytes::from_static(&[0, 0]) }.write(out);
+                    }
+                    (b'n', Bytes::new())
+                }
+                b'E' => (b'C', Bytes::from(format!("{tag}\0"))),
+                _ => continue,
+            };
+            Message { tag: kind, body }.write(out);
+        }
+    }
 }
 
 impl Statements {
     /// Takes the batch's `Parse` and `Close` messages over and returns what the batch does.
-    pub(super) fn take(&mut self, batch: &Batch) -> Result<Summary, Error> {
-        let mut summary = Summary { kind: Kind::Empty, tags: Tags::default() };
+    pub(super) fn take(&mut self, batch: &Batch, kinds: &Kinds) -> Result<Summary, Error> {
+        let mut summary = Summary { kind: Kind::Empty, tags: Tags::default(), executes: 0 };
         let mut portals: HashMap<String, String> = HashMap::new();
         for message in &batch.messages {
             match message.tag {
-                b'P' => self.prepare(decode(message)?)?,
+                b'P' => self.prepare(decode(message)?, kinds)?,
                 b'B' => {
                     let bind: Bind = decode(message)?;
                     let portal = bind.portal_name.unwrap_or_default();
@@ -78,6 +108,7 @@
                     if let Some(prepared) = portal.and_then(|name| self.prepared.get(name)) {
                         summary.kind = both(summary.kind, prepared.kind);
                         summary.tags = prepared.tags.clone();
+                        summary.executes += 1;
                     }
                 }
                 _ => {}
@@ -95,14 +126,16 @@
         Ok(summary)
     }
 
-    fn prepare(&mut self, mut parse: Parse) -> Result<(), Error> {
+    fn prepare(&mut self, mut parse: Parse, kinds: &Kinds) -> Result<(), Error> {
         let own = parse.name.take().unwrap_or_default();
         if self.prepared.len() >= MAX_STATEMENTS && !self.prepared.contains_key(&own) {
             return Err(Error::Protocol("too many prepared statements"));
         }
-        let name = if own.is_empty() { String::new() } else { upstream_name(&parse) };
-        let kind = class::kind(&parse.query);
+        let kind = kinds.kind(&parse.query);
         let tags = class::tags(&parse.query);
+        // Without its comment, statements that differ in their keys alone are one at the upstream.
+        parse.query = class::bare(&parse.query).to_owned();
+        let name = if own.is_empty() { String::new() } else { upstream_name(&parse) };
         parse.name = (!name.is_empty()).then(|| name.clone());
         let parse = encode(b'P', &parse)?;
         self.prepared.insert(own, Prepared { parse, name, kind, tags });
@@ -157,7 +190,35 @@
             }
         }
         writing.send(&Message { tag: b'S', body: Bytes::new() }, Step::Ready);
-        Ok(Exchange { bytes: writing.bytes, steps: writing.steps, hold: false })
+        let Writing { bytes, steps, .. } = writing;
+        Ok(Exchange { bytes, steps, ..Exchange::default() })
+    }
+
+    /// Forgets all statements.
+    pub(super) fn clear(&mut self) {
+        self.prepared.clear();
+    }
+
+    /// Returns the digest of the one statement that a batch executes: its text and its parameters.
+    pub(super) fn digest(&self, batch: &Batch) -> Result<String, Error> {
+        let mut hash = Sha256::new();
+        for message in batch.messages.iter().filter(|message| message.tag == b'B') {
+            let bind: Bind = decode(message)?;
+            let name = bind.statement_name.unwrap_or_default();
+            if let Some(prepared) = self.prepared.get(&name) {
+                let parse: Parse = decode(&prepared.parse)?;
+                hash.update(parse.query.as_bytes());
+            }
+            for code in &bind.parameter_format_codes {
+                hash.update(code.to_be_bytes());
+            }
+            for parameter in &bind.parameters {
+                let len = parameter.as_ref().map_or(-1, |value| value.len() as i64);
+                hash.update(len.to_be_bytes());
+                hash.update(parameter.as_deref().unwrap_or_default());
+            }
+        }
+        Ok(hex(&hash.finalize()))
     }
 
     /// Has the statement prepared on the connection, and returns its name there.
@@ -212,6 +273,7 @@
         (Kind::Empty, other) | (other, Kind::Empty) => other,
         (Kind::Refused(why), _) | (_, Kind::Refused(why)) => Kind::Refused(why),
         (Kind::Read, Kind::Read) => Kind::Read,
+        (Kind::Local(local), Kind::Local(_)) => Kind::Local(local),
         (Kind::Read | Kind::Write, Kind::Read | Kind::Write) => Kind::Write,
         _ => Kind::Refused("transaction control goes in a batch of its own"),
     }
@@ -225,8 +287,12 @@
         hash.update(oid.to_be_bytes());
     }
     let digest = hash.finalize();
-    let hex: String = digest[..16].iter().map(|byte| format!("{byte:02x}")).collect();
-    format!("ch_{hex}")
+    format!("ch_{}", hex(&digest[..16]))
+}
+
+/// Writes bytes in hexadecimal.
+pub(super) fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
 }
 
 fn decode<T: pgwire::messages::Message>(message: &Message) -> Result<T, Error> {
--- a/src/proxy/floor.rs
+++ b/src/proxy/floor.rs
@@ -64,6 +64,13 @@
         self.marks.iter().find(|(name, _)| name == group).map(|(_, mark)| *mark)
     }
 
+    /// Raises each mark to that of `other`.
+    pub fn merge(&mut self, other: &Self) {
+        for (group, mark) in &other.marks {
+            self.raise(group, *mark);
+        }
+    }
+
     /// Raises the group's mark; it never sinks. Returns whether it changed.
     pub fn raise(&mut self, group: &id::Group, mark: Mark) -> bool {
         match self.marks.iter_mut().find(|(name, _)| name == group) {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,17 +3,27 @@
 //! Data flows one way: frame, request, class, route, connection, answer, outcome. See `docs/DESIGN.md`,
 //! "The request path".
 
+pub mod admission;
 mod batch;
 mod caller;
+pub mod cancel;
 pub mod class;
 pub mod fence;
 pub mod floor;
 mod heartbeat;
 pub mod outcome;
+pub mod peak;
 mod pool;
+pub mod record;
 mod relay;
+pub mod retry;
 pub mod route;
 mod server;
+pub mod session;
+pub mod setting;
+mod shared;
+mod sweep;
+pub mod trail;
 mod watch;
 
 pub use server::{Server, spawn};
--- a/src/proxy/outcome.rs
+++ b/src/proxy/outcome.rs
@@ -9,6 +9,9 @@
 
 use crate::report::{self, Refusal};
 
+/// The earliest that a refused caller is told to come back.
+pub const RETRY: Duration = Duration::from_millis(100);
+
 /// An outcome other than done or the database's own error.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
@@ -23,13 +26,42 @@
     Unknown {
         /// Why.
         reason: Reason,
+        /// What it may have done.
+        effect: Effect,
     },
+    /// The key of a `once` request came before with another request.
+    KeyReused,
+    /// A `once` request came without its key.
+    KeyMissing,
+    /// The transaction was lost before; it was never committed.
+    Aborted,
     /// The request asks for something that the proxy doesn't do.
     Unsupported(&'static str),
     /// The session's floor names a write that a promotion left out.
     FloorLost,
 }
 
+/// What a request may have done whose outcome is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// Nothing: it only reads.
+    None,
+    /// Nothing that lasts: its transaction's commit was never sent.
+    RolledBack,
+    /// It may have been committed.
+    Possible,
+}
+
+impl fmt::Display for Effect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::None => "none",
+            Self::RolledBack => "rolled_back",
+            Self::Possible => "possible",
+        })
+    }
+}
+
 /// Why a request was not run, or why its outcome is unknown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
@@ -87,7 +119,9 @@
         match self {
             Self::NotRun { .. } => report::Outcome::NotRun,
             Self::Unknown { .. } => report::Outcome::Unknown,
-            Self::Unsupported(_) => report::Outcome::Unsupported,
+            Self::Unsupported(_) | Self::KeyReused | Self::KeyMissing | Self::Aborted => {
+                report::Outcome::Unsupported
+            }
             Self::FloorLost => report::Outcome::FloorLost,
         }
     }
@@ -100,6 +134,9 @@
             Self::Unknown { .. } => "08007",
             Self::Unsupported(_) => "0A000",
             Self::FloorLost => "55000",
+            Self::KeyReused => "KY001",
+            Self::KeyMissing => "KY002",
+            Self::Aborted => "25P02",
         }
     }
 
@@ -109,9 +146,14 @@
             Self::NotRun { reason, retry } => {
                 format!("outcome=not_run reason={reason} retry_after_ms={}", retry.as_millis())
             }
-            Self::Unknown { reason } => format!("outcome=unknown reason={reason}"),
+            Self::Unknown { reason, effect } => {
+                format!("outcome=unknown reason={reason} effect={effect}")
+            }
             Self::Unsupported(_) => "outcome=not_run reason=unsupported".to_owned(),
             Self::FloorLost => "outcome=not_run reason=floor_lost".to_owned(),
+            Self::KeyReused => "outcome=not_run reason=key_reused".to_owned(),
+            Self::KeyMissing => "outcome=not_run reason=key_missing".to_owned(),
+            Self::Aborted => "outcome=not_run reason=transaction_aborted".to_owned(),
         }
     }
 
@@ -120,29 +162,53 @@
             Self::NotRun { reason, retry } => {
                 format!("the request was not run ({reason}); try again in {} ms", retry.as_millis())
             }
-            Self::Unknown { reason } => {
+            Self::Unknown { reason, effect: Effect::Possible } => {
                 format!(
                     "whether the request ran is unknown ({reason}); look before sending it again"
                 )
             }
+            Self::Unknown { reason, .. } => {
+                format!("the answer was lost ({reason}), and nothing was committed")
+            }
+            Self::KeyReused => "the key came before with another request".to_owned(),
+            Self::KeyMissing => "a once request needs its key".to_owned(),
+            Self::Aborted => {
+                "the transaction was lost and rolled back; end it with ROLLBACK".to_owned()
+            }
             Self::Unsupported(why) => (*why).to_owned(),
             Self::FloorLost => "a write of this session was lost in a promotion".to_owned(),
         }
     }
 
+    /// Makes a refusal whose retry time spreads the callers over as long again as `wait`.
+    pub fn refused(reason: Reason, wait: Duration) -> Self {
+        let wait = wait.max(RETRY);
+        Self::NotRun { reason, retry: wait + wait.mul_f64(fastrand::f64()) }
+    }
+
     /// Appends the error as an `ErrorResponse`.
     pub fn write(&self, out: &mut BytesMut) {
-        let fields = vec![
-            (b'S', "ERROR".to_owned()),
-            (b'V', "ERROR".to_owned()),
-            (b'C', self.sqlstate().to_owned()),
-            (b'M', self.message()),
-            (b'D', self.detail()),
-        ];
-        ErrorResponse::new(fields).encode(out).expect("an error of ours can be encoded");
+        write_error("ERROR", self.sqlstate(), &self.message(), &self.detail(), out);
+    }
+
+    /// Appends the error as one that ends the connection.
+    pub fn write_fatal(&self, out: &mut BytesMut) {
+        write_error("FATAL", self.sqlstate(), &self.message(), &self.detail(), out);
     }
 }
 
+/// Appends an `ErrorResponse`.
+pub fn write_error(severity: &str, code: &str, message: &str, detail: &str, out: &mut BytesMut) {
+    let fields = vec![
+        (b'S', severity.to_owned()),
+        (b'V', severity.to_owned()),
+        (b'C', code.to_owned()),
+        (b'M', message.to_owned()),
+        (b'D', detail.to_owned()),
+    ];
+    ErrorResponse::new(fields).encode(out).expect("an error of ours can be encoded");
+}
+
 /// Appends a `ReadyForQuery`.
 pub fn write_ready(status: TransactionStatus, out: &mut BytesMut) {
     ReadyForQuery::new(status).encode(out).expect("a ready message can be encoded");
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -2,11 +2,13 @@
 //! that acknowledge a write held back until the fence lets them go.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
+use bytes::{Buf, BufMut, BytesMut};
 use smol::io::AsyncWriteExt;
 
 use super::pool::Connection;
+use crate::clock::Clock;
 use crate::pgsql::{Error, Message, Socket};
 
 /// How many bytes are collected before they are written to the caller.
@@ -48,6 +50,10 @@
     pub(super) steps: VecDeque<Step>,
     /// Whether what acknowledges a write is held back.
     pub(super) hold: bool,
+    /// Whether the whole answer is held back.
+    pub(super) whole: bool,
+    /// How long the first message of the answer may take.
+    pub(super) patience: Option<Duration>,
 }
 
 /// How an exchange ended.
@@ -59,6 +65,10 @@
     pub(super) held: BytesMut,
     /// Whether the upstream reported an error.
     pub(super) failed: bool,
+    /// The last command tag.
+    pub(super) tag: String,
+    /// Whether the answer has rows.
+    pub(super) rows: bool,
 }
 
 /// Why an exchange broke off.
@@ -88,13 +98,38 @@
         Self { socket, out: BytesMut::new(), written: false }
     }
 
-    /// Writes what was collected.
+    /// Begins the answer to a request.
+    pub(super) fn begin(&mut self) {
+        self.written = false;
+    }
+
+    /// Takes back what was collected of the answer, when nothing of it was written; returns whether that is so.
+    pub(super) fn rewind(&mut self) -> bool {
+        if !self.written {
+            self.out.clear();
+        }
+        !self.written
+    }
+
+    /// Writes what was collected. When this is given up in the middle, what is left stays collected, so that
+    /// the next message begins where this one ends.
     pub(super) async fn flush(&mut self) -> std::io::Result<()> {
-        self.written |= !self.out.is_empty();
-        self.socket.write_all(&self.out).await?;
-        self.socket.flush().await?;
-        self.out.clear();
-        Ok(())
+        while !self.out.is_empty() {
+            let len = self.socket.write(&self.out).await?;
+            if len == 0 {
+                return Err(std::io::ErrorKind::WriteZero.into());
+            }
+            self.written = true;
+            self.out.advance(len);
+        }
+        self.socket.flush().await
+    }
+
+    /// Gives back the memory that long answers took.
+    pub(super) fn shrink(&mut self) {
+        if self.out.is_empty() {
+            self.out = BytesMut::new();
+        }
     }
 
     async fn push(&mut self, message: &Message) -> Result<(), Broken> {
@@ -108,16 +143,16 @@
 
 /// Relays until the upstream is ready again. The `ReadyForQuery` itself is not relayed.
 pub(super) async fn relay(
+    clock: &Clock,
     connection: &mut Connection,
     exchange: &mut Exchange,
     writer: &mut Writer,
 ) -> Result<Finish, Broken> {
     let mut finish = Finish::default();
-    writer.written = false;
-    writer.out.clear();
     loop {
-        answer_own(&mut exchange.steps, &mut finish, writer).await?;
-        let message = match connection.client.receive().await {
+        answer_own(exchange, &mut finish, writer).await?;
+        let received = receive(clock, connection, exchange.patience.take()).await;
+        let message = match received {
             Ok(message) => message,
             Err(error) => return Err(Broken::Upstream { error, relayed: writer.written }),
         };
@@ -126,10 +161,17 @@
             return Ok(finish);
         }
         let asked = advance(exchange, connection, &message);
-        if message.tag == b'E' {
-            finish.failed = true;
+        match message.tag {
+            b'E' => finish.failed = true,
+            b'C' => finish.tag = tag(&message),
+            b'D' | b'T' => finish.rows = true,
+            b'G' | b'H' | b'W' => {
+                let error = Error::Protocol("COPY is not supported");
+                return Err(Broken::Upstream { error, relayed: writer.written });
+            }
+            _ => {}
         }
-        let acknowledges = exchange.hold && matches!(message.tag, b'C' | b'E');
+        let acknowledges = exchange.whole || exchange.hold && matches!(message.tag, b'C' | b'E');
         if !asked {
             continue;
         }
@@ -141,19 +183,36 @@
     }
 }
 
+async fn receive(
+    clock: &Clock,
+    connection: &mut Connection,
+    patience: Option<Duration>,
+) -> Result<Message, Error> {
+    let Some(patience) = patience else {
+        return connection.client.receive().await;
+    };
+    let received = clock.timeout(patience, connection.client.receive()).await;
+    received.unwrap_or(Err(Error::Timeout(patience)))
+}
+
+fn tag(message: &Message) -> String {
+    let text = message.body.strip_suffix(&[0]).unwrap_or(&message.body);
+    String::from_utf8_lossy(text).into_owned()
+}
+
 /// Answers the steps that the proxy answers itself, up to the next one of the upstream.
 async fn answer_own(
-    steps: &mut VecDeque<Step>,
+    exchange: &mut Exchange,
     finish: &mut Finish,
     writer: &mut Writer,
 ) -> Result<(), Broken> {
-    while let Some(Step::Answered(message)) = steps.front() {
-        if finish.held.is_empty() {
+    while let Some(Step::Answered(message)) = exchange.steps.front() {
+        if finish.held.is_empty() && !exchange.whole {
             writer.push(message).await?;
         } else {
             hold(&mut finish.held, message, writer.written)?;
         }
-        steps.pop_front();
+        exchange.steps.pop_front();
     }
     Ok(())
 }
--- a/src/proxy/route.rs
+++ b/src/proxy/route.rs
@@ -1,11 +1,17 @@
-//! Which instance serves a request.
+//! Which instance serves a read.
+
+use std::time::Duration;
 
 use super::floor::{Mark, Reach};
+use super::trail::Trail;
 use crate::clock::Instant;
 use crate::id;
 use crate::upstream::position::Status;
 use crate::wire::{Epoch, Replica, Trouble};
 
+/// How long a read waits for a replica that is about to reach its floor before the primary serves it.
+pub const WAIT: Duration = Duration::from_millis(15);
+
 /// What a proxy knows of one instance.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -17,65 +23,99 @@
     pub trouble: Trouble,
     /// Whether it is leaving.
     pub draining: bool,
-    /// How many of this proxy's connections to it are busy.
+    /// How many of this proxy's requests to it run or wait.
     pub busy: u32,
 }
 
+/// What a read asks of the instance that serves it.
+#[derive(Debug, Clone, Default)]
+pub struct Need {
+    /// What it must have reached.
+    pub mark: Mark,
+    /// How long the read has waited for a replica.
+    pub waited: Duration,
+    /// The instances that failed this read already.
+    pub failed: Vec<id::Instance>,
+}
+
 /// Where a read may go.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
     /// To this instance.
     Instance(id::Instance),
-    /// Nowhere yet: no replica has reached the floor, and the primary can't be used.
+    /// To none yet: a replica is about to reach the floor.
+    Wait,
+    /// Nowhere: no replica has reached the floor, and the primary can't be used.
     Nowhere,
     /// The floor names a write that was lost.
     Lost,
 }
 
-/// Chooses the instance for a read with the floor `mark`: a replica that has reached it, own domain first, then
-/// the least busy; else the primary.
+/// Chooses the instance for a read: a replica that has reached its floor, the least busy, where one in another
+/// domain counts as one request busier; a replica that is about to reach the floor; else the primary.
 pub fn read(
+    now: Instant,
     candidates: &[Candidate],
     epoch: &Epoch,
-    mark: Option<Mark>,
+    need: &Need,
+    trail: &Trail,
     domain: &id::Domain,
 ) -> Choice {
-    let mark = mark.unwrap_or_default();
-    let mut best: Option<(&Candidate, (bool, u32))> = None;
-    for candidate in candidates.iter().filter(|candidate| usable(candidate, epoch)) {
-        match reach(candidate, epoch, mark) {
-            Reach::Lost => return Choice::Lost,
-            Reach::Behind => continue,
-            Reach::Reached => {}
-        }
-        let cost = (candidate.replica.domain != *domain, candidate.busy);
-        if best.as_ref().is_none_or(|(_, least)| cost < *least) {
-            best = Some((candidate, cost));
-        }
+    if is_lost(need.mark, epoch) {
+        return Choice::Lost;
     }
-    if let Some((candidate, _)) = best {
-        return Choice::Instance(candidate.replica.instance.clone());
+    let usable = |candidate: &&Candidate| {
+        is_usable(candidate, epoch) && !need.failed.contains(&candidate.replica.instance)
+    };
+    let replicas = || candidates.iter().filter(usable);
+    let reached = replicas().filter(|candidate| has_reached(candidate, epoch, need.mark));
+    let cost = |candidate: &&Candidate| {
+        let far = candidate.replica.domain != *domain;
+        (candidate.busy + u32::from(far), far)
+    };
+    if let Some(best) = reached.min_by_key(cost) {
+        return Choice::Instance(best.replica.instance.clone());
     }
-    let primary = candidates.iter().find(|candidate| candidate.replica.instance == epoch.primary);
-    match primary {
-        Some(primary) if primary.trouble == Trouble::Fine && mark.term <= epoch.term => {
+    let soon = |candidate: &Candidate| {
+        let (_, status) = candidate.status?;
+        trail.lag(now, Mark { term: status.term, position: status.position })
+    };
+    let is_soon = |candidate| soon(candidate).is_some_and(|lag| lag < WAIT);
+    if need.waited < WAIT && replicas().any(is_soon) {
+        return Choice::Wait;
+    }
+    let is_primary = |candidate: &&Candidate| candidate.replica.instance == epoch.primary;
+    match candidates.iter().find(is_primary) {
+        Some(primary)
+            if primary.trouble == Trouble::Fine
+                && need.mark.term <= epoch.term
+                && !need.failed.contains(&epoch.primary) =>
+        {
             Choice::Instance(epoch.primary.clone())
         }
         _ => Choice::Nowhere,
     }
 }
 
-fn usable(candidate: &Candidate, epoch: &Epoch) -> bool {
+/// Tells whether a replica may serve at all: one on another term than the epoch may hold what was never
+/// acknowledged.
+fn is_usable(candidate: &Candidate, epoch: &Epoch) -> bool {
+    let on_term = candidate.status.is_some_and(|(_, status)| status.term == epoch.term);
     candidate.replica.instance != epoch.primary
         && candidate.trouble == Trouble::Fine
         && !candidate.draining
+        && on_term
 }
 
-fn reach(candidate: &Candidate, epoch: &Epoch, mark: Mark) -> Reach {
-    match &candidate.status {
-        Some((_, status)) => {
-            mark.reach(Mark { term: status.term, position: status.position }, epoch)
-        }
-        None => Reach::Behind,
-    }
+fn has_reached(candidate: &Candidate, epoch: &Epoch, mark: Mark) -> bool {
+    candidate.status.is_some_and(|(_, status)| {
+        let at = Mark { term: status.term, position: status.position };
+        mark.reach(at, epoch) == Reach::Reached
+    })
+}
+
+/// Tells whether a promotion left out what the mark names.
+fn is_lost(mark: Mark, epoch: &Epoch) -> bool {
+    let fork = epoch.forks.iter().find(|(term, _)| *term > mark.term && *term <= epoch.term);
+    fork.is_some_and(|(_, start)| mark.position > *start)
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,15 +2,21 @@
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use hyper::{Method, StatusCode};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, UdpSocket};
 
+use super::cancel::Registry;
+use super::class::Kinds;
 use super::fence::{Fence, Verdict};
 use super::pool::Pool;
+use super::retry::Budget;
 use super::route::Candidate;
-use super::{Error, caller, heartbeat, watch};
+use super::session::Directory;
+use super::shared::{Life, Traffic};
+use super::{Error, caller, heartbeat, peak, sweep, watch};
 use crate::admin::{self, Reply, Request};
 use crate::clock::{Clock, Instant};
 use crate::config::{self, Fleet};
@@ -20,6 +26,9 @@
 use crate::upstream::position::Status;
 use crate::wire::{Body, Epoch, Frame, Grant, Heartbeat, Replica, Role, Sighting, Trouble};
 
+/// How long the last outcomes of a shutdown may take to be read.
+const GRACE: Duration = Duration::from_secs(1);
+
 /// A running proxy.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -27,6 +36,12 @@
 }
 
 impl Server {
+    /// Ends serving: new sessions are refused, idle ones are told to go elsewhere, and what was begun may end,
+    /// for at most `limit`; what is left then gets its true outcome. Returns once all callers are gone.
+    pub async fn drain(&self, limit: Duration) {
+        self.shared.drain(limit, GRACE).await;
+    }
+
     /// Returns the revision of the configuration in force.
     pub fn revision(&self) -> id::Revision {
         self.shared.lock().revision
@@ -45,6 +60,11 @@
     pub(super) voters: Vec<config::Voter>,
     pub(super) nudged: Receiver<()>,
     nudge: Sender<()>,
+    pub(super) kinds: Kinds,
+    pub(super) budget: Budget,
+    pub(super) cancels: Arc<Registry>,
+    pub(super) sessions: Directory,
+    pub(super) traffic: Traffic,
     incarnation: id::Incarnation,
     settings: config::Proxy,
     state: Mutex<State>,
@@ -66,6 +86,7 @@
     /// When it last announced itself to this proxy; it may be known from control's table alone.
     announced: Option<Instant>,
     status: Option<(Instant, Status)>,
+    life: Life,
     trouble: Trouble,
     good: Instant,
     pool: Arc<Pool>,
@@ -94,10 +115,17 @@
         settings: proxy.clone(),
         state: Mutex::new(State::default()),
         metrics: Metrics::default(),
+        kinds: Kinds::default(),
+        budget: Budget::default(),
+        cancels: Arc::new(Registry::new(&settings.node)),
+        sessions: Directory::default(),
+        traffic: Traffic::default(),
         clock,
     });
     heartbeat::spawn(&shared, udp);
     smol::spawn(caller::accept(Arc::clone(&shared), listener)).detach();
+    smol::spawn(sweep::run(Arc::clone(&shared))).detach();
+    smol::spawn(peak::run(Arc::clone(&shared))).detach();
     smol::spawn(serve_admin(Arc::clone(&shared), admin)).detach();
     Ok(Server { shared })
 }
@@ -136,7 +164,7 @@
             revision: state.revision,
             sightings: state.instances.values().map(sighting).collect(),
             demand: Vec::new(),
-            draining: false,
+            draining: self.is_draining(),
         }
     }
 
@@ -154,6 +182,7 @@
         }
         if changed {
             self.share(&shares);
+            self.traffic.notify_all();
         }
         changed
     }
@@ -163,7 +192,8 @@
         for instance in state.instances.values() {
             let share = shares.iter().find(|(group, _)| *group == instance.replica.group);
             if let Some((_, share)) = share {
-                instance.pool.limit(*share);
+                let slots = state.slots(&instance.replica.group);
+                instance.pool.limit(slots, *share);
             }
         }
     }
@@ -188,7 +218,10 @@
             state.revision = revision;
             state.fleet = Arc::new(fleet);
         }
+        let shares = state.fence.table().shares.clone();
         drop(state);
+        self.share(&shares);
+        self.traffic.notify_all();
         self.nudge();
     }
 
@@ -205,17 +238,19 @@
         }
         let share = state.fence.table().shares.iter().find(|(group, _)| *group == replica.group);
         let limit = share.map_or(1, |(_, share)| *share);
+        let slots = state.slots(&replica.group);
         let pool = Pool::new(
             self.clock.clone(),
             replica.clone(),
             self.user.clone(),
             self.application.clone(),
-            limit,
         );
+        pool.limit(slots, limit);
         let instance = Instance {
             replica: replica.clone(),
             announced,
             status: None,
+            life: Life::default(),
             trouble: Trouble::Silent,
             good: now,
             pool: Arc::new(pool),
@@ -262,7 +297,12 @@
         }
         let changed = known.trouble != trouble;
         known.trouble = trouble;
+        let group = known.replica.group.clone();
         drop(state);
+        if let Ok((at, status)) = seen {
+            self.trace(&group, instance, at, status);
+        }
+        self.traffic.notify(&group);
         if changed {
             log::info!("{instance} is {trouble:?}");
             match trouble {
@@ -312,7 +352,7 @@
             let epoch = state.fence.epoch(&known.replica.group);
             let primary = epoch.is_some_and(|epoch| epoch.primary == known.replica.instance);
             let (_, open, busy) = &mut counts[usize::from(!primary)];
-            *open += known.pool.open();
+            *open += known.pool.open_count();
             *busy += known.pool.busy();
         }
         for (role, open, busy) in counts {
@@ -320,12 +360,73 @@
         }
     }
 
+    /// Notes that a new status connection to an instance is open.
+    pub(super) fn begin_life(&self, instance: &id::Instance) {
+        let now = self.clock.now();
+        if let Some(known) = self.lock().instances.get_mut(instance) {
+            known.life.since = now;
+        }
+    }
+
+    /// Returns the last status of an instance and when it was asked for.
+    pub(super) fn status(&self, instance: &id::Instance) -> Option<(Instant, Status)> {
+        self.lock().instances.get(instance).and_then(|known| known.status)
+    }
+
+    /// Returns the last status of an instance and since when its connection has been open.
+    pub(super) fn life(&self, instance: &id::Instance) -> Option<(Instant, Status)> {
+        let state = self.lock();
+        let known = state.instances.get(instance)?;
+        known.status.map(|(_, status)| (known.life.since, status))
+    }
+
+    /// Has all instances of a group asked where they stand.
+    pub(super) fn ask(&self, group: &id::Group) {
+        let state = self.lock();
+        for known in state.instances.values().filter(|known| known.replica.group == *group) {
+            known.life.ask();
+        }
+    }
+
+    /// Has an instance asked where it stands.
+    pub(super) fn ask_one(&self, instance: &id::Instance) {
+        if let Some(known) = self.lock().instances.get(instance) {
+            known.life.ask();
+        }
+    }
+
+    /// Returns what tells that an instance is to be asked.
+    pub(super) fn asked(&self, instance: &id::Instance) -> Option<Receiver<()>> {
+        self.lock().instances.get(instance).map(|known| known.life.asked())
+    }
+
+    /// Returns all pools with their groups.
+    pub(super) fn pools(&self) -> Vec<(Arc<Pool>, id::Group)> {
+        let state = self.lock();
+        let instances = state.instances.values();
+        instances.map(|known| (Arc::clone(&known.pool), known.replica.group.clone())).collect()
+    }
+
+    /// Returns the confirmed peaks of a group: when each begins and how long it lasts, in seconds.
+    pub(super) fn peaks(&self, group: &id::Group) -> Vec<(u64, u64)> {
+        let state = self.lock();
+        let peaks = state.fence.table().peaks.iter().filter(|peak| peak.group == *group);
+        peaks.map(|peak| (peak.at_ms / 1_000, peak.lasts_ms / 1_000)).collect()
+    }
+
     /// Returns the pool of an instance.
     pub(super) fn pool(&self, instance: &id::Instance) -> Option<Arc<Pool>> {
         self.lock().instances.get(instance).map(|known| Arc::clone(&known.pool))
     }
 }
 
+impl State {
+    /// Returns how many slots each instance of a group has.
+    fn slots(&self, group: &id::Group) -> u32 {
+        self.fleet.group.get(group).map_or(1, |group| group.slots)
+    }
+}
+
 async fn serve_admin(shared: Arc<Shared>, listener: TcpListener) {
     let handle = move |request| {
         let shared = Arc::clone(&shared);
--- /dev/null
+++ b/src/proxy/shared.rs
@@ -0,0 +1,241 @@
+//! What the tasks of the request path share: positions and who waits for them, sessions, and the drain.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use event_listener::{Event, EventListener};
+use smol::channel::{Receiver, Sender, bounded};
+
+use super::fence::Verdict;
+use super::floor::Mark;
+use super::route::{self, Choice, Need};
+use super::server::Shared;
+use super::trail::Trail;
+use crate::clock::Instant;
+use crate::id;
+use crate::upstream::position::Status;
+use crate::wire::Epoch;
+
+/// The shortest time between two questions to one instance, however many wait for the answer.
+const ASK_GAP: Duration = Duration::from_micros(500);
+
+/// How far a proxy's shutdown has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(u8)]
+enum Stage {
+    Draining = 1,
+    Ended = 2,
+}
+
+/// What the request path shares.
+#[derive(Debug, Default)]
+pub(super) struct Traffic {
+    callers: AtomicUsize,
+    numbers: AtomicU64,
+    stage: AtomicU8,
+    staged: Event,
+    left: Event,
+    groups: Mutex<BTreeMap<id::Group, Arc<Group>>>,
+}
+
+/// What the requests of one group share.
+#[derive(Debug, Default)]
+struct Group {
+    changed: Event,
+    trail: Mutex<Trail>,
+    /// Whether the table of `once` keys is known to be there.
+    keys: AtomicBool,
+}
+
+/// What one life of an instance's status connection says.
+#[derive(Debug)]
+pub(super) struct Life {
+    /// Since when the connection has been open.
+    pub(super) since: Instant,
+    ask: Sender<()>,
+    asked: Receiver<()>,
+}
+
+/// A caller that is being served; it has left when this is dropped.
+pub(super) struct Served {
+    shared: Arc<Shared>,
+}
+
+impl Default for Life {
+    fn default() -> Self {
+        let (ask, asked) = bounded(1);
+        Self { since: Instant::default(), ask, asked }
+    }
+}
+
+impl Life {
+    /// Has the instance asked at once; returns whether nobody had asked yet.
+    pub(super) fn ask(&self) -> bool {
+        self.ask.try_send(()).is_ok()
+    }
+
+    pub(super) fn asked(&self) -> Receiver<()> {
+        self.asked.clone()
+    }
+}
+
+impl Drop for Served {
+    fn drop(&mut self) {
+        self.shared.metrics.caller_left();
+        self.shared.traffic.callers.fetch_sub(1, Ordering::Relaxed);
+        self.shared.traffic.left.notify(usize::MAX);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("nothing panics while it holds the lock")
+}
+
+impl Traffic {
+    fn group(&self, name: &id::Group) -> Arc<Group> {
+        let mut groups = lock(&self.groups);
+        if let Some(group) = groups.get(name) {
+            return Arc::clone(group);
+        }
+        Arc::clone(groups.entry(name.clone()).or_default())
+    }
+
+    /// Tells those that wait that something changed in every group.
+    pub(super) fn notify_all(&self) {
+        for group in lock(&self.groups).values() {
+            group.changed.notify(usize::MAX);
+        }
+    }
+
+    /// Tells those that wait that something changed in the group.
+    pub(super) fn notify(&self, name: &id::Group) {
+        self.group(name).changed.notify(usize::MAX);
+    }
+
+    /// Notes where a group's primary stood when it was asked under a valid lease.
+    pub(super) fn note(&self, name: &id::Group, asked: Instant, mark: Mark) {
+        lock(&self.group(name).trail).note(asked, mark);
+    }
+
+    fn is_past(&self, stage: Stage) -> bool {
+        self.stage.load(Ordering::SeqCst) >= stage as u8
+    }
+
+    async fn reached(&self, stage: Stage) {
+        while !self.is_past(stage) {
+            let staged = self.staged.listen();
+            if self.is_past(stage) {
+                return;
+            }
+            staged.await;
+        }
+    }
+
+    fn reach(&self, stage: Stage) {
+        self.stage.fetch_max(stage as u8, Ordering::SeqCst);
+        self.staged.notify(usize::MAX);
+    }
+}
+
+impl Shared {
+    /// Counts a caller for as long as what is returned lives.
+    pub(super) fn serving(self: &Arc<Self>) -> Served {
+        self.metrics.caller_came();
+        self.traffic.callers.fetch_add(1, Ordering::Relaxed);
+        Served { shared: Arc::clone(self) }
+    }
+
+    /// Numbers a caller.
+    pub(super) fn number(&self) -> u64 {
+        self.traffic.numbers.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns a future that ends when something changes in the group: a position, the table, an instance.
+    pub(super) fn changed(&self, group: &id::Group) -> EventListener {
+        self.traffic.group(group).changed.listen()
+    }
+
+    /// Returns what an instance must have reached so that its data is at most `age` old.
+    pub(super) fn proof(&self, group: &id::Group, now: Instant, age: Duration) -> Option<Mark> {
+        lock(&self.traffic.group(group).trail).proof(now, age)
+    }
+
+    /// Chooses the instance for a read.
+    pub(super) fn route(&self, group: &id::Group, epoch: &Epoch, need: &Need) -> Choice {
+        let candidates = self.candidates(group);
+        let shared = self.traffic.group(group);
+        let trail = lock(&shared.trail);
+        route::read(self.clock.now(), &candidates, epoch, need, &trail, &self.domain)
+    }
+
+    /// Notes a status of a primary on the group's trail, when the lease covers the moment.
+    pub(super) fn trace(&self, group: &id::Group, instance: &id::Instance, at: Instant, s: Status) {
+        let Some(epoch) = self.epoch(group) else {
+            return;
+        };
+        let current = epoch.primary == *instance && epoch.term == s.term;
+        if current && self.verdict(group, s.term) == Verdict::Release {
+            self.traffic.note(group, at, Mark { term: s.term, position: s.position });
+        }
+    }
+
+    /// Waits until an instance is to be asked again: when somebody asks for it, or after `interval`.
+    pub(super) async fn pause(&self, instance: &id::Instance, interval: Duration) {
+        let Some(asked) = self.asked(instance) else {
+            return self.clock.sleep(interval).await;
+        };
+        self.clock.sleep(ASK_GAP).await;
+        self.clock.timeout(interval.saturating_sub(ASK_GAP), asked.recv()).await;
+    }
+
+    /// Tells whether the table of `once` keys is known to be there.
+    pub(super) fn has_keys(&self, group: &id::Group) -> bool {
+        self.traffic.group(group).keys.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn with_keys(&self, group: &id::Group) {
+        self.traffic.group(group).keys.store(true, Ordering::Relaxed);
+    }
+
+    pub(super) fn without_keys(&self, group: &id::Group) {
+        self.traffic.group(group).keys.store(false, Ordering::Relaxed);
+    }
+
+    /// Tells whether the proxy is shutting down.
+    pub(super) fn is_draining(&self) -> bool {
+        self.traffic.is_past(Stage::Draining)
+    }
+
+    /// Ends when the proxy begins to shut down.
+    pub(super) async fn drained(&self) {
+        self.traffic.reached(Stage::Draining).await;
+    }
+
+    /// Ends when the time to shut down in is over.
+    pub(super) async fn ended(&self) {
+        self.traffic.reached(Stage::Ended).await;
+    }
+
+    /// Lets callers end what they have begun, for at most `limit`; then what is left gets its true outcome.
+    /// Returns once the callers are gone, or `grace` later.
+    pub(super) async fn drain(&self, limit: Duration, grace: Duration) {
+        self.traffic.reach(Stage::Draining);
+        self.nudge();
+        if self.clock.timeout(limit, self.gone()).await.is_none() {
+            self.traffic.reach(Stage::Ended);
+            self.clock.timeout(grace, self.gone()).await;
+        }
+    }
+
+    async fn gone(&self) {
+        loop {
+            let left = self.traffic.left.listen();
+            if self.traffic.callers.load(Ordering::Relaxed) == 0 {
+                return;
+            }
+            left.await;
+        }
+    }
+}
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -26,7 +26,7 @@
         match ask(&shared, &replica, &mut client).await {
             Ok(status) => {
                 shared.saw(&replica.instance, sent, Ok(status));
-                shared.clock.sleep(INTERVAL).await;
+                shared.pause(&replica.instance, INTERVAL).await;
             }
             Err(error) => {
                 client = None;
@@ -45,7 +45,11 @@
 ) -> Result<(Instant, Status), Error> {
     let open = match client {
         Some(open) => open,
-        None => client.insert(connect(shared, replica).await?),
+        None => {
+            let open = connect(shared, replica).await?;
+            shared.begin_life(&replica.instance);
+            client.insert(open)
+        }
     };
     let sent = shared.clock.now();
     let rows = open.query(&shared.clock, QUERY, TIMEOUT).await?;
