--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -1,6 +1,7 @@
 //! The commands that run a process, and the one that checks its files.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use anyhow::Context;
 use async_signal::{Signal, Signals};
@@ -12,6 +13,9 @@
 use crate::config::{Fleet, Node};
 use crate::{control, proxy};
 
+/// How long a proxy that ends waits for the requests and transactions in flight.
+const DRAIN: Duration = Duration::from_secs(30);
+
 /// `cactushatch proxy`.
 pub(super) fn proxy(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
@@ -19,8 +23,18 @@
     smol::block_on(async {
         let server = proxy::spawn(Clock::system(), &settings).await?;
         log::info!("proxy {} serves callers, revision {}", settings.node, server.revision());
-        ended().await?;
-        Ok(Exit::Success)
+        let mut signals = signals()?;
+        ended(&mut signals).await?;
+        let again = async {
+            ended(&mut signals).await?;
+            log::warn!("a second signal ends the process at once");
+            Ok(Exit::Success)
+        };
+        let drained = async {
+            server.drain(DRAIN).await;
+            Ok(Exit::Success)
+        };
+        smol::future::or(drained, again).await
     })
 }
 
@@ -31,14 +45,17 @@
     smol::block_on(async {
         let _server = control::spawn(Clock::system(), &settings).await?;
         log::info!("control {} takes part", settings.node);
-        ended().await?;
+        ended(&mut signals()?).await?;
         Ok(Exit::Success)
     })
 }
 
+fn signals() -> anyhow::Result<Signals> {
+    Ok(Signals::new([Signal::Term, Signal::Int])?)
+}
+
 /// Waits for a signal that asks the process to end.
-async fn ended() -> anyhow::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+async fn ended(signals: &mut Signals) -> anyhow::Result<()> {
     let signal = signals.next().await.transpose()?;
     log::info!("the process ends by {signal:?}");
     Ok(())
