Report service-level burn from what proxies keep

Nobody could tell what was spent of an objective, or by what. Proxies keep buckets of a minute (hours once a day has passed) for 30 days, in a bounded file with checksums where there is a disk; the report adds up the buckets of all proxies: budgets, burn rates over 5 m to 3 d, alerts that need a long and a short window, spenders by class, instance and cause, failover gaps against the objective. cactushatch report prints it as text, JSON, SVG or one HTML page. The failover gap is counted as a metric too.

--- a/src/cli/ask.rs
+++ b/src/cli/ask.rs
@@ -51,6 +51,19 @@
     Err(Stop::Unreachable(last).into())
 }
 
+/// Asks one process for `path`.
+pub(super) fn one<T: DeserializeOwned>(
+    client: &Client,
+    address: SocketAddr,
+    path: &str,
+) -> anyhow::Result<T> {
+    match smol::block_on(client.get(address, path)) {
+        Ok(body) => Ok(serde_json::from_slice(&body)?),
+        Err(admin::Error::Refused { message, .. }) => Err(Stop::Refused(message).into()),
+        Err(error) => Err(Stop::Unreachable(format!("{address}: {error}")).into()),
+    }
+}
+
 /// Sends an order; since a command has an id, another process may be asked when an answer is lost.
 pub(super) fn post<T: DeserializeOwned>(
     matches: &ArgMatches,
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -27,6 +27,7 @@
         .subcommand(undrain())
         .subcommand(peak())
         .subcommand(member())
+        .subcommand(report())
         .subcommand(secret())
         .subcommand(completions())
         .subcommand(man())
@@ -190,6 +191,29 @@
         )
 }
 
+fn report() -> Command {
+    let proxy = Arg::new("proxy")
+        .long("proxy")
+        .value_name("ADDRESS")
+        .required(true)
+        .action(ArgAction::Append)
+        .env("CACTUSHATCH_PROXIES")
+        .value_delimiter(',')
+        .value_parser(value_parser!(SocketAddr))
+        .help("The admin address of a proxy; all proxies make the whole report");
+    let file = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_name("FILE").value_parser(value_parser!(PathBuf)).help(help)
+    };
+    Command::new("report")
+        .about("Show what was spent of the objectives' budgets, how fast, and by what")
+        .args([proxy, token(), json()])
+        .arg(file("svg", "Write a picture of the last day as well"))
+        .arg(file("html", "Write a page with the picture and the text as well"))
+        .after_help(
+            "Example:\n  cactushatch report --proxy 10.0.0.20:7001,10.0.1.20:7001 --html burn.html",
+        )
+}
+
 fn secret() -> Command {
     let name = || Arg::new("name").value_name("NAME").required(true).help("Whose it is");
     let number = Arg::new("number")
@@ -253,6 +277,19 @@
         .after_help("Example:\n  cactushatch man --dir /usr/local/share/man/man1")
 }
 
+fn token() -> Arg {
+    Arg::new("token")
+        .long("token")
+        .value_name("FILE")
+        .env("CACTUSHATCH_TOKEN")
+        .value_parser(value_parser!(PathBuf))
+        .help("The file with the operator's token")
+}
+
+fn json() -> Arg {
+    Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON for programs")
+}
+
 /// A command that asks a running control process.
 pub(super) fn online(name: &'static str, about: &'static str) -> Command {
     let admin = Arg::new("admin")
@@ -264,15 +301,7 @@
         .value_delimiter(',')
         .value_parser(value_parser!(SocketAddr))
         .help("The admin address of a control process; several are tried in turn");
-    let token = Arg::new("token")
-        .long("token")
-        .value_name("FILE")
-        .env("CACTUSHATCH_TOKEN")
-        .value_parser(value_parser!(PathBuf))
-        .help("The file with the operator's token");
-    let json =
-        Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print JSON for programs");
-    Command::new(name).about(about).args([admin, token, json])
+    Command::new(name).about(about).args([admin, token(), json()])
 }
 
 /// A command that orders something of control.
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod online;
 mod paint;
 mod process;
+mod report;
 mod secret;
 
 use std::path::Path;
@@ -34,6 +35,7 @@
         Some(("undrain", matches)) => online::undrain(matches),
         Some(("peak", matches)) => online::peak(matches),
         Some(("member", matches)) => online::member(matches),
+        Some(("report", matches)) => report::run(matches),
         Some(("secret", matches)) => secret::run(matches),
         Some(("completions", matches)) => generate::completions(matches),
         Some(("man", matches)) => generate::man(matches),
--- /dev/null
+++ b/src/cli/report.rs
@@ -0,0 +1,60 @@
+//! `cactushatch report`: collects from proxies and shows what was spent of the objectives' budgets.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use anyhow::Context;
+use clap::ArgMatches;
+
+use super::{Exit, ask};
+use crate::proxy::Account;
+use crate::report::burn::{self, Minute, Report};
+
+/// `cactushatch report`.
+pub(super) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
+    let report = collect(matches)?;
+    if let Some(path) = matches.get_one::<PathBuf>("svg") {
+        write(path, &burn::svg(&report)?)?;
+    }
+    if let Some(path) = matches.get_one::<PathBuf>("html") {
+        write(path, &burn::html(&report)?)?;
+    }
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+    } else {
+        print!("{}", burn::text(&report));
+    }
+    Ok(Exit::Success)
+}
+
+fn collect(matches: &ArgMatches) -> anyhow::Result<Report> {
+    let client = ask::client(matches)?;
+    let mut accounts: Vec<Account> = Vec::new();
+    let mut missing = Vec::new();
+    let mut last = None;
+    for address in matches.get_many::<SocketAddr>("proxy").unwrap_or_default() {
+        match ask::one(&client, *address, "/burn") {
+            Ok(account) => accounts.push(account),
+            Err(error) => {
+                missing.push(address.to_string());
+                last = Some(error);
+            }
+        }
+    }
+    match last {
+        Some(error) if accounts.is_empty() => return Err(error),
+        _ => {}
+    }
+    let now = accounts.iter().map(|account| account.now).max().unwrap_or(Minute::default());
+    let mut objectives = BTreeMap::new();
+    for account in &accounts {
+        objectives.extend(account.objectives.clone());
+    }
+    let buckets: Vec<_> = accounts.into_iter().map(|account| account.buckets).collect();
+    Ok(Report::of(now, &objectives, &buckets, missing))
+}
+
+fn write(path: &PathBuf, content: &str) -> anyhow::Result<()> {
+    std::fs::write(path, content).with_context(|| format!("{} can't be written", path.display()))
+}
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use super::{Daytime, Error, Share, Span, read};
 use crate::id;
 
@@ -26,7 +28,7 @@
 }
 
 /// What a class is held to over the budget's window; `docs/operators/burn.md` says how it is counted.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Objective {
     /// The share of requests that is answered within the deadline.
     pub answered: Share,
--- a/src/proxy/caller/read.rs
+++ b/src/proxy/caller/read.rs
@@ -187,6 +187,7 @@
         match self.exchange_on(&mut loan, &mut exchange, Effect::None).await {
             Ok(finish) => {
                 self.shared.metrics.read(if primary { Target::Primary } else { Target::Replica });
+                self.shared.keep_read(&request.class, !primary);
                 let at = self.shared.clock.now();
                 self.seen = Some(Seen { instance: instance.clone(), at });
                 self.keep(loan, &finish, epoch.term, false);
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,6 +3,8 @@
 //! Data flows one way: frame, request, class, route, connection, answer, outcome. See `docs/DESIGN.md`,
 //! "The request path".
 
+mod account;
+mod admin;
 pub mod admission;
 mod batch;
 mod caller;
@@ -11,6 +13,7 @@
 mod door;
 pub mod fence;
 pub mod floor;
+pub mod gap;
 mod heartbeat;
 pub mod outcome;
 pub mod peak;
@@ -27,6 +30,7 @@
 pub mod trail;
 mod watch;
 
+pub use account::Account;
 pub use server::{Server, spawn};
 
 /// Why a proxy can't run.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -4,26 +4,26 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use hyper::{Method, StatusCode};
 use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, UdpSocket};
 
 use super::cancel::Registry;
 use super::class::Kinds;
 use super::fence::{Fence, Verdict};
+use super::gap::Gaps;
 use super::pool::Pool;
 use super::retry::Budget;
 use super::route::Candidate;
 use super::session::Directory;
 use super::shared::{Life, Traffic};
 use super::{Error, caller, heartbeat, peak, sweep, watch};
-use crate::admin::{self, Reply, Request};
 use crate::clock::{Clock, Instant};
 use crate::config::{self, Fleet};
 use crate::id;
+use crate::report::burn::{History, Minute};
 use crate::report::{Failure, Metrics};
 use crate::security::Guard;
-use crate::upstream::announcement::{self, Announcement};
+use crate::upstream::announcement;
 use crate::upstream::position::Status;
 use crate::wire::{Body, Demand, Epoch, Frame, Grant, Heartbeat, Replica, Role, Sighting, Trouble};
 
@@ -43,6 +43,11 @@
         self.shared.drain(limit, GRACE).await;
     }
 
+    /// Returns the handle to a running proxy.
+    pub(super) fn of(shared: &Arc<Shared>) -> Self {
+        Self { shared: Arc::clone(shared) }
+    }
+
     /// Returns the revision of the configuration in force.
     pub fn revision(&self) -> id::Revision {
         self.shared.lock().revision
@@ -55,6 +60,7 @@
     pub(super) clock: Clock,
     pub(super) metrics: Metrics,
     pub(super) guard: Guard,
+    pub(super) history: History,
     pub(super) node: id::Node,
     pub(super) domain: id::Domain,
     pub(super) user: String,
@@ -76,6 +82,7 @@
 #[derive(Debug, Default)]
 struct State {
     fence: Fence,
+    gaps: Gaps,
     fleet: Arc<Fleet>,
     revision: id::Revision,
     fetching: bool,
@@ -113,6 +120,7 @@
 pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
     let proxy = settings.proxy.as_ref().ok_or(Error::NotProxy)?;
     let guard = Guard::open(&settings.security)?;
+    let history = History::open(settings.data.as_deref(), settings.history, Minute::now())?;
     let listener = TcpListener::bind(proxy.listen).await?;
     let admin = TcpListener::bind(proxy.admin).await?;
     let udp = UdpSocket::bind(proxy.address).await?;
@@ -131,6 +139,7 @@
         state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
         metrics: Metrics::default(),
         guard,
+        history,
         kinds: Kinds::default(),
         budget: Budget::default(),
         cancels: Arc::new(Registry::new(&settings.node)),
@@ -143,7 +152,7 @@
     smol::spawn(caller::accept(Arc::clone(&shared), listener)).detach();
     smol::spawn(sweep::run(Arc::clone(&shared))).detach();
     smol::spawn(peak::run(Arc::clone(&shared))).detach();
-    smol::spawn(serve_admin(Arc::clone(&shared), admin)).detach();
+    smol::spawn(super::admin::serve(Arc::clone(&shared), admin)).detach();
     Ok(Server { shared })
 }
 
@@ -153,6 +162,28 @@
     id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
 }
 
+impl State {
+    /// Takes a grant into the fence; `gap` gets each failover that ended with it. Returns whether what is in force changed.
+    fn step(&mut self, now: Instant, grant: Grant, gap: impl Fn(id::Instance, Duration)) -> bool {
+        let routes = grant.delta.iter().flat_map(|delta| &delta.routes);
+        let groups: Vec<id::Group> = routes.map(|route| route.group.clone()).collect();
+        let before: Vec<Option<Epoch>> =
+            groups.iter().map(|group| self.fence.epoch(group).cloned()).collect();
+        let changed = self.fence.step(grant);
+        for (group, before) in groups.iter().zip(before) {
+            let Some(after) = self.fence.epoch(group) else {
+                continue;
+            };
+            let primary = before.as_ref().and_then(|epoch| self.instances.get(&epoch.primary));
+            let answered = primary.map(|instance| instance.good);
+            if let Some((primary, time)) = self.gaps.step(now, before.as_ref(), after, answered) {
+                gap(primary, time);
+            }
+        }
+        changed
+    }
+}
+
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("nothing panics while it holds the lock")
@@ -193,7 +224,7 @@
             let now = self.clock.now();
             let mut state = self.lock();
             self.metrics.stamp(grant.stamp);
-            let mut changed = state.fence.step(grant);
+            let mut changed = state.step(now, grant, |primary, gap| self.keep_gap(primary, gap));
             if state.lapsed && state.fence.leased(now) {
                 state.lapsed = false;
                 changed = true;
@@ -250,7 +281,7 @@
     }
 
     /// Learns of an instance, by its own announcement or from control, and starts to watch a new one.
-    fn learn(self: &Arc<Self>, replica: Replica, announced: Option<Instant>) {
+    pub(super) fn learn(self: &Arc<Self>, replica: Replica, announced: Option<Instant>) {
         let now = self.clock.now();
         let mut state = self.lock();
         let known = state.instances.get_mut(&replica.instance);
@@ -375,7 +406,7 @@
     }
 
     /// Sets the gauges of open and busy connections.
-    fn count_connections(&self) {
+    pub(super) fn count_connections(&self) {
         let state = self.lock();
         let mut counts = [(Role::Primary, 0, 0), (Role::Replica, 0, 0)];
         for known in state.instances.values() {
@@ -525,31 +556,3 @@
         self.fleet.group.get(group).map_or(1, |group| group.slots)
     }
 }
-
-async fn serve_admin(shared: Arc<Shared>, listener: TcpListener) {
-    let handle = move |request| {
-        let shared = Arc::clone(&shared);
-        async move { answer(&shared, &request) }
-    };
-    if let Err(error) = admin::serve(listener, handle).await {
-        log::error!("operators can't be served any more: {error}");
-    }
-}
-
-fn answer(shared: &Arc<Shared>, request: &Request) -> Reply {
-    match (&request.method, request.path.as_str()) {
-        (&Method::POST, "/announce") => match serde_json::from_slice(&request.body) {
-            Ok(Announcement { replica, .. }) => {
-                shared.learn(replica, Some(shared.clock.now()));
-                Reply::json(&())
-            }
-            Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
-        },
-        (&Method::GET, "/metrics") => {
-            shared.count_connections();
-            Reply::metrics(shared.metrics.encode())
-        }
-        (&Method::GET, "/revision") => Reply::json(&shared.lock().revision),
-        _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
-    }
-}
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Metrics are counted first and logged only when a state changes. See `docs/DESIGN.md`, "Metrics".
 
+pub mod burn;
 mod label;
 mod metrics;
 
