--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -207,7 +207,7 @@
     Command::new("report")
         .about("Show what was spent of the objectives' budgets, how fast, and by what")
         .args([proxy, token(), json()])
-        .arg(file("svg", "Write a picture of the last day as well"))
+        .arg(file("svg", "Write a picture of the burn rates as well"))
         .arg(file("html", "Write a page with the picture and the text as well"))
         .after_help(
             "Example:\n  cactushatch report --proxy 10.0.0.20:7001,10.0.1.20:7001 --html burn.html",
