--- /dev/null
+++ b/src/control/core.rs
@@ -0,0 +1,205 @@
+//! Everything that decides, under one lock that is never held over an `await`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use smol::channel::Sender;
+
+use super::failover::Output as Decision;
+use super::leader::Leader;
+use super::member::{self, Heard};
+use super::raft::{Bootstrap, Entry, Last, Message, Output, Raft, Snapshot};
+use super::state::{Action, Command, State};
+use crate::clock::Instant;
+use crate::config;
+use crate::id;
+use crate::wire::{Answer, Frame, Grant, Heartbeat, Stamp};
+
+/// After how many entries the log is compacted; it bounds what a restart reads.
+const COMPACT_ENTRIES: u64 = 512;
+
+/// The machines of a control process.
+#[derive(Debug)]
+pub(super) struct Core {
+    pub(super) raft: Raft,
+    pub(super) state: State,
+    pub(super) fleet: config::Fleet,
+    pub(super) leader: Leader,
+    pub(super) heard: Heard,
+    pub(super) bootstrap: Bootstrap,
+    /// Why this process takes no part any more.
+    pub(super) stopped: Option<String>,
+    applied: Last,
+    compacted: id::Index,
+    waiters: BTreeMap<id::Index, (id::Term, Sender<Answer>)>,
+    registering: BTreeSet<(id::Node, id::Incarnation)>,
+    changing: Option<id::Index>,
+}
+
+impl Core {
+    pub(super) fn new(raft: Raft, bootstrap: Bootstrap, snapshot: Option<&Snapshot>) -> Self {
+        let mut core = Self {
+            raft,
+            state: State::default(),
+            fleet: config::Fleet::default(),
+            leader: Leader::default(),
+            heard: Heard::default(),
+            bootstrap,
+            stopped: None,
+            applied: Last::default(),
+            compacted: id::Index(0),
+            waiters: BTreeMap::new(),
+            registering: BTreeSet::new(),
+            changing: None,
+        };
+        if let Some(snapshot) = snapshot {
+            core.restore(snapshot);
+        }
+        core
+    }
+
+    pub(super) fn stamp(&self) -> Stamp {
+        Stamp { term: self.raft.term(), index: self.applied.1 }
+    }
+
+    /// Tells whether this process may speak for control.
+    pub(super) fn leads(&self, now: Instant) -> bool {
+        self.stopped.is_none() && self.raft.leads(now)
+    }
+
+    /// Takes what the machine says about the log, and leaves what is for the edges.
+    pub(super) fn take(&mut self, now: Instant, output: &Output) {
+        match output {
+            Output::Committed(entries) => entries.iter().for_each(|entry| self.apply(entry)),
+            Output::Restore(snapshot) => self.restore(snapshot),
+            Output::BecameLeader => {
+                log::info!("this voter leads term {}", self.raft.term());
+                self.begin(now);
+            }
+            Output::SteppedDown => {
+                log::info!("this voter leads no more");
+                self.begin(now);
+                for (_, (_, waiter)) in std::mem::take(&mut self.waiters) {
+                    let _ = waiter.try_send(Answer::Unknown);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn begin(&mut self, now: Instant) {
+        self.leader.elected(now, &self.state);
+        self.leader.refresh(&self.state, &self.fleet);
+        self.registering.clear();
+        self.changing = None;
+    }
+
+    /// Answers `waiter` once the entry that was proposed is applied.
+    pub(super) fn wait(&mut self, (term, index): Last, waiter: Sender<Answer>) {
+        self.waiters.insert(index, (term, waiter));
+    }
+
+    fn apply(&mut self, entry: &Entry) {
+        let outcome = self.state.apply(&entry.command);
+        self.applied = (entry.term, entry.index);
+        if let Some((term, waiter)) = self.waiters.remove(&entry.index) {
+            let same = term == entry.term;
+            let _ = waiter.try_send(if same { Answer::Applied(outcome) } else { Answer::Unknown });
+        }
+        if let Action::Register { node, incarnation, .. } = &entry.command.action {
+            self.registering.remove(&(node.clone(), *incarnation));
+        }
+        self.changing = self.changing.filter(|index| *index > entry.index);
+        if matches!(entry.command.action, Action::Confirm { .. }) {
+            self.configure();
+        }
+        if self.raft.is_leader() {
+            self.leader.refresh(&self.state, &self.fleet);
+        }
+    }
+
+    fn configure(&mut self) {
+        match config::Fleet::parse("declarations", &self.state.text) {
+            Ok(fleet) => self.fleet = fleet,
+            Err(error) => log::error!("the declarations in force are not valid: {error}"),
+        }
+    }
+
+    fn restore(&mut self, snapshot: &Snapshot) {
+        if !snapshot.state.is_empty() {
+            match postcard::from_bytes(&snapshot.state) {
+                Ok(state) => self.state = state,
+                Err(error) => {
+                    self.stopped = Some(format!("a snapshot can't be read: {error}"));
+                    return;
+                }
+            }
+        }
+        self.applied = snapshot.last;
+        self.compacted = snapshot.last.1;
+        self.configure();
+    }
+
+    /// Returns the encoded state when the log has grown enough since the last snapshot.
+    pub(super) fn compaction(&mut self) -> Option<(id::Index, Vec<u8>)> {
+        if self.applied.1.0 < self.compacted.0 + COMPACT_ENTRIES {
+            return None;
+        }
+        let state = postcard::to_stdvec(&self.state).ok()?;
+        self.compacted = self.applied.1;
+        Some((self.applied.1, state))
+    }
+
+    /// Hears a blank process, or one that answers a blank one. Returns the first members once they are known.
+    pub(super) fn hello(
+        &mut self,
+        from: &super::raft::Peer,
+        members: Option<super::raft::Members>,
+    ) -> (Option<super::raft::Members>, Option<Message>) {
+        if self.raft.is_blank() {
+            return (self.bootstrap.hear(from, members), None);
+        }
+        if members.is_some() {
+            return (None, None);
+        }
+        self.heard.blank.insert(from.node.clone(), from.incarnation);
+        (None, Some(Message::Hello { members: Some(self.raft.members().clone()) }))
+    }
+
+    /// Takes a heartbeat and makes the answer; an unknown proxy is registered first.
+    pub(super) fn heartbeat(
+        &mut self,
+        now: Instant,
+        frame: &Frame,
+        heartbeat: &Heartbeat,
+    ) -> (Option<Grant>, Option<Command>) {
+        let known = self.state.nodes.get(&frame.sender).map(|(incarnation, _)| *incarnation);
+        if known > Some(frame.incarnation) {
+            return (None, None);
+        }
+        if known == Some(frame.incarnation) {
+            let decided = (&self.state, &self.fleet, self.stamp());
+            return (Some(self.leader.heartbeat(now, &frame.sender, heartbeat, decided)), None);
+        }
+        let (node, incarnation) = (frame.sender.clone(), frame.incarnation);
+        if !self.registering.insert((node.clone(), incarnation)) {
+            return (None, None);
+        }
+        let action = Action::Register { node, incarnation, domain: heartbeat.domain.clone() };
+        (None, Some(Command { origin: None, action }))
+    }
+
+    /// Returns what the groups' machines want done.
+    pub(super) fn tick(&mut self, now: Instant) -> Vec<Decision> {
+        self.leader.tick(now, &self.state, &self.fleet)
+    }
+
+    /// Returns the next change of the voters, when none is under way.
+    pub(super) fn change(&mut self, now: Instant) -> Option<Command> {
+        if self.changing.is_some() {
+            return None;
+        }
+        let change = member::next(now, &self.raft, &self.state.wanted, &self.heard)?;
+        self.changing = Some(self.raft.last().1.next());
+        Some(Command { origin: None, action: Action::Member(change) })
+    }
+}
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -26,6 +26,14 @@
 }
 
 impl Leader {
+    /// Begins a reign: each registered proxy may hold a lease that an earlier leader granted a moment ago.
+    pub(super) fn elected(&mut self, now: Instant, state: &State) {
+        *self = Self::default();
+        for node in state.nodes.keys() {
+            self.leases.grant(now, node, 0);
+        }
+    }
+
     /// Makes the table anew; its version grows when it differs.
     pub(super) fn refresh(&mut self, state: &State, fleet: &Fleet) {
         let table = Table {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,17 +3,22 @@
 //! Everything that decides is a pure machine with `step(now, input) -> outputs`; the edges (sockets, disk,
 //! timers) are in `server` and `operator`. See `docs/DESIGN.md`, "Control".
 
+mod core;
 pub mod failover;
+mod journal;
 mod leader;
 pub mod lease;
+mod link;
+pub mod member;
 pub mod operator;
 mod probe;
+mod promotion;
 pub mod raft;
 mod server;
 pub mod state;
 pub mod store;
 
-pub use server::{Server, spawn};
+pub use server::{Server, spawn, spawn_on};
 
 /// Why a control process can't run.
 #[derive(Debug, thiserror::Error)]
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -1,7 +1,7 @@
 //! What operators ask of control, over HTTP with JSON.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
@@ -13,6 +13,9 @@
 use crate::id;
 use crate::wire::{Answer, Phase, Role, Stamp};
 
+/// How long the leader may take to answer for another voter.
+const RELAY: Duration = Duration::from_millis(1_000);
+
 /// The body of `POST /plan`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Plan {
@@ -83,29 +86,51 @@
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let handle = move |request| {
         let shared = Arc::clone(&shared);
-        async move { answer(&shared, &request) }
+        async move { answer(&shared, &request).await }
     };
     if let Err(error) = admin::serve(listener, handle).await {
         log::error!("operators can't be served any more: {error}");
     }
 }
 
-fn answer(shared: &Shared, request: &Request) -> Reply {
+async fn answer(shared: &Arc<Shared>, request: &Request) -> Reply {
+    if let Some(reason) = shared.core().stopped.clone() {
+        let message = format!("this voter takes no part any more: {reason}");
+        return Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, &message);
+    }
     match (&request.method, request.path.as_str()) {
-        (&Method::GET, "/status") => Reply::json(&status(shared)),
-        (&Method::POST, "/plan") => parsed(request, |plan| self::plan(shared, plan)),
-        (&Method::POST, "/confirm") => parsed(request, |confirm| self::confirm(shared, confirm)),
+        (&Method::GET, "/status") => match shared.leader_admin() {
+            Some(leader) if request.query.is_empty() => relayed(shared, leader).await,
+            _ => Reply::json(&status(shared)),
+        },
+        (&Method::POST, "/plan") => match parsed(request) {
+            Ok(body) => reply(plan(shared, body).await),
+            Err(refused) => refused,
+        },
+        (&Method::POST, "/confirm") => match parsed(request) {
+            Ok(body) => reply(confirm(shared, body).await),
+            Err(refused) => refused,
+        },
         _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
     }
 }
 
-fn parsed<T: for<'a> Deserialize<'a>>(request: &Request, then: impl FnOnce(T) -> Answer) -> Reply {
-    match serde_json::from_slice(&request.body) {
-        Ok(body) => reply(then(body)),
-        Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+/// Passes on what the leader says.
+async fn relayed(shared: &Shared, leader: std::net::SocketAddr) -> Reply {
+    let asked = shared.clock.timeout(RELAY, admin::get(leader, "/status?relayed")).await;
+    let status = asked.and_then(Result::ok);
+    match status.and_then(|body| serde_json::from_slice::<Status>(&body).ok()) {
+        Some(status) => Reply::json(&status),
+        None => Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, "the leader can't be asked"),
     }
 }
 
+fn parsed<T: for<'a> Deserialize<'a>>(request: &Request) -> Result<T, Reply> {
+    let refused =
+        |error: serde_json::Error| Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string());
+    serde_json::from_slice(&request.body).map_err(refused)
+}
+
 fn reply(answer: Answer) -> Reply {
     match answer {
         Answer::Applied(outcome) => Reply::json(&outcome),
@@ -120,15 +145,15 @@
     }
 }
 
-fn plan(shared: &Shared, plan: Plan) -> Answer {
+async fn plan(shared: &Arc<Shared>, plan: Plan) -> Answer {
     let base = plan.base.unwrap_or_else(|| shared.core().state.revision);
     let action = Action::Plan { plan: plan.plan, base, intent: plan.intent, made_ms: wall_ms() };
-    shared.submit(Command { origin: Some(plan.origin), action })
+    shared.submit(Command { origin: Some(plan.origin), action }).await
 }
 
-fn confirm(shared: &Shared, confirm: Confirm) -> Answer {
+async fn confirm(shared: &Arc<Shared>, confirm: Confirm) -> Answer {
     let action = Action::Confirm { plan: confirm.plan, now_ms: wall_ms() };
-    shared.submit(Command { origin: Some(confirm.origin), action })
+    shared.submit(Command { origin: Some(confirm.origin), action }).await
 }
 
 fn status(shared: &Shared) -> Status {
--- /dev/null
+++ b/src/control/raft/elect.rs
@@ -0,0 +1,126 @@
+//! Elections: pre-vote, votes, and the patience of voters that hear a leader.
+
+use std::collections::BTreeSet;
+
+use super::lead::Lead;
+use super::machine::{Raft, Role};
+use super::{Last, MIN_ELECTION, Message, Output, Peer};
+use crate::clock::Instant;
+use crate::id;
+
+impl Raft {
+    fn votes(&self) -> bool {
+        self.log.members.votes(&self.me.node, self.me.incarnation)
+    }
+
+    /// Asks whether an election would be won, so that a voter that was cut off does not disturb the others.
+    pub(super) fn ask_pre_votes(&mut self, now: Instant) {
+        self.wait(now);
+        if !self.votes() {
+            return;
+        }
+        self.leader = None;
+        self.role = Role::PreCandidate(BTreeSet::from([self.me.node.clone()]));
+        for to in self.other_voters() {
+            let message = Message::RequestVote {
+                term: self.term.next(),
+                pre_vote: true,
+                last: self.log.last(),
+            };
+            self.send(to, message);
+        }
+        self.count(now);
+    }
+
+    fn stand(&mut self, now: Instant) {
+        self.set_vote(self.term.next(), Some(self.me.node.clone()));
+        self.role = Role::Candidate(BTreeSet::new());
+        self.wait(now);
+        self.vote_for_itself();
+        for to in self.other_voters() {
+            let message =
+                Message::RequestVote { term: self.term, pre_vote: false, last: self.log.last() };
+            self.send_synced(to, message);
+        }
+    }
+
+    /// Goes on when a majority has given its votes.
+    pub(super) fn count(&mut self, now: Instant) {
+        let majority = self.log.members.majority();
+        match &self.role {
+            Role::PreCandidate(votes) if votes.len() >= majority => self.stand(now),
+            Role::Candidate(votes) if votes.len() >= majority => self.become_leader(now),
+            _ => {}
+        }
+    }
+
+    fn become_leader(&mut self, now: Instant) {
+        self.leader = Some(self.me.node.clone());
+        self.role = Role::Leader(Lead::new(now, self.log.last().1.next()));
+        self.outputs.push(Output::BecameLeader);
+        self.begin_term(now);
+    }
+
+    /// Answers a candidate. A voter that hears a leader, or may have heard one before it was started, doesn't
+    /// help to replace it: the leader's leases stand on that.
+    pub(super) fn on_request_vote(
+        &mut self,
+        now: Instant,
+        from: &Peer,
+        (term, pre_vote): (id::Term, bool),
+        last: Last,
+    ) {
+        let hears = self.is_leader() || now.since(self.heard) < MIN_ELECTION;
+        if hears || self.is_blank() {
+            return;
+        }
+        let to = from.node.clone();
+        if pre_vote {
+            let granted = term > self.term && last >= self.log.last();
+            let term = if granted { term } else { self.term };
+            return self.send(to, Message::Vote { term, pre_vote, granted });
+        }
+        if term > self.term {
+            self.follow(now, term, None);
+        }
+        let free = self.vote.as_ref().is_none_or(|vote| *vote == from.node);
+        let granted = term == self.term && free && last >= self.log.last();
+        if granted {
+            self.set_vote(term, Some(from.node.clone()));
+            self.wait(now);
+        }
+        self.send_synced(to, Message::Vote { term: self.term, pre_vote, granted });
+    }
+
+    /// Counts a vote of a voter whose disk is the one that was admitted.
+    pub(super) fn on_vote(
+        &mut self,
+        now: Instant,
+        from: &Peer,
+        (term, pre_vote): (id::Term, bool),
+        granted: bool,
+    ) {
+        if !self.log.members.votes(&from.node, from.incarnation) {
+            return;
+        }
+        if !granted {
+            if term > self.term {
+                self.follow(now, term, None);
+            }
+            return;
+        }
+        let next = self.term.next();
+        let node = from.node.clone();
+        match &mut self.role {
+            Role::PreCandidate(votes) if pre_vote && term == next => votes.insert(node),
+            Role::Candidate(votes) if !pre_vote && term == self.term => votes.insert(node),
+            _ => return,
+        };
+        self.count(now);
+    }
+
+    pub(super) fn other_voters(&self) -> Vec<id::Node> {
+        let voters = self.log.members.voters.keys();
+        voters.filter(|node| **node != self.me.node).cloned().collect()
+    }
+}
--- /dev/null
+++ b/src/control/raft/members.rs
@@ -0,0 +1,94 @@
+//! Who votes. Changed by entries of the log, one voter at a time, in force as soon as the entry is in the log.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::{Entry, Peer};
+use crate::control::state::{Action, Membership, Voter};
+use crate::id;
+
+/// The control processes that the log knows.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Members {
+    /// Those whose votes count.
+    pub voters: BTreeMap<id::Node, Voter>,
+    /// Those that learn the log and don't vote yet.
+    pub learners: BTreeMap<id::Node, Voter>,
+    /// The newest start that is known of each.
+    pub starts: BTreeMap<id::Node, u64>,
+}
+
+impl Members {
+    /// Tells whether there is nobody, as on a blank disk.
+    pub fn is_empty(&self) -> bool {
+        self.voters.is_empty() && self.learners.is_empty()
+    }
+
+    /// Returns how many voters are a majority.
+    pub fn majority(&self) -> usize {
+        self.voters.len() / 2 + 1
+    }
+
+    /// Tells whether this life of a process votes.
+    pub fn votes(&self, node: &id::Node, incarnation: id::Incarnation) -> bool {
+        self.voters.get(node).is_some_and(|voter| voter.incarnation == incarnation)
+    }
+
+    /// Tells whether this life of a process votes or learns.
+    pub fn knows(&self, node: &id::Node, incarnation: id::Incarnation) -> bool {
+        let learner = self.learners.get(node);
+        self.votes(node, incarnation) || learner.is_some_and(|v| v.incarnation == incarnation)
+    }
+
+    /// Returns what is known of a process when that is newer than `peer`, which then is a copy of an old disk.
+    pub fn newer(&self, peer: &Peer) -> Option<Peer> {
+        let learner = self.learners.get(&peer.node);
+        let newest = self.voters.get(&peer.node).into_iter().chain(learner);
+        let incarnation = newest.map(|voter| voter.incarnation).max()?;
+        let start = self.starts.get(&peer.node).copied().unwrap_or(0);
+        let known = Peer { node: peer.node.clone(), incarnation, start };
+        let older = peer.incarnation < incarnation
+            || (peer.incarnation == incarnation && peer.start < start);
+        older.then_some(known)
+    }
+
+    /// Returns everyone but `me` to whom the log is sent, each once.
+    pub fn others<'a>(&'a self, me: &'a id::Node) -> impl Iterator<Item = &'a Voter> {
+        let stale = |node: &id::Node| self.learners.contains_key(node);
+        let voters = self.voters.values().filter(move |voter| !stale(&voter.node));
+        voters.chain(self.learners.values()).filter(move |voter| voter.node != *me)
+    }
+
+    /// Takes an entry of the log into account.
+    pub fn apply(&mut self, entry: &Entry) {
+        if let Action::Member(change) = &entry.command.action {
+            self.change(change);
+        }
+    }
+
+    fn change(&mut self, change: &Membership) {
+        match change {
+            Membership::Learn(voter) => {
+                self.learners.insert(voter.node.clone(), voter.clone());
+                self.starts.remove(&voter.node);
+            }
+            Membership::Admit(node) => {
+                if let Some(voter) = self.learners.remove(node) {
+                    self.voters.insert(node.clone(), voter);
+                }
+            }
+            Membership::Remove(node) => {
+                if self.voters.remove(node).is_none() {
+                    self.learners.remove(node);
+                }
+                if !self.learners.contains_key(node) {
+                    self.starts.remove(node);
+                }
+            }
+            Membership::Started { node, start } => {
+                self.starts.insert(node.clone(), *start);
+            }
+        }
+    }
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -1,28 +1,37 @@
 //! A control process: its sockets, its timers, and the machines between them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
-
-use smol::net::{TcpListener, UdpSocket};
-
-use super::Error;
-use super::failover::{Input, Output};
-use super::leader::Leader;
-use super::operator;
-use super::probe::{self, Probe};
-use super::raft::Entry;
-use super::state::{Action, Command, Outcome, State};
-use super::store::Store;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, mpsc};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use smol::net::{TcpListener, TcpStream, UdpSocket};
+
+use super::core::Core;
+use super::journal::{self, Order};
+use super::link::Link;
+use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
+use super::state::{Command, State, Voter};
+use super::store::{Disk, Folder, Store};
+use super::{Error, operator};
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
-use crate::upstream::position;
-use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
+use crate::wire::{Answer, Body, Configuration, Frame, Grant, Replica, Role, Stream};
 
-/// How often the machines of the groups are told that time passed.
+/// How often the machines are told that time passed.
 const TICK: Duration = Duration::from_millis(10);
 
+/// How often a blank process asks for the others.
+const HELLO: Duration = Duration::from_millis(100);
+
+/// How long a command may take before its fate is given as unknown.
+const SUBMIT: Duration = Duration::from_millis(5_000);
+
+/// How long to wait before a command that no leader took is tried again.
+const RETRY: Duration = Duration::from_millis(50);
+
 /// A running control process.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -31,140 +40,264 @@
 
 #[derive(Debug)]
 pub(super) struct Shared {
-    clock: Clock,
-    node: id::Node,
-    domain: id::Domain,
-    user: String,
+    pub(super) clock: Clock,
+    pub(super) me: Peer,
+    pub(super) domain: id::Domain,
+    pub(super) user: String,
+    voters: Vec<config::Voter>,
     core: Mutex<Core>,
+    links: Mutex<BTreeMap<id::Node, Link>>,
+    seen: Mutex<BTreeMap<id::Node, Instant>>,
+    orders: mpsc::Sender<Order>,
     udp: UdpSocket,
+    counters: Counters,
 }
 
-/// Everything that decides, under one lock that is never held over an `await`.
-#[derive(Debug)]
-pub(super) struct Core {
-    pub(super) state: State,
-    pub(super) fleet: config::Fleet,
-    pub(super) leader: Leader,
-    store: Store,
-    term: id::Term,
-    index: id::Index,
+/// What went wrong at the edges, each on its own connection.
+#[derive(Debug, Default)]
+struct Counters {
+    bad_frames: AtomicU64,
+    dropped_frames: AtomicU64,
 }
 
-/// Binds the sockets of a control process and starts it.
+/// Binds the sockets of a control process and starts it on the folder that the settings name.
 ///
 /// # Errors
 ///
-/// Fails when the settings don't make a control process, or a socket or the log can't be opened.
+/// Fails when the settings don't make a control process, or a socket or the disk can't be opened.
 pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
-    let control = settings.control.as_ref().ok_or(Error::NotControl)?;
     let data = settings.data.as_ref().ok_or(Error::NoData)?;
-    let (store, entries) = Store::open(data)?;
+    let disk = Folder::open(data)?;
+    spawn_on(clock, settings, disk).await
+}
+
+/// Starts a control process on any disk; see [`spawn`].
+///
+/// # Errors
+///
+/// Fails as [`spawn`] does.
+pub async fn spawn_on(
+    clock: Clock,
+    settings: &config::Node,
+    disk: impl Disk,
+) -> Result<Server, Error> {
+    let control = settings.control.as_ref().ok_or(Error::NotControl)?;
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let fresh = id::Incarnation(wall.as_micros() as u64);
+    let (store, found) = Store::start(disk, &settings.node, fresh)?;
     let udp = UdpSocket::bind(control.address).await?;
     let tcp = TcpListener::bind(control.address).await?;
     let admin = TcpListener::bind(control.admin).await?;
+    let me = found.peer;
+    let raft = Raft::new(clock.now(), me.clone(), &found.saved, fastrand::u64(..));
+    let bootstrap = Bootstrap::new(me.clone(), initial(settings));
+    let (orders, received) = mpsc::channel();
     let shared = Arc::new(Shared {
         clock,
-        node: settings.node.clone(),
+        me,
         domain: settings.domain.clone(),
         user: control.user.clone(),
-        core: Mutex::new(Core::new(store, &entries)),
+        voters: settings.voters.clone(),
+        core: Mutex::new(Core::new(raft, bootstrap, found.saved.snapshot.as_ref())),
+        links: Mutex::default(),
+        seen: Mutex::default(),
+        orders,
         udp,
+        counters: Counters::default(),
     });
+    log::info!("read {} bytes of the log and its snapshot", found.read_bytes);
+    journal::spawn(Arc::clone(&shared), store, received)?;
+    shared.begin_alone();
     smol::spawn(Arc::clone(&shared).receive()).detach();
     smol::spawn(Arc::clone(&shared).tick()).detach();
+    smol::spawn(Arc::clone(&shared).hello()).detach();
     smol::spawn(accept(Arc::clone(&shared), tcp)).detach();
     smol::spawn(operator::serve(Arc::clone(&shared), admin)).detach();
     Ok(Server { shared })
 }
 
+/// Returns the voters of the settings; nobody knows the incarnations of their disks yet.
+fn initial(settings: &config::Node) -> Vec<Voter> {
+    let voter = |voter: &config::Voter| Voter {
+        node: voter.node.clone(),
+        incarnation: id::Incarnation(0),
+        address: voter.address,
+        domain: voter.domain.clone(),
+    };
+    settings.voters.iter().map(voter).collect()
+}
+
 impl Server {
-    /// Puts a command into the log and returns what came of it.
-    pub fn submit(&self, command: Command) -> Answer {
-        self.shared.submit(command)
+    /// Puts a command into the log and returns what came of it, whoever leads.
+    pub async fn submit(&self, command: Command) -> Answer {
+        self.shared.submit(command).await
+    }
+
+    /// Returns the state as far as it is applied here.
+    pub fn state(&self) -> State {
+        self.shared.core().state.clone()
+    }
+
+    /// Tells whether this process leads, proved by its majority.
+    pub fn leads(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.core().leads(now)
+    }
+
+    /// Returns why this process takes no part any more.
+    pub fn stopped(&self) -> Option<String> {
+        self.shared.core().stopped.clone()
     }
 }
 
-impl Core {
-    fn new(store: Store, entries: &[Entry]) -> Self {
-        let mut state = State::default();
-        for entry in entries {
-            state.apply(&entry.command);
+impl Shared {
+    pub(super) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().expect("nothing panics while it holds the lock")
+    }
+
+    /// Takes no part any more, and says so.
+    pub(super) fn stop(&self, reason: &str) {
+        log::error!("this voter stops taking part: {reason}");
+        self.core().stopped = Some(reason.to_owned());
+    }
+
+    /// Gives the machine an input and carries out what it returns.
+    pub(super) fn step(self: &Arc<Self>, input: Input) {
+        self.step_in(&mut self.core(), input);
+    }
+
+    fn step_in(self: &Arc<Self>, core: &mut Core, input: Input) -> Option<super::raft::Last> {
+        if core.stopped.is_some() {
+            return None;
         }
-        let last = entries.last();
-        let mut core = Self {
-            fleet: config::Fleet::parse("declarations", &state.text).unwrap_or_default(),
-            state,
-            leader: Leader::default(),
-            store,
-            term: id::Term(last.map_or(0, |entry| entry.term.0) + 1),
-            index: last.map_or(id::Index(0), |entry| entry.index),
-        };
-        core.leader.refresh(&core.state, &core.fleet);
-        core
+        let now = self.clock.now();
+        let mut proposed = None;
+        for output in core.raft.step(now, input) {
+            core.take(now, &output);
+            match output {
+                Output::Send { to, message } => self.send(core, &to, message),
+                Output::Persist { ticket, change } => {
+                    let _ = self.orders.send(Order::Persist(ticket, change));
+                }
+                Output::Proposed(last) => proposed = Some(last),
+                _ => {}
+            }
+        }
+        if let Some((index, state)) = core.compaction() {
+            for output in core.raft.step(now, Input::Compact { index, state }) {
+                if let Output::Persist { ticket, change } = output {
+                    let _ = self.orders.send(Order::Persist(ticket, change));
+                }
+            }
+        }
+        proposed
     }
 
-    pub(super) fn stamp(&self) -> Stamp {
-        Stamp { term: self.term, index: self.index }
+    fn begin_alone(self: &Arc<Self>) {
+        let mut core = self.core();
+        if core.raft.is_blank()
+            && let Some(members) = core.bootstrap.alone()
+        {
+            self.step_in(&mut core, Input::Found(members));
+        }
     }
 
-    /// Appends a command, syncs it, and applies it.
-    fn commit(&mut self, command: Command) -> Answer {
-        let entry = Entry { term: self.term, index: self.index.next(), command };
-        if let Err(error) = self.store.append(&entry) {
-            log::error!("the log can't be written, this voter stops: {error}");
-            return Answer::Unknown;
+    fn send(self: &Arc<Self>, core: &Core, to: &id::Node, message: Message) {
+        let members = core.raft.members();
+        let voter = members.learners.get(to).or_else(|| members.voters.get(to));
+        let address = voter.map(|voter| voter.address);
+        let named = || self.voters.iter().find(|voter| voter.node == *to).map(|v| v.address);
+        let Some(address) = address.or_else(named) else {
+            return;
+        };
+        let frame = self.frame(Body::Raft { start: self.me.start, message });
+        let mut links = self.links.lock().expect("nothing panics under this lock");
+        if links.get(to).is_none_or(|link| link.address != address) {
+            links.insert(to.clone(), Link::open(Arc::clone(self), to.clone(), address));
         }
-        self.index = entry.index;
-        let outcome = self.state.apply(&entry.command);
-        if let Ok(fleet) = config::Fleet::parse("declarations", &self.state.text) {
-            self.fleet = fleet;
+        if links.get(to).is_some_and(|link| !link.send(frame)) {
+            self.counters.dropped_frames.fetch_add(1, Ordering::Relaxed);
         }
-        self.leader.refresh(&self.state, &self.fleet);
-        Answer::Applied(outcome)
     }
 
-    /// Takes a heartbeat, registers its sender where that is needed, and makes the answer.
-    fn heartbeat(&mut self, now: Instant, frame: &Frame, heartbeat: &Heartbeat) -> Option<Grant> {
-        match self.state.nodes.get(&frame.sender) {
-            Some((known, _)) if *known > frame.incarnation => return None,
-            Some((known, _)) if *known == frame.incarnation => {}
-            _ => {
-                let action = Action::Register {
-                    node: frame.sender.clone(),
-                    incarnation: frame.incarnation,
-                    domain: heartbeat.domain.clone(),
-                };
-                self.commit(Command { origin: None, action });
+    /// Tells how long a process has said nothing.
+    pub(super) fn silent_for(&self, now: Instant, node: &id::Node) -> Duration {
+        let seen = self.seen.lock().expect("nothing panics under this lock");
+        seen.get(node).map_or(Duration::MAX, |at| now.since(*at))
+    }
+
+    /// Puts a command into the log without waiting for it.
+    pub(super) fn propose(self: &Arc<Self>, command: Command) {
+        self.step(Input::Propose(command));
+    }
+
+    /// Puts a command into the log and waits until it is applied; forwards it when another process leads.
+    pub(super) async fn submit(self: &Arc<Self>, command: Command) -> Answer {
+        let deadline = self.clock.now() + SUBMIT;
+        loop {
+            let answer = match self.submit_here(command.clone()).await {
+                Answer::NotLeader(Some(leader)) => self.forward(&leader, command.clone()).await,
+                answer => answer,
+            };
+            let again = matches!(answer, Answer::NotLeader(_));
+            if !again || self.clock.now() >= deadline || self.core().stopped.is_some() {
+                return answer;
             }
+            self.clock.sleep(RETRY).await;
         }
-        let stamp = self.stamp();
-        let decided = (&self.state, &self.fleet, stamp);
-        Some(self.leader.heartbeat(now, &frame.sender, heartbeat, decided))
     }
 
-    fn tick(&mut self, now: Instant) -> Vec<Output> {
-        self.leader.tick(now, &self.state, &self.fleet)
+    async fn submit_here(self: &Arc<Self>, command: Command) -> Answer {
+        let (waiter, applied) = smol::channel::bounded(1);
+        {
+            let mut core = self.core();
+            if core.stopped.is_some() {
+                return Answer::NotLeader(None);
+            }
+            let Some(last) = self.step_in(&mut core, Input::Propose(command)) else {
+                let other = core.raft.leader().filter(|leader| **leader != self.me.node);
+                return Answer::NotLeader(other.cloned());
+            };
+            core.wait(last, waiter);
+        }
+        let answer = self.clock.timeout(SUBMIT, applied.recv()).await;
+        answer.and_then(Result::ok).unwrap_or(Answer::Unknown)
     }
-}
 
-impl Shared {
-    pub(super) fn core(&self) -> MutexGuard<'_, Core> {
-        self.core.lock().expect("nothing panics while it holds the lock")
+    async fn forward(&self, leader: &id::Node, command: Command) -> Answer {
+        let address = {
+            let core = self.core();
+            core.raft.members().voters.get(leader).map(|voter| voter.address)
+        };
+        let Some(address) = address else {
+            return Answer::NotLeader(None);
+        };
+        let open = self.clock.timeout(RETRY * 10, Stream::open(address)).await;
+        let Some(Ok(mut stream)) = open else {
+            return Answer::NotLeader(None);
+        };
+        let asked = async {
+            stream.send(&self.frame(Body::Submit(command))).await?;
+            stream.receive().await
+        };
+        match self.clock.timeout(SUBMIT, asked).await {
+            Some(Ok(Frame { body: Body::Answer(answer), .. })) => answer,
+            _ => Answer::Unknown,
+        }
     }
 
-    pub(super) fn submit(&self, command: Command) -> Answer {
-        let answer = self.core().commit(command);
-        if let Answer::Applied(Outcome::Refused { reason }) = &answer {
-            log::info!("a command was refused: {reason}");
-        }
-        answer
+    /// Returns where the leader takes operators, when that is another process.
+    pub(super) fn leader_admin(&self) -> Option<SocketAddr> {
+        let core = self.core();
+        let leader = core.raft.leader().filter(|leader| **leader != self.me.node)?;
+        self.voters.iter().find(|voter| voter.node == *leader).map(|voter| voter.admin)
     }
 
     fn frame(&self, body: Body) -> Frame {
-        Frame { sender: self.node.clone(), incarnation: id::Incarnation(0), body }
+        Frame { sender: self.me.node.clone(), incarnation: self.me.incarnation, body }
     }
 
-    async fn send(&self, to: SocketAddr, body: Body) {
+    async fn datagram(&self, to: SocketAddr, body: Body) {
         match self.frame(body).encode() {
             Ok(bytes) => {
                 if let Err(error) = self.udp.send_to(&bytes, to).await {
@@ -182,71 +315,64 @@
                 continue;
             };
             match Frame::decode(&buffer[..len]) {
-                Ok(frame) => self.datagram(from, &frame).await,
-                Err(error) => log::debug!("a datagram from {from} is dropped: {error}"),
+                Ok(frame) => self.heartbeat(from, &frame).await,
+                Err(error) => {
+                    self.counters.bad_frames.fetch_add(1, Ordering::Relaxed);
+                    log::debug!("a datagram from {from} is dropped: {error}");
+                }
             }
         }
     }
 
-    async fn datagram(self: &Arc<Self>, from: SocketAddr, frame: &Frame) {
+    /// Answers a proxy: with a grant only while it is proved that no other process leads.
+    async fn heartbeat(self: &Arc<Self>, from: SocketAddr, frame: &Frame) {
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
-        let before = self.core().leader.replicas.len();
-        let grant = self.core().heartbeat(self.clock.now(), frame, heartbeat);
-        if self.core().leader.replicas.len() > before {
-            self.probe_new();
-        }
-        if let Some(grant) = grant {
-            self.send(from, Body::Grant(grant)).await;
-        }
-    }
-
-    /// Starts a probe for each instance that has none yet.
-    fn probe_new(self: &Arc<Self>) {
-        let replicas: Vec<Replica> = {
-            let core = self.core();
-            core.leader.replicas.values().map(|(_, replica)| replica.clone()).collect()
-        };
-        for replica in replicas {
-            let known = self
-                .core()
-                .leader
-                .groups
-                .get_mut(&replica.group)
-                .map(|g| g.watch(&replica.instance));
-            if known == Some(true) {
-                smol::spawn(Arc::clone(self).watch(replica)).detach();
-            }
-        }
-    }
-
-    fn probe(&self, replica: Replica) -> Probe {
-        let application = format!("cactushatch/{}/{}", self.node, self.domain);
-        Probe::new(self.clock.clone(), self.user.clone(), application, replica)
-    }
-
-    async fn watch(self: Arc<Self>, replica: Replica) {
-        let mut probe = self.probe(replica.clone());
-        loop {
-            let seen = probe.status().await;
+        let (answer, more) = {
+            let mut core = self.core();
             let now = self.clock.now();
-            if let Some(group) = self.core().leader.groups.get_mut(&replica.group) {
-                group.step(now, Input::Probed { instance: replica.instance.clone(), seen });
+            if core.leads(now) {
+                let before = core.leader.replicas.len();
+                let (grant, command) = core.heartbeat(now, frame, heartbeat);
+                if let Some(command) = command {
+                    self.step_in(&mut core, Input::Propose(command));
+                }
+                (grant.map(Body::Grant), core.leader.replicas.len() > before)
+            } else {
+                (Some(Body::Redirect(core.raft.leader().cloned())), false)
             }
-            self.clock.sleep(probe::INTERVAL).await;
+        };
+        if more {
+            self.probe_new();
+        }
+        if let Some(answer) = answer {
+            self.datagram(from, answer).await;
         }
     }
 
     async fn tick(self: Arc<Self>) {
-        let mut pushed = 0;
+        let mut pushed = (id::Term(0), 0);
         loop {
-            let outputs = self.core().tick(self.clock.now());
+            self.step(Input::Tick);
+            let (outputs, version) = {
+                let mut core = self.core();
+                let now = self.clock.now();
+                if core.leads(now) {
+                    if let Some(command) = core.change(now) {
+                        self.step_in(&mut core, Input::Propose(command));
+                    }
+                    (core.tick(now), Some((core.raft.term(), core.leader.version)))
+                } else {
+                    (Vec::new(), None)
+                }
+            };
             for output in outputs {
                 self.carry_out(output);
             }
-            let version = self.core().leader.version;
-            if version != pushed {
+            if let Some(version) = version
+                && version != pushed
+            {
                 pushed = version;
                 self.push().await;
             }
@@ -254,6 +380,20 @@
         }
     }
 
+    /// Asks for the others for as long as this disk is blank.
+    async fn hello(self: Arc<Self>) {
+        while self.core().raft.is_blank() {
+            {
+                let core = self.core();
+                let others = self.voters.iter().filter(|voter| voter.node != self.me.node);
+                for voter in others {
+                    self.send(&core, &voter.node, Message::Hello { members: None });
+                }
+            }
+            self.clock.sleep(HELLO).await;
+        }
+    }
+
     /// Sends the table to every proxy at once, without renewing a lease.
     async fn push(&self) {
         let (grant, proxies) = {
@@ -269,58 +409,62 @@
             (grant, core.leader.proxies.values().copied().collect::<Vec<_>>())
         };
         for proxy in proxies {
-            self.send(proxy, Body::Grant(grant.clone())).await;
+            self.datagram(proxy, Body::Grant(grant.clone())).await;
         }
     }
 
-    fn carry_out(self: &Arc<Self>, output: Output) {
-        match output {
-            Output::Submit(action) => {
-                log::info!("control decides {action:?}");
-                self.submit(Command { origin: None, action });
-            }
-            Output::Promote { instance, term } => {
-                smol::spawn(Arc::clone(self).order(instance, position::promote(term))).detach();
-            }
-            Output::Follow { instance, primary, term } => {
-                let primary = self.core().leader.replicas.get(&primary).map(|(_, r)| r.address);
-                if let Some(primary) = primary {
-                    let sql = position::follow(primary, term);
-                    smol::spawn(Arc::clone(self).order(instance, sql)).detach();
+    /// Takes a frame of another control process.
+    fn voter(self: &Arc<Self>, from: Peer, message: Message) {
+        let now = self.clock.now();
+        self.seen.lock().expect("nothing panics under this lock").insert(from.node.clone(), now);
+        let mut core = self.core();
+        match message {
+            Message::Hello { members } => {
+                let (found, answer) = core.hello(&from, members);
+                if let Some(members) = found {
+                    self.step_in(&mut core, Input::Found(members));
+                }
+                if let Some(answer) = answer {
+                    self.send(&core, &from.node, answer);
                 }
             }
-        }
-    }
-
-    async fn order(self: Arc<Self>, instance: id::Instance, sql: String) {
-        let replica =
-            self.core().leader.replicas.get(&instance).map(|(_, replica)| replica.clone());
-        let Some(replica) = replica else {
-            return;
-        };
-        let group = replica.group.clone();
-        match self.probe(replica).order(&sql).await {
-            Ok(status) => {
-                let now = self.clock.now();
-                if let Some(group) = self.core().leader.groups.get_mut(&group) {
-                    group.step(now, Input::Probed { instance, seen: Ok(status) });
+            Message::Outdated { known } => {
+                if known.node == self.me.node && known > self.me {
+                    drop(core);
+                    let _ = self.orders.send(Order::Refuse(known.clone()));
+                    self.stop(&format!(
+                        "its disk is a copy from before: control knows incarnation {} at start {}",
+                        known.incarnation, known.start
+                    ));
                 }
             }
-            Err(error) => log::warn!("{instance} did not carry out {sql:?}: {error}"),
+            message => {
+                let life = core.heard.lives.entry(from.node.clone()).or_insert(from.clone());
+                *life = from.clone().max(life.clone());
+                self.step_in(&mut core, Input::Message { from, message });
+            }
         }
     }
 
-    fn answer(&self, body: Body) -> Option<Body> {
-        match body {
+    async fn answer(self: &Arc<Self>, frame: Frame) -> Option<Body> {
+        match frame.body {
+            Body::Raft { start, message } => {
+                let peer = Peer { node: frame.sender, incarnation: frame.incarnation, start };
+                self.voter(peer, message);
+                None
+            }
             Body::Fetch => {
                 let core = self.core();
+                if !core.leads(self.clock.now()) {
+                    return Some(Body::Redirect(core.raft.leader().cloned()));
+                }
                 Some(Body::Configuration(Configuration {
                     stamp: core.stamp(),
                     revision: core.state.revision,
                     text: core.state.text.clone(),
                 }))
             }
-            Body::Submit(command) => Some(Body::Answer(self.submit(command))),
+            Body::Submit(command) => Some(Body::Answer(self.submit_here(command).await)),
             _ => None,
         }
     }
@@ -334,6 +478,10 @@
         let shared = Arc::clone(&shared);
         let serve = async move {
             if let Err(error) = converse(&shared, socket).await {
+                let ended = matches!(error, crate::wire::Error::Io(_));
+                if !ended {
+                    shared.counters.bad_frames.fetch_add(1, Ordering::Relaxed);
+                }
                 log::debug!("a connection from {from} ended: {error}");
             }
         };
@@ -341,14 +489,13 @@
     }
 }
 
-async fn converse(shared: &Shared, socket: smol::net::TcpStream) -> Result<(), crate::wire::Error> {
-    let mut stream = crate::wire::Stream::accepted(socket)?;
+async fn converse(shared: &Arc<Shared>, socket: TcpStream) -> Result<(), crate::wire::Error> {
+    let mut stream = Stream::accepted(socket)?;
     loop {
         let frame = stream.receive().await?;
-        let Some(answer) = shared.answer(frame.body) else {
-            return Ok(());
-        };
-        stream.send(&shared.frame(answer)).await?;
+        if let Some(answer) = shared.answer(frame).await {
+            stream.send(&shared.frame(answer)).await?;
+        }
     }
 }
 
--- a/src/control/state/apply.rs
+++ b/src/control/state/apply.rs
@@ -1,6 +1,6 @@
 //! How commands change the state.
 
-use super::{Action, Command, Intent, Outcome, Planned, State};
+use super::{Action, Command, Intent, Membership, Outcome, Planned, State};
 use crate::config;
 use crate::id;
 use crate::wire;
@@ -54,10 +54,20 @@
                 self.nodes.remove(node);
                 self.done()
             }
-            Action::Member(_) => refused("membership changes are not carried out yet"),
+            Action::Member(change) => self.member(change),
         }
     }
 
+    /// Notes that a change of the voters was carried out; the log itself holds who they are.
+    fn member(&mut self, change: &Membership) -> Outcome {
+        let finished = |wanted: &Membership| match (wanted, change) {
+            (Membership::Learn(voter), Membership::Admit(node)) => voter.node == *node,
+            (wanted, change) => wanted == change,
+        };
+        self.wanted.retain(|wanted| !finished(wanted));
+        self.done()
+    }
+
     fn done(&self) -> Outcome {
         Outcome::Done { revision: self.revision }
     }
@@ -118,7 +128,10 @@
                 self.draining.remove(&instance);
             }
             Intent::Peak { .. } => return refused("peaks by command are not carried out yet"),
-            Intent::Member(_) => return refused("membership changes are not carried out yet"),
+            Intent::Member(change) => {
+                self.wanted.push_back(change);
+                return self.done();
+            }
         }
         self.revision = self.revision.next();
         self.changed_by = operator.cloned();
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -30,6 +30,8 @@
     pub outcomes: BTreeMap<id::Command, Outcome>,
     /// The commands of `outcomes`, oldest first.
     pub order: VecDeque<id::Command>,
+    /// The changes of the voters that were confirmed and are not finished.
+    pub wanted: VecDeque<Membership>,
 }
 
 /// A plan that waits for its confirmation.
@@ -129,6 +131,20 @@
     Admit(id::Node),
     /// A voter leaves.
     Remove(id::Node),
+    /// A control process was started again with its disk; a copy of its disk from before is refused.
+    Started {
+        /// The process.
+        node: id::Node,
+        /// How often it was started.
+        start: u64,
+    },
+}
+
+impl Command {
+    /// Returns how many bytes the command has in the log.
+    pub fn size(&self) -> usize {
+        postcard::experimental::serialized_size(self).unwrap_or(usize::MAX)
+    }
 }
 
 /// A control process.
--- /dev/null
+++ b/src/control/store/mod.rs
@@ -0,0 +1,272 @@
+//! The disk of a control process: its identity, its newest snapshot, and the log after it.
+//!
+//! Every change is one record with its length and checksums, synced before the machine hears of it. A torn last
+//! record was never acknowledged and is cut; damage before it is refused, since what follows may have been
+//! acknowledged. See `docs/DESIGN.md`, "Control".
+
+mod disk;
+mod record;
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::raft::{Change, Peer, Saved, Snapshot};
+use crate::id;
+
+pub use disk::{Disk, Folder};
+use record::{frame, scan};
+
+/// The log.
+const LOG: &str = "control.log";
+
+/// The newest snapshot.
+const SNAPSHOT: &str = "control.snapshot";
+
+/// Which disk this is, and how often a process was started with it.
+const IDENTITY: &str = "control.identity";
+
+/// Why the disk can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The disk failed.
+    #[error("{file}: {source}")]
+    Io {
+        /// The file.
+        file: String,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// Something that may have been acknowledged is damaged.
+    #[error(
+        "{file}: damaged at byte {offset}: {what}; this disk can't vote any more. Move the data folder away and \
+         start again: the process then learns from the others and is admitted anew \
+         (docs/operators/replace-a-voter.md)"
+    )]
+    Damaged {
+        /// The file.
+        file: &'static str,
+        /// Where the damage begins.
+        offset: usize,
+        /// What is wrong.
+        what: &'static str,
+    },
+    /// Control said that this disk is an old copy.
+    #[error(
+        "this disk is a copy from before: control knows incarnation {incarnation} at start {start}. Move the data \
+         folder away and start again (docs/operators/replace-a-voter.md)"
+    )]
+    Outdated {
+        /// The incarnation that control knows.
+        incarnation: id::Incarnation,
+        /// The start that control knows.
+        start: u64,
+    },
+    /// A record can't be encoded.
+    #[error("{0}")]
+    Codec(#[from] postcard::Error),
+}
+
+/// Which disk this is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Identity {
+    incarnation: id::Incarnation,
+    start: u64,
+    /// What control knew of this disk when it refused it.
+    refused: Option<(id::Incarnation, u64)>,
+}
+
+/// The open disk.
+#[derive(Debug)]
+pub struct Store<D> {
+    disk: D,
+    identity: Identity,
+    term: id::Term,
+    vote: Option<id::Node>,
+    /// The entries in the log file, for writing it anew.
+    held: Saved,
+}
+
+/// What a process finds when it starts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Found {
+    /// Which life this is.
+    pub peer: Peer,
+    /// What the machine starts from.
+    pub saved: Saved,
+    /// How many bytes were read; compaction bounds it.
+    pub read_bytes: usize,
+}
+
+impl Store<Folder> {
+    /// Opens the files in `folder`.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Store::start`] does.
+    pub fn open(
+        folder: &Path,
+        node: &id::Node,
+        fresh: id::Incarnation,
+    ) -> Result<(Self, Found), Error> {
+        let disk = Folder::open(folder).map_err(|source| {
+            let file = folder.display().to_string();
+            Error::Io { file, source }
+        })?;
+        Self::start(disk, node, fresh)
+    }
+}
+
+impl<D: Disk> Store<D> {
+    /// Reads what the disk holds and counts this start; a blank disk gets the incarnation `fresh`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does, when what may have been acknowledged is damaged, and when control refused
+    /// this disk before.
+    pub fn start(
+        mut disk: D,
+        node: &id::Node,
+        fresh: id::Incarnation,
+    ) -> Result<(Self, Found), Error> {
+        let identity = read(&mut disk, IDENTITY)?;
+        let snapshot = read(&mut disk, SNAPSHOT)?;
+        let log = read(&mut disk, LOG)?;
+        let read_bytes = [&identity, &snapshot, &log].map(|file| file.as_ref().map_or(0, Vec::len));
+        let identity = identify(identity, snapshot.is_some() || log.is_some(), fresh)?;
+        write(&mut disk, IDENTITY, &frame(&identity)?)?;
+        let (saved, good) = load(snapshot.as_deref(), log.as_deref().unwrap_or_default())?;
+        if log.is_some_and(|log| good < log.len()) {
+            disk.truncate(LOG, good).map_err(failed(LOG))?;
+        }
+        let start = identity.start;
+        let peer = Peer { node: node.clone(), incarnation: identity.incarnation, start };
+        let found = Found { peer, saved: saved.clone(), read_bytes: read_bytes.iter().sum() };
+        let (term, vote) = (saved.term, saved.vote.clone());
+        Ok((Self { disk, identity, term, vote, held: saved }, found))
+    }
+
+    /// Writes and syncs a change. After a failure nothing may be acknowledged any more.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does.
+    pub fn persist(&mut self, change: Change) -> Result<(), Error> {
+        let compacts = change.snapshot.is_some();
+        let record = frame(&Change { snapshot: None, ..change.clone() })?;
+        if let Some(snapshot) = &change.snapshot {
+            write(&mut self.disk, SNAPSHOT, &frame(snapshot)?)?;
+        }
+        merge(&mut self.held, change);
+        (self.term, self.vote) = (self.held.term, self.held.vote.clone());
+        if compacts {
+            return self.rewrite();
+        }
+        self.disk.append(LOG, &record).map_err(failed(LOG))?;
+        self.disk.sync(LOG).map_err(failed(LOG))
+    }
+
+    /// Notes for good that control refused this disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the disk does.
+    pub fn refuse(&mut self, known: &Peer) -> Result<(), Error> {
+        self.identity.refused = Some((known.incarnation, known.start));
+        write(&mut self.disk, IDENTITY, &frame(&self.identity)?)
+    }
+
+    /// Writes the log anew, with what the snapshot does not cover.
+    fn rewrite(&mut self) -> Result<(), Error> {
+        let change = Change {
+            vote: Some((self.term, self.vote.clone())),
+            entries: self.held.entries.clone(),
+            ..Change::default()
+        };
+        write(&mut self.disk, LOG, &frame(&change)?)
+    }
+}
+
+/// Takes a change into what the disk holds.
+fn merge(held: &mut Saved, change: Change) {
+    if let Some((term, vote)) = change.vote {
+        (held.term, held.vote) = (term, vote);
+    }
+    if let Some(index) = change.truncate {
+        held.entries.retain(|entry| entry.index <= index);
+    }
+    if let Some(snapshot) = change.snapshot {
+        held.entries.retain(|entry| entry.index > snapshot.last.1);
+        held.snapshot = Some(snapshot);
+    }
+    held.entries.extend(change.entries);
+}
+
+/// Puts the log on top of the snapshot. Entries that the snapshot covers were left by a stop between the writing
+/// of the snapshot and of the log; those of another history than the snapshot's were never acknowledged.
+fn load(snapshot: Option<&[u8]>, log: &[u8]) -> Result<(Saved, usize), Error> {
+    let snapshot: Option<Snapshot> = snapshot.map(|bytes| whole(SNAPSHOT, bytes)).transpose()?;
+    let (changes, good): (Vec<Change>, usize) = scan(LOG, log)?;
+    let mut saved = Saved::default();
+    for change in changes {
+        merge(&mut saved, change);
+    }
+    let Some(snapshot) = snapshot else {
+        let gap = saved.entries.first().is_some_and(|entry| entry.index != id::Index(1));
+        let what = "the log begins after its first entry, but there is no snapshot";
+        let missing = Error::Damaged { file: SNAPSHOT, offset: 0, what };
+        return if gap { Err(missing) } else { Ok((saved, good)) };
+    };
+    let (term, index) = snapshot.last;
+    let other = saved.entries.iter().any(|entry| entry.index == index && entry.term != term);
+    saved.entries.retain(|entry| entry.index > index && entry.term >= term && !other);
+    saved.term = saved.term.max(term);
+    if saved.entries.first().is_some_and(|entry| entry.index != index.next()) {
+        let what = "the log begins after the end of the snapshot";
+        return Err(Error::Damaged { file: LOG, offset: 0, what });
+    }
+    saved.snapshot = Some(snapshot);
+    Ok((saved, good))
+}
+
+fn identify(
+    identity: Option<Vec<u8>>,
+    used: bool,
+    fresh: id::Incarnation,
+) -> Result<Identity, Error> {
+    let Some(bytes) = identity else {
+        if used {
+            let what = "there is a log, but not the identity of its disk";
+            return Err(Error::Damaged { file: IDENTITY, offset: 0, what });
+        }
+        return Ok(Identity { incarnation: fresh, start: 1, refused: None });
+    };
+    let identity: Identity = whole(IDENTITY, &bytes)?;
+    if let Some((incarnation, start)) = identity.refused {
+        return Err(Error::Outdated { incarnation, start });
+    }
+    Ok(Identity { start: identity.start + 1, ..identity })
+}
+
+/// Reads a file that holds one record, which was put in place whole.
+fn whole<T: for<'a> Deserialize<'a>>(file: &'static str, bytes: &[u8]) -> Result<T, Error> {
+    let (records, good) = scan(file, bytes)?;
+    let what = "the record is not whole";
+    let damaged = Error::Damaged { file, offset: good, what };
+    if good < bytes.len() {
+        return Err(damaged);
+    }
+    records.into_iter().next().ok_or(damaged)
+}
+
+fn read(disk: &mut impl Disk, file: &'static str) -> Result<Option<Vec<u8>>, Error> {
+    disk.read(file).map_err(failed(file))
+}
+
+fn write(disk: &mut impl Disk, file: &'static str, bytes: &[u8]) -> Result<(), Error> {
+    disk.replace(file, bytes).map_err(failed(file))
+}
+
+fn failed(file: &'static str) -> impl Fn(std::io::Error) -> Error {
+    move |source| Error::Io { file: file.to_owned(), source }
+}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -30,7 +30,12 @@
     /// Leader to proxy, over TCP: the configuration in force.
     Configuration(Configuration),
     /// Voter to voter, over TCP.
-    Raft(control::raft::Message),
+    Raft {
+        /// How often the sender was started with its disk; its incarnation is the frame's.
+        start: u64,
+        /// What it says.
+        message: control::raft::Message,
+    },
     /// Any process to a voter, over TCP: put this command into the log and say what came of it.
     Submit(control::state::Command),
     /// Voter to the process that submitted.
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -14,8 +14,14 @@
 impl Fleet {
     /// Starts a fleet of the profile `imena`.
     pub fn up() -> Self {
+        Self::up_with(&[])
+    }
+
+    /// Starts a fleet with more options of `scripts/fleet up`.
+    pub fn up_with(options: &[&str]) -> Self {
         let dir = tempfile::tempdir().expect("a temporary folder");
-        script(&["up", &dir.path().display().to_string()]);
+        let path = dir.path().display().to_string();
+        script(&[&["up", path.as_str()], options].concat());
         Self { dir }
     }
 
