Prove the replicated log under schedules of failures

Change: a simulation of voters as pure machines, with lost messages, slow disks, loss of power, cuts, wiped disks and copied disk images; starts of a disk are registered with a random token. Found and mended: a registered start of the old disk refused the new one (two_voters_lose_their_disks_in_turn failed: not admitted after ten seconds).

--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -74,9 +74,10 @@
 fn started(raft: &Raft, heard: &Heard) -> Option<Membership> {
     let members = raft.members();
     let newer = |peer: &&Peer| {
-        let known = members.starts.get(&peer.node).copied().unwrap_or(0);
-        members.knows(&peer.node, peer.incarnation) && peer.start > known
+        let known = members.start(&peer.node, peer.incarnation);
+        let outdated = members.newer(peer).is_some();
+        peer.start.count > known.count && !outdated && members.knows(&peer.node, peer.incarnation)
     };
-    let peer = heard.lives.values().find(newer)?;
-    Some(Membership::Started { node: peer.node.clone(), start: peer.start })
+    let Peer { node, incarnation, start } = heard.lives.values().find(newer)?.clone();
+    Some(Membership::Started { node, incarnation, start })
 }
--- a/src/control/raft/lead.rs
+++ b/src/control/raft/lead.rs
@@ -6,7 +6,7 @@
 use super::machine::{Raft, Role};
 use super::{
     CLOCK_MARGIN, Entry, HEARTBEAT, MAX_COMMAND_BYTES, MAX_ELECTION, MIN_ELECTION, Message, Output,
-    Peer,
+    Peer, Start,
 };
 use crate::clock::Instant;
 use crate::control::state::{Action, Command, Voter};
@@ -40,7 +40,7 @@
     acked: u64,
     heard: Instant,
     /// Which start of the process acknowledged `matched`.
-    life: (id::Incarnation, u64),
+    life: (id::Incarnation, Start),
     needs_snapshot: bool,
     snapshot_sent: Option<Instant>,
 }
@@ -226,7 +226,7 @@
             *progress = Progress { next, life, ..Progress::default() };
         }
         if !matched && life != progress.life && last < progress.matched {
-            let start = from.start + 1;
+            let start = Start { count: from.start.count + 1, ..from.start };
             let known = Peer { start, ..from.clone() };
             return self.send(from.node.clone(), Message::Outdated { known });
         }
--- a/src/control/raft/members.rs
+++ b/src/control/raft/members.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Entry, Peer};
+use super::{Entry, Peer, Start};
 use crate::control::state::{Action, Membership, Voter};
 use crate::id;
 
@@ -16,7 +16,7 @@
     /// Those that learn the log and don't vote yet.
     pub learners: BTreeMap<id::Node, Voter>,
     /// The newest start that is known of each.
-    pub starts: BTreeMap<id::Node, u64>,
+    pub starts: BTreeMap<id::Node, (id::Incarnation, Start)>,
 }
 
 impl Members {
@@ -46,11 +46,15 @@
         let learner = self.learners.get(&peer.node);
         let newest = self.voters.get(&peer.node).into_iter().chain(learner);
         let incarnation = newest.map(|voter| voter.incarnation).max()?;
-        let start = self.starts.get(&peer.node).copied().unwrap_or(0);
+        let start = self.start(&peer.node, incarnation);
         let known = Peer { node: peer.node.clone(), incarnation, start };
-        let older = peer.incarnation < incarnation
-            || (peer.incarnation == incarnation && peer.start < start);
-        older.then_some(known)
+        peer.is_outdated_by(&known).then_some(known)
+    }
+
+    /// Returns the newest registered start of a process with this disk.
+    pub fn start(&self, node: &id::Node, incarnation: id::Incarnation) -> Start {
+        let registered = self.starts.get(node).filter(|(known, _)| *known == incarnation);
+        registered.map(|(_, start)| *start).unwrap_or_default()
     }
 
     /// Returns everyone but `me` to whom the log is sent, each once.
@@ -71,7 +75,6 @@
         match change {
             Membership::Learn(voter) => {
                 self.learners.insert(voter.node.clone(), voter.clone());
-                self.starts.remove(&voter.node);
             }
             Membership::Admit(node) => {
                 if let Some(voter) = self.learners.remove(node) {
@@ -82,12 +85,9 @@
                 if self.voters.remove(node).is_none() {
                     self.learners.remove(node);
                 }
-                if !self.learners.contains_key(node) {
-                    self.starts.remove(node);
-                }
             }
-            Membership::Started { node, start } => {
-                self.starts.insert(node.clone(), *start);
+            Membership::Started { node, incarnation, start } => {
+                self.starts.insert(node.clone(), (*incarnation, *start));
             }
         }
     }
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -66,8 +66,34 @@
     pub node: id::Node,
     /// Which disk it has.
     pub incarnation: id::Incarnation,
-    /// How often it was started with this disk.
-    pub start: u64,
+    /// Which start of a process with this disk.
+    pub start: Start,
+}
+
+/// One start of a process with a disk. A copy of the disk counts the same starts, so each also has a random
+/// number: of two starts with one count, the one that the log has registered is the right one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
+pub struct Start {
+    /// How often a process was started with this disk.
+    pub count: u64,
+    /// A random number.
+    pub token: u32,
+}
+
+impl Peer {
+    /// Tells whether this life of a process is over when `known` is known of it.
+    pub fn is_outdated_by(&self, known: &Self) -> bool {
+        let start = self.start.is_outdated_by(known.start);
+        let same = self.incarnation == known.incarnation;
+        self.node == known.node && (self.incarnation < known.incarnation || (same && start))
+    }
+}
+
+impl Start {
+    /// Tells whether this start can't be the newest one when `known` is registered.
+    pub fn is_outdated_by(self, known: Self) -> bool {
+        self.count < known.count || (self.count == known.count && self != known)
+    }
 }
 
 /// What voters say to each other.
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -84,7 +84,7 @@
     let control = settings.control.as_ref().ok_or(Error::NotControl)?;
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let fresh = id::Incarnation(wall.as_micros() as u64);
-    let (store, found) = Store::start(disk, &settings.node, fresh)?;
+    let (store, found) = Store::start(disk, &settings.node, fresh, fastrand::u32(..))?;
     let udp = UdpSocket::bind(control.address).await?;
     let tcp = TcpListener::bind(control.address).await?;
     let admin = TcpListener::bind(control.admin).await?;
@@ -429,12 +429,12 @@
                 }
             }
             Message::Outdated { known } => {
-                if known.node == self.me.node && known > self.me {
+                if self.me.is_outdated_by(&known) {
                     drop(core);
                     let _ = self.orders.send(Order::Refuse(known.clone()));
                     self.stop(&format!(
                         "its disk is a copy from before: control knows incarnation {} at start {}",
-                        known.incarnation, known.start
+                        known.incarnation, known.start.count
                     ));
                 }
             }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::raft::Start;
 use crate::{id, wire};
 
 /// All that the log's commands have made so far. Two voters that applied the same entries hold equal states.
@@ -135,8 +136,10 @@
     Started {
         /// The process.
         node: id::Node,
-        /// How often it was started.
-        start: u64,
+        /// Which disk it has.
+        incarnation: id::Incarnation,
+        /// Its newest start with this disk.
+        start: Start,
     },
 }
 
--- a/src/control/store/mod.rs
+++ b/src/control/store/mod.rs
@@ -11,7 +11,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::raft::{Change, Peer, Saved, Snapshot};
+use super::raft::{Change, Peer, Saved, Snapshot, Start};
 use crate::id;
 
 pub use disk::{Disk, Folder};
@@ -71,9 +71,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 struct Identity {
     incarnation: id::Incarnation,
-    start: u64,
+    start: Start,
     /// What control knew of this disk when it refused it.
-    refused: Option<(id::Incarnation, u64)>,
+    refused: Option<(id::Incarnation, Start)>,
 }
 
 /// The open disk.
@@ -108,17 +108,19 @@
         folder: &Path,
         node: &id::Node,
         fresh: id::Incarnation,
+        token: u32,
     ) -> Result<(Self, Found), Error> {
         let disk = Folder::open(folder).map_err(|source| {
             let file = folder.display().to_string();
             Error::Io { file, source }
         })?;
-        Self::start(disk, node, fresh)
+        Self::start(disk, node, fresh, token)
     }
 }
 
 impl<D: Disk> Store<D> {
-    /// Reads what the disk holds and counts this start; a blank disk gets the incarnation `fresh`.
+    /// Reads what the disk holds and counts this start, with the random `token`; a blank disk gets the
+    /// incarnation `fresh`.
     ///
     /// # Errors
     ///
@@ -128,12 +130,13 @@
         mut disk: D,
         node: &id::Node,
         fresh: id::Incarnation,
+        token: u32,
     ) -> Result<(Self, Found), Error> {
         let identity = read(&mut disk, IDENTITY)?;
         let snapshot = read(&mut disk, SNAPSHOT)?;
         let log = read(&mut disk, LOG)?;
         let read_bytes = [&identity, &snapshot, &log].map(|file| file.as_ref().map_or(0, Vec::len));
-        let identity = identify(identity, snapshot.is_some() || log.is_some(), fresh)?;
+        let identity = identify(identity, snapshot.is_some() || log.is_some(), fresh, token)?;
         write(&mut disk, IDENTITY, &frame(&identity)?)?;
         let (saved, good) = load(snapshot.as_deref(), log.as_deref().unwrap_or_default())?;
         if log.is_some_and(|log| good < log.len()) {
@@ -233,19 +236,25 @@
     identity: Option<Vec<u8>>,
     used: bool,
     fresh: id::Incarnation,
+    token: u32,
 ) -> Result<Identity, Error> {
     let Some(bytes) = identity else {
         if used {
             let what = "there is a log, but not the identity of its disk";
             return Err(Error::Damaged { file: IDENTITY, offset: 0, what });
         }
-        return Ok(Identity { incarnation: fresh, start: 1, refused: None });
+        return Ok(Identity {
+            incarnation: fresh,
+            start: Start { count: 1, token },
+            refused: None,
+        });
     };
     let identity: Identity = whole(IDENTITY, &bytes)?;
     if let Some((incarnation, start)) = identity.refused {
-        return Err(Error::Outdated { incarnation, start });
+        return Err(Error::Outdated { incarnation, start: start.count });
     }
-    Ok(Identity { start: identity.start + 1, ..identity })
+    let count = identity.start.count + 1;
+    Ok(Identity { start: Start { count, token }, ..identity })
 }
 
 /// Reads a file that holds one record, which was put in place whole.
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -31,8 +31,8 @@
     Configuration(Configuration),
     /// Voter to voter, over TCP.
     Raft {
-        /// How often the sender was started with its disk; its incarnation is the frame's.
-        start: u64,
+        /// Which start of the sender with its disk this is; its incarnation is the frame's.
+        start: control::raft::Start,
         /// What it says.
         message: control::raft::Message,
     },
--- /dev/null
+++ b/tests/cluster/mod.rs
@@ -0,0 +1,390 @@
+//! Voters as pure machines, with a queue of messages between them and disks that take time. It checks after each
+//! step that no term has two leaders, no two voters are proved to lead, and nothing committed ever changes.
+
+pub mod disk;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use cactushatch::clock::Instant;
+use cactushatch::control::member::{self, Heard};
+use cactushatch::control::raft::{
+    Bootstrap, Change, Entry, Input, Members, Message, Output, Peer, Raft,
+};
+use cactushatch::control::state::{Action, Command, Voter};
+use cactushatch::control::store::Store;
+use cactushatch::id;
+use disk::Memory;
+
+/// How long one step of the simulation is.
+const STEP: Duration = Duration::from_millis(5);
+
+/// After how many entries a voter compacts, so that a short run sees snapshots.
+const COMPACT: u64 = 20;
+
+pub struct Cluster {
+    pub now: Instant,
+    pub nodes: Vec<Node>,
+    pub random: fastrand::Rng,
+    queue: Vec<(Instant, Peer, usize, Message)>,
+    cut: BTreeSet<usize>,
+    committed: BTreeMap<id::Index, Entry>,
+    leaders: BTreeMap<id::Term, id::Node>,
+    next: u64,
+}
+
+pub struct Node {
+    name: id::Node,
+    pub disk: Memory,
+    pub live: Option<Live>,
+    fresh: u64,
+}
+
+/// A running process.
+pub struct Live {
+    pub raft: Raft,
+    pub peer: Peer,
+    store: Store<Memory>,
+    bootstrap: Bootstrap,
+    heard: Heard,
+    writes: VecDeque<(Instant, u64, Change)>,
+    /// The commands applied, as a snapshot would hold them.
+    pub applied: BTreeMap<id::Index, Vec<u8>>,
+    compacted: u64,
+    pub refused: bool,
+    changing: Option<id::Index>,
+}
+
+pub fn name(number: usize) -> id::Node {
+    format!("control-{}", number + 1).parse().unwrap()
+}
+
+pub fn voter(number: usize) -> Voter {
+    Voter {
+        node: name(number),
+        incarnation: id::Incarnation(0),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "a".parse().unwrap(),
+    }
+}
+
+pub fn command(number: u64) -> Command {
+    let action = Action::Register {
+        node: "proxy-1".parse().unwrap(),
+        incarnation: id::Incarnation(number),
+        domain: "a".parse().unwrap(),
+    };
+    Command { origin: None, action }
+}
+
+impl Cluster {
+    /// Starts `count` blank voters.
+    pub fn new(count: usize, seed: u64) -> Self {
+        let node =
+            |number| Node { name: name(number), disk: Memory::default(), live: None, fresh: 1 };
+        let mut cluster = Self {
+            now: Instant(1_000_000_000),
+            nodes: (0..count).map(node).collect(),
+            random: fastrand::Rng::with_seed(seed),
+            queue: Vec::new(),
+            cut: BTreeSet::new(),
+            committed: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            next: 0,
+        };
+        (0..count).for_each(|at| cluster.start(at));
+        cluster
+    }
+
+    /// Starts a process on its disk, unless it runs.
+    pub fn start(&mut self, at: usize) {
+        if self.nodes[at].live.is_some() {
+            return;
+        }
+        let seed = self.random.u64(..);
+        let initial = (0..self.nodes.len()).map(voter).collect();
+        let node = &mut self.nodes[at];
+        let fresh = id::Incarnation(node.fresh);
+        let Ok((store, found)) = Store::start(node.disk.clone(), &node.name, fresh, seed as u32)
+        else {
+            return;
+        };
+        let mut live = Live {
+            raft: Raft::new(self.now, found.peer.clone(), &found.saved, seed),
+            bootstrap: Bootstrap::new(found.peer.clone(), initial),
+            peer: found.peer,
+            store,
+            heard: Heard::default(),
+            writes: VecDeque::new(),
+            applied: BTreeMap::new(),
+            compacted: 0,
+            refused: false,
+            changing: None,
+        };
+        if let Some(snapshot) = &found.saved.snapshot {
+            live.restore(&snapshot.state);
+        }
+        node.live = Some(live);
+    }
+
+    /// Ends a process as a loss of power does.
+    pub fn kill(&mut self, at: usize) {
+        self.nodes[at].live = None;
+        self.nodes[at].disk.lose_power();
+    }
+
+    /// Ends a process and takes its disk away.
+    pub fn wipe(&mut self, at: usize) {
+        self.nodes[at].live = None;
+        self.nodes[at].disk = Memory::default();
+        self.nodes[at].fresh += 1;
+    }
+
+    /// Cuts a process off from all others.
+    pub fn cut(&mut self, at: usize) {
+        self.cut.insert(at);
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    /// Returns who leads, proved by its majority.
+    pub fn leader(&self) -> Option<usize> {
+        let now = self.now;
+        let leads = |node: &Node| node.live.as_ref().is_some_and(|live| live.raft.leads(now));
+        self.nodes.iter().position(leads)
+    }
+
+    pub fn live(&self, at: usize) -> &Live {
+        self.nodes[at].live.as_ref().expect("the process runs")
+    }
+
+    /// Waits until someone leads.
+    pub fn await_leader(&mut self) -> usize {
+        for _ in 0..2_000 {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            self.run(STEP);
+        }
+        panic!("nobody leads after ten seconds");
+    }
+
+    /// Proposes a command and returns its index, when the process takes it.
+    pub fn propose(&mut self, at: usize) -> Option<id::Index> {
+        self.next += 1;
+        let command = command(self.next);
+        self.input(at, Input::Propose(command))
+    }
+
+    /// Proposes a command to the leader and waits until everyone that runs has applied it.
+    pub fn commit_everywhere(&mut self) {
+        let leader = self.await_leader();
+        let index = self.propose(leader).expect("a leader takes commands");
+        for _ in 0..2_000 {
+            let applied = |live: &Live| live.refused || live.applied.contains_key(&index);
+            let lives = self.nodes.iter().enumerate().filter(|(at, _)| !self.cut.contains(at));
+            if lives.filter_map(|(_, node)| node.live.as_ref()).all(applied) {
+                return;
+            }
+            self.run(STEP);
+        }
+        panic!("{index} was not applied everywhere after ten seconds");
+    }
+
+    /// Tells whether the entry at `index` is committed.
+    pub fn is_committed(&self, index: id::Index) -> bool {
+        self.committed.contains_key(&index)
+    }
+
+    pub fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.deliver();
+            for at in 0..self.nodes.len() {
+                self.turn(at);
+            }
+            self.check();
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = self.queue.drain(..).partition(|(at, ..)| *at <= now);
+        self.queue = later;
+        let due: Vec<(Instant, Peer, usize, Message)> = due;
+        for (_, from, to, message) in due {
+            self.receive(from, to, message);
+        }
+    }
+
+    /// Hands a message to a process, as `control::server` does.
+    pub fn receive(&mut self, from: Peer, to: usize, message: Message) {
+        let Some(live) = &mut self.nodes[to].live else {
+            return;
+        };
+        match message {
+            Message::Hello { members } if live.raft.is_blank() => {
+                if let Some(members) = live.bootstrap.hear(&from, members) {
+                    self.input(to, Input::Found(members));
+                }
+            }
+            Message::Hello { members: None } => {
+                live.heard.blank.insert(from.node.clone(), from.incarnation);
+                let members = Some(live.raft.members().clone());
+                self.send(to, &from.node, Message::Hello { members });
+            }
+            Message::Hello { .. } => {}
+            Message::Outdated { known } => live.refused |= live.peer.is_outdated_by(&known),
+            message => {
+                let life = live.heard.lives.entry(from.node.clone()).or_insert(from.clone());
+                *life = from.clone().max(life.clone());
+                self.input(to, Input::Message { from, message });
+            }
+        }
+    }
+
+    fn turn(&mut self, at: usize) {
+        let now = self.now;
+        let Some(live) = &mut self.nodes[at].live else {
+            return;
+        };
+        if live.raft.is_blank() {
+            for to in 0..self.nodes.len() {
+                let to = self.nodes[to].name.clone();
+                self.send(at, &to, Message::Hello { members: None });
+            }
+        }
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        let mut synced = Vec::new();
+        while let Some((due, ..)) = live.writes.front()
+            && *due <= now
+            && let Some((_, ticket, change)) = live.writes.pop_front()
+        {
+            if live.store.persist(change).is_err() {
+                self.kill(at);
+                return;
+            }
+            synced.push(ticket);
+        }
+        for ticket in synced {
+            self.input(at, Input::Synced { ticket });
+        }
+        self.input(at, Input::Tick);
+        self.change(at);
+        self.compact(at);
+    }
+
+    fn change(&mut self, at: usize) {
+        let now = self.now;
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        if live.changing.is_some_and(|index| live.raft.commit() >= index) {
+            live.changing = None;
+        }
+        if !live.raft.leads(now) || live.changing.is_some() {
+            return;
+        }
+        if let Some(change) = member::next(now, &live.raft, &VecDeque::new(), &live.heard) {
+            let command = Command { origin: None, action: Action::Member(change) };
+            let index = self.input(at, Input::Propose(command));
+            self.nodes[at].live.as_mut().expect("the process runs").changing = index;
+        }
+    }
+
+    fn compact(&mut self, at: usize) {
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        let commit = live.raft.commit();
+        if commit.0 >= live.compacted + COMPACT {
+            live.compacted = commit.0;
+            let state = postcard::to_stdvec(&live.applied).unwrap();
+            self.input(at, Input::Compact { index: commit, state });
+        }
+    }
+
+    /// Gives a process an input and carries out what it returns.
+    pub fn input(&mut self, at: usize, input: Input) -> Option<id::Index> {
+        let now = self.now;
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        if live.refused {
+            return None;
+        }
+        let mut proposed = None;
+        for output in live.raft.step(now, input) {
+            match output {
+                Output::Send { to, message } => self.send(at, &to, message),
+                Output::Persist { ticket, change } => {
+                    let takes = Duration::from_millis(self.random.u64(0..20));
+                    let live = self.nodes[at].live.as_mut().expect("the process runs");
+                    let after = live.writes.back().map_or(now, |(due, ..)| *due);
+                    live.writes.push_back((after.max(now + takes), ticket, change));
+                }
+                Output::Committed(entries) => self.committed(at, entries),
+                Output::Restore(snapshot) => {
+                    let live = self.nodes[at].live.as_mut().expect("the process runs");
+                    live.restore(&snapshot.state);
+                }
+                Output::BecameLeader => {
+                    let live = self.nodes[at].live.as_mut().expect("the process runs");
+                    live.changing = None;
+                    let node = live.peer.node.clone();
+                    let known = self.leaders.insert(live.raft.term(), node.clone());
+                    assert!(known.is_none_or(|known| known == node), "a term has two leaders");
+                }
+                Output::Proposed((_, index)) => proposed = Some(index),
+                Output::Refused | Output::SteppedDown => {}
+            }
+        }
+        proposed
+    }
+
+    fn committed(&mut self, at: usize, entries: Vec<Entry>) {
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        for entry in entries {
+            let bytes = postcard::to_stdvec(&entry.command).unwrap();
+            live.applied.insert(entry.index, bytes);
+            let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+            assert_eq!(*first, entry, "a committed entry changed");
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &id::Node, message: Message) {
+        let Some(number) = self.nodes.iter().position(|node| node.name == *to) else {
+            return;
+        };
+        let lost = self.random.u8(0..20) == 0;
+        if number == from || lost || self.cut.contains(&from) || self.cut.contains(&number) {
+            return;
+        }
+        let takes = Duration::from_millis(self.random.u64(0..15));
+        let peer = self.live(from).peer.clone();
+        self.queue.push((self.now + takes, peer, number, message));
+    }
+
+    fn check(&self) {
+        let leads = |node: &&Node| node.live.as_ref().is_some_and(|l| l.raft.leads(self.now));
+        let proved = self.nodes.iter().filter(leads).count();
+        assert!(proved <= 1, "{proved} voters are proved to lead at once");
+        for live in self.nodes.iter().filter_map(|node| node.live.as_ref()) {
+            for (index, bytes) in &live.applied {
+                let first = self.committed.get(index).expect("what is applied is committed");
+                let first = postcard::to_stdvec(&first.command).unwrap();
+                assert_eq!(first, *bytes, "two voters applied different commands");
+            }
+        }
+    }
+}
+
+impl Live {
+    fn restore(&mut self, state: &[u8]) {
+        if !state.is_empty() {
+            self.applied = postcard::from_bytes(state).unwrap();
+        }
+        self.compacted = self.applied.len() as u64;
+    }
+
+    pub fn members(&self) -> &Members {
+        self.raft.members()
+    }
+}
