Show what a plan changes, and keep who did what

Cause: a plan named no effects, peaks by command were refused, and the loser of a race was not told the content. Change: effects with the figures at risk, by comparing declarations key by key; the winner's revision, digest and name; peaks and changes of the voters are carried out; plan ids can't collide; plans and outcomes are bounded in bytes; the status lists the voters.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -87,6 +87,8 @@
     }
 
     fn begin(&mut self, now: Instant) {
+        let me = self.raft.me().clone();
+        self.heard.lives.insert(me.node.clone(), me);
         self.leader.elected(now, &self.state);
         self.leader.refresh(&self.state, &self.fleet);
         self.registering.clear();
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -41,7 +41,7 @@
             replicas: self.replicas.values().map(|(_, replica)| replica.clone()).collect(),
             draining: state.draining.iter().cloned().collect(),
             shares: shares(state, fleet),
-            peaks: Vec::new(),
+            peaks: state.peaks.clone(),
         };
         if table != self.table || self.version == 0 {
             self.table = table;
--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -37,7 +37,8 @@
 /// Admits a learner that holds every committed entry; its old incarnation goes first.
 fn admission(now: Instant, raft: &Raft) -> Option<Membership> {
     let members = raft.members();
-    let node = members.learners.keys().find(|node| raft.caught_up(now, node))?;
+    let learner = members.learners.values().find(|learner| raft.caught_up(now, learner))?;
+    let node = &learner.node;
     if members.voters.contains_key(node) {
         return Some(Membership::Remove(node.clone()));
     }
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -7,9 +7,11 @@
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 
+use super::core::Core;
 use super::server::{Shared, instances, role_of};
-use super::state::{Action, Command, Intent, Origin};
+use super::state::{self, Action, Command, Intent, Membership, Origin};
 use crate::admin::{self, Reply, Request};
+use crate::clock::Instant;
 use crate::id;
 use crate::wire::{Answer, Phase, Role, Stamp};
 
@@ -51,6 +53,37 @@
     pub instances: Vec<Instance>,
     /// The proxies that may hold a lease.
     pub proxies: Vec<id::Node>,
+    /// The control processes.
+    pub voters: Vec<Voter>,
+    /// The changes of the voters that are not finished.
+    pub wanted: Vec<Membership>,
+}
+
+/// A control process, for operators.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Voter {
+    /// Its name.
+    pub node: id::Node,
+    /// The incarnation of its disk.
+    pub incarnation: id::Incarnation,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// What it does.
+    pub part: Part,
+    /// Whether it answers and holds every committed entry.
+    pub current: bool,
+}
+
+/// What a control process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Part {
+    /// It leads.
+    Leader,
+    /// It votes.
+    Voter,
+    /// It learns and doesn't vote yet; its repair is not finished.
+    Learner,
 }
 
 /// A group's epoch, for operators.
@@ -178,9 +211,27 @@
         groups: core.state.epochs.values().map(group).collect(),
         instances: instances(&core).into_iter().map(instance).collect(),
         proxies: core.state.nodes.keys().cloned().collect(),
+        voters: voters(&core, shared.clock.now()),
+        wanted: core.state.wanted.iter().cloned().collect(),
     }
 }
 
+fn voters(core: &Core, now: Instant) -> Vec<Voter> {
+    let members = core.raft.members();
+    let leader = core.raft.leader();
+    let voter = |voter: &state::Voter, part| Voter {
+        node: voter.node.clone(),
+        incarnation: voter.incarnation,
+        domain: voter.domain.clone(),
+        part,
+        current: core.raft.caught_up(now, voter),
+    };
+    let part = |node| if leader == Some(node) { Part::Leader } else { Part::Voter };
+    let voters = members.voters.values().map(|known| voter(known, part(&known.node)));
+    let learners = members.learners.values().map(|known| voter(known, Part::Learner));
+    voters.chain(learners).collect()
+}
+
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
--- a/src/control/raft/lead.rs
+++ b/src/control/raft/lead.rs
@@ -88,12 +88,12 @@
     }
 
     /// Tells whether a member holds every committed entry, was heard a moment ago, and follows.
-    pub fn caught_up(&self, now: Instant, node: &id::Node) -> bool {
+    pub fn caught_up(&self, now: Instant, voter: &Voter) -> bool {
         let Role::Leader(lead) = &self.role else {
             return false;
         };
-        let progress = lead.peers.get(node);
-        progress.is_some_and(|p| p.matched >= self.commit && now.since(p.heard) < MAX_ELECTION)
+        let heard = |p: &Progress| p.matched >= self.commit && now.since(p.heard) < MAX_ELECTION;
+        voter.node == self.me.node || lead.of(voter).is_some_and(heard)
     }
 
     /// Tells whether a member answers.
--- a/src/control/raft/machine.rs
+++ b/src/control/raft/machine.rs
@@ -94,6 +94,11 @@
         std::mem::take(&mut self.outputs)
     }
 
+    /// Returns which life of the process this is.
+    pub fn me(&self) -> &Peer {
+        &self.me
+    }
+
     /// Returns the newest term.
     pub fn term(&self) -> id::Term {
         self.term
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -40,7 +40,7 @@
 pub const MAX_APPEND_BYTES: usize = 512 * 1024;
 
 /// The longest command, in bytes, so that it fits a frame with room to spare.
-pub const MAX_COMMAND_BYTES: usize = 2 * 1024 * 1024;
+pub const MAX_COMMAND_BYTES: usize = 1024 * 1024;
 
 /// How many entries a voter keeps in memory behind its snapshot, for followers that are a little late.
 pub const KEPT_ENTRIES: usize = 256;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -11,8 +11,8 @@
 use super::core::Core;
 use super::journal::{self, Order};
 use super::link::Link;
-use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
-use super::state::{Command, State, Voter};
+use super::raft::{Bootstrap, Input, MAX_COMMAND_BYTES, Message, Output, Peer, Raft};
+use super::state::{Command, Outcome, State, Voter};
 use super::store::{Disk, Folder, Store};
 use super::{Error, operator};
 use crate::clock::{Clock, Instant};
@@ -248,6 +248,11 @@
     }
 
     async fn submit_here(self: &Arc<Self>, command: Command) -> Answer {
+        let (size, limit) = (command.size(), MAX_COMMAND_BYTES);
+        if size > limit {
+            let reason = format!("the command has {size} bytes, at most {limit} are taken");
+            return Answer::Applied(Outcome::Refused { reason });
+        }
         let (waiter, applied) = smol::channel::bounded(1);
         {
             let mut core = self.core();
--- a/src/control/state/apply.rs
+++ b/src/control/state/apply.rs
@@ -1,16 +1,15 @@
 //! How commands change the state.
 
-use super::{Action, Command, Intent, Membership, Outcome, Planned, State};
-use crate::config;
+use super::{Action, Command, Membership, Origin, Outcome, State};
 use crate::id;
 use crate::wire;
 
-/// How long a plan waits for its confirmation, in milliseconds.
-const PLAN_EXPIRY_MS: u64 = 15 * 60 * 1000;
-
 /// How many operators' commands keep their first outcome.
 const KEPT_OUTCOMES: usize = 10_000;
 
+/// How many bytes these outcomes have at most, so that a snapshot fits a frame.
+const KEPT_OUTCOME_BYTES: usize = 1024 * 1024;
+
 impl State {
     /// Applies one committed command and returns its outcome. A command id that was applied before changes
     /// nothing and gets its first outcome.
@@ -21,28 +20,31 @@
         if let Some(outcome) = self.outcomes.get(&origin.command) {
             return outcome.clone();
         }
-        let outcome = self.act(&command.action, Some(&origin.operator));
+        let outcome = self.act(&command.action, Some(origin));
         self.keep(origin.command.clone(), outcome.clone());
         outcome
     }
 
     fn keep(&mut self, command: id::Command, outcome: Outcome) {
-        if self.order.len() == KEPT_OUTCOMES
+        self.outcome_bytes += bytes(&command, &outcome);
+        self.order.push_back(command.clone());
+        self.outcomes.insert(command, outcome);
+        while (self.order.len() > KEPT_OUTCOMES || self.outcome_bytes > KEPT_OUTCOME_BYTES)
             && let Some(oldest) = self.order.pop_front()
         {
-            self.outcomes.remove(&oldest);
+            if let Some(outcome) = self.outcomes.remove(&oldest) {
+                self.outcome_bytes -= bytes(&oldest, &outcome);
+            }
         }
-        self.order.push_back(command.clone());
-        self.outcomes.insert(command, outcome);
     }
 
-    fn act(&mut self, action: &Action, operator: Option<&id::Operator>) -> Outcome {
+    fn act(&mut self, action: &Action, origin: Option<&Origin>) -> Outcome {
         match action {
             Action::Noop => self.done(),
             Action::Plan { plan, base, intent, made_ms } => {
                 self.plan(plan, *base, intent, *made_ms)
             }
-            Action::Confirm { plan, now_ms } => self.confirm(plan, *now_ms, operator),
+            Action::Confirm { plan, now_ms } => self.confirm(plan, *now_ms, origin),
             Action::Freeze { group, term } => self.freeze(group, *term),
             Action::Promote { group, term, primary, start } => {
                 self.promote(group, *term, primary, *start)
@@ -68,76 +70,10 @@
         self.done()
     }
 
-    fn done(&self) -> Outcome {
+    pub(super) fn done(&self) -> Outcome {
         Outcome::Done { revision: self.revision }
     }
 
-    fn plan(
-        &mut self,
-        plan: &id::Plan,
-        base: id::Revision,
-        intent: &Intent,
-        made_ms: u64,
-    ) -> Outcome {
-        if base != self.revision {
-            return refused(format!(
-                "the plan stands on revision {base}, in force is {}",
-                self.revision
-            ));
-        }
-        if let Intent::Configure { text } = intent
-            && let Err(error) = config::Fleet::parse("declarations", text)
-        {
-            return refused(error.to_string());
-        }
-        let expires_ms = made_ms + PLAN_EXPIRY_MS;
-        self.plans.retain(|_, planned| planned.expires_ms > made_ms);
-        self.plans.insert(plan.clone(), Planned { base, intent: intent.clone(), expires_ms });
-        Outcome::Planned { plan: plan.clone(), base, expires_ms }
-    }
-
-    fn confirm(
-        &mut self,
-        plan: &id::Plan,
-        now_ms: u64,
-        operator: Option<&id::Operator>,
-    ) -> Outcome {
-        let Some(planned) = self.plans.remove(plan) else {
-            return refused(format!("there is no plan {plan}; it may have run out"));
-        };
-        if now_ms > planned.expires_ms {
-            return refused(format!("plan {plan} has run out"));
-        }
-        if planned.base != self.revision {
-            let winner = self.changed_by.as_ref().map_or("nobody", id::Operator::as_str);
-            return refused(format!(
-                "plan {plan} stands on revision {}, but {winner} put revision {} in force",
-                planned.base, self.revision
-            ));
-        }
-        self.carry_out(planned.intent, operator)
-    }
-
-    fn carry_out(&mut self, intent: Intent, operator: Option<&id::Operator>) -> Outcome {
-        match intent {
-            Intent::Configure { text } => self.text = text,
-            Intent::Drain { instance } => {
-                self.draining.insert(instance);
-            }
-            Intent::Undrain { instance } => {
-                self.draining.remove(&instance);
-            }
-            Intent::Peak { .. } => return refused("peaks by command are not carried out yet"),
-            Intent::Member(change) => {
-                self.wanted.push_back(change);
-                return self.done();
-            }
-        }
-        self.revision = self.revision.next();
-        self.changed_by = operator.cloned();
-        self.done()
-    }
-
     fn freeze(&mut self, group: &id::Group, term: id::Term) -> Outcome {
         match self.epochs.get_mut(group) {
             Some(epoch) if epoch.term == term => {
@@ -192,6 +128,11 @@
     }
 }
 
-fn refused(reason: impl Into<String>) -> Outcome {
+pub(super) fn refused(reason: impl Into<String>) -> Outcome {
     Outcome::Refused { reason: reason.into() }
 }
+
+fn bytes(command: &id::Command, outcome: &Outcome) -> usize {
+    let outcome = postcard::experimental::serialized_size(outcome).unwrap_or(0);
+    2 * command.as_str().len() + outcome
+}
--- /dev/null
+++ b/src/control/state/effect.rs
@@ -0,0 +1,146 @@
+//! What a plan would change, and which figures that puts at risk, in words for operators.
+
+use std::collections::BTreeMap;
+
+use super::{Intent, Membership, State};
+use crate::id;
+
+/// How many effects are listed; an operator reads no more, and the outcome is kept.
+const MAX_EFFECTS: usize = 50;
+
+/// The figures that a declaration decides, by its key.
+const FIGURES: [(&str, &str); 14] = [
+    ("at", "waiting time at the peak"),
+    ("class", "priority and deadline of the request"),
+    ("connect_time", "connections opened ahead of a peak"),
+    ("connections", "waiting time, requests refused"),
+    ("deadline", "requests refused, time to answer"),
+    ("default_class", "priority and deadline of unnamed statements"),
+    ("durability", "acknowledged writes lost at a failover, time to answer writes"),
+    ("idempotent", "requests that run twice"),
+    ("instances", "how many instances a failover needs"),
+    ("keep", "how long a resent request is recognised"),
+    ("lasts", "waiting time at the peak"),
+    ("max_age", "age of the data read, load of the primary"),
+    ("once", "requests that run twice"),
+    ("priority", "who waits when connections are scarce"),
+];
+
+/// Returns what carrying out `intent` would change.
+pub(super) fn of(state: &State, intent: &Intent) -> Vec<String> {
+    match intent {
+        Intent::Configure { text } => differences(&state.text, text),
+        Intent::Drain { instance } => vec![drain(state, instance)],
+        Intent::Undrain { instance } => vec![format!("{instance} takes work again")],
+        Intent::Peak { group, lasts_ms, .. } => {
+            vec![format!("group {group}: connections are opened ahead of a peak of {lasts_ms} ms")]
+        }
+        Intent::Member(change) => vec![member(change)],
+    }
+}
+
+/// Names an intent in one line.
+pub(super) fn name(intent: &Intent) -> String {
+    match intent {
+        Intent::Configure { .. } => "configure".to_owned(),
+        Intent::Drain { instance } => format!("drain {instance}"),
+        Intent::Undrain { instance } => format!("undrain {instance}"),
+        Intent::Peak { group, .. } => format!("peak of {group}"),
+        Intent::Member(change) => member(change),
+    }
+}
+
+fn drain(state: &State, instance: &id::Instance) -> String {
+    let reign = state.epochs.values().find(|epoch| epoch.primary == *instance);
+    match reign {
+        Some(epoch) => format!(
+            "{instance} takes no new work; it is the primary of group {}, so another one is promoted; \
+             at risk: gap of writes",
+            epoch.group
+        ),
+        None => format!("{instance} takes no new work; at risk: waiting time of reads"),
+    }
+}
+
+fn member(change: &Membership) -> String {
+    match change {
+        Membership::Learn(voter) => {
+            format!("{} learns the log and votes once it holds it", voter.node)
+        }
+        Membership::Admit(node) => format!("{node} votes"),
+        Membership::Remove(node) => {
+            format!("{node} votes no more; at risk: how many voters may fail")
+        }
+        Membership::Started { node, .. } => format!("{node} was started"),
+    }
+}
+
+/// Compares declarations key by key.
+fn differences(before: &str, after: &str) -> Vec<String> {
+    let (before, after) = (flat(before), flat(after));
+    let mut effects = Vec::new();
+    for (key, value) in &after {
+        match before.get(key) {
+            None => effects.push(format!("{key}: {value} (new){}", risk(key))),
+            Some(old) if old != value => {
+                effects.push(format!("{key}: {old} -> {value}{}", risk(key)));
+            }
+            Some(_) => {}
+        }
+    }
+    let gone = before.iter().filter(|(key, _)| !after.contains_key(*key));
+    effects.extend(gone.map(|(key, value)| format!("{key}: {value} (removed){}", risk(key))));
+    let more = effects.len().saturating_sub(MAX_EFFECTS);
+    if more > 0 {
+        let groups = groups(&effects);
+        effects.truncate(MAX_EFFECTS);
+        effects.push(format!("and {more} more changes; groups: {groups}"));
+    }
+    effects
+}
+
+/// Names the groups that effects are about, as many as fit a line.
+fn groups(effects: &[String]) -> String {
+    let group =
+        |effect: &String| effect.strip_prefix("group.")?.split('.').next().map(str::to_owned);
+    let mut groups: Vec<String> = effects.iter().filter_map(group).collect();
+    groups.dedup();
+    let count = groups.len();
+    groups.truncate(MAX_EFFECTS);
+    let more = if count > MAX_EFFECTS {
+        format!(" and {} more", count - MAX_EFFECTS)
+    } else {
+        String::new()
+    };
+    format!("{}{more}", groups.join(", "))
+}
+
+fn risk(key: &str) -> String {
+    let last = key.rsplit('.').next().unwrap_or(key);
+    let figure = FIGURES.iter().find(|(known, _)| *known == last);
+    figure.map_or_else(String::new, |(_, figure)| format!("; at risk: {figure}"))
+}
+
+fn flat(text: &str) -> BTreeMap<String, String> {
+    let mut keys = BTreeMap::new();
+    if let Ok(table) = text.parse::<toml::Table>() {
+        flatten("", &toml::Value::Table(table), &mut keys);
+    }
+    keys
+}
+
+fn flatten(path: &str, value: &toml::Value, keys: &mut BTreeMap<String, String>) {
+    let join = |key: &str| if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") };
+    match value {
+        toml::Value::Table(table) => {
+            table.iter().for_each(|(key, value)| flatten(&join(key), value, keys));
+        }
+        toml::Value::Array(array) => {
+            let parts = array.iter().enumerate();
+            parts.for_each(|(at, value)| flatten(&join(&at.to_string()), value, keys));
+        }
+        leaf => {
+            keys.insert(path.to_owned(), leaf.to_string());
+        }
+    }
+}
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -1,6 +1,8 @@
 //! The replicated state: what the log's commands make of it. It is the one source of decisions.
 
 mod apply;
+mod effect;
+mod plan;
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
@@ -17,6 +19,8 @@
     pub revision: id::Revision,
     /// The declarations in force, in TOML.
     pub text: String,
+    /// The digest of the declarations: equal revisions with other content differ in it.
+    pub digest: String,
     /// Who put this revision in force.
     pub changed_by: Option<id::Operator>,
     /// The epoch of each group.
@@ -31,6 +35,12 @@
     pub outcomes: BTreeMap<id::Command, Outcome>,
     /// The commands of `outcomes`, oldest first.
     pub order: VecDeque<id::Command>,
+    /// The bytes that the kept outcomes have.
+    pub outcome_bytes: usize,
+    /// The peaks that were confirmed and were not over at the last confirmation.
+    pub peaks: Vec<wire::Peak>,
+    /// Who did what, oldest first; the oldest are dropped.
+    pub records: VecDeque<Record>,
     /// The changes of the voters that were confirmed and are not finished.
     pub wanted: VecDeque<Membership>,
 }
@@ -44,6 +54,25 @@
     pub intent: Intent,
     /// When it runs out, in milliseconds since 1970.
     pub expires_ms: u64,
+    /// What it would change, in words.
+    pub effects: Vec<String>,
+}
+
+/// Something that an operator did.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    /// The plan that was confirmed.
+    pub plan: id::Plan,
+    /// Who confirmed it.
+    pub operator: Option<id::Operator>,
+    /// What it did.
+    pub what: String,
+    /// The revision since.
+    pub revision: id::Revision,
+    /// The digest of the declarations since.
+    pub digest: String,
+    /// The leader's wall-clock time then, in milliseconds since 1970.
+    pub at_ms: u64,
 }
 
 /// A command in the log. A command with an id that was applied before gets its first outcome again.
@@ -212,6 +241,8 @@
         base: id::Revision,
         /// When the plan runs out, in milliseconds since 1970.
         expires_ms: u64,
+        /// What it would change, and which figures are at risk.
+        effects: Vec<String>,
     },
     /// It was refused, and nothing changed.
     Refused {
--- /dev/null
+++ b/src/control/state/plan.rs
@@ -0,0 +1,176 @@
+//! Plans and their confirmations: nothing that an operator wants happens before it was shown and confirmed.
+
+use sha2::{Digest, Sha256};
+
+use super::apply::refused;
+use super::{Intent, Origin, Outcome, Planned, Record, State, effect};
+use crate::config;
+use crate::id;
+use crate::wire;
+
+/// How long a plan waits for its confirmation, in milliseconds.
+const PLAN_EXPIRY_MS: u64 = 15 * 60 * 1000;
+
+/// How many bytes of plans may wait, so that a snapshot fits a frame; the oldest go first.
+const KEPT_PLAN_BYTES: usize = 1024 * 1024;
+
+/// How many records of who did what are kept.
+const KEPT_RECORDS: usize = 1_000;
+
+/// How many bytes of the digest of declarations are shown.
+const DIGEST_BYTES: usize = 8;
+
+impl State {
+    pub(super) fn plan(
+        &mut self,
+        plan: &id::Plan,
+        base: id::Revision,
+        intent: &Intent,
+        made_ms: u64,
+    ) -> Outcome {
+        self.plans.retain(|_, planned| planned.expires_ms > made_ms);
+        if let Some(known) = self.plans.get(plan) {
+            let same = known.base == base && known.intent == *intent;
+            return if same {
+                known.outcome(plan)
+            } else {
+                refused(format!("plan {plan} is taken"))
+            };
+        }
+        if base != self.revision {
+            return refused(format!("the plan stands on revision {base}, but {}", self.winner()));
+        }
+        if let Intent::Configure { text } = intent
+            && let Err(error) = config::Fleet::parse("declarations", text)
+        {
+            return refused(error.to_string());
+        }
+        let effects = effect::of(self, intent);
+        let expires_ms = made_ms + PLAN_EXPIRY_MS;
+        let planned = Planned { base, intent: intent.clone(), expires_ms, effects };
+        let outcome = planned.outcome(plan);
+        self.plans.insert(plan.clone(), planned);
+        self.drop_old_plans(plan);
+        outcome
+    }
+
+    fn drop_old_plans(&mut self, newest: &id::Plan) {
+        let size = |planned: &Planned| {
+            postcard::experimental::serialized_size(planned).unwrap_or(KEPT_PLAN_BYTES)
+        };
+        while self.plans.values().map(size).sum::<usize>() > KEPT_PLAN_BYTES {
+            let others = self.plans.iter().filter(|(plan, _)| *plan != newest);
+            let oldest = others.min_by_key(|(_, planned)| planned.expires_ms);
+            let Some(oldest) = oldest.map(|(plan, _)| plan.clone()) else {
+                return;
+            };
+            self.plans.remove(&oldest);
+        }
+    }
+
+    pub(super) fn confirm(
+        &mut self,
+        plan: &id::Plan,
+        now_ms: u64,
+        origin: Option<&Origin>,
+    ) -> Outcome {
+        let Some(planned) = self.plans.remove(plan) else {
+            return self.missing(plan);
+        };
+        if now_ms > planned.expires_ms {
+            return refused(format!("plan {plan} has run out"));
+        }
+        if planned.base != self.revision {
+            return refused(format!(
+                "plan {plan} stands on revision {}, but {}",
+                planned.base,
+                self.winner()
+            ));
+        }
+        self.peaks.retain(|peak| peak.at_ms.saturating_add(peak.lasts_ms) > now_ms);
+        let what = effect::name(&planned.intent);
+        self.carry_out(planned.intent);
+        self.revision = self.revision.next();
+        self.changed_by = origin.map(|origin| origin.operator.clone());
+        self.record(plan, what, now_ms);
+        self.done()
+    }
+
+    /// Tells an operator why there is no such plan; one that was confirmed before is named with who did it.
+    fn missing(&self, plan: &id::Plan) -> Outcome {
+        match self.records.iter().rev().find(|record| record.plan == *plan) {
+            Some(record) => refused(format!(
+                "{} confirmed plan {plan} already, as revision {}",
+                record.operator(),
+                record.revision
+            )),
+            None => refused(format!("there is no plan {plan}; it may have run out")),
+        }
+    }
+
+    /// Says who put the revision in force, and which content it has.
+    fn winner(&self) -> String {
+        let operator = self.changed_by.as_ref().map_or("nobody", id::Operator::as_str);
+        format!(
+            "{operator} put revision {} in force, whose declarations have digest {}",
+            self.revision, self.digest
+        )
+    }
+
+    fn record(&mut self, plan: &id::Plan, what: String, at_ms: u64) {
+        if self.records.len() == KEPT_RECORDS {
+            self.records.pop_front();
+        }
+        self.records.push_back(Record {
+            plan: plan.clone(),
+            operator: self.changed_by.clone(),
+            what,
+            revision: self.revision,
+            digest: self.digest.clone(),
+            at_ms,
+        });
+    }
+
+    fn carry_out(&mut self, intent: Intent) {
+        match intent {
+            Intent::Configure { text } => {
+                self.digest = digest(&text);
+                self.text = text;
+            }
+            Intent::Drain { instance } => {
+                self.draining.insert(instance);
+            }
+            Intent::Undrain { instance } => {
+                self.draining.remove(&instance);
+            }
+            Intent::Peak { group, at_ms, lasts_ms } => {
+                self.peaks.push(wire::Peak { group, at_ms, lasts_ms });
+            }
+            Intent::Member(change) => self.wanted.push_back(change),
+        }
+    }
+}
+
+impl Planned {
+    fn outcome(&self, plan: &id::Plan) -> Outcome {
+        Outcome::Planned {
+            plan: plan.clone(),
+            base: self.base,
+            expires_ms: self.expires_ms,
+            effects: self.effects.clone(),
+        }
+    }
+}
+
+impl Record {
+    /// Returns who did it.
+    pub fn operator(&self) -> &str {
+        self.operator.as_ref().map_or("nobody", id::Operator::as_str)
+    }
+}
+
+/// Returns what tells declarations of equal revision numbers apart.
+fn digest(text: &str) -> String {
+    let digest = Sha256::digest(text.as_bytes());
+    digest.iter().take(DIGEST_BYTES).map(|byte| format!("{byte:02x}")).collect()
+}
