--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -78,14 +78,25 @@
             Output::SteppedDown => {
                 log::info!("this voter leads no more");
                 self.begin(now);
-                for (_, (_, waiter)) in std::mem::take(&mut self.waiters) {
-                    let _ = waiter.try_send(Answer::Unknown);
-                }
+                self.give_up();
             }
             _ => {}
         }
     }
 
+    /// Takes no part any more.
+    pub(super) fn stop(&mut self, reason: &str) {
+        self.stopped = Some(reason.to_owned());
+        self.give_up();
+    }
+
+    /// Answers everyone who waits that the fate of the command is unknown.
+    fn give_up(&mut self) {
+        for (_, (_, waiter)) in std::mem::take(&mut self.waiters) {
+            let _ = waiter.try_send(Answer::Unknown);
+        }
+    }
+
     fn begin(&mut self, now: Instant) {
         let me = self.raft.me().clone();
         self.heard.lives.insert(me.node.clone(), me);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -17,6 +17,7 @@
 mod server;
 pub mod state;
 pub mod store;
+mod submit;
 
 pub use server::{Server, spawn, spawn_on};
 
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -132,6 +132,7 @@
         return Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, &message);
     }
     match (&request.method, request.path.as_str()) {
+        (&Method::GET, "/metrics") => Reply::metrics(metrics(shared)),
         (&Method::GET, "/status") => match shared.leader_admin() {
             Some(leader) if request.query.is_empty() => relayed(shared, leader).await,
             _ => Reply::json(&status(shared)),
@@ -148,6 +149,17 @@
     }
 }
 
+/// Returns the metrics, with those set that follow from the state.
+fn metrics(shared: &Shared) -> String {
+    let (stamp, revision) = {
+        let core = shared.core();
+        (core.stamp(), core.state.revision)
+    };
+    shared.metrics.stamp(stamp);
+    shared.metrics.revision(revision);
+    shared.metrics.encode()
+}
+
 /// Passes on what the leader says.
 async fn relayed(shared: &Shared, leader: std::net::SocketAddr) -> Reply {
     let asked = shared.clock.timeout(RELAY, admin::get(leader, "/status?relayed")).await;
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -5,7 +5,7 @@
 use super::failover::{Input, Output};
 use super::probe::{self, Probe};
 use super::server::Shared;
-use super::state::Command;
+use super::state::{Action, Command};
 use crate::id;
 use crate::upstream::position;
 use crate::wire::Replica;
@@ -53,6 +53,11 @@
         match output {
             Output::Submit(action) => {
                 log::info!("control decides {action:?}");
+                match &action {
+                    Action::Freeze { .. } => self.metrics.frozen(),
+                    Action::Promote { .. } => self.metrics.promoted(),
+                    _ => {}
+                }
                 self.propose(Command { origin: None, action });
             }
             Output::Promote { instance, term } => {
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,13 +10,14 @@
 use super::core::Core;
 use super::journal::{self, Order};
 use super::link::Link;
-use super::raft::{Bootstrap, Input, MAX_COMMAND_BYTES, Message, Output, Peer, Raft};
-use super::state::{Command, Outcome, State, Voter};
+use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
+use super::state::{Command, State, Voter};
 use super::store::{Disk, Folder, Store};
 use super::{Error, operator};
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
+use crate::report::{self, Lease, Metrics};
 use crate::wire::{Answer, Body, Configuration, Frame, Grant, Replica, Role, Stream};
 
 /// How often the machines are told that time passed.
@@ -26,12 +26,6 @@
 /// How often a blank process asks for the others.
 const HELLO: Duration = Duration::from_millis(100);
 
-/// How long a command may take before its fate is given as unknown.
-const SUBMIT: Duration = Duration::from_millis(5_000);
-
-/// How long to wait before a command that no leader took is tried again.
-const RETRY: Duration = Duration::from_millis(50);
-
 /// A running control process.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -41,6 +35,7 @@
 #[derive(Debug)]
 pub(super) struct Shared {
     pub(super) clock: Clock,
+    pub(super) metrics: Metrics,
     pub(super) me: Peer,
     pub(super) domain: id::Domain,
     pub(super) user: String,
@@ -50,14 +45,6 @@
     seen: Mutex<BTreeMap<id::Node, Instant>>,
     orders: mpsc::Sender<Order>,
     udp: UdpSocket,
-    counters: Counters,
-}
-
-/// What went wrong at the edges, each on its own connection.
-#[derive(Debug, Default)]
-struct Counters {
-    bad_frames: AtomicU64,
-    dropped_frames: AtomicU64,
 }
 
 /// Binds the sockets of a control process and starts it on the folder that the settings name.
@@ -94,6 +81,7 @@
     let (orders, received) = mpsc::channel();
     let shared = Arc::new(Shared {
         clock,
+        metrics: Metrics::default(),
         me,
         domain: settings.domain.clone(),
         user: control.user.clone(),
@@ -103,7 +91,6 @@
         seen: Mutex::default(),
         orders,
         udp,
-        counters: Counters::default(),
     });
     log::info!("read {} bytes of the log and its snapshot", found.read_bytes);
     journal::spawn(Arc::clone(&shared), store, received)?;
@@ -158,7 +145,7 @@
     /// Takes no part any more, and says so.
     pub(super) fn stop(&self, reason: &str) {
         log::error!("this voter stops taking part: {reason}");
-        self.core().stopped = Some(reason.to_owned());
+        self.core().stop(reason);
     }
 
     /// Gives the machine an input and carries out what it returns.
@@ -166,7 +153,11 @@
         self.step_in(&mut self.core(), input);
     }
 
-    fn step_in(self: &Arc<Self>, core: &mut Core, input: Input) -> Option<super::raft::Last> {
+    pub(super) fn step_in(
+        self: &Arc<Self>,
+        core: &mut Core,
+        input: Input,
+    ) -> Option<super::raft::Last> {
         if core.stopped.is_some() {
             return None;
         }
@@ -216,7 +207,7 @@
             links.insert(to.clone(), Link::open(Arc::clone(self), to.clone(), address));
         }
         if links.get(to).is_some_and(|link| !link.send(frame)) {
-            self.counters.dropped_frames.fetch_add(1, Ordering::Relaxed);
+            self.metrics.frame_dropped();
         }
     }
 
@@ -226,71 +217,6 @@
         seen.get(node).map_or(Duration::MAX, |at| now.since(*at))
     }
 
-    /// Puts a command into the log without waiting for it.
-    pub(super) fn propose(self: &Arc<Self>, command: Command) {
-        self.step(Input::Propose(command));
-    }
-
-    /// Puts a command into the log and waits until it is applied; forwards it when another process leads.
-    pub(super) async fn submit(self: &Arc<Self>, command: Command) -> Answer {
-        let deadline = self.clock.now() + SUBMIT;
-        loop {
-            let answer = match self.submit_here(command.clone()).await {
-                Answer::NotLeader(Some(leader)) => self.forward(&leader, command.clone()).await,
-                answer => answer,
-            };
-            let again = matches!(answer, Answer::NotLeader(_));
-            if !again || self.clock.now() >= deadline || self.core().stopped.is_some() {
-                return answer;
-            }
-            self.clock.sleep(RETRY).await;
-        }
-    }
-
-    async fn submit_here(self: &Arc<Self>, command: Command) -> Answer {
-        let (size, limit) = (command.size(), MAX_COMMAND_BYTES);
-        if size > limit {
-            let reason = format!("the command has {size} bytes, at most {limit} are taken");
-            return Answer::Applied(Outcome::Refused { reason });
-        }
-        let (waiter, applied) = smol::channel::bounded(1);
-        {
-            let mut core = self.core();
-            if core.stopped.is_some() {
-                return Answer::NotLeader(None);
-            }
-            let Some(last) = self.step_in(&mut core, Input::Propose(command)) else {
-                let other = core.raft.leader().filter(|leader| **leader != self.me.node);
-                return Answer::NotLeader(other.cloned());
-            };
-            core.wait(last, waiter);
-        }
-        let answer = self.clock.timeout(SUBMIT, applied.recv()).await;
-        answer.and_then(Result::ok).unwrap_or(Answer::Unknown)
-    }
-
-    async fn forward(&self, leader: &id::Node, command: Command) -> Answer {
-        let address = {
-            let core = self.core();
-            core.raft.members().voters.get(leader).map(|voter| voter.address)
-        };
-        let Some(address) = address else {
-            return Answer::NotLeader(None);
-        };
-        let open = self.clock.timeout(RETRY * 10, Stream::open(address)).await;
-        let Some(Ok(mut stream)) = open else {
-            return Answer::NotLeader(None);
-        };
-        let asked = async {
-            stream.send(&self.frame(Body::Submit(command))).await?;
-            stream.receive().await
-        };
-        match self.clock.timeout(SUBMIT, asked).await {
-            Some(Ok(Frame { body: Body::Answer(answer), .. })) => answer,
-            _ => Answer::Unknown,
-        }
-    }
-
     /// Returns where the leader takes operators, when that is another process.
     pub(super) fn leader_admin(&self) -> Option<SocketAddr> {
         let core = self.core();
@@ -298,7 +224,7 @@
         self.voters.iter().find(|voter| voter.node == *leader).map(|voter| voter.admin)
     }
 
-    fn frame(&self, body: Body) -> Frame {
+    pub(super) fn frame(&self, body: Body) -> Frame {
         Frame { sender: self.me.node.clone(), incarnation: self.me.incarnation, body }
     }
 
@@ -322,7 +248,7 @@
             match Frame::decode(&buffer[..len]) {
                 Ok(frame) => self.heartbeat(from, &frame).await,
                 Err(error) => {
-                    self.counters.bad_frames.fetch_add(1, Ordering::Relaxed);
+                    self.metrics.violated(report::Peer::Process, error.kind());
                     log::debug!("a datagram from {from} is dropped: {error}");
                 }
             }
@@ -334,6 +260,7 @@
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
+        self.metrics.heartbeat_received();
         let (answer, more) = {
             let mut core = self.core();
             let now = self.clock.now();
@@ -351,6 +278,8 @@
         if more {
             self.probe_new();
         }
+        let granted = matches!(answer, Some(Body::Grant(_)));
+        self.metrics.lease(if granted { Lease::Granted } else { Lease::Refused });
         if let Some(answer) = answer {
             self.datagram(from, answer).await;
         }
@@ -485,7 +414,7 @@
             if let Err(error) = converse(&shared, socket).await {
                 let ended = matches!(error, crate::wire::Error::Io(_));
                 if !ended {
-                    shared.counters.bad_frames.fetch_add(1, Ordering::Relaxed);
+                    shared.metrics.violated(report::Peer::Process, error.kind());
                 }
                 log::debug!("a connection from {from} ended: {error}");
             }
--- a/src/control/state/plan.rs
+++ b/src/control/state/plan.rs
@@ -14,6 +14,9 @@
 /// How many bytes of plans may wait, so that a snapshot fits a frame; the oldest go first.
 const KEPT_PLAN_BYTES: usize = 1024 * 1024;
 
+/// How many plans may wait.
+const KEPT_PLANS: usize = 256;
+
 /// How many records of who did what are kept.
 const KEPT_RECORDS: usize = 1_000;
 
@@ -58,7 +61,8 @@
         let size = |planned: &Planned| {
             postcard::experimental::serialized_size(planned).unwrap_or(KEPT_PLAN_BYTES)
         };
-        while self.plans.values().map(size).sum::<usize>() > KEPT_PLAN_BYTES {
+        let bytes = |state: &Self| state.plans.values().map(size).sum::<usize>();
+        while self.plans.len() > KEPT_PLANS || bytes(self) > KEPT_PLAN_BYTES {
             let others = self.plans.iter().filter(|(plan, _)| *plan != newest);
             let oldest = others.min_by_key(|(_, planned)| planned.expires_ms);
             let Some(oldest) = oldest.map(|(plan, _)| plan.clone()) else {
--- a/tests/cluster/mod.rs
+++ b/tests/control/cluster.rs
@@ -1,11 +1,10 @@
 //! Voters as pure machines, with a queue of messages between them and disks that take time. It checks after each
 //! step that no term has two leaders, no two voters are proved to lead, and nothing committed ever changes.
 
-pub mod disk;
-
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
+use crate::disk::Memory;
 use cactushatch::clock::Instant;
 use cactushatch::control::member::{self, Heard};
 use cactushatch::control::raft::{
@@ -14,7 +13,6 @@
 use cactushatch::control::state::{Action, Command, Voter};
 use cactushatch::control::store::Store;
 use cactushatch::id;
-use disk::Memory;
 
 /// How long one step of the simulation is.
 const STEP: Duration = Duration::from_millis(5);
--- a/tests/cluster/disk.rs
+++ b/tests/control/disk.rs
@@ -59,6 +59,13 @@
         files.synced = files.written.clone();
     }
 
+    /// Loses a file.
+    pub fn lose(&self, file: &str) {
+        let mut files = self.files();
+        files.written.remove(file);
+        files.synced = files.written.clone();
+    }
+
     /// Returns how long a file is.
     pub fn len(&self, file: &str) -> usize {
         self.files().written.get(file).map_or(0, Vec::len)
--- a/tests/control_raft.rs
+++ b/tests/control/raft.rs
@@ -1,12 +1,10 @@
 //! The replicated log as pure machines, under schedules of failures.
 
-mod cluster;
-
 use std::time::Duration;
 
+use crate::cluster::Cluster;
+use crate::disk::Fault;
 use cactushatch::control::raft::{MAX_ELECTION, MIN_ELECTION};
-use cluster::Cluster;
-use cluster::disk::Fault;
 
 /// How many schedules of failures are tried; each is the schedule of its seed.
 const SEEDS: u64 = 60;
--- /dev/null
+++ b/tests/control/server.rs
@@ -0,0 +1,231 @@
+//! Voters with their sockets, in one process, on disks that fail on command.
+
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+use cactushatch::clock::Clock;
+use cactushatch::config::Node;
+use cactushatch::control::state::{Action, Command, Intent, Origin, Outcome};
+use cactushatch::control::{Server, spawn_on};
+use cactushatch::id;
+use cactushatch::wire::{Answer, Body, Frame, Stream};
+
+use crate::disk::{Fault, Memory};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+struct Voters {
+    servers: Vec<Server>,
+    disks: Vec<Memory>,
+    addresses: Vec<String>,
+    settings: Vec<Node>,
+}
+
+impl Voters {
+    fn start(count: usize) -> Self {
+        let ports = ports(2 * count);
+        let voter = |n: usize| {
+            let (address, admin) = (&ports[2 * n], &ports[2 * n + 1]);
+            format!(
+                "{{ node = \"control-{n}\", domain = \"a\", address = \"{address}\", \
+                 admin = \"{admin}\" }}"
+            )
+        };
+        let voters: Vec<String> = (0..count).map(voter).collect();
+        let settings = |n: usize| {
+            let text = format!(
+                "node = \"control-{n}\"\ndomain = \"a\"\ndata = \"unused\"\nvoters = [{}]\n\
+                 [control]\naddress = \"{}\"\nadmin = \"{}\"\n",
+                voters.join(", "),
+                ports[2 * n],
+                ports[2 * n + 1]
+            );
+            Node::parse("settings", &text).unwrap()
+        };
+        let settings: Vec<Node> = (0..count).map(settings).collect();
+        let disks = vec![(); count].into_iter().map(|()| Memory::default()).collect::<Vec<_>>();
+        let addresses = (0..count).map(|n| ports[2 * n].clone()).collect();
+        let start = |n: usize| spawn_on(Clock::system(), &settings[n], disks[n].clone());
+        let servers = (0..count).map(|n| smol::block_on(start(n)).unwrap()).collect();
+        Self { servers, disks, addresses, settings }
+    }
+
+    fn leader(&self) -> usize {
+        let start = Instant::now();
+        while start.elapsed() < PATIENCE {
+            if let Some(leader) = self.servers.iter().position(Server::leads) {
+                return leader;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        panic!("nobody leads");
+    }
+
+    /// Waits until `met` holds of every voter.
+    fn await_all(&self, met: impl Fn(&Server) -> bool) {
+        let start = Instant::now();
+        while !self.servers.iter().all(&met) {
+            assert!(start.elapsed() < PATIENCE, "a voter did not follow");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    fn submit(&self, at: usize, command: Command) -> Answer {
+        smol::block_on(self.servers[at].submit(command))
+    }
+}
+
+/// Finds free ports.
+fn ports(count: usize) -> Vec<String> {
+    let bound: Vec<TcpListener> =
+        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    bound.iter().map(|port| port.local_addr().unwrap().to_string()).collect()
+}
+
+fn origin(command: &str, operator: &str) -> Option<Origin> {
+    Some(Origin { command: command.parse().unwrap(), operator: operator.parse().unwrap() })
+}
+
+fn plan(name: &str, base: u64) -> Command {
+    let plan = format!("plan-{name}").parse().unwrap();
+    let intent = Intent::Drain { instance: name.parse().unwrap() };
+    let action = Action::Plan { plan, base: id::Revision(base), intent, made_ms: 1_000 };
+    Command { origin: origin(&format!("p-{name}"), name), action }
+}
+
+fn confirm(name: &str) -> Command {
+    let plan = format!("plan-{name}").parse().unwrap();
+    Command {
+        origin: origin(&format!("c-{name}"), name),
+        action: Action::Confirm { plan, now_ms: 2_000 },
+    }
+}
+
+#[test]
+fn a_confirmation_whose_answer_was_lost_gets_its_first_answer_through_another_voter() {
+    let voters = Voters::start(3);
+    let leader = voters.leader();
+    let (first, second) = ((leader + 1) % 3, (leader + 2) % 3);
+    voters.submit(first, plan("anna", 0));
+    let lost = smol::block_on(async {
+        let mut stream = Stream::open(voters.addresses[leader].parse().unwrap()).await.unwrap();
+        let frame = Frame {
+            sender: "operator".parse().unwrap(),
+            incarnation: id::Incarnation(0),
+            body: Body::Submit(confirm("anna")),
+        };
+        stream.send(&frame).await
+    });
+    assert!(lost.is_ok());
+    voters.await_all(|server| server.state().revision == id::Revision(1));
+    voters.submit(first, plan("ben", 1));
+    voters.submit(first, confirm("ben"));
+    let answer = voters.submit(second, confirm("anna"));
+    assert_eq!(answer, Answer::Applied(Outcome::Done { revision: id::Revision(1) }));
+    voters.await_all(|server| server.state().revision == id::Revision(2));
+}
+
+#[test]
+fn of_operators_who_race_through_different_voters_one_wins() {
+    let voters = Voters::start(3);
+    voters.leader();
+    let names = ["anna", "ben", "cleo"];
+    for (at, name) in names.iter().enumerate() {
+        voters.submit(at, plan(name, 0));
+    }
+    let answers: Vec<Answer> = std::thread::scope(|scope| {
+        let submit = |(at, name): (usize, &&'static str)| {
+            let (voters, command) = (&voters, confirm(name));
+            scope.spawn(move || voters.submit(at, command))
+        };
+        let running: Vec<_> = names.iter().enumerate().map(submit).collect();
+        running.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    let won = |answer: &&Answer| matches!(answer, Answer::Applied(Outcome::Done { .. }));
+    assert_eq!(answers.iter().filter(won).count(), 1, "{answers:?}");
+    let told = |answer: &&Answer| match answer {
+        Answer::Applied(Outcome::Refused { reason }) => reason.contains("put revision 1 in force"),
+        _ => false,
+    };
+    assert_eq!(answers.iter().filter(told).count(), 2, "{answers:?}");
+}
+
+#[test]
+fn a_voter_whose_disk_is_full_or_fails_acknowledges_nothing_and_says_so() {
+    for fault in [Fault::Full, Fault::Sync] {
+        let voters = Voters::start(1);
+        voters.leader();
+        voters.submit(0, plan("anna", 0));
+        voters.disks[0].fail(Some(fault));
+        let answer = voters.submit(0, confirm("anna"));
+        assert!(!matches!(answer, Answer::Applied(_)), "{fault:?}: {answer:?}");
+        assert!(voters.servers[0].stopped().is_some(), "{fault:?}");
+        assert!(!voters.servers[0].leads(), "{fault:?}");
+        assert_eq!(voters.servers[0].state().revision, id::Revision(0), "{fault:?}");
+        voters.disks[0].fail(None);
+        let later = voters.submit(0, plan("ben", 0));
+        assert!(!matches!(later, Answer::Applied(_)), "{fault:?}: it went on: {later:?}");
+    }
+}
+
+#[test]
+fn the_others_go_on_without_a_voter_whose_disk_fails() {
+    let voters = Voters::start(3);
+    let leader = voters.leader();
+    voters.submit(leader, plan("anna", 0));
+    voters.disks[leader].fail(Some(Fault::Full));
+    let other = (leader + 1) % 3;
+    let start = Instant::now();
+    loop {
+        let answer = voters.submit(other, confirm("anna"));
+        if matches!(answer, Answer::Applied(Outcome::Done { .. })) {
+            break;
+        }
+        assert!(start.elapsed() < PATIENCE, "{answer:?}");
+    }
+    assert!(voters.servers[leader].stopped().is_some());
+}
+
+#[test]
+fn a_restart_after_a_thousand_changes_reads_a_bounded_amount_and_is_current() {
+    let voters = Voters::start(1);
+    voters.leader();
+    for number in 0..1_000 {
+        let name = format!("i-{number}");
+        voters.submit(0, plan(&name, number));
+        let answer = voters.submit(0, confirm(&name));
+        let done = Outcome::Done { revision: id::Revision(number + 1) };
+        assert_eq!(answer, Answer::Applied(done));
+    }
+    let state = voters.servers[0].state();
+    let disk = voters.disks[0].copy();
+    let node = &voters.settings[0].node;
+    let (_, found) =
+        cactushatch::control::store::Store::start(disk, node, id::Incarnation(1), 1).unwrap();
+    assert!(found.saved.entries.len() <= 1_024, "{} entries are read", found.saved.entries.len());
+    let snapshot = found.saved.snapshot.unwrap();
+    let mut restarted: cactushatch::control::state::State =
+        postcard::from_bytes(&snapshot.state).unwrap();
+    found.saved.entries.iter().for_each(|entry| {
+        restarted.apply(&entry.command);
+    });
+    assert_eq!(restarted, state);
+    assert_eq!(restarted.revision, id::Revision(1_000));
+}
+
+#[test]
+fn a_damaged_or_foreign_frame_ends_its_own_connection_only() {
+    use std::io::{Read, Write};
+    let voters = Voters::start(3);
+    let leader = voters.leader();
+    for bytes in [&[0xff_u8; 64][..], &[0, 0, 0, 3, 9, 9, 9], &[0, 0, 0, 2, 1, 0xff]] {
+        let mut socket = std::net::TcpStream::connect(&voters.addresses[leader]).unwrap();
+        socket.set_read_timeout(Some(PATIENCE)).unwrap();
+        socket.write_all(bytes).unwrap();
+        let ended = socket.read(&mut [0; 16]);
+        assert!(!matches!(ended, Ok(1..)), "a damaged frame was answered");
+    }
+    let answer = voters.submit(leader, plan("anna", 0));
+    assert!(matches!(answer, Answer::Applied(Outcome::Planned { .. })), "{answer:?}");
+    assert_eq!(voters.leader(), leader);
+}
