--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -28,6 +28,8 @@
     pub(super) bootstrap: Bootstrap,
     /// Why this process takes no part any more.
     pub(super) stopped: Option<String>,
+    /// Since when this process leads with the decisions of all earlier leaders applied.
+    reign: Option<Instant>,
     applied: Last,
     compacted: id::Index,
     waiters: BTreeMap<id::Index, (id::Term, Sender<Answer>)>,
@@ -45,6 +47,7 @@
             heard: Heard::default(),
             bootstrap,
             stopped: None,
+            reign: None,
             applied: Last::default(),
             compacted: id::Index(0),
             waiters: BTreeMap::new(),
@@ -63,21 +66,21 @@
 
     /// Tells whether this process may speak for control.
     pub(super) fn leads(&self, now: Instant) -> bool {
-        self.stopped.is_none() && self.raft.leads(now)
+        self.stopped.is_none() && self.reign.is_some() && self.raft.leads(now)
     }
 
     /// Takes what the machine says about the log, and leaves what is for the edges.
     pub(super) fn take(&mut self, now: Instant, output: &Output) {
         match output {
-            Output::Committed(entries) => entries.iter().for_each(|entry| self.apply(entry)),
+            Output::Committed(entries) => entries.iter().for_each(|entry| self.apply(now, entry)),
             Output::Restore(snapshot) => self.restore(snapshot),
             Output::BecameLeader => {
                 log::info!("this voter leads term {}", self.raft.term());
-                self.begin(now);
+                self.begin();
             }
             Output::SteppedDown => {
                 log::info!("this voter leads no more");
-                self.begin(now);
+                self.begin();
                 self.give_up();
             }
             _ => {}
@@ -97,11 +100,12 @@
         }
     }
 
-    fn begin(&mut self, now: Instant) {
+    /// Forgets what belonged to an earlier reign.
+    fn begin(&mut self) {
         let me = self.raft.me().clone();
         self.heard.lives.insert(me.node.clone(), me);
-        self.leader.elected(now, &self.state);
-        self.leader.refresh(&self.state, &self.fleet);
+        self.leader = Leader::default();
+        self.reign = None;
         self.registering.clear();
         self.changing = None;
     }
@@ -111,7 +115,7 @@
         self.waiters.insert(index, (term, waiter));
     }
 
-    fn apply(&mut self, entry: &Entry) {
+    fn apply(&mut self, now: Instant, entry: &Entry) {
         let outcome = self.state.apply(&entry.command);
         self.applied = (entry.term, entry.index);
         if let Some((term, waiter)) = self.waiters.remove(&entry.index) {
@@ -125,8 +129,11 @@
         if matches!(entry.command.action, Action::Confirm { .. }) {
             self.configure();
         }
-        if self.raft.is_leader() {
-            self.leader.refresh(&self.state, &self.fleet);
+        if self.reign.is_some() {
+            self.leader.refresh(now, &self.state, &self.fleet);
+        } else if self.raft.is_leader() && entry.term == self.raft.term() {
+            self.leader = Leader::elected(now, &self.state, &self.fleet);
+            self.reign = self.raft.led_since();
         }
     }
 
@@ -190,8 +197,12 @@
             return (None, None);
         }
         if known == Some(frame.incarnation) {
-            let decided = (&self.state, &self.fleet, self.stamp());
-            return (Some(self.leader.heartbeat(now, &frame.sender, heartbeat, decided)), None);
+            if let Some(asked) = self.raft.confirmed(now) {
+                self.leader.confirmed(asked);
+            }
+            let life = (frame.sender.clone(), frame.incarnation);
+            let decided = (&self.state, self.stamp());
+            return (self.leader.heartbeat(now, life, heartbeat, decided), None);
         }
         let (node, incarnation) = (frame.sender.clone(), frame.incarnation);
         if !self.registering.insert((node.clone(), incarnation)) {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -3,10 +3,11 @@
 //! Everything that decides is a pure machine with `step(now, input) -> outputs`; the edges (sockets, disk,
 //! timers) are in `server` and `operator`. See `docs/DESIGN.md`, "Control".
 
+pub mod budget;
 mod core;
 pub mod failover;
 mod journal;
-mod leader;
+pub mod leader;
 pub mod lease;
 mod link;
 pub mod member;
--- a/src/control/raft/lead.rs
+++ b/src/control/raft/lead.rs
@@ -105,6 +105,14 @@
         *node == self.me.node || progress.is_some_and(|p| now.since(p.heard) < MAX_ELECTION)
     }
 
+    /// Returns when this leader sent what a majority last answered.
+    pub fn confirmed(&self, now: Instant) -> Option<Instant> {
+        match &self.role {
+            Role::Leader(lead) => self.proof(now, lead),
+            _ => None,
+        }
+    }
+
     /// Returns when the newest round was sent that a majority has answered.
     fn proof(&self, now: Instant, lead: &Lead) -> Option<Instant> {
         let members = &self.log.members;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use smol::channel::Sender;
 use smol::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::core::Core;
@@ -13,12 +14,12 @@
 use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
 use super::state::{Command, State, Voter};
 use super::store::{Disk, Folder, Store};
-use super::{Error, operator};
+use super::{Error, operator, promotion};
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
 use crate::report::{self, Lease, Metrics};
-use crate::wire::{Answer, Body, Configuration, Frame, Grant, Replica, Role, Stream};
+use crate::wire::{Answer, Body, Configuration, Frame, Replica, Role, Stream};
 
 /// How often the machines are told that time passed.
 const TICK: Duration = Duration::from_millis(10);
@@ -41,6 +42,8 @@
     pub(super) user: String,
     voters: Vec<config::Voter>,
     core: Mutex<Core>,
+    /// Where the orders to each instance go.
+    pub(super) probes: Mutex<BTreeMap<id::Instance, Sender<promotion::Order>>>,
     links: Mutex<BTreeMap<id::Node, Link>>,
     seen: Mutex<BTreeMap<id::Node, Instant>>,
     orders: mpsc::Sender<Order>,
@@ -87,6 +90,7 @@
         user: control.user.clone(),
         voters: settings.voters.clone(),
         core: Mutex::new(Core::new(raft, bootstrap, found.saved.snapshot.as_ref())),
+        probes: Mutex::default(),
         links: Mutex::default(),
         seen: Mutex::default(),
         orders,
@@ -261,23 +265,19 @@
             return;
         };
         self.metrics.heartbeat_received();
-        let (answer, more) = {
+        let answer = {
             let mut core = self.core();
             let now = self.clock.now();
             if core.leads(now) {
-                let before = core.leader.replicas.len();
                 let (grant, command) = core.heartbeat(now, frame, heartbeat);
                 if let Some(command) = command {
                     self.step_in(&mut core, Input::Propose(command));
                 }
-                (grant.map(Body::Grant), core.leader.replicas.len() > before)
+                grant.map(Body::Grant)
             } else {
-                (Some(Body::Redirect(core.raft.leader().cloned())), false)
+                Some(Body::Redirect(core.raft.leader().cloned()))
             }
         };
-        if more {
-            self.probe_new();
-        }
         let granted = matches!(answer, Some(Body::Grant(_)));
         self.metrics.lease(if granted { Lease::Granted } else { Lease::Refused });
         if let Some(answer) = answer {
@@ -296,7 +296,7 @@
                     if let Some(command) = core.change(now) {
                         self.step_in(&mut core, Input::Propose(command));
                     }
-                    (core.tick(now), Some((core.raft.term(), core.leader.version)))
+                    (core.tick(now), Some((core.raft.term(), core.leader.version())))
                 } else {
                     (Vec::new(), None)
                 }
@@ -304,6 +304,7 @@
             for output in outputs {
                 self.carry_out(output);
             }
+            self.probe_new();
             if let Some(version) = version
                 && version != pushed
             {
@@ -328,22 +329,14 @@
         }
     }
 
-    /// Sends the table to every proxy at once, without renewing a lease.
+    /// Sends what changed in the table to every proxy at once.
     async fn push(&self) {
-        let (grant, proxies) = {
+        let grants = {
             let core = self.core();
-            let grant = Grant {
-                stamp: core.stamp(),
-                sequence: None,
-                lease_ms: 0,
-                version: core.leader.version,
-                table: Some(core.leader.table.clone()),
-                revision: core.state.revision,
-            };
-            (grant, core.leader.proxies.values().copied().collect::<Vec<_>>())
+            core.leader.push(core.stamp(), core.state.revision)
         };
-        for proxy in proxies {
-            self.datagram(proxy, Body::Grant(grant.clone())).await;
+        for (proxy, grant) in grants {
+            self.datagram(proxy, Body::Grant(grant)).await;
         }
     }
 
@@ -444,5 +437,5 @@
 
 /// Lists the instances that control knows of.
 pub(super) fn instances(core: &Core) -> Vec<Replica> {
-    core.leader.replicas.values().map(|(_, replica)| replica.clone()).collect()
+    core.leader.replicas().cloned().collect()
 }
--- a/src/control/state/apply.rs
+++ b/src/control/state/apply.rs
@@ -1,6 +1,6 @@
 //! How commands change the state.
 
-use super::{Action, Command, Membership, Origin, Outcome, State};
+use super::{Action, Claim, Command, Membership, Origin, Outcome, State};
 use crate::id;
 use crate::wire;
 
@@ -57,6 +57,7 @@
                 self.done()
             }
             Action::Member(change) => self.member(change),
+            Action::Claim { group, term, primary } => self.claim(group, *term, primary),
         }
     }
 
@@ -96,6 +97,10 @@
             if epoch.term >= term {
                 return refused(format!("group {group} is on term {} already", epoch.term));
             }
+            let claim = Claim { term, primary: primary.clone() };
+            if epoch.phase != wire::Phase::Frozen || self.claims.get(group) != Some(&claim) {
+                return refused(format!("term {term} of group {group} is not {primary}'s to take"));
+            }
             forks = epoch.forks.clone();
         }
         forks.push((term, start));
@@ -110,6 +115,19 @@
         self.done()
     }
 
+    fn claim(&mut self, group: &id::Group, term: id::Term, primary: &id::Instance) -> Outcome {
+        let frozen = self.epochs.get(group).filter(|epoch| epoch.phase == wire::Phase::Frozen);
+        let Some(epoch) = frozen else {
+            return refused(format!("group {group} is not frozen"));
+        };
+        let newest = self.claims.get(group).map_or(epoch.term, |claim| claim.term.max(epoch.term));
+        if term <= newest {
+            return refused(format!("term {newest} of group {group} was given already"));
+        }
+        self.claims.insert(group.clone(), Claim { term, primary: primary.clone() });
+        self.done()
+    }
+
     fn register(
         &mut self,
         node: &id::Node,
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -88,6 +88,8 @@
         Refused = "refused",
         /// It did not answer in time.
         Silent = "silent",
+        /// It answered with an error.
+        Faulty = "faulty",
         /// A connection in use was lost.
         Lost = "lost",
         /// It broke the protocol.
