--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -1,5 +1,9 @@
 //! A fleet of real processes for tests, started by `scripts/fleet` and ended when dropped.
 
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::fs::{File, OpenOptions};
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -48,10 +52,40 @@
         config.connect(NoTls).expect("the proxy takes callers")
     }
 
+    /// Starts a control process again with its settings.
+    pub fn start_control(&self, name: &str) {
+        let file = |folder: &str, name: &str| self.path().join(folder).join(name);
+        let log = File::create(file("log", &format!("{name}-again"))).expect("a log");
+        let settings = file("settings", &format!("{name}.toml"));
+        let process = Command::new(env!("CARGO_BIN_EXE_cactushatch"))
+            .args(["control", "--settings"])
+            .arg(settings)
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
+            .spawn()
+            .expect("the process starts");
+        let note = |list: &str, line: String| {
+            let list = OpenOptions::new().append(true).open(self.path().join(list));
+            writeln!(list.expect("a list"), "{line}").expect("a list");
+        };
+        note("pids", process.id().to_string());
+        note("names", format!("{} {name}", process.id()));
+    }
+
+    /// Asks control for its status, through any voter.
+    pub fn status(&self) -> Option<serde_json::Value> {
+        let admins = std::fs::read_to_string(self.path().join("admin")).expect("admin");
+        let asked = Command::new(env!("CARGO_BIN_EXE_cactushatch"))
+            .args(["status", "--json", "--admin", &admins.trim().replace('\n', ",")])
+            .output()
+            .expect("the command runs");
+        asked.status.success().then(|| serde_json::from_slice(&asked.stdout).expect("JSON"))
+    }
+
     /// Kills the process with this name, by its pid.
     pub fn kill(&self, name: &str) {
         let names = std::fs::read_to_string(self.path().join("names")).expect("names");
-        let line = names.lines().find(|line| line.ends_with(&format!(" {name}")));
+        let line = names.lines().rfind(|line| line.ends_with(&format!(" {name}")));
         let pid = line.and_then(|line| line.split_once(' ')).expect("a process of that name").0;
         let killed = Command::new("kill").args(["-9", pid]).status().expect("kill runs");
         assert!(killed.success(), "{name} was not running");
