--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -116,7 +116,7 @@
             draining: replicas.iter().filter(leaves).map(|r| r.instance.clone()).collect(),
             replicas,
             share: 0,
-            peaks: Vec::new(),
+            peaks: state.peaks.iter().filter(|peak| peak.group == group).cloned().collect(),
             group: group.clone(),
         };
         let budget = self.budgets.entry(group.clone()).or_default();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,17 +4,23 @@
 //! timers) are in `server` and `operator`. See `docs/DESIGN.md`, "Control".
 
 pub mod budget;
+mod core;
 pub mod failover;
+mod journal;
 pub mod leader;
 pub mod lease;
+mod link;
+pub mod member;
 pub mod operator;
 mod probe;
+mod promotion;
 pub mod raft;
 mod server;
 pub mod state;
 pub mod store;
+mod submit;
 
-pub use server::{Server, spawn};
+pub use server::{Server, spawn, spawn_on};
 
 /// Why a control process can't run.
 #[derive(Debug, thiserror::Error)]
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -2,31 +2,31 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
-
-use smol::channel::{Receiver, Sender, unbounded};
-use smol::net::{TcpListener, UdpSocket};
-
-use super::Error;
-use super::failover::{Input, Output};
-use super::leader::Leader;
-use super::operator;
-use super::probe::{self, Probe};
-use super::raft::Entry;
-use super::state::{Action, Command, Outcome, State};
-use super::store::Store;
+use std::sync::{Arc, Mutex, MutexGuard, mpsc};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use smol::channel::Sender;
+use smol::net::{TcpListener, TcpStream, UdpSocket};
+
+use super::core::Core;
+use super::journal::{self, Order};
+use super::link::Link;
+use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
+use super::state::{Command, State, Voter};
+use super::store::{Disk, Folder, Store};
+use super::{Error, operator, promotion};
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
-use crate::pgsql;
-use crate::report::{Lease, Metrics, Peer};
-use crate::upstream::position;
-use crate::wire::{Answer, Body, Configuration, Frame, Grant, Heartbeat, Replica, Role, Stamp};
+use crate::report::{self, Lease, Metrics};
+use crate::wire::{Answer, Body, Configuration, Frame, Replica, Role, Stream};
 
-/// How often the machines of the groups are told that time passed.
+/// How often the machines are told that time passed.
 const TICK: Duration = Duration::from_millis(10);
 
+/// How often a blank process asks for the others.
+const HELLO: Duration = Duration::from_millis(100);
+
 /// A running control process.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -35,155 +35,204 @@
 
 #[derive(Debug)]
 pub(super) struct Shared {
-    clock: Clock,
+    pub(super) clock: Clock,
     pub(super) metrics: Metrics,
-    node: id::Node,
-    domain: id::Domain,
-    user: String,
+    pub(super) me: Peer,
+    pub(super) domain: id::Domain,
+    pub(super) user: String,
+    voters: Vec<config::Voter>,
     core: Mutex<Core>,
     /// Where the orders to each instance go.
-    probes: Mutex<BTreeMap<id::Instance, Sender<Order>>>,
+    pub(super) probes: Mutex<BTreeMap<id::Instance, Sender<promotion::Order>>>,
+    links: Mutex<BTreeMap<id::Node, Link>>,
+    seen: Mutex<BTreeMap<id::Node, Instant>>,
+    orders: mpsc::Sender<Order>,
     udp: UdpSocket,
 }
 
-/// What the connection to an instance is used for besides the regular probe.
-#[derive(Debug)]
-enum Order {
-    Probe,
-    Promote(id::Term),
-    Demote(id::Term),
-    Follow(SocketAddr, id::Term),
-}
-
-/// Everything that decides, under one lock that is never held over an `await`.
-#[derive(Debug)]
-pub(super) struct Core {
-    pub(super) state: State,
-    pub(super) fleet: config::Fleet,
-    pub(super) leader: Leader,
-    store: Store,
-    term: id::Term,
-    index: id::Index,
+/// Binds the sockets of a control process and starts it on the folder that the settings name.
+///
+/// # Errors
+///
+/// Fails when the settings don't make a control process, or a socket or the disk can't be opened.
+pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
+    let data = settings.data.as_ref().ok_or(Error::NoData)?;
+    let disk = Folder::open(data)?;
+    spawn_on(clock, settings, disk).await
 }
 
-/// Binds the sockets of a control process and starts it.
+/// Starts a control process on any disk; see [`spawn`].
 ///
 /// # Errors
 ///
-/// Fails when the settings don't make a control process, or a socket or the log can't be opened.
-pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
+/// Fails as [`spawn`] does.
+pub async fn spawn_on(
+    clock: Clock,
+    settings: &config::Node,
+    disk: impl Disk,
+) -> Result<Server, Error> {
     let control = settings.control.as_ref().ok_or(Error::NotControl)?;
-    let data = settings.data.as_ref().ok_or(Error::NoData)?;
-    let (store, entries) = Store::open(data)?;
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let fresh = id::Incarnation(wall.as_micros() as u64);
+    let (store, found) = Store::start(disk, &settings.node, fresh, fastrand::u32(..))?;
     let udp = UdpSocket::bind(control.address).await?;
     let tcp = TcpListener::bind(control.address).await?;
     let admin = TcpListener::bind(control.admin).await?;
+    let me = found.peer;
+    let raft = Raft::new(clock.now(), me.clone(), &found.saved, fastrand::u64(..));
+    let bootstrap = Bootstrap::new(me.clone(), initial(settings));
+    let (orders, received) = mpsc::channel();
     let shared = Arc::new(Shared {
+        clock,
         metrics: Metrics::default(),
-        node: settings.node.clone(),
+        me,
         domain: settings.domain.clone(),
         user: control.user.clone(),
-        core: Mutex::new(Core::new(clock.now(), store, &entries)),
-        probes: Mutex::new(BTreeMap::new()),
-        clock,
+        voters: settings.voters.clone(),
+        core: Mutex::new(Core::new(raft, bootstrap, found.saved.snapshot.as_ref())),
+        probes: Mutex::default(),
+        links: Mutex::default(),
+        seen: Mutex::default(),
+        orders,
         udp,
     });
+    log::info!("read {} bytes of the log and its snapshot", found.read_bytes);
+    journal::spawn(Arc::clone(&shared), store, received)?;
+    shared.begin_alone();
     smol::spawn(Arc::clone(&shared).receive()).detach();
     smol::spawn(Arc::clone(&shared).tick()).detach();
+    smol::spawn(Arc::clone(&shared).hello()).detach();
     smol::spawn(accept(Arc::clone(&shared), tcp)).detach();
     smol::spawn(operator::serve(Arc::clone(&shared), admin)).detach();
     Ok(Server { shared })
 }
 
+/// Returns the voters of the settings; nobody knows the incarnations of their disks yet.
+fn initial(settings: &config::Node) -> Vec<Voter> {
+    let voter = |voter: &config::Voter| Voter {
+        node: voter.node.clone(),
+        incarnation: id::Incarnation(0),
+        address: voter.address,
+        domain: voter.domain.clone(),
+    };
+    settings.voters.iter().map(voter).collect()
+}
+
 impl Server {
-    /// Puts a command into the log and returns what came of it.
-    pub fn submit(&self, command: Command) -> Answer {
-        self.shared.submit(command)
+    /// Puts a command into the log and returns what came of it, whoever leads.
+    pub async fn submit(&self, command: Command) -> Answer {
+        self.shared.submit(command).await
+    }
+
+    /// Returns the state as far as it is applied here.
+    pub fn state(&self) -> State {
+        self.shared.core().state.clone()
+    }
+
+    /// Tells whether this process leads, proved by its majority.
+    pub fn leads(&self) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.core().leads(now)
+    }
+
+    /// Returns why this process takes no part any more.
+    pub fn stopped(&self) -> Option<String> {
+        self.shared.core().stopped.clone()
     }
 }
 
-impl Core {
-    fn new(now: Instant, store: Store, entries: &[Entry]) -> Self {
-        let mut state = State::default();
-        for entry in entries {
-            state.apply(&entry.command);
-        }
-        let last = entries.last();
-        let fleet = config::Fleet::parse("declarations", &state.text).unwrap_or_default();
-        Self {
-            leader: Leader::elected(now, &state, &fleet),
-            fleet,
-            state,
-            store,
-            term: id::Term(last.map_or(0, |entry| entry.term.0) + 1),
-            index: last.map_or(id::Index(0), |entry| entry.index),
-        }
+impl Shared {
+    pub(super) fn core(&self) -> MutexGuard<'_, Core> {
+        self.core.lock().expect("nothing panics while it holds the lock")
+    }
+
+    /// Takes no part any more, and says so.
+    pub(super) fn stop(&self, reason: &str) {
+        log::error!("this voter stops taking part: {reason}");
+        self.core().stop(reason);
     }
 
-    pub(super) fn stamp(&self) -> Stamp {
-        Stamp { term: self.term, index: self.index }
+    /// Gives the machine an input and carries out what it returns.
+    pub(super) fn step(self: &Arc<Self>, input: Input) {
+        self.step_in(&mut self.core(), input);
     }
 
-    /// Appends a command, syncs it, and applies it.
-    fn commit(&mut self, now: Instant, command: Command) -> Answer {
-        let entry = Entry { term: self.term, index: self.index.next(), command };
-        if let Err(error) = self.store.append(&entry) {
-            log::error!("the log can't be written, this voter stops: {error}");
-            return Answer::Unknown;
+    pub(super) fn step_in(
+        self: &Arc<Self>,
+        core: &mut Core,
+        input: Input,
+    ) -> Option<super::raft::Last> {
+        if core.stopped.is_some() {
+            return None;
         }
-        self.index = entry.index;
-        let outcome = self.state.apply(&entry.command);
-        if let Ok(fleet) = config::Fleet::parse("declarations", &self.state.text) {
-            self.fleet = fleet;
+        let now = self.clock.now();
+        let mut proposed = None;
+        for output in core.raft.step(now, input) {
+            core.take(now, &output);
+            match output {
+                Output::Send { to, message } => self.send(core, &to, message),
+                Output::Persist { ticket, change } => {
+                    let _ = self.orders.send(Order::Persist(ticket, change));
+                }
+                Output::Proposed(last) => proposed = Some(last),
+                _ => {}
+            }
+        }
+        if let Some((index, state)) = core.compaction() {
+            for output in core.raft.step(now, Input::Compact { index, state }) {
+                if let Output::Persist { ticket, change } = output {
+                    let _ = self.orders.send(Order::Persist(ticket, change));
+                }
+            }
         }
-        self.leader.refresh(now, &self.state, &self.fleet);
-        Answer::Applied(outcome)
+        proposed
     }
 
-    /// Takes a heartbeat, registers its sender where that is needed, and makes the answer.
-    fn heartbeat(&mut self, now: Instant, frame: &Frame, heartbeat: &Heartbeat) -> Option<Grant> {
-        match self.state.nodes.get(&frame.sender) {
-            Some((known, _)) if *known > frame.incarnation => return None,
-            Some((known, _)) if *known == frame.incarnation => {}
-            _ => {
-                let action = Action::Register {
-                    node: frame.sender.clone(),
-                    incarnation: frame.incarnation,
-                    domain: heartbeat.domain.clone(),
-                };
-                self.commit(now, Command { origin: None, action });
-            }
+    fn begin_alone(self: &Arc<Self>) {
+        let mut core = self.core();
+        if core.raft.is_blank()
+            && let Some(members) = core.bootstrap.alone()
+        {
+            self.step_in(&mut core, Input::Found(members));
         }
-        let stamp = self.stamp();
-        let life = (frame.sender.clone(), frame.incarnation);
-        // The only voter confirms itself.
-        self.leader.confirmed(now);
-        self.leader.heartbeat(now, life, heartbeat, (&self.state, stamp))
     }
 
-    fn tick(&mut self, now: Instant) -> Vec<Output> {
-        self.leader.tick(now, &self.state, &self.fleet)
+    fn send(self: &Arc<Self>, core: &Core, to: &id::Node, message: Message) {
+        let members = core.raft.members();
+        let voter = members.learners.get(to).or_else(|| members.voters.get(to));
+        let address = voter.map(|voter| voter.address);
+        let named = || self.voters.iter().find(|voter| voter.node == *to).map(|v| v.address);
+        let Some(address) = address.or_else(named) else {
+            return;
+        };
+        let frame = self.frame(Body::Raft { start: self.me.start, message });
+        let mut links = self.links.lock().expect("nothing panics under this lock");
+        if links.get(to).is_none_or(|link| link.address != address) {
+            links.insert(to.clone(), Link::open(Arc::clone(self), to.clone(), address));
+        }
+        if links.get(to).is_some_and(|link| !link.send(frame)) {
+            self.metrics.frame_dropped();
+        }
     }
-}
 
-impl Shared {
-    pub(super) fn core(&self) -> MutexGuard<'_, Core> {
-        self.core.lock().expect("nothing panics while it holds the lock")
+    /// Tells how long a process has said nothing.
+    pub(super) fn silent_for(&self, now: Instant, node: &id::Node) -> Duration {
+        let seen = self.seen.lock().expect("nothing panics under this lock");
+        seen.get(node).map_or(Duration::MAX, |at| now.since(*at))
     }
 
-    pub(super) fn submit(&self, command: Command) -> Answer {
-        let answer = self.core().commit(self.clock.now(), command);
-        if let Answer::Applied(Outcome::Refused { reason }) = &answer {
-            log::info!("a command was refused: {reason}");
-        }
-        answer
+    /// Returns where the leader takes operators, when that is another process.
+    pub(super) fn leader_admin(&self) -> Option<SocketAddr> {
+        let core = self.core();
+        let leader = core.raft.leader().filter(|leader| **leader != self.me.node)?;
+        self.voters.iter().find(|voter| voter.node == *leader).map(|voter| voter.admin)
     }
 
-    fn frame(&self, body: Body) -> Frame {
-        Frame { sender: self.node.clone(), incarnation: id::Incarnation(0), body }
+    pub(super) fn frame(&self, body: Body) -> Frame {
+        Frame { sender: self.me.node.clone(), incarnation: self.me.incarnation, body }
     }
 
-    async fn send(&self, to: SocketAddr, body: Body) {
+    async fn datagram(&self, to: SocketAddr, body: Body) {
         match self.frame(body).encode() {
             Ok(bytes) => {
                 if let Err(error) = self.udp.send_to(&bytes, to).await {
@@ -201,73 +250,64 @@
                 continue;
             };
             match Frame::decode(&buffer[..len]) {
-                Ok(frame) => self.datagram(from, &frame).await,
+                Ok(frame) => self.heartbeat(from, &frame).await,
                 Err(error) => {
-                    self.metrics.violated(Peer::Process, error.kind());
+                    self.metrics.violated(report::Peer::Process, error.kind());
                     log::debug!("a datagram from {from} is dropped: {error}");
                 }
             }
         }
     }
 
-    async fn datagram(self: &Arc<Self>, from: SocketAddr, frame: &Frame) {
+    /// Answers a proxy: with a grant only while it is proved that no other process leads.
+    async fn heartbeat(self: &Arc<Self>, from: SocketAddr, frame: &Frame) {
         let Body::Heartbeat(heartbeat) = &frame.body else {
             return;
         };
         self.metrics.heartbeat_received();
-        let grant = self.core().heartbeat(self.clock.now(), frame, heartbeat);
-        let lease = if grant.is_some() { Lease::Granted } else { Lease::Refused };
-        self.metrics.lease(lease);
-        if let Some(grant) = grant {
-            self.send(from, Body::Grant(grant)).await;
-        }
-    }
-
-    fn probes(&self) -> MutexGuard<'_, BTreeMap<id::Instance, Sender<Order>>> {
-        self.probes.lock().expect("nothing panics while it holds the lock")
-    }
-
-    /// Starts a probe for each instance that has none yet.
-    fn probe_new(self: &Arc<Self>) {
-        let replicas: Vec<Replica> = self.core().leader.replicas().cloned().collect();
-        for replica in replicas {
-            let mut probes = self.probes();
-            if !probes.contains_key(&replica.instance) {
-                let (orders, ordered) = unbounded();
-                probes.insert(replica.instance.clone(), orders);
-                smol::spawn(Arc::clone(self).watch(replica, ordered)).detach();
-            }
-        }
-    }
-
-    /// Probes an instance, and carries out the orders to it, for as long as it announces itself.
-    async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
-        let application = format!("cactushatch/{}/{}", self.node, self.domain);
-        let user = self.user.clone();
-        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone());
-        let mut order = Order::Probe;
-        while self.core().leader.replica(&replica.instance) == Some(&replica) {
-            let asked = self.clock.now();
-            if let Some(input) = run(&mut probe, &replica.instance, asked, order).await {
-                let now = self.clock.now();
-                self.core().leader.step(now, &replica.group, input);
+        let answer = {
+            let mut core = self.core();
+            let now = self.clock.now();
+            if core.leads(now) {
+                let (grant, command) = core.heartbeat(now, frame, heartbeat);
+                if let Some(command) = command {
+                    self.step_in(&mut core, Input::Propose(command));
+                }
+                grant.map(Body::Grant)
+            } else {
+                Some(Body::Redirect(core.raft.leader().cloned()))
             }
-            let waited = self.clock.timeout(probe::INTERVAL, ordered.recv()).await;
-            order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
+        };
+        let granted = matches!(answer, Some(Body::Grant(_)));
+        self.metrics.lease(if granted { Lease::Granted } else { Lease::Refused });
+        if let Some(answer) = answer {
+            self.datagram(from, answer).await;
         }
-        self.probes().remove(&replica.instance);
     }
 
     async fn tick(self: Arc<Self>) {
-        let mut pushed = 0;
+        let mut pushed = (id::Term(0), 0);
         loop {
-            let outputs = self.core().tick(self.clock.now());
+            self.step(Input::Tick);
+            let (outputs, version) = {
+                let mut core = self.core();
+                let now = self.clock.now();
+                if core.leads(now) {
+                    if let Some(command) = core.change(now) {
+                        self.step_in(&mut core, Input::Propose(command));
+                    }
+                    (core.tick(now), Some((core.raft.term(), core.leader.version())))
+                } else {
+                    (Vec::new(), None)
+                }
+            };
             for output in outputs {
                 self.carry_out(output);
             }
             self.probe_new();
-            let version = self.core().leader.version();
-            if version != pushed {
+            if let Some(version) = version
+                && version != pushed
+            {
                 pushed = version;
                 self.push().await;
             }
@@ -275,6 +315,20 @@
         }
     }
 
+    /// Asks for the others for as long as this disk is blank.
+    async fn hello(self: Arc<Self>) {
+        while self.core().raft.is_blank() {
+            {
+                let core = self.core();
+                let others = self.voters.iter().filter(|voter| voter.node != self.me.node);
+                for voter in others {
+                    self.send(&core, &voter.node, Message::Hello { members: None });
+                }
+            }
+            self.clock.sleep(HELLO).await;
+        }
+    }
+
     /// Sends what changed in the table to every proxy at once.
     async fn push(&self) {
         let grants = {
@@ -282,50 +336,62 @@
             core.leader.push(core.stamp(), core.state.revision)
         };
         for (proxy, grant) in grants {
-            self.send(proxy, Body::Grant(grant)).await;
+            self.datagram(proxy, Body::Grant(grant)).await;
         }
     }
 
-    fn carry_out(&self, output: Output) {
-        match output {
-            Output::Submit(action) => {
-                log::info!("control decides {action:?}");
-                match &action {
-                    Action::Freeze { .. } => self.metrics.frozen(),
-                    Action::Promote { .. } => self.metrics.promoted(),
-                    _ => {}
+    /// Takes a frame of another control process.
+    fn voter(self: &Arc<Self>, from: Peer, message: Message) {
+        let now = self.clock.now();
+        self.seen.lock().expect("nothing panics under this lock").insert(from.node.clone(), now);
+        let mut core = self.core();
+        match message {
+            Message::Hello { members } => {
+                let (found, answer) = core.hello(&from, members);
+                if let Some(members) = found {
+                    self.step_in(&mut core, Input::Found(members));
+                }
+                if let Some(answer) = answer {
+                    self.send(&core, &from.node, answer);
                 }
-                self.submit(Command { origin: None, action });
             }
-            Output::Probe { instance } => self.order(&instance, Order::Probe),
-            Output::Promote { instance, term } => self.order(&instance, Order::Promote(term)),
-            Output::Demote { instance, term } => self.order(&instance, Order::Demote(term)),
-            Output::Follow { instance, primary, term } => {
-                let address = self.core().leader.replica(&primary).map(|replica| replica.address);
-                if let Some(address) = address {
-                    self.order(&instance, Order::Follow(address, term));
+            Message::Outdated { known } => {
+                if self.me.is_outdated_by(&known) {
+                    drop(core);
+                    let _ = self.orders.send(Order::Refuse(known.clone()));
+                    self.stop(&format!(
+                        "its disk is a copy from before: control knows incarnation {} at start {}",
+                        known.incarnation, known.start.count
+                    ));
                 }
             }
+            message => {
+                let life = core.heard.lives.entry(from.node.clone()).or_insert(from.clone());
+                *life = from.clone().max(life.clone());
+                self.step_in(&mut core, Input::Message { from, message });
+            }
         }
     }
 
-    fn order(&self, instance: &id::Instance, order: Order) {
-        if let Some(orders) = self.probes().get(instance) {
-            let _ = orders.try_send(order);
-        }
-    }
-
-    fn answer(&self, body: Body) -> Option<Body> {
-        match body {
+    async fn answer(self: &Arc<Self>, frame: Frame) -> Option<Body> {
+        match frame.body {
+            Body::Raft { start, message } => {
+                let peer = Peer { node: frame.sender, incarnation: frame.incarnation, start };
+                self.voter(peer, message);
+                None
+            }
             Body::Fetch => {
                 let core = self.core();
+                if !core.leads(self.clock.now()) {
+                    return Some(Body::Redirect(core.raft.leader().cloned()));
+                }
                 Some(Body::Configuration(Configuration {
                     stamp: core.stamp(),
                     revision: core.state.revision,
                     text: core.state.text.clone(),
                 }))
             }
-            Body::Submit(command) => Some(Body::Answer(self.submit(command))),
+            Body::Submit(command) => Some(Body::Answer(self.submit_here(command).await)),
             _ => None,
         }
     }
@@ -339,6 +405,10 @@
         let shared = Arc::clone(&shared);
         let serve = async move {
             if let Err(error) = converse(&shared, socket).await {
+                let ended = matches!(error, crate::wire::Error::Io(_));
+                if !ended {
+                    shared.metrics.violated(report::Peer::Process, error.kind());
+                }
                 log::debug!("a connection from {from} ended: {error}");
             }
         };
@@ -346,42 +416,12 @@
     }
 }
 
-async fn converse(shared: &Shared, socket: smol::net::TcpStream) -> Result<(), crate::wire::Error> {
-    let mut stream = crate::wire::Stream::accepted(socket)?;
+async fn converse(shared: &Arc<Shared>, socket: TcpStream) -> Result<(), crate::wire::Error> {
+    let mut stream = Stream::accepted(socket)?;
     loop {
         let frame = stream.receive().await?;
-        let Some(answer) = shared.answer(frame.body) else {
-            return Ok(());
-        };
-        stream.send(&shared.frame(answer)).await?;
-    }
-}
-
-/// Asks an instance or gives it an order, and returns what the group's machine is to know of it.
-async fn run(
-    probe: &mut Probe,
-    instance: &id::Instance,
-    asked: Instant,
-    order: Order,
-) -> Option<Input<'static>> {
-    let instance = instance.clone();
-    let demotes = matches!(order, Order::Demote(_));
-    let sql = match order {
-        Order::Probe => {
-            let seen = probe.status().await;
-            return Some(Input::Probed { instance, asked, seen });
-        }
-        Order::Promote(term) => position::promote(term),
-        Order::Demote(term) => position::demote(term),
-        Order::Follow(primary, term) => position::follow(primary, term),
-    };
-    match probe.order(&sql).await {
-        Ok(status) if demotes => Some(Input::Demoted { instance, status }),
-        Ok(status) => Some(Input::Probed { instance, asked, seen: Ok(status) }),
-        Err(error) => {
-            log::warn!("{instance} did not carry out {sql:?}: {error}");
-            let refused = demotes && matches!(error, pgsql::Error::Server { .. });
-            refused.then_some(Input::Refused { instance })
+        if let Some(answer) = shared.answer(frame).await {
+            stream.send(&shared.frame(answer)).await?;
         }
     }
 }
