--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -1,5 +1,8 @@
+#![allow(dead_code, reason = "each test file uses a part of it")]
+
 //! A fleet of real processes for tests, started by `scripts/fleet` and ended when dropped.
 
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -24,6 +27,25 @@
         self.dir.path()
     }
 
+    /// Returns the address of the proxy with number `proxy`, counted from 0.
+    pub fn proxy(&self, proxy: usize) -> String {
+        let proxies = std::fs::read_to_string(self.path().join("proxies")).expect("proxies");
+        proxies.lines().nth(proxy).expect("so many proxies").to_owned()
+    }
+
+    /// Sets the faults of an instance, as one line of JSON.
+    pub fn fault(&self, instance: &str, fault: &str) {
+        let upstreams = std::fs::read_to_string(self.path().join("upstreams")).expect("upstreams");
+        let line = upstreams.lines().find_map(|line| line.strip_prefix(&format!("{instance} ")));
+        let mut address: std::net::SocketAddr = line.expect("an instance").parse().unwrap();
+        address.set_port(address.port() + 2);
+        let mut socket = std::net::TcpStream::connect(address).expect("the fault port");
+        writeln!(socket, "{fault}").expect("the fault is sent");
+        let mut answer = String::new();
+        BufReader::new(socket).read_line(&mut answer).expect("an answer");
+        assert_eq!(answer, "ok\n");
+    }
+
     /// Connects to the proxy with number `proxy`, counted from 0.
     pub fn connect(&self, proxy: usize, group: &str) -> Client {
         self.connect_with(proxy, group, "")
