--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -1,5 +1,3 @@
-#![allow(dead_code, reason = "each test file uses a part of it")]
-
 //! A fleet of real processes for tests, started by `scripts/fleet` and ended when dropped.
 
 use std::io::{BufRead, BufReader, Write};
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,5 +1,6 @@
 //! The whole path with real processes: a caller, two proxies, control, and nine instances.
 
+#[allow(dead_code, reason = "this file needs a part of it")]
 mod env;
 
 use std::time::{Duration, Instant};
--- a/tests/request_process.rs
+++ b/tests/request_process.rs
@@ -1,5 +1,6 @@
 //! The request path with real processes: outcomes, sessions, `once` requests, cancel, drain.
 
+#[allow(dead_code, reason = "this file needs a part of it")]
 mod env;
 
 use std::io::{Read, Write};
