--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -1,6 +1,5 @@
 //! The real binary: exit codes, errors, help, plans and their confirmation.
 
-#[allow(dead_code, reason = "this file needs a part of it")]
 mod env;
 
 use std::io::Write;
