Drill failures on separate processes, with seeds and checked histories

scripts/prove runs 21 drills: kills, stops, cuts, late answers, half-open connections, lag, an instance rolled behind, operators, and pairs of these. Each one prints its seed and leaves its folder when it fails.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -8,7 +8,7 @@
 use cactushatch::config::Span;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-use crate::{check, load, ready, standin};
+use crate::{check, drill, load, ready, standin};
 
 /// Runs the command that the arguments name.
 ///
@@ -23,6 +23,7 @@
         Some(("ready", matches)) => ready(matches),
         Some(("load", matches)) => load(matches),
         Some(("check", matches)) => check(matches),
+        Some(("prove", matches)) => prove(matches),
         _ => anyhow::bail!("no such command"),
     }
 }
@@ -36,6 +37,7 @@
         .subcommand(ready_command())
         .subcommand(load_command())
         .subcommand(check_command())
+        .subcommand(prove_command())
 }
 
 fn ready_command() -> Command {
@@ -128,6 +130,46 @@
         .arg(Arg::new("dir").required(true).help("The fleet's folder"))
 }
 
+fn prove_command() -> Command {
+    let number = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).value_parser(clap::value_parser!(u64)).help(help)
+    };
+    let flag = |name: &'static str, help: &'static str| {
+        Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
+    };
+    Command::new("prove")
+        .about("Runs failure drills on separate processes")
+        .arg(Arg::new("name").action(ArgAction::Append).help("The drills; all without a name"))
+        .arg(flag("short", "Runs the short set"))
+        .arg(flag("list", "Prints the drills"))
+        .arg(Arg::new("skip").long("skip").action(ArgAction::Append).help("A drill to pass over"))
+        .arg(number("seed", "The seed; a random one without it, 1 for the short set"))
+        .arg(number("runs", "How often each drill runs").default_value("1"))
+        .arg(Arg::new("profile").long("profile").default_value("imena").help("The deployment"))
+}
+
+fn prove(matches: &ArgMatches) -> anyhow::Result<()> {
+    if matches.get_flag("list") {
+        drill::print();
+        return Ok(());
+    }
+    let short = matches.get_flag("short");
+    let default_seed = if short { 1 } else { fastrand::u64(1..1_000_000) };
+    let profile = matches.get_one::<String>("profile").context("no profile is given")?;
+    let settings = drill::Settings {
+        names: matches.get_many::<String>("name").unwrap_or_default().cloned().collect(),
+        skipped: matches.get_many::<String>("skip").unwrap_or_default().cloned().collect(),
+        short,
+        seed: matches.get_one::<u64>("seed").copied().unwrap_or(default_seed),
+        runs: matches.get_one::<u64>("runs").copied().unwrap_or(1),
+        profile: profile.clone(),
+    };
+    let (passed, failed) = drill::run(&settings)?;
+    println!("{passed} passed, {failed} failed");
+    anyhow::ensure!(failed == 0, "a drill failed");
+    Ok(())
+}
+
 /// How many violations of a rule are printed.
 const PRINTED: usize = 5;
 
--- /dev/null
+++ b/bench/src/drill/list.rs
@@ -0,0 +1,136 @@
+//! The drills.
+
+/// A failure drill: a load, what is done to the fleet meanwhile, and how long writes may be impossible.
+#[derive(Debug, Clone, Copy)]
+pub struct Drill {
+    /// Its name.
+    pub name: &'static str,
+    /// Whether it belongs to the short set for CI.
+    pub short: bool,
+    /// How many voters decide.
+    pub voters: u32,
+    /// How long the load lasts, in seconds.
+    pub seconds: u64,
+    /// What is done.
+    pub actions: &'static [&'static str],
+    /// The bound on the gap in milliseconds: the target of its kind of failure.
+    pub gap: Option<f64>,
+    /// What the operator does meanwhile.
+    pub operator: Operator,
+}
+
+/// What the operator does during a drill.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Operator {
+    /// Nothing.
+    Nothing,
+    /// Two plans from one base are confirmed at once; one must win and the other be refused.
+    Race,
+    /// A confirmation is sent again; it must get the first answer.
+    Resend,
+    /// The primary of the first group is drained.
+    Drain,
+}
+
+/// The bound after a crash of a primary, in milliseconds.
+const CRASH: Option<f64> = Some(1_000.0);
+/// The bound for a silent or cut-off primary, in milliseconds.
+const SILENT: Option<f64> = Some(2_500.0);
+/// The bound for a planned hand-over, in milliseconds.
+const HANDOVER: Option<f64> = Some(200.0);
+
+const fn drill(name: &'static str, actions: &'static [&'static str]) -> Drill {
+    let operator = Operator::Nothing;
+    Drill { name, short: false, voters: 1, seconds: 5, actions, gap: None, operator }
+}
+
+/// All drills, in the order in which they run.
+pub const DRILLS: &[Drill] = &[
+    Drill { short: true, gap: CRASH, ..drill("kill_primary", &["1500ms kill primary:ops-1"]) },
+    Drill { short: true, ..drill("kill_proxy", &["1500ms kill proxy-2"]) },
+    Drill {
+        short: true,
+        ..drill("lose_answer", &["500ms fault primary:ops-1 {\"lose_after_commit\":20}"])
+    },
+    Drill {
+        gap: SILENT,
+        seconds: 8,
+        ..drill("stop_primary", &["1500ms stop primary:ops-1", "5s resume last"])
+    },
+    Drill { seconds: 7, ..drill("stop_proxy", &["1500ms stop proxy-2", "5s resume proxy-2"]) },
+    Drill {
+        seconds: 8,
+        gap: SILENT,
+        ..drill(
+            "stop_proxy_and_kill_primary",
+            &["1500ms stop proxy-2", "1600ms kill primary:ops-1", "6s resume proxy-2"],
+        )
+    },
+    Drill { seconds: 9, ..drill("cut_domain", &["1500ms cut b", "6s heal all"]) },
+    Drill { seconds: 9, ..drill("cut_domain_of_primary", &["1500ms cut c", "6s heal all"]) },
+    drill("late_answers", &["1s fault primary:ops-1 {\"late_ms\":700}", "3s fault last {}"]),
+    drill(
+        "half_open",
+        &[
+            "1s fault primary:ops-1 {\"half_open\":true}",
+            "1100ms fault replica:ops-2 {\"half_open\":true}",
+        ],
+    ),
+    drill("lagging_replica", &["500ms fault replica:ops-1 {\"lag_ms\":2000}", "4s fault last {}"]),
+    Drill {
+        seconds: 6,
+        ..drill(
+            "rolled_behind",
+            &[
+                "1s save replica:ops-1",
+                "2500ms kill last",
+                "2600ms restore last",
+                "2700ms start last",
+            ],
+        )
+    },
+    Drill {
+        seconds: 8,
+        gap: CRASH,
+        ..drill("old_primary_returns", &["1500ms kill primary:ops-1", "3500ms start last"])
+    },
+    Drill {
+        seconds: 10,
+        gap: CRASH,
+        ..drill(
+            "two_primaries_in_turn",
+            &["1500ms kill primary:ops-1", "3500ms start last", "6s kill primary:ops-1"],
+        )
+    },
+    Drill {
+        gap: CRASH,
+        ..drill("kill_primary_and_proxy", &["1500ms kill primary:ops-1", "1500ms kill proxy-2"])
+    },
+    Drill {
+        gap: CRASH,
+        ..drill(
+            "lose_answer_and_kill_primary",
+            &["1s fault primary:ops-1 {\"lose_after_commit\":50}", "1200ms kill primary:ops-1"],
+        )
+    },
+    Drill { operator: Operator::Race, ..drill("operator_race", &[]) },
+    Drill { operator: Operator::Resend, ..drill("resent_command", &[]) },
+    Drill { operator: Operator::Drain, gap: HANDOVER, ..drill("drain_primary", &[]) },
+    Drill {
+        voters: 3,
+        seconds: 7,
+        gap: SILENT,
+        ..drill(
+            "kill_leader_and_primary",
+            &["1500ms kill control-1", "1500ms kill primary:ops-1", "5s start control-1"],
+        )
+    },
+    Drill {
+        voters: 3,
+        seconds: 10,
+        ..drill(
+            "lost_disk_of_a_voter",
+            &["1s kill control-1", "1100ms wipe control-1", "1200ms start control-1"],
+        )
+    },
+];
--- /dev/null
+++ b/bench/src/drill/operator.rs
@@ -0,0 +1,112 @@
+//! What the operator does during a drill, with the shipped command.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use anyhow::Context;
+
+use super::{Operator, first_group};
+use crate::fleet::Fleet;
+
+/// How long after the start of a drill the operator begins.
+const START: Duration = Duration::from_millis(1_500);
+
+/// Starts the operator's orders.
+pub fn spawn(operator: Operator, fleet: &Fleet) -> JoinHandle<anyhow::Result<()>> {
+    let fleet = fleet.clone();
+    std::thread::spawn(move || {
+        if operator != Operator::Nothing {
+            std::thread::sleep(START);
+        }
+        match operator {
+            Operator::Nothing => Ok(()),
+            Operator::Race => race(&fleet),
+            Operator::Resend => resend(&fleet),
+            Operator::Drain => drain(&fleet),
+        }
+    })
+}
+
+/// Confirms two plans that stand on one revision at once.
+fn race(fleet: &Fleet) -> anyhow::Result<()> {
+    let mut plans = Vec::new();
+    for priority in [3, 4] {
+        plans.push(plan(fleet, &declarations(fleet, priority)?)?);
+    }
+    let confirms = plans.into_iter().map(|plan| {
+        let fleet = fleet.clone();
+        std::thread::spawn(move || order(&fleet, &["confirm", &plan]))
+    });
+    let confirms: Vec<_> = confirms.collect();
+    let mut won = 0;
+    for confirm in confirms {
+        let output = confirm.join().map_err(|_| anyhow::anyhow!("a confirmation panicked"))??;
+        won += usize::from(output.status.success());
+    }
+    anyhow::ensure!(won == 1, "{won} of two confirmations from one base won");
+    Ok(())
+}
+
+/// Sends one confirmation twice under one command id.
+fn resend(fleet: &Fleet) -> anyhow::Result<()> {
+    let plan = plan(fleet, &declarations(fleet, 3)?)?;
+    let confirm = || order(fleet, &["confirm", "--command", "resent", "--json", &plan]);
+    let (first, second) = (confirm()?, confirm()?);
+    anyhow::ensure!(first.status.success(), "{}", String::from_utf8_lossy(&first.stderr));
+    anyhow::ensure!(first.stdout == second.stdout, "a resent command got another answer");
+    Ok(())
+}
+
+/// Drains the primary of the first group.
+fn drain(fleet: &Fleet) -> anyhow::Result<()> {
+    let primary = fleet.primary(&first_group(fleet)?)?;
+    let planned = order(fleet, &["drain", "--json", &primary])?;
+    let plan = plan_id(&planned)?;
+    let confirmed = order(fleet, &["confirm", &plan])?;
+    anyhow::ensure!(confirmed.status.success(), "{}", String::from_utf8_lossy(&confirmed.stderr));
+    Ok(())
+}
+
+/// Writes declarations that differ from those in force by a class's priority.
+fn declarations(fleet: &Fleet, priority: u8) -> anyhow::Result<PathBuf> {
+    let text = std::fs::read_to_string(fleet.dir.join("groups.toml"))?;
+    let changed = text.replacen("priority = 2", &format!("priority = {priority}"), 1);
+    anyhow::ensure!(changed != text, "the declarations have no priority to change");
+    let path = fleet.dir.join(format!("groups-{priority}.toml"));
+    std::fs::write(&path, changed)?;
+    Ok(path)
+}
+
+fn plan(fleet: &Fleet, declarations: &std::path::Path) -> anyhow::Result<String> {
+    plan_id(&order(fleet, &["plan", "--json", &declarations.display().to_string()])?)
+}
+
+fn plan_id(output: &Output) -> anyhow::Result<String> {
+    let errors = String::from_utf8_lossy(&output.stderr);
+    anyhow::ensure!(output.status.success(), "a plan was not made: {errors}");
+    let answer: serde_json::Value = serde_json::from_slice(&output.stdout)?;
+    let plan = find(&answer, "plan").context("a plan without its id")?;
+    Ok(plan.to_owned())
+}
+
+fn find<'a>(value: &'a serde_json::Value, name: &str) -> Option<&'a str> {
+    match value {
+        serde_json::Value::Object(fields) => {
+            let own = fields.get(name).and_then(serde_json::Value::as_str);
+            own.or_else(|| fields.values().find_map(|field| find(field, name)))
+        }
+        _ => None,
+    }
+}
+
+fn order(fleet: &Fleet, arguments: &[&str]) -> anyhow::Result<Output> {
+    let admin = std::fs::read_to_string(fleet.dir.join("env"))?;
+    let admin = admin.lines().find_map(|line| line.strip_prefix("export CACTUSHATCH_ADMIN="));
+    let admin = admin.context("the fleet's env names no admin address")?;
+    let command = std::env::current_exe()?.with_file_name("cactushatch");
+    let (name, rest) = arguments.split_first().context("no command")?;
+    let output = Command::new(command).args([*name, "--admin", admin]).args(rest).output()?;
+    Ok(output)
+}
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use anyhow::Context;
@@ -30,6 +31,8 @@
     pub proxies: Vec<SocketAddr>,
     /// The instances, by name.
     pub upstreams: BTreeMap<String, SocketAddr>,
+    /// The failure domain of every process.
+    pub domains: BTreeMap<String, String>,
     /// The declarations.
     pub declared: config::Fleet,
 }
@@ -48,8 +51,13 @@
             let (name, address) = line.split_once(' ').context("upstreams: no address")?;
             upstreams.insert(name.to_owned(), address.parse()?);
         }
+        let mut domains = BTreeMap::new();
+        for line in text("domains")?.lines() {
+            let (name, domain) = line.split_once(' ').context("domains: no domain")?;
+            domains.insert(name.to_owned(), domain.to_owned());
+        }
         let declared = config::Fleet::parse("groups.toml", &text("groups.toml")?)?;
-        Ok(Self { dir: dir.to_owned(), proxies: proxies?, upstreams, declared })
+        Ok(Self { dir: dir.to_owned(), proxies: proxies?, upstreams, domains, declared })
     }
 
     /// Returns the groups' names.
@@ -86,6 +94,11 @@
         aged.map(|(name, age)| (name.to_string(), age.0))
     }
 
+    /// Runs `scripts/fleet`, which lies below the working folder.
+    pub fn script(&self, arguments: &[&str]) -> anyhow::Result<()> {
+        script(arguments)
+    }
+
     /// Finds the process id of a process of the fleet.
     pub fn pid(&self, name: &str) -> anyhow::Result<Pid> {
         let names = std::fs::read_to_string(self.dir.join("names"))?;
@@ -137,6 +150,14 @@
     }
 }
 
+/// Runs `scripts/fleet` below the working folder; its processes outlive the call.
+pub fn script(arguments: &[&str]) -> anyhow::Result<()> {
+    let mut command = Command::new("scripts/fleet");
+    let ran = command.args(arguments).stdin(Stdio::null()).stdout(Stdio::null()).status()?;
+    anyhow::ensure!(ran.success(), "scripts/fleet {} failed", arguments.join(" "));
+    Ok(())
+}
+
 /// Runs a query on an instance, past the proxies.
 pub async fn query(address: SocketAddr, sql: &str) -> anyhow::Result<Vec<Row>> {
     let clock = Clock::system();
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod cli;
+mod drill;
 mod fleet;
 pub mod history;
 mod load;
--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -5,6 +5,7 @@
 mod announce;
 mod codec;
 mod counter;
+mod execute;
 mod fault;
 mod instance;
 mod journal;
