Let a BEGIN in a longer query of the stand-in outlive the query

Once requests came twice though their keys are now stored: the proxy sends BEGIN and the key as one query, and the stand-in committed that at once, where a server leaves the transaction open. The test in bench/tests/standin.rs was seen to fail first.

--- a/bench/src/standin/server.rs
+++ b/bench/src/standin/server.rs
@@ -248,7 +248,7 @@
 
     fn simple(&mut self, text: &str) {
         let statements = sql::split(text);
-        let implicit = statements.len() > 1 && self.status == TransactionStatus::Idle;
+        let mut implicit = statements.len() > 1 && self.status == TransactionStatus::Idle;
         if statements.is_empty() {
             self.reply.empty();
         }
@@ -257,6 +257,8 @@
             result = self.begin(false);
         }
         for statement in statements {
+            // As on a server, a BEGIN makes the query's own transaction one that outlives the query.
+            implicit &= !matches!(sql::parse(statement), Statement::Begin { .. });
             if result.is_ok() {
                 result = self.statement(statement, &[], &[], true);
             }
