--- a/src/control/failover/evidence.rs
+++ b/src/control/failover/evidence.rs
@@ -57,17 +57,15 @@
         }
     }
 
-    /// Judges an instance by the proxies with a lease that reported on it, and by control's `own` probe, which
-    /// counts like one proxy. It takes most of them, and two at least: one bad link replaces no primary.
+    /// Judges an instance by the proxies that reported on it (see [`Evidence::prune`]), and by control's `own`
+    /// probe, which counts like one proxy. It takes most of them, and two at least: one bad link replaces no primary.
     pub(super) fn standing(
         &self,
         now: Instant,
         instance: &id::Instance,
-        live: &BTreeSet<id::Node>,
         own: Option<(Instant, Trouble)>,
     ) -> Standing {
         let reports = self.reports.get(instance).into_iter().flatten();
-        let reports = reports.filter(|(node, _)| live.contains(*node));
         let said = reports.map(|(_, report)| (report.since, report.trouble)).chain(own);
         let mut observers = 0;
         let mut bad = 0;
--- a/src/control/failover/handover.rs
+++ b/src/control/failover/handover.rs
@@ -133,7 +133,7 @@
             let status = probe.seen.as_ref().ok()?;
             let able = status.role == Role::Replica && status.term == epoch.term;
             let stays = *instance != epoch.primary && !view.draining.contains(instance);
-            let usable = self.standing(now, instance, view) == Standing::Usable;
+            let usable = self.standing(now, instance) == Standing::Usable;
             (able && stays && usable).then(|| (instance.clone(), status.received))
         });
         heirs.collect()
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -261,7 +261,7 @@
         since: Instant,
         view: View<'_>,
     ) -> Vec<Output> {
-        let standing = self.standing(now, &epoch.primary, view);
+        let standing = self.standing(now, &epoch.primary);
         let unfit = !self.handover.is_under_way() && self.is_unfit(now, epoch, since);
         let lost = standing != Standing::Usable || unfit;
         if lost && self.damper.allows(now, standing) {
@@ -273,11 +273,11 @@
         outputs
     }
 
-    fn standing(&self, now: Instant, instance: &id::Instance, view: View<'_>) -> Standing {
+    fn standing(&self, now: Instant, instance: &id::Instance) -> Standing {
         let own = self.probes.get(instance).filter(|probe| now.since(probe.at) < FRESH);
         let own = own.map(|probe| (probe.at, probe.seen.as_ref().err().copied()));
         let own = own.map(|(at, trouble)| (at, trouble.unwrap_or(Trouble::Fine)));
-        self.evidence.standing(now, instance, view.live, own)
+        self.evidence.standing(now, instance, own)
     }
 
     /// Tells whether the instance itself says that it is not the primary of the term: it was started anew
@@ -350,7 +350,7 @@
         let readings = self.probes.iter().filter_map(|(instance, probe)| {
             let status = probe.seen.as_ref().ok()?;
             let counts = probe.asked >= fenced && now.since(probe.at) < FRESH;
-            let usable = self.standing(now, instance, view) == Standing::Usable;
+            let usable = self.standing(now, instance) == Standing::Usable;
             counts.then_some(Reading { instance, status, usable })
         });
         let ballot = Ballot {
--- a/tests/failover_group.rs
+++ b/tests/failover_group.rs
@@ -133,9 +133,10 @@
 #[test]
 fn the_link_of_one_proxy_replaces_no_primary() {
     let mut rig = Rig::active();
-    rig.probe(at(10), "i1", primary(1, 5, 0));
     rig.report(at(10), "p1", "i1", Trouble::Silent);
     assert!(!rig.freezes(at(10)), "others have not said anything");
+    rig.probe(at(10), "i1", primary(1, 5, 0));
+    assert!(!rig.freezes(at(10)), "and control reaches it");
     rig.report(at(11), "p2", "i1", Trouble::Fine);
     assert!(!rig.freezes(at(11)));
     rig.live = ["p1", "p2"].map(name).into();
@@ -144,6 +145,18 @@
     assert!(rig.freezes(at(13)), "two of three observers");
 }
 
+#[test]
+fn half_of_the_observers_are_too_few() {
+    let mut rig = Rig::active();
+    rig.probe(at(10), "i1", primary(1, 5, 0));
+    rig.report(at(10), "p1", "i1", Trouble::Silent);
+    rig.report(at(10), "p2", "i1", Trouble::Silent);
+    rig.report(at(10), "p3", "i1", Trouble::Fine);
+    assert!(!rig.freezes(at(11)));
+    rig.report(at(12), "p3", "i1", Trouble::Silent);
+    assert!(rig.freezes(at(12)));
+}
+
 #[test]
 fn evidence_counts_while_its_proxy_has_a_lease() {
     let mut rig = Rig::active();
--- a/tests/failover_lease.rs
+++ b/tests/failover_lease.rs
@@ -173,14 +173,16 @@
 
 #[test]
 fn a_grant_for_an_earlier_life_of_a_proxy_is_ignored() {
-    let (mut control, mut first) = leading();
+    let (mut control, _) = leading();
+    let mut first = Proxy::new("q", 1);
+    control.register(at(9), &first.life);
     let heartbeat = first.send(at(10));
     let late = control.heartbeat(at(10), &first.life.clone(), &heartbeat).expect("a grant");
-    let mut second = Proxy::new("p", 2);
-    while second.send(at(900)).sequence < heartbeat.sequence {}
+    let mut second = Proxy::new("q", 2);
+    assert_eq!(second.send(at(900)).sequence, heartbeat.sequence);
     second.fence.step(late);
     assert!(!second.releases(at(900), 1));
-    assert!(!second.releases(at(10) + LEASE, 1));
+    assert!(!second.releases(at(10) + LEASE, 1), "the lease would count from the wrong heartbeat");
 }
 
 #[test]
