--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -28,7 +28,7 @@
             Ok(status) => {
                 good = true;
                 shared.saw(&replica.instance, sent, Ok(status));
-                shared.clock.sleep(INTERVAL).await;
+                shared.pause(&replica.instance, INTERVAL).await;
             }
             // A connection that broke proves little, so a new one is tried first.
             Err(error) if good && trouble(&error) != Trouble::Silent => {
@@ -53,7 +53,11 @@
 ) -> Result<(Instant, Status), Error> {
     let open = match client {
         Some(open) => open,
-        None => client.insert(connect(shared, replica).await?),
+        None => {
+            let open = connect(shared, replica).await?;
+            shared.begin_life(&replica.instance);
+            client.insert(open)
+        }
     };
     let sent = shared.clock.now();
     let rows = open.query(&shared.clock, QUERY, TIMEOUT).await?;
