--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -244,6 +244,9 @@
 
     fn share(&self, shares: &[(id::Group, u32)]) {
         let state = self.lock();
+        if state.lapsed {
+            return;
+        }
         for instance in state.instances.values() {
             let share = shares.iter().find(|(group, _)| *group == instance.replica.group);
             if let Some((_, share)) = share {
@@ -482,6 +485,11 @@
 }
 
 impl State {
+    /// Returns how many slots each instance of a group has.
+    fn slots(&self, group: &id::Group) -> u32 {
+        self.fleet.group.get(group).map_or(1, |group| group.slots)
+    }
+
     /// Keeps one connection to each instance once the lease has run out, since control gives the rest to others.
     fn lapse(&mut self, now: Instant) {
         if self.fence.leased(now) || self.lapsed {
@@ -489,7 +497,8 @@
         }
         self.lapsed = true;
         for instance in self.instances.values() {
-            instance.pool.limit(self.slots(&instance.replica.group), 1);
+            let slots = self.slots(&instance.replica.group);
+            instance.pool.limit(slots, 1);
         }
     }
 
@@ -550,9 +559,4 @@
         }
         demands.into_values().collect()
     }
-
-    /// Returns how many slots each instance of a group has.
-    fn slots(&self, group: &id::Group) -> u32 {
-        self.fleet.group.get(group).map_or(1, |group| group.slots)
-    }
 }
--- /dev/null
+++ b/tests/control/main.rs
@@ -0,0 +1,8 @@
+//! Control: the replicated log, its disk, the replicated state, and voters with their sockets.
+
+mod cluster;
+mod disk;
+mod raft;
+mod server;
+mod state;
+mod store;
--- /dev/null
+++ b/tests/control/state.rs
@@ -0,0 +1,146 @@
+//! The replicated state: plans, confirmations, races of operators, resent commands.
+
+use cactushatch::control::state::{Action, Command, Intent, Origin, Outcome, State};
+use cactushatch::id::{self, Revision};
+
+const FIRST: &str = "class.read = { priority = 1, deadline = \"1s\" }\n\
+    [group.ops]\ninstances = 3\nslots = 2\nconnections = 40\nconnect_time = \"10ms\"\n\
+    default_class = \"read\"\n";
+
+fn origin(command: &str, operator: &str) -> Option<Origin> {
+    Some(Origin { command: command.parse().unwrap(), operator: operator.parse().unwrap() })
+}
+
+fn plan(state: &mut State, operator: &str, text: &str) -> Outcome {
+    let plan: id::Plan = format!("plan-{operator}").parse().unwrap();
+    let intent = Intent::Configure { text: text.to_owned() };
+    let action = Action::Plan { plan, base: state.revision, intent, made_ms: 1_000 };
+    state.apply(&Command { origin: origin(&format!("p-{operator}"), operator), action })
+}
+
+fn confirm(operator: &str, plan: &str, command: &str) -> Command {
+    let plan = format!("plan-{plan}").parse().unwrap();
+    let action = Action::Confirm { plan, now_ms: 2_000 };
+    Command { origin: origin(command, operator), action }
+}
+
+fn effects(outcome: &Outcome) -> &[String] {
+    match outcome {
+        Outcome::Planned { effects, .. } => effects,
+        other => panic!("{other:?} is no plan"),
+    }
+}
+
+fn reason(outcome: &Outcome) -> &str {
+    match outcome {
+        Outcome::Refused { reason } => reason,
+        other => panic!("{other:?} is not refused"),
+    }
+}
+
+fn configured() -> State {
+    let mut state = State::default();
+    plan(&mut state, "anna", FIRST);
+    state.apply(&confirm("anna", "anna", "c-anna"));
+    assert_eq!(state.revision, Revision(1));
+    state
+}
+
+#[test]
+fn a_plan_names_what_changes_and_the_figures_at_risk_and_changes_nothing() {
+    let mut state = configured();
+    let before = (state.revision, state.text.clone());
+    let text = FIRST.replace("connections = 40", "connections = 60\ndurability = \"primary\"");
+    let outcome = plan(&mut state, "ben", &text);
+    let effects = effects(&outcome);
+    assert_eq!(effects.len(), 2, "{effects:?}");
+    assert!(effects[0].starts_with("group.ops.connections: 40 -> 60; at risk: "), "{effects:?}");
+    assert!(effects[1].contains("writes lost at a failover"), "{effects:?}");
+    assert_eq!((state.revision, state.text), before);
+}
+
+#[test]
+fn of_two_operators_with_equal_revisions_one_wins_and_the_other_is_told() {
+    let mut state = configured();
+    plan(&mut state, "ben", &FIRST.replace("40", "50"));
+    plan(&mut state, "cleo", &FIRST.replace("40", "60"));
+    let won = state.apply(&confirm("ben", "ben", "c-ben"));
+    assert_eq!(won, Outcome::Done { revision: Revision(2) });
+    let lost = state.apply(&confirm("cleo", "cleo", "c-cleo"));
+    let reason = reason(&lost);
+    assert!(reason.contains("ben put revision 2 in force"), "{reason}");
+    assert!(reason.contains(&state.digest), "{reason}");
+    assert!(state.text.contains("connections = 50"));
+}
+
+#[test]
+fn a_resent_command_gets_its_first_outcome() {
+    let mut state = configured();
+    let planned = plan(&mut state, "ben", &FIRST.replace("40", "50"));
+    assert_eq!(plan(&mut state, "ben", &FIRST.replace("40", "50")), planned);
+    let first = state.apply(&confirm("ben", "ben", "c-ben"));
+    plan(&mut state, "cleo", &FIRST.replace("40", "60"));
+    state.apply(&confirm("cleo", "cleo", "c-cleo"));
+    assert_eq!(state.apply(&confirm("ben", "ben", "c-ben")), first);
+    assert_eq!(state.revision, Revision(3));
+}
+
+#[test]
+fn a_plan_id_that_is_taken_is_refused_and_a_confirmed_one_is_named() {
+    let mut state = configured();
+    plan(&mut state, "ben", &FIRST.replace("40", "50"));
+    let plan: id::Plan = "plan-ben".parse().unwrap();
+    let intent = Intent::Configure { text: FIRST.replace("40", "60") };
+    let action = Action::Plan { plan, base: state.revision, intent, made_ms: 1_000 };
+    let taken = state.apply(&Command { origin: origin("other", "cleo"), action });
+    assert!(reason(&taken).contains("taken"));
+    state.apply(&confirm("ben", "ben", "c-ben"));
+    let again = state.apply(&confirm("cleo", "ben", "c-cleo"));
+    assert!(reason(&again).contains("ben confirmed plan plan-ben already"));
+}
+
+#[test]
+fn a_plan_that_has_run_out_is_refused() {
+    let mut state = configured();
+    plan(&mut state, "ben", &FIRST.replace("40", "50"));
+    let action = Action::Confirm { plan: "plan-ben".parse().unwrap(), now_ms: u64::MAX };
+    let late = state.apply(&Command { origin: origin("late", "ben"), action });
+    assert!(reason(&late).contains("has run out"));
+    assert_eq!(state.revision, Revision(1));
+}
+
+#[test]
+fn peaks_and_drains_are_carried_out_and_recorded() {
+    let mut state = configured();
+    let peak = Intent::Peak { group: "ops".parse().unwrap(), at_ms: 5_000, lasts_ms: 1_000 };
+    let drain = Intent::Drain { instance: "ops-1".parse().unwrap() };
+    for (name, intent) in [("peak", peak), ("drain", drain)] {
+        let plan = format!("plan-{name}").parse().unwrap();
+        let action = Action::Plan { plan, base: state.revision, intent, made_ms: 1_000 };
+        let planned = state.apply(&Command { origin: origin(&format!("p-{name}"), "ben"), action });
+        assert_eq!(effects(&planned).len(), 1);
+        state.apply(&confirm("ben", name, &format!("c-{name}")));
+    }
+    assert_eq!(state.peaks.len(), 1);
+    assert_eq!(state.draining.len(), 1);
+    let records: Vec<&str> = state.records.iter().map(|record| record.what.as_str()).collect();
+    assert_eq!(records, ["configure", "peak of ops", "drain ops-1"]);
+}
+
+#[test]
+fn outcomes_plans_and_records_stay_bounded() {
+    let mut state = configured();
+    let padding = format!("# {}\n", "x".repeat(100_000));
+    for number in 0..12_000_u32 {
+        let plan: id::Plan = format!("plan-{number}").parse().unwrap();
+        let text = if number % 100 == 0 { format!("{padding}{FIRST}") } else { String::new() };
+        let intent = Intent::Configure { text };
+        let action = Action::Plan { plan, base: state.revision, intent, made_ms: 1_000 };
+        state.apply(&Command { origin: origin(&format!("p-{number}"), "ben"), action });
+        if number % 10 == 0 {
+            state.apply(&confirm("ben", &number.to_string(), &format!("c-{number}")));
+        }
+    }
+    let bytes = postcard::to_stdvec(&state).unwrap().len();
+    assert!(bytes < cactushatch::wire::MAX_FRAME_BYTES, "a snapshot has {bytes} bytes");
+}
