Log one JSON object a line where asked, and bound the rate

A fault that repeats could fill a disk with lines. Lines beyond the rate of the settings are left out, counted in log_lines_suppressed, and named in the next line; errors have a bound of their own. Signals are taken from before the first line on, so that a process that has logged ends in order.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod exit;
 mod generate;
+mod logging;
 mod online;
 mod paint;
 mod process;
--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -8,6 +8,7 @@
 use clap::ArgMatches;
 use smol::stream::StreamExt;
 
+use super::logging::Logging;
 use super::{Exit, read};
 use crate::clock::Clock;
 use crate::config::{Fleet, Node};
@@ -19,11 +20,12 @@
 /// `cactushatch proxy`.
 pub(super) fn proxy(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
-    start_log()?;
+    let log = Logging::start(&settings.log)?;
     smol::block_on(async {
+        let mut signals = signals()?;
         let server = proxy::spawn(Clock::system(), &settings).await?;
+        log.count_into(server.metrics());
         log::info!("proxy {} serves callers, revision {}", settings.node, server.revision());
-        let mut signals = signals()?;
         ended(&mut signals).await?;
         let again = async {
             ended(&mut signals).await?;
@@ -41,11 +43,13 @@
 /// `cactushatch control`.
 pub(super) fn control(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
-    start_log()?;
+    let log = Logging::start(&settings.log)?;
     smol::block_on(async {
-        let _server = control::spawn(Clock::system(), &settings).await?;
+        let mut signals = signals()?;
+        let server = control::spawn(Clock::system(), &settings).await?;
+        log.count_into(server.metrics());
         log::info!("control {} takes part", settings.node);
-        ended(&mut signals()?).await?;
+        ended(&mut signals).await?;
         Ok(Exit::Success)
     })
 }
@@ -66,11 +70,6 @@
     Ok(Node::read(path)?)
 }
 
-fn start_log() -> anyhow::Result<()> {
-    flexi_logger::Logger::try_with_env_or_str("info")?.start()?;
-    Ok(())
-}
-
 /// `cactushatch check`.
 pub(super) fn check(matches: &ArgMatches) -> anyhow::Result<Exit> {
     if let Some(path) = matches.get_one::<PathBuf>("settings") {
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -124,6 +124,11 @@
 }
 
 impl Server {
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
     /// Puts a command into the log and returns what came of it, whoever leads.
     pub async fn submit(&self, command: Command) -> Answer {
         self.shared.submit(command).await
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -48,6 +48,11 @@
         Self { shared: Arc::clone(shared) }
     }
 
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
     /// Returns the revision of the configuration in force.
     pub fn revision(&self) -> id::Revision {
         self.shared.lock().revision
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -4,7 +4,9 @@
 
 pub mod burn;
 mod label;
+mod limit;
 mod metrics;
 
 pub use label::{Failure, Lease, Outcome, Peer, Refusal, Target};
+pub use limit::{Limit, Verdict};
 pub use metrics::Metrics;
