--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -1,44 +1,65 @@
 //! The commands that run a process, and the one that checks its files.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use anyhow::Context;
 use async_signal::{Signal, Signals};
 use clap::ArgMatches;
 use smol::stream::StreamExt;
 
+use super::logging::Logging;
 use super::{Exit, read};
 use crate::clock::Clock;
 use crate::config::{Fleet, Node};
 use crate::{control, proxy};
 
+/// How long a proxy that ends waits for the requests and transactions in flight.
+const DRAIN: Duration = Duration::from_secs(30);
+
 /// `cactushatch proxy`.
 pub(super) fn proxy(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
-    start_log()?;
+    let log = Logging::start(&settings.log)?;
     smol::block_on(async {
+        let mut signals = signals()?;
         let server = proxy::spawn(Clock::system(), &settings).await?;
+        log.count_into(server.metrics());
         log::info!("proxy {} serves callers, revision {}", settings.node, server.revision());
-        ended().await?;
-        Ok(Exit::Success)
+        ended(&mut signals).await?;
+        let again = async {
+            ended(&mut signals).await?;
+            log::warn!("a second signal ends the process at once");
+            Ok(Exit::Success)
+        };
+        let drained = async {
+            server.drain(DRAIN).await;
+            Ok(Exit::Success)
+        };
+        smol::future::or(drained, again).await
     })
 }
 
 /// `cactushatch control`.
 pub(super) fn control(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
-    start_log()?;
+    let log = Logging::start(&settings.log)?;
     smol::block_on(async {
-        let _server = control::spawn(Clock::system(), &settings).await?;
+        let mut signals = signals()?;
+        let server = control::spawn(Clock::system(), &settings).await?;
+        log.count_into(server.metrics());
         log::info!("control {} takes part", settings.node);
-        ended().await?;
+        ended(&mut signals).await?;
         Ok(Exit::Success)
     })
 }
 
+fn signals() -> anyhow::Result<Signals> {
+    Ok(Signals::new([Signal::Term, Signal::Int])?)
+}
+
 /// Waits for a signal that asks the process to end.
-async fn ended() -> anyhow::Result<()> {
-    let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+async fn ended(signals: &mut Signals) -> anyhow::Result<()> {
     let signal = signals.next().await.transpose()?;
     log::info!("the process ends by {signal:?}");
     Ok(())
@@ -49,11 +70,6 @@
     Ok(Node::read(path)?)
 }
 
-fn start_log() -> anyhow::Result<()> {
-    flexi_logger::Logger::try_with_env_or_str("info")?.start()?;
-    Ok(())
-}
-
 /// `cactushatch check`.
 pub(super) fn check(matches: &ArgMatches) -> anyhow::Result<Exit> {
     if let Some(path) = matches.get_one::<PathBuf>("settings") {
