--- a/src/control/member.rs
+++ b/src/control/member.rs
@@ -30,7 +30,7 @@
 ) -> Option<Membership> {
     let ready = || admission(now, raft);
     let lost = || returned(now, raft, heard);
-    let ordered = || wanted.front().and_then(|change| ordered(raft, change, heard));
+    let ordered = || wanted.iter().find_map(|change| ordered(raft, change, heard));
     ready().or_else(lost).or_else(ordered).or_else(|| started(raft, heard))
 }
 
@@ -63,6 +63,10 @@
         Membership::Learn(voter) => {
             let incarnation = *heard.blank.get(&voter.node)?;
             let members = raft.members();
+            if members.votes(&voter.node, incarnation) {
+                // It was admitted before this was confirmed; the entry only finishes the order.
+                return Some(Membership::Admit(voter.node.clone()));
+            }
             let known = members.knows(&voter.node, incarnation);
             (!known).then(|| Membership::Learn(Voter { incarnation, ..voter.clone() }))
         }
--- a/src/control/raft/follow.rs
+++ b/src/control/raft/follow.rs
@@ -36,7 +36,8 @@
         let last = self.log.last().1;
         let holds = previous.1 <= self.commit || self.log.term(previous.1) == Some(previous.0);
         if self.is_blank() || !holds {
-            let near = if last < previous.1 { last } else { id::Index(previous.1.0 - 1) };
+            let near =
+                if last < previous.1 { last } else { id::Index(previous.1.0.saturating_sub(1)) };
             let last = if self.is_blank() { id::Index(0) } else { near };
             return self.acknowledge(from, round, false, last);
         }
--- a/src/control/raft/members.rs
+++ b/src/control/raft/members.rs
@@ -81,6 +81,8 @@
                     self.voters.insert(node.clone(), voter);
                 }
             }
+            Membership::Remove(node)
+                if self.voters.len() == 1 && self.voters.contains_key(node) => {}
             Membership::Remove(node) => {
                 if self.voters.remove(node).is_none() {
                     self.learners.remove(node);
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -10,7 +10,7 @@
 use cactushatch::control::raft::{
     Bootstrap, Change, Entry, Input, Members, Message, Output, Peer, Raft,
 };
-use cactushatch::control::state::{Action, Command, Voter};
+use cactushatch::control::state::{Action, Command, Membership, Voter};
 use cactushatch::control::store::Store;
 use cactushatch::id;
 
@@ -24,8 +24,11 @@
     pub now: Instant,
     pub nodes: Vec<Node>,
     pub random: fastrand::Rng,
+    initial: usize,
     queue: Vec<(Instant, Peer, usize, Message)>,
     cut: BTreeSet<usize>,
+    cut_pairs: BTreeSet<(usize, usize)>,
+    pub wanted: VecDeque<Membership>,
     committed: BTreeMap<id::Index, Entry>,
     leaders: BTreeMap<id::Term, id::Node>,
     next: u64,
@@ -35,6 +38,8 @@
     name: id::Node,
     pub disk: Memory,
     pub live: Option<Live>,
+    /// How much longer each write takes.
+    pub slow: Duration,
     fresh: u64,
 }
 
@@ -78,14 +83,27 @@
 impl Cluster {
     /// Starts `count` blank voters.
     pub fn new(count: usize, seed: u64) -> Self {
-        let node =
-            |number| Node { name: name(number), disk: Memory::default(), live: None, fresh: 1 };
+        Self::with_spares(count, 0, seed)
+    }
+
+    /// Starts `count` blank voters; `spares` more processes can be started later.
+    pub fn with_spares(count: usize, spares: usize, seed: u64) -> Self {
+        let node = |number| Node {
+            name: name(number),
+            disk: Memory::default(),
+            live: None,
+            slow: Duration::ZERO,
+            fresh: 1,
+        };
         let mut cluster = Self {
             now: Instant(1_000_000_000),
-            nodes: (0..count).map(node).collect(),
+            nodes: (0..count + spares).map(node).collect(),
+            initial: count,
             random: fastrand::Rng::with_seed(seed),
             queue: Vec::new(),
             cut: BTreeSet::new(),
+            cut_pairs: BTreeSet::new(),
+            wanted: VecDeque::new(),
             committed: BTreeMap::new(),
             leaders: BTreeMap::new(),
             next: 0,
@@ -100,7 +118,7 @@
             return;
         }
         let seed = self.random.u64(..);
-        let initial = (0..self.nodes.len()).map(voter).collect();
+        let initial = (0..self.initial).map(voter).collect();
         let node = &mut self.nodes[at];
         let fresh = id::Incarnation(node.fresh);
         let Ok((store, found)) = Store::start(node.disk.clone(), &node.name, fresh, seed as u32)
@@ -122,7 +140,11 @@
         if let Some(snapshot) = &found.saved.snapshot {
             live.restore(&snapshot.state);
         }
+        let alone = live.bootstrap.alone().filter(|_| live.raft.is_blank());
         node.live = Some(live);
+        if let Some(members) = alone {
+            self.input(at, Input::Found(members));
+        }
     }
 
     /// Ends a process as a loss of power does.
@@ -143,8 +165,14 @@
         self.cut.insert(at);
     }
 
+    /// Cuts two processes off from each other.
+    pub fn cut_pair(&mut self, one: usize, other: usize) {
+        self.cut_pairs.extend([(one, other), (other, one)]);
+    }
+
     pub fn heal(&mut self) {
         self.cut.clear();
+        self.cut_pairs.clear();
     }
 
     /// Returns who leads, proved by its majority.
@@ -284,7 +312,7 @@
         if !live.raft.leads(now) || live.changing.is_some() {
             return;
         }
-        if let Some(change) = member::next(now, &live.raft, &VecDeque::new(), &live.heard) {
+        if let Some(change) = member::next(now, &live.raft, &self.wanted, &live.heard) {
             let command = Command { origin: None, action: Action::Member(change) };
             let index = self.input(at, Input::Propose(command));
             self.nodes[at].live.as_mut().expect("the process runs").changing = index;
@@ -313,7 +341,7 @@
             match output {
                 Output::Send { to, message } => self.send(at, &to, message),
                 Output::Persist { ticket, change } => {
-                    let takes = Duration::from_millis(self.random.u64(0..20));
+                    let takes = Duration::from_millis(self.random.u64(0..20)) + self.nodes[at].slow;
                     let live = self.nodes[at].live.as_mut().expect("the process runs");
                     let after = live.writes.back().map_or(now, |(due, ..)| *due);
                     live.writes.push_back((after.max(now + takes), ticket, change));
@@ -342,6 +370,14 @@
         for entry in entries {
             let bytes = postcard::to_stdvec(&entry.command).unwrap();
             live.applied.insert(entry.index, bytes);
+            if let Action::Member(Membership::Admit(node) | Membership::Remove(node)) =
+                &entry.command.action
+            {
+                self.wanted.retain(|wanted| match wanted {
+                    Membership::Learn(voter) => voter.node != *node,
+                    wanted => *wanted != Membership::Remove(node.clone()),
+                });
+            }
             let first = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
             assert_eq!(*first, entry, "a committed entry changed");
         }
@@ -351,7 +387,7 @@
         let Some(number) = self.nodes.iter().position(|node| node.name == *to) else {
             return;
         };
-        let lost = self.random.u8(0..20) == 0;
+        let lost = self.random.u8(0..20) == 0 || self.cut_pairs.contains(&(from, number));
         if number == from || lost || self.cut.contains(&from) || self.cut.contains(&number) {
             return;
         }
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -6,3 +6,4 @@
 mod server;
 mod state;
 mod store;
+mod vote;
--- a/tests/control/raft.rs
+++ b/tests/control/raft.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
-use crate::cluster::Cluster;
+use crate::cluster::{Cluster, command, name, voter};
 use crate::disk::Fault;
-use cactushatch::control::raft::{MAX_ELECTION, MIN_ELECTION};
+use cactushatch::control::raft::{Entry, Input, MAX_ELECTION, MIN_ELECTION, Message, Output};
+use cactushatch::control::state::Membership;
 
 /// How many schedules of failures are tried; each is the schedule of its seed.
 const SEEDS: u64 = 60;
@@ -72,17 +73,30 @@
         let mut cluster = Cluster::new(3, seed);
         cluster.commit_everywhere();
         let leader = cluster.await_leader();
+        if seed % 2 == 1 {
+            cluster.nodes[leader].slow = Duration::from_millis(200);
+        }
         let index = cluster.propose(leader).expect("a leader takes commands");
-        let millis = cluster.random.u64(0..60);
+        if seed % 4 == 0 {
+            cluster.cut(leader);
+        }
+        let millis = cluster.random.u64(0..120);
         cluster.run(Duration::from_millis(millis));
         let answered = cluster.live(leader).applied.get(&index).cloned();
         cluster.kill(leader);
+        cluster.nodes[leader].slow = Duration::ZERO;
+        cluster.heal();
+        if seed % 2 == 1 {
+            cluster.start(leader);
+            let other = (leader + 1 + cluster.random.usize(0..2)) % 3;
+            cluster.kill(other);
+        }
         let next = cluster.await_leader();
         cluster.commit_everywhere();
         if answered.is_some() {
             assert_eq!(cluster.live(next).applied.get(&index).cloned(), answered, "seed {seed}");
         }
-        cluster.start(leader);
+        (0..3).for_each(|at| cluster.start(at));
         cluster.commit_everywhere();
     }
 }
@@ -110,6 +124,112 @@
     }
 }
 
+#[test]
+fn a_voter_that_hears_its_leader_does_not_help_to_replace_it() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::new(3, seed);
+        cluster.commit_everywhere();
+        let leader = cluster.await_leader();
+        let term = cluster.live(leader).raft.term();
+        cluster.cut_pair(leader, (leader + 1) % 3);
+        cluster.run(5 * SECOND);
+        assert_eq!(cluster.leader(), Some(leader), "seed {seed}");
+        assert_eq!(cluster.live(leader).raft.term(), term, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_voter_that_was_started_again_does_not_forget_that_it_may_have_heard_a_leader() {
+    for seed in 0..60 {
+        let mut cluster = Cluster::new(3, seed);
+        cluster.commit_everywhere();
+        let leader = cluster.await_leader();
+        let other = (leader + 1) % 3;
+        cluster.cut_pair(leader, other);
+        cluster.run(MAX_ELECTION);
+        cluster.kill((leader + 2) % 3);
+        cluster.start((leader + 2) % 3);
+        cluster.cut(leader);
+        cluster.run(SECOND);
+    }
+}
+
+#[test]
+fn nothing_is_said_before_the_disk_has_it() {
+    let mut cluster = Cluster::new(3, 6);
+    cluster.commit_everywhere();
+    let leader = cluster.await_leader();
+    let at = (leader + 1) % 3;
+    cluster.kill(leader);
+    cluster.run(MIN_ELECTION + Duration::from_millis(50));
+    let (now, voter) = (cluster.now, cluster.live(at));
+    let (term, last) = (voter.raft.term(), voter.raft.last());
+    let from = cluster.live((leader + 2) % 3).peer.clone();
+    let says = |outputs: &[Output]| {
+        let said = |output: &Output| match output {
+            Output::Send { message: Message::Vote { granted, pre_vote: false, .. }, .. } => {
+                *granted
+            }
+            Output::Send { message: Message::Appended { matched, .. }, .. } => *matched,
+            _ => false,
+        };
+        outputs.iter().any(said)
+    };
+    let voter = cluster.nodes[at].live.as_mut().unwrap();
+    let term = term.next().next();
+    let entry = Entry { term, index: last.1.next(), command: command(1_000) };
+    let vote = Message::RequestVote { term, pre_vote: false, last };
+    let append =
+        Message::Append { term, round: 1, previous: last, entries: vec![entry], commit: last.1 };
+    for message in [vote, append] {
+        let from = from.clone();
+        let outputs = voter.raft.step(now, Input::Message { from, message: message.clone() });
+        assert!(!says(&outputs), "{message:?} is answered before it is synced");
+        let ticket = outputs.iter().find_map(|output| match output {
+            Output::Persist { ticket, .. } => Some(*ticket),
+            _ => None,
+        });
+        let ticket = ticket.expect("something is to be synced");
+        let synced = voter.raft.step(now, Input::Synced { ticket });
+        assert!(says(&synced), "{message:?} is not answered once it is synced");
+    }
+}
+
+#[test]
+fn a_voter_is_added_and_another_removed_one_at_a_time() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_spares(3, 1, seed);
+        for _ in 0..30 {
+            let leader = cluster.await_leader();
+            cluster.propose(leader);
+            cluster.run(Duration::from_millis(20));
+        }
+        cluster.start(3);
+        cluster.wanted.push_back(Membership::Learn(voter(3)));
+        repaired(&mut cluster, 3);
+        let leader = cluster.await_leader();
+        cluster.wanted.push_back(Membership::Remove(name(leader)));
+        cluster.run(3 * SECOND);
+        let next = cluster.await_leader();
+        assert_ne!(next, leader, "a removed voter leads, seed {seed}");
+        assert_eq!(cluster.live(next).members().voters.len(), 3);
+        assert!(!cluster.live(next).members().voters.contains_key(&name(leader)));
+        cluster.kill(leader);
+        cluster.commit_everywhere();
+        assert!(cluster.wanted.is_empty(), "{:?}", cluster.wanted);
+    }
+}
+
+#[test]
+fn the_last_voter_is_not_removed() {
+    let mut cluster = Cluster::new(1, 7);
+    cluster.commit_everywhere();
+    cluster.wanted.push_back(Membership::Remove(name(0)));
+    cluster.run(3 * SECOND);
+    cluster.commit_everywhere();
+    assert_eq!(cluster.live(0).members().voters.len(), 1);
+}
+
 /// Waits until a voter with a new disk was admitted.
 fn repaired(cluster: &mut Cluster, at: usize) {
     for _ in 0..1_000 {
@@ -184,6 +304,10 @@
     cluster.run(SECOND);
     cluster.kill(2);
     cluster.nodes[2].disk = image;
+    let leader = cluster.await_leader();
+    cluster.kill(leader);
+    cluster.start(leader);
+    cluster.await_leader();
     cluster.start(2);
     cluster.run(3 * SECOND);
     assert!(cluster.live(2).refused, "a disk image from before the last start takes part");
--- a/tests/control/state.rs
+++ b/tests/control/state.rs
@@ -133,7 +133,11 @@
     let padding = format!("# {}\n", "x".repeat(100_000));
     for number in 0..12_000_u32 {
         let plan: id::Plan = format!("plan-{number}").parse().unwrap();
-        let text = if number % 100 == 0 { format!("{padding}{FIRST}") } else { String::new() };
+        let changed = FIRST.replace("10ms", &format!("{number}ms")).replace("1s", "2s");
+        let changed = changed.replace("instances = 3", "instances = 5").replace("40", "41");
+        let changed =
+            changed.replace("slots = 2", "slots = 3").replace("priority = 1", "priority = 2");
+        let text = if number % 100 == 0 { format!("{padding}{FIRST}") } else { changed };
         let intent = Intent::Configure { text };
         let action = Action::Plan { plan, base: state.revision, intent, made_ms: 1_000 };
         state.apply(&Command { origin: origin(&format!("p-{number}"), "ben"), action });
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,10 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+use std::cell::RefCell;
 use std::fs::{File, OpenOptions};
 use std::io::Write;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Child, Command};
 
 use postgres::{Client, Config, NoTls};
 
@@ -13,6 +14,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     dir: tempfile::TempDir,
+    /// The processes that were started again.
+    started: RefCell<Vec<Child>>,
 }
 
 impl Fleet {
@@ -26,7 +29,7 @@
         let dir = tempfile::tempdir().expect("a temporary folder");
         let path = dir.path().display().to_string();
         script(&[&["up", path.as_str()], options].concat());
-        Self { dir }
+        Self { dir, started: RefCell::default() }
     }
 
     /// Returns the fleet's folder.
@@ -70,6 +73,7 @@
         };
         note("pids", process.id().to_string());
         note("names", format!("{} {name}", process.id()));
+        self.started.borrow_mut().push(process);
     }
 
     /// Asks control for its status, through any voter.
@@ -95,6 +99,9 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         script(&["down", &self.path().display().to_string()]);
+        for process in self.started.get_mut() {
+            let _ = process.wait();
+        }
     }
 }
 
