Answer a write at once when its epoch is frozen

Ruled out: slow detection; the new epoch was in force after 1.3 s.

Change: an answer that is held for the fence is not waited for once its term can't release it any more; the caller hears that the outcome is unknown.

--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -1,5 +1,7 @@
 //! Writes and transactions: on the primary, with what acknowledges them released by the fence only.
 
+use std::sync::Arc;
+
 use postgres_protocol::message::frontend;
 
 use super::{
@@ -14,8 +16,9 @@
 use crate::proxy::outcome::{Outcome, Reason};
 use crate::proxy::pool::{self, Loan};
 use crate::proxy::relay::{Broken, Exchange, Finish};
+use crate::proxy::server::Shared;
 use crate::upstream::position::{QUERY, Status};
-use crate::wire::Epoch;
+use crate::wire::{Epoch, Phase};
 
 impl Caller {
     /// Runs a write, or the beginning of a transaction, on the primary.
@@ -121,7 +124,13 @@
             frontend::query(QUERY, &mut exchange.bytes).map_err(Stop::Caller)?;
         }
         let at = self.shared.clock.now();
-        let ran = self.exchange_on(&mut loan, exchange, effect).await;
+        let (shared, group) = (Arc::clone(&self.shared), self.group.clone());
+        let ran = self.exchange_on(&mut loan, exchange, effect);
+        let Some(ran) = unless_replaced(&shared, &group, term, hold, ran).await else {
+            self.entry.finish();
+            loan.suspect();
+            return Err(unknown(Reason::Failover));
+        };
         let mut finish = match ran {
             Ok(finish) => finish,
             Err(Broken::Upstream { .. }) => {
@@ -134,7 +143,12 @@
             return Ok(Some((loan, finish)));
         }
         loan.running = true;
-        let status = status(&mut loan, effect).await?;
+        let status = status(&mut loan, effect);
+        let Some(status) = unless_replaced(&shared, &group, term, hold, status).await else {
+            loan.suspect();
+            return Err(unknown(Reason::Failover));
+        };
+        let status = status?;
         loan.running = false;
         if finish.failed {
             self.writer.out.extend_from_slice(&finish.held);
@@ -203,6 +217,29 @@
     }
 }
 
+/// Waits for what a primary answers. An answer that is `held` for the fence can't be released any more once the
+/// term is frozen or replaced, so it is not waited for then.
+async fn unless_replaced<T>(
+    shared: &Shared,
+    group: &id::Group,
+    term: id::Term,
+    held: bool,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    let replaced = async {
+        loop {
+            let changed = shared.changed(group);
+            let epoch = shared.epoch(group);
+            let stands = |epoch: &Epoch| epoch.term == term && epoch.phase == Phase::Active;
+            if held && !epoch.as_ref().is_some_and(stands) {
+                return None;
+            }
+            changed.await;
+        }
+    };
+    smol::future::or(async { Some(answer.await) }, replaced).await
+}
+
 pub(super) fn unknown(reason: Reason) -> Stop {
     Outcome::Unknown { reason, effect: Effect::Possible }.into()
 }
