--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -1,18 +1,23 @@
 //! What operators ask of control, over HTTP with JSON.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 
+use super::core::Core;
 use super::server::{Shared, instances, role_of};
-use super::state::{Action, Command, Intent, Origin};
+use super::state::{self, Action, Command, Intent, Membership, Origin};
 use crate::admin::{self, Reply, Request};
+use crate::clock::Instant;
 use crate::id;
 use crate::wire::{Answer, Phase, Role, Stamp};
 
+/// How long the leader may take to answer for another voter.
+const RELAY: Duration = Duration::from_millis(1_000);
+
 /// The body of `POST /plan`.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Plan {
@@ -48,6 +53,37 @@
     pub instances: Vec<Instance>,
     /// The proxies that may hold a lease.
     pub proxies: Vec<id::Node>,
+    /// The control processes.
+    pub voters: Vec<Voter>,
+    /// The changes of the voters that are not finished.
+    pub wanted: Vec<Membership>,
+}
+
+/// A control process, for operators.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Voter {
+    /// Its name.
+    pub node: id::Node,
+    /// The incarnation of its disk.
+    pub incarnation: id::Incarnation,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// What it does.
+    pub part: Part,
+    /// Whether it answers and holds every committed entry.
+    pub current: bool,
+}
+
+/// What a control process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Part {
+    /// It leads.
+    Leader,
+    /// It votes.
+    Voter,
+    /// It learns and doesn't vote yet; its repair is not finished.
+    Learner,
 }
 
 /// A group's epoch, for operators.
@@ -83,19 +119,32 @@
 pub(super) async fn serve(shared: Arc<Shared>, listener: TcpListener) {
     let handle = move |request| {
         let shared = Arc::clone(&shared);
-        async move { answer(&shared, &request) }
+        async move { answer(&shared, &request).await }
     };
     if let Err(error) = admin::serve(listener, handle).await {
         log::error!("operators can't be served any more: {error}");
     }
 }
 
-fn answer(shared: &Shared, request: &Request) -> Reply {
+async fn answer(shared: &Arc<Shared>, request: &Request) -> Reply {
+    if let Some(reason) = shared.core().stopped.clone() {
+        let message = format!("this voter takes no part any more: {reason}");
+        return Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, &message);
+    }
     match (&request.method, request.path.as_str()) {
         (&Method::GET, "/metrics") => Reply::metrics(metrics(shared)),
-        (&Method::GET, "/status") => Reply::json(&status(shared)),
-        (&Method::POST, "/plan") => parsed(request, |plan| self::plan(shared, plan)),
-        (&Method::POST, "/confirm") => parsed(request, |confirm| self::confirm(shared, confirm)),
+        (&Method::GET, "/status") => match shared.leader_admin() {
+            Some(leader) if request.query.is_empty() => relayed(shared, leader).await,
+            _ => Reply::json(&status(shared)),
+        },
+        (&Method::POST, "/plan") => match parsed(request) {
+            Ok(body) => reply(plan(shared, body).await),
+            Err(refused) => refused,
+        },
+        (&Method::POST, "/confirm") => match parsed(request) {
+            Ok(body) => reply(confirm(shared, body).await),
+            Err(refused) => refused,
+        },
         _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
     }
 }
@@ -111,13 +160,22 @@
     shared.metrics.encode()
 }
 
-fn parsed<T: for<'a> Deserialize<'a>>(request: &Request, then: impl FnOnce(T) -> Answer) -> Reply {
-    match serde_json::from_slice(&request.body) {
-        Ok(body) => reply(then(body)),
-        Err(error) => Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+/// Passes on what the leader says.
+async fn relayed(shared: &Shared, leader: std::net::SocketAddr) -> Reply {
+    let asked = shared.clock.timeout(RELAY, admin::get(leader, "/status?relayed")).await;
+    let status = asked.and_then(Result::ok);
+    match status.and_then(|body| serde_json::from_slice::<Status>(&body).ok()) {
+        Some(status) => Reply::json(&status),
+        None => Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, "the leader can't be asked"),
     }
 }
 
+fn parsed<T: for<'a> Deserialize<'a>>(request: &Request) -> Result<T, Reply> {
+    let refused =
+        |error: serde_json::Error| Reply::refuse(StatusCode::BAD_REQUEST, &error.to_string());
+    serde_json::from_slice(&request.body).map_err(refused)
+}
+
 fn reply(answer: Answer) -> Reply {
     match answer {
         Answer::Applied(outcome) => Reply::json(&outcome),
@@ -132,15 +190,15 @@
     }
 }
 
-fn plan(shared: &Shared, plan: Plan) -> Answer {
+async fn plan(shared: &Arc<Shared>, plan: Plan) -> Answer {
     let base = plan.base.unwrap_or_else(|| shared.core().state.revision);
     let action = Action::Plan { plan: plan.plan, base, intent: plan.intent, made_ms: wall_ms() };
-    shared.submit(Command { origin: Some(plan.origin), action })
+    shared.submit(Command { origin: Some(plan.origin), action }).await
 }
 
-fn confirm(shared: &Shared, confirm: Confirm) -> Answer {
+async fn confirm(shared: &Arc<Shared>, confirm: Confirm) -> Answer {
     let action = Action::Confirm { plan: confirm.plan, now_ms: wall_ms() };
-    shared.submit(Command { origin: Some(confirm.origin), action })
+    shared.submit(Command { origin: Some(confirm.origin), action }).await
 }
 
 fn status(shared: &Shared) -> Status {
@@ -165,9 +223,27 @@
         groups: core.state.epochs.values().map(group).collect(),
         instances: instances(&core).into_iter().map(instance).collect(),
         proxies: core.state.nodes.keys().cloned().collect(),
+        voters: voters(&core, shared.clock.now()),
+        wanted: core.state.wanted.iter().cloned().collect(),
     }
 }
 
+fn voters(core: &Core, now: Instant) -> Vec<Voter> {
+    let members = core.raft.members();
+    let leader = core.raft.leader();
+    let voter = |voter: &state::Voter, part| Voter {
+        node: voter.node.clone(),
+        incarnation: voter.incarnation,
+        domain: voter.domain.clone(),
+        part,
+        current: core.raft.caught_up(now, voter),
+    };
+    let part = |node| if leader == Some(node) { Part::Leader } else { Part::Voter };
+    let voters = members.voters.values().map(|known| voter(known, part(&known.node)));
+    let learners = members.learners.values().map(|known| voter(known, Part::Learner));
+    voters.chain(learners).collect()
+}
+
 fn wall_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_millis() as u64)
 }
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -1,7 +1,12 @@
 //! A fleet of real processes for tests, started by `scripts/fleet` and ended when dropped.
 
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::fs::{File, OpenOptions};
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Child, Command};
+use std::sync::Mutex;
 
 use postgres::{Client, Config, NoTls};
 
@@ -9,14 +14,22 @@
 #[derive(Debug)]
 pub struct Fleet {
     dir: tempfile::TempDir,
+    /// The processes that the test itself started.
+    started: Mutex<Vec<Child>>,
 }
 
 impl Fleet {
     /// Starts a fleet of the profile `imena`.
     pub fn up() -> Self {
+        Self::up_with(&[])
+    }
+
+    /// Starts a fleet with more options of `scripts/fleet up`.
+    pub fn up_with(options: &[&str]) -> Self {
         let dir = tempfile::tempdir().expect("a temporary folder");
-        script(&["up", &dir.path().display().to_string()]);
-        Self { dir }
+        let path = dir.path().display().to_string();
+        script(&[&["up", path.as_str()], options].concat());
+        Self { dir, started: Mutex::default() }
     }
 
     /// Returns the fleet's folder.
@@ -24,6 +37,25 @@
         self.dir.path()
     }
 
+    /// Returns the address of the proxy with number `proxy`, counted from 0.
+    pub fn proxy(&self, proxy: usize) -> String {
+        let proxies = std::fs::read_to_string(self.path().join("proxies")).expect("proxies");
+        proxies.lines().nth(proxy).expect("so many proxies").to_owned()
+    }
+
+    /// Sets the faults of an instance, as one line of JSON.
+    pub fn fault(&self, instance: &str, fault: &str) {
+        let upstreams = std::fs::read_to_string(self.path().join("upstreams")).expect("upstreams");
+        let line = upstreams.lines().find_map(|line| line.strip_prefix(&format!("{instance} ")));
+        let mut address: std::net::SocketAddr = line.expect("an instance").parse().unwrap();
+        address.set_port(address.port() + 2);
+        let mut socket = std::net::TcpStream::connect(address).expect("the fault port");
+        writeln!(socket, "{fault}").expect("the fault is sent");
+        let mut answer = String::new();
+        BufReader::new(socket).read_line(&mut answer).expect("an answer");
+        assert_eq!(answer, "ok\n");
+    }
+
     /// Connects to the proxy with number `proxy`, counted from 0.
     pub fn connect(&self, proxy: usize, group: &str) -> Client {
         self.connect_with(proxy, group, "")
@@ -42,10 +74,41 @@
         config.connect(NoTls).expect("the proxy takes callers")
     }
 
+    /// Starts a control process again with its settings.
+    pub fn start_control(&self, name: &str) {
+        let file = |folder: &str, name: &str| self.path().join(folder).join(name);
+        let log = File::create(file("log", &format!("{name}-again"))).expect("a log");
+        let settings = file("settings", &format!("{name}.toml"));
+        let process = Command::new(env!("CARGO_BIN_EXE_cactushatch"))
+            .args(["control", "--settings"])
+            .arg(settings)
+            .stdout(log.try_clone().expect("a log"))
+            .stderr(log)
+            .spawn()
+            .expect("the process starts");
+        let note = |list: &str, line: String| {
+            let list = OpenOptions::new().append(true).open(self.path().join(list));
+            writeln!(list.expect("a list"), "{line}").expect("a list");
+        };
+        note("pids", process.id().to_string());
+        note("names", format!("{} {name}", process.id()));
+        self.started.lock().expect("no test panics here").push(process);
+    }
+
+    /// Asks control for its status, through any voter.
+    pub fn status(&self) -> Option<serde_json::Value> {
+        let admins = std::fs::read_to_string(self.path().join("admin")).expect("admin");
+        let asked = Command::new(env!("CARGO_BIN_EXE_cactushatch"))
+            .args(["status", "--json", "--admin", &admins.trim().replace('\n', ",")])
+            .output()
+            .expect("the command runs");
+        asked.status.success().then(|| serde_json::from_slice(&asked.stdout).expect("JSON"))
+    }
+
     /// Kills the process with this name, by its pid.
     pub fn kill(&self, name: &str) {
         let names = std::fs::read_to_string(self.path().join("names")).expect("names");
-        let line = names.lines().find(|line| line.ends_with(&format!(" {name}")));
+        let line = names.lines().rfind(|line| line.ends_with(&format!(" {name}")));
         let pid = line.and_then(|line| line.split_once(' ')).expect("a process of that name").0;
         let killed = Command::new("kill").args(["-9", pid]).status().expect("kill runs");
         assert!(killed.success(), "{name} was not running");
@@ -55,6 +118,9 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         script(&["down", &self.path().display().to_string()]);
+        for process in self.started.get_mut().expect("no test panics here") {
+            let _ = process.wait();
+        }
     }
 }
 
