Doubt a connection before an instance is called silent

Cause: a connection that something between the two ends lost track of made its instance silent for that proxy; when all such connections went at once, a primary that works would have been replaced.

Change: upstream::probe::Probe, used by proxies and control alike, tries a new connection beside the open one after probe::DOUBT; the first answer counts, and silence is still told after probe::SILENCE. One watch and one probe instead of two copies.

--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,6 @@
 mod link;
 pub mod member;
 pub mod operator;
-mod probe;
 mod promotion;
 pub mod raft;
 mod server;
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -3,19 +3,23 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, MutexGuard};
+use std::time::Duration;
 
 use smol::channel::{Receiver, Sender, unbounded};
 
 use super::failover::{Input, Output};
-use super::probe::{self, Probe};
 use super::server::Shared;
 use super::state::{Action, Command};
 use crate::clock::Instant;
 use crate::id;
 use crate::pgsql;
 use crate::upstream::position;
+use crate::upstream::probe::Probe;
 use crate::wire::Replica;
 
+/// How often an instance is asked.
+const INTERVAL: Duration = Duration::from_millis(50);
+
 /// What the connection to an instance is used for besides the regular probe.
 #[derive(Debug)]
 pub(super) enum Order {
@@ -56,7 +60,7 @@
                 let now = self.clock.now();
                 self.core().leader.step(now, &replica.group, input);
             }
-            let waited = self.clock.timeout(probe::INTERVAL, ordered.recv()).await;
+            let waited = self.clock.timeout(INTERVAL, ordered.recv()).await;
             order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
         }
         self.probes().remove(&replica.instance);
@@ -104,6 +108,8 @@
     let sql = match order {
         Order::Probe => {
             let seen = probe.status().await;
+            let asked = seen.as_ref().map_or(asked, |seen| seen.asked);
+            let seen = seen.map(|seen| seen.status);
             return Some(Input::Probed { instance, asked, seen });
         }
         Order::Promote(term) => position::promote(term),
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod announcement;
 pub mod position;
+pub mod probe;
--- a/tests/failover_lease.rs
+++ b/tests/failover_lease.rs
@@ -305,3 +305,23 @@
         "an instance that left leaves the table"
     );
 }
+
+#[test]
+fn a_proxy_that_was_silent_for_long_is_forgotten_and_gets_no_lease_meanwhile() {
+    use cactushatch::control::failover::Output;
+    use cactushatch::control::leader::FORGET;
+    use cactushatch::control::state::Action;
+    let (mut control, mut proxy) = leading();
+    let late = START + FORGET;
+    let forget = Action::Forget { node: name("p") };
+    assert_eq!(control.tick(late - Duration::from_millis(1)), []);
+    assert_eq!(control.tick(late), [Output::Submit(forget.clone())]);
+    assert_eq!(control.tick(late), [], "it is ordered once");
+    let heartbeat = proxy.send(late);
+    assert_eq!(control.heartbeat(late, &proxy.life.clone(), &heartbeat), None);
+    control.commit(late, forget);
+    control.tick(late);
+    control.register(late, &proxy.life);
+    let heartbeat = proxy.send(late);
+    assert!(control.heartbeat(late, &proxy.life.clone(), &heartbeat).is_some());
+}
