--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -8,7 +8,7 @@
 use cactushatch::config::Span;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-use crate::{check, drill, load, ready, standin};
+use crate::{check, drill, load, measure, ready, standin};
 
 /// Runs the command that the arguments name.
 ///
@@ -24,6 +24,7 @@
         Some(("load", matches)) => load(matches),
         Some(("check", matches)) => check(matches),
         Some(("prove", matches)) => prove(matches),
+        Some(("measure", matches)) => measure(matches),
         _ => anyhow::bail!("no such command"),
     }
 }
@@ -38,6 +39,7 @@
         .subcommand(load_command())
         .subcommand(check_command())
         .subcommand(prove_command())
+        .subcommand(measure_command())
 }
 
 fn ready_command() -> Command {
@@ -170,6 +172,31 @@
     Ok(())
 }
 
+fn measure_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        let parser = clap::value_parser!(u64);
+        Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
+    };
+    Command::new("measure")
+        .about("Takes measurements")
+        .arg(Arg::new("name").action(ArgAction::Append).help("Which; all without a name"))
+        .arg(number("runs", "1", "How often each one runs"))
+        .arg(number("seed", "1", "The seed of the first run"))
+        .arg(Arg::new("out").long("out").required(true).help("The folder for the files"))
+        .arg(Arg::new("label").long("label").required(true).help("What was built"))
+}
+
+fn measure(matches: &ArgMatches) -> anyhow::Result<()> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    measure::run(&measure::Settings {
+        names: matches.get_many::<String>("name").unwrap_or_default().cloned().collect(),
+        runs: matches.get_one::<u64>("runs").copied().unwrap_or(1),
+        seed: matches.get_one::<u64>("seed").copied().unwrap_or(1),
+        out: PathBuf::from(text("out")),
+        label: text("label"),
+    })
+}
+
 /// How many violations of a rule are printed.
 const PRINTED: usize = 5;
 
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,5 +6,6 @@
 mod fleet;
 pub mod history;
 mod load;
+mod measure;
 mod ready;
 mod standin;
--- a/bench/src/load/action.rs
+++ b/bench/src/load/action.rs
@@ -42,7 +42,7 @@
     Restore,
     /// Removes the process's data.
     Wipe,
-    /// Cuts the failure domain that the target names off from all others.
+    /// Cuts the failure domain that the target names, or where it is, off from all others.
     Cut,
     /// Ends all faults of all instances.
     Heal,
@@ -123,7 +123,7 @@
         Deed::Save => copy(&data, &saved),
         Deed::Restore => copy(&saved, &data),
         Deed::Wipe => Ok(std::fs::remove_dir_all(data)?),
-        Deed::Cut => cut(fleet, Some(name)),
+        Deed::Cut => cut(fleet, Some(fleet.domains.get(name).map_or(name, String::as_str))),
         Deed::Heal => cut(fleet, None),
     }
 }
--- /dev/null
+++ b/bench/src/measure/gap.rs
@@ -0,0 +1,41 @@
+//! How long writes are not possible when a primary fails, per kind of failure.
+
+use super::{Figure, PROFILES, Run, with_fleet};
+use crate::fleet::Fleet;
+use crate::{check, load};
+
+/// What happens to the primary: a name, what begins it and what ends it.
+const KINDS: [(&str, &str, &str); 3] =
+    [("crash", "kill", "start"), ("silent", "stop", "resume"), ("cut", "cut", "heal")];
+
+/// Measures each kind of failure three times in one fleet, with time to heal in between.
+pub fn run(run: &Run) -> anyhow::Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    for profile in PROFILES {
+        for (kind, begin, end) in KINDS {
+            let gaps = with_fleet(profile, &[], |dir| {
+                let group = Fleet::open(dir)?.groups().remove(0);
+                let mut settings = super::load(dir, run.seed, 22);
+                settings.probers = 1;
+                settings.sessions = 30;
+                for at in [2, 9, 16] {
+                    let failure = format!("{at}s {begin} primary:{group}");
+                    let healed = format!("{}s {end} last", at + 4);
+                    for action in [failure, healed] {
+                        settings.actions.push(action.parse().map_err(anyhow::Error::msg)?);
+                    }
+                }
+                load::run(settings)?;
+                let report = check::run(dir)?;
+                anyhow::ensure!(report.violations.is_empty(), "the history is rejected");
+                Ok(report.gaps)
+            })?;
+            let case = format!("{profile}, {kind}");
+            for gap in gaps {
+                let length = gap.milliseconds.unwrap_or(f64::INFINITY);
+                figures.push(Figure::new("failover_gap", "ms", &case, length));
+            }
+        }
+    }
+    Ok(figures)
+}
