--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -8,4 +8,5 @@
 mod load;
 mod measure;
 mod ready;
+mod router;
 mod standin;
--- a/bench/src/load/caller.rs
+++ b/bench/src/load/caller.rs
@@ -38,8 +38,18 @@
 impl Caller {
     /// Connects; `options` go into the start-up.
     pub async fn open(address: SocketAddr, group: &str, options: &str) -> Result<Self, Error> {
+        Self::open_as("load", address, group, options).await
+    }
+
+    /// Connects as `user`.
+    pub async fn open_as(
+        user: &str,
+        address: SocketAddr,
+        group: &str,
+        options: &str,
+    ) -> Result<Self, Error> {
         let clock = Clock::system();
-        let mut parameters = vec![("user", "load"), ("database", group)];
+        let mut parameters = vec![("user", user), ("database", group)];
         if !options.is_empty() {
             parameters.push(("options", options));
         }
--- /dev/null
+++ b/bench/src/measure/memory.rs
@@ -0,0 +1,45 @@
+//! The memory of a caller's connection that is idle.
+
+use anyhow::Context;
+
+use super::{Figure, Run, with_fleet};
+use crate::fleet::Fleet;
+use crate::load::Caller;
+
+/// How many idle connections are opened in each step.
+const STEP: usize = 1_000;
+
+/// How many steps.
+const STEPS: usize = 3;
+
+/// Measures the growth of a proxy's resident memory per idle connection.
+pub fn run(_: &Run) -> anyhow::Result<Vec<Figure>> {
+    with_fleet("imena", &[], |dir| {
+        let fleet = Fleet::open(dir)?;
+        let group = fleet.groups().into_iter().next().context("there are no groups")?;
+        smol::block_on(async {
+            let mut callers = Vec::new();
+            // The first step warms the allocator up.
+            let mut base = 0;
+            for step in 0..STEPS {
+                for _ in 0..STEP {
+                    callers.push(Caller::open(fleet.proxies[0], &group, "").await?);
+                }
+                if step == 0 {
+                    base = resident(&fleet)?;
+                }
+            }
+            let grown = resident(&fleet)?.saturating_sub(base);
+            let each = grown as f64 / (STEP * (STEPS - 1)) as f64;
+            Ok(vec![Figure::new("idle_connection", "bytes", "imena", each)])
+        })
+    })
+}
+
+fn resident(fleet: &Fleet) -> anyhow::Result<usize> {
+    let pid = fleet.pid("proxy-1")?.as_raw_nonzero();
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next());
+    Ok(kilobytes.context("no resident size")?.parse::<usize>()? * 1024)
+}
--- a/bench/src/measure/mod.rs
+++ b/bench/src/measure/mod.rs
@@ -2,6 +2,9 @@
 
 mod figure;
 mod gap;
+mod memory;
+mod overhead;
+mod rush;
 mod share;
 
 use std::path::{Path, PathBuf};
@@ -31,8 +34,13 @@
 type Sample = fn(&Run) -> anyhow::Result<Vec<Figure>>;
 
 /// The measurements.
-const MEASUREMENTS: &[(&str, Sample)] =
-    &[("replica_share", share::run), ("failover_gap", gap::run)];
+const MEASUREMENTS: &[(&str, Sample)] = &[
+    ("replica_share", share::run),
+    ("failover_gap", gap::run),
+    ("rush", rush::run),
+    ("overhead", overhead::run),
+    ("memory", memory::run),
+];
 
 /// One run of a measurement.
 #[derive(Debug, Clone, Copy)]
--- /dev/null
+++ b/bench/src/measure/overhead.rs
@@ -0,0 +1,128 @@
+//! What a proxy adds to a statement, against a direct connection and against a plain router, in one run.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use anyhow::Context;
+use hdrhistogram::Histogram;
+
+use super::{Figure, Run, with_fleet};
+use crate::fleet::Fleet;
+use crate::load::{Caller, Reply};
+use crate::router;
+
+/// How many statements in a row go one way before the next way's turn.
+const BLOCK: usize = 50;
+
+/// How many turns each way gets.
+const TURNS: usize = 40;
+
+/// How many callers run at once for the throughput.
+const CALLERS: usize = 12;
+
+/// How long the throughput is taken.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// The statement: a read that touches a table.
+const STATEMENT: &str = "SELECT count(*) FROM ready";
+
+/// Measures the added latency of single callers, and the throughput of many.
+pub fn run(_: &Run) -> anyhow::Result<Vec<Figure>> {
+    with_fleet("imena", &[], |dir| smol::block_on(measure(dir)))
+}
+
+async fn measure(dir: &Path) -> anyhow::Result<Vec<Figure>> {
+    let fleet = Fleet::open(dir)?;
+    let group = fleet.groups().into_iter().next().context("there are no groups")?;
+    let primary = fleet.upstreams[&fleet.primary(&group)?];
+    let (routed, _router) = router::spawn(primary, 2).await?;
+    let ways = [("direct", primary), ("proxy", fleet.proxies[0]), ("router", routed)];
+    let mut figures = latency(&ways, &group).await?;
+    let pid = fleet.pid("proxy-1")?;
+    for (name, address) in ways {
+        let before = cpu(pid)?;
+        let rate = throughput(address, &group).await?;
+        figures.push(Figure::new("throughput", "statements/s", name, rate));
+        if name == "proxy" {
+            let spent = (cpu(pid)? - before) / WINDOW.as_secs_f64();
+            figures.push(Figure::new("proxy_cpu", "cores", "during that throughput", spent));
+            let each = rate / spent.max(f64::EPSILON);
+            figures.push(Figure::new("statements_per_core", "statements/s", "imena", each));
+        }
+    }
+    Ok(figures)
+}
+
+async fn latency(ways: &[(&str, SocketAddr)], group: &str) -> anyhow::Result<Vec<Figure>> {
+    let mut callers = Vec::new();
+    for (name, address) in ways {
+        let caller = connect(*address, group).await?;
+        callers.push((*name, caller, Histogram::<u64>::new(3)?));
+    }
+    for _ in 0..TURNS {
+        for (_, caller, times) in &mut callers {
+            for _ in 0..BLOCK {
+                let start = Instant::now();
+                ask(caller).await?;
+                times.record(start.elapsed().as_nanos() as u64)?;
+            }
+        }
+    }
+    let direct = callers[0].2.clone();
+    let mut figures = Vec::new();
+    for (name, _, times) in &callers {
+        for (label, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+            let time = times.value_at_quantile(quantile) as f64 / 1_000.0;
+            let added = time - direct.value_at_quantile(quantile) as f64 / 1_000.0;
+            let case = format!("{name}, {label}");
+            figures.push(Figure::new("latency", "us", &case, time));
+            figures.push(Figure::new("added_latency", "us", &case, added));
+        }
+    }
+    Ok(figures)
+}
+
+async fn throughput(address: SocketAddr, group: &str) -> anyhow::Result<f64> {
+    let mut callers = Vec::new();
+    for _ in 0..CALLERS {
+        callers.push(connect(address, group).await?);
+    }
+    let end = Instant::now() + WINDOW;
+    let work = |mut caller: Caller| async move {
+        let mut count = 0_u64;
+        while Instant::now() < end {
+            ask(&mut caller).await?;
+            count += 1;
+        }
+        anyhow::Ok(count)
+    };
+    let tasks: Vec<_> = callers.into_iter().map(|caller| smol::spawn(work(caller))).collect();
+    let mut total = 0;
+    for task in tasks {
+        total += task.await?;
+    }
+    Ok(total as f64 / WINDOW.as_secs_f64())
+}
+
+async fn connect(address: SocketAddr, group: &str) -> anyhow::Result<Caller> {
+    let mut caller = Caller::open_as("bench", address, group, "").await?;
+    ask(&mut caller).await?;
+    Ok(caller)
+}
+
+async fn ask(caller: &mut Caller) -> anyhow::Result<()> {
+    match caller.ask(STATEMENT).await? {
+        Reply::Done(_) => Ok(()),
+        Reply::Refused(refusal) => anyhow::bail!("{}: {}", refusal.code, refusal.message),
+    }
+}
+
+/// Returns the processor time that a process has used, in seconds.
+pub fn cpu(pid: rustix::process::Pid) -> anyhow::Result<f64> {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", pid.as_raw_nonzero()))?;
+    let fields = stat.rsplit_once(')').context("a process without a name")?.1;
+    let mut fields = fields.split_whitespace().skip(11);
+    let mut ticks = || -> anyhow::Result<f64> { Ok(fields.next().context("no time")?.parse()?) };
+    Ok((ticks()? + ticks()?) / rustix::param::clock_ticks_per_second() as f64)
+}
--- /dev/null
+++ b/bench/src/measure/rush.rs
@@ -0,0 +1,115 @@
+//! The rush: all sessions arrive within a second, at ten times the rate that can be sustained.
+
+use std::path::Path;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use super::{Figure, PROFILES, Run, with_fleet};
+use crate::check;
+use crate::history::{self, Kind, Outcome, Record, Request};
+use crate::load::{self, HISTORY};
+
+/// How much more arrives than can be sustained.
+const OVERLOAD: f64 = 10.0;
+
+/// The share of the sustainable rate at which the unloaded latency is taken.
+const LIGHT: f64 = 0.2;
+
+/// How many sessions there are in the rush.
+const SESSIONS: usize = 900;
+
+/// The longest declared deadline, after which an answer is late, with what its way may take.
+const DEADLINE: Duration = Duration::from_millis(5_250);
+
+/// How long each phase lasts, in seconds.
+const SECONDS: u64 = 4;
+
+/// Measures both deployments.
+pub fn run(run: &Run) -> anyhow::Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    for profile in PROFILES {
+        figures.extend(with_fleet(profile, &[], |dir| measure(profile, run, dir))?);
+    }
+    Ok(figures)
+}
+
+fn measure(profile: &str, run: &Run, dir: &Path) -> anyhow::Result<Vec<Figure>> {
+    let mut settings = super::load(dir, run.seed, SECONDS);
+    settings.reads = 80;
+    settings.pause = Duration::ZERO;
+    let sustainable = Phase::run(settings.clone())?.done_rate();
+    settings.rate = Some((sustainable * LIGHT) as u32);
+    settings.seed += 1_000;
+    let light = Phase::run(settings.clone())?;
+    settings.rate = Some((sustainable * OVERLOAD) as u32);
+    settings.sessions = SESSIONS;
+    settings.rush = Duration::from_secs(1);
+    settings.seed += 1_000;
+    let rush = Phase::run(settings)?;
+    let report = check::run(dir)?;
+    let figure = |name: &str, unit, sample| Figure::new(name, unit, profile, sample);
+    Ok(vec![
+        figure("sustainable_rate", "requests/s", sustainable),
+        figure("rush_offered", "of the sustainable rate", rush.rate() / sustainable),
+        figure("rush_final_answers", "of 1", rush.answered()),
+        figure("rush_goodput", "of the sustainable rate", rush.done_rate() / sustainable),
+        figure("rush_p99_once", "ms", rush.p99_once()),
+        figure("unloaded_p99_once", "ms", light.p99_once()),
+        figure("rush_rules_broken", "violations", report.violations.len() as f64),
+    ])
+}
+
+/// What one load did.
+struct Phase {
+    requests: Vec<Request>,
+}
+
+impl Phase {
+    fn run(settings: load::Settings) -> anyhow::Result<Self> {
+        let path = settings.dir.join(HISTORY);
+        load::run(settings)?;
+        let requests = history::read(&path)?.into_iter().filter_map(|record| match record {
+            Record::Request(request) => Some(request),
+            Record::Event(_) => None,
+        });
+        Ok(Self { requests: requests.collect() })
+    }
+
+    /// Returns the requests a second that were sent.
+    fn rate(&self) -> f64 {
+        self.requests.len() as f64 / SECONDS as f64
+    }
+
+    /// Returns the requests a second that were done while the load lasted.
+    fn done_rate(&self) -> f64 {
+        let start = self.requests.iter().map(|request| request.invoked).min().unwrap_or_default();
+        let end = start + SECONDS * 1_000_000;
+        let done = self.requests.iter().filter(|request| {
+            request.returned <= end && matches!(request.outcome, Outcome::Done { .. })
+        });
+        done.count() as f64 / SECONDS as f64
+    }
+
+    /// Returns the share of requests that got a final answer within their deadline.
+    fn answered(&self) -> f64 {
+        let deadline = DEADLINE.as_micros() as u64;
+        let answered = self.requests.iter().filter(|request| {
+            !matches!(request.outcome, Outcome::Cut { .. } | Outcome::Unknown(_))
+                && request.returned - request.invoked <= deadline
+        });
+        answered.count() as f64 / self.requests.len().max(1) as f64
+    }
+
+    /// Returns the 99th percentile of `once` requests that were done, in milliseconds.
+    fn p99_once(&self) -> f64 {
+        let mut times = Histogram::<u64>::new(3).expect("three digits are allowed");
+        for request in &self.requests {
+            let once = matches!(request.kind, Kind::Once { .. });
+            if once && matches!(request.outcome, Outcome::Done { .. }) {
+                let _ = times.record(request.returned - request.invoked);
+            }
+        }
+        times.value_at_quantile(0.99) as f64 / 1_000.0
+    }
+}
