--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -149,7 +149,8 @@
             created?;
         }
         let mut bytes = BytesMut::new();
-        frontend::query(&format!("BEGIN; {}", record.insert()), &mut bytes)?;
+        frontend::query("BEGIN", &mut bytes)?;
+        frontend::query(&record.insert(), &mut bytes)?;
         let exchange = self.exchange(&request.asked, loan);
         let mut exchange = exchange.map_err(|_| pgsql::Error::Protocol("a malformed batch"))?;
         bytes.extend_from_slice(&exchange.bytes);
@@ -157,6 +158,7 @@
         self.sent(Effect::RolledBack);
         let connection = loan.connection();
         connection.client.send(&bytes).await?;
+        connection.client.rows().await?;
         let inserted = connection.client.rows().await;
         if let Err(error) = &inserted
             && !matches!(error, pgsql::Error::Server { .. })
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -47,6 +47,7 @@
     term: Gauge,
     index: Gauge,
     suppressed: Counter,
+    frames_dropped: Counter,
 }
 
 fn request_histogram() -> Histogram {
@@ -77,6 +78,7 @@
             term: Gauge::default(),
             index: Gauge::default(),
             suppressed: Counter::default(),
+            frames_dropped: Counter::default(),
         };
         let mut registry = Registry::with_prefix("cactushatch");
         metrics.register_requests(&mut registry);
@@ -161,6 +163,11 @@
             "Log lines left out because too many came at once",
             self.suppressed.clone(),
         );
+        registry.register(
+            "frames_dropped",
+            "Frames to voters whose queue was full",
+            self.frames_dropped.clone(),
+        );
     }
 
     /// Returns all metrics as the text that Prometheus reads.
@@ -229,6 +236,11 @@
         self.heartbeats_received.inc();
     }
 
+    /// Counts a frame to another control process that found its queue full.
+    pub fn frame_dropped(&self) {
+        self.frames_dropped.inc();
+    }
+
     /// Counts the answer to a proxy that asked for a lease.
     pub fn lease(&self, answer: Lease) {
         self.leases.get_or_create(&Leases { answer }).inc();
