End a proxy without cutting anything off, and lose no floor with unacknowledged writes

Change: Server::drain (new sessions get 57P01 with a retry time, idle ones are told, transactions end, then true outcomes), called on SIGTERM; floors and proofs take the position that is as durable as declared; a session whose floor was lost is told once and goes on from the fork.

--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -1,6 +1,7 @@
 //! The commands that run a process, and the one that checks its files.
 
 use std::path::PathBuf;
+use std::time::Duration;
 
 use anyhow::Context;
 use async_signal::{Signal, Signals};
@@ -12,6 +13,9 @@
 use crate::config::{Fleet, Node};
 use crate::{control, proxy};
 
+/// How long callers may take to end what they have begun once the process is asked to end.
+const SHUTDOWN: Duration = Duration::from_secs(10);
+
 /// `cactushatch proxy`.
 pub(super) fn proxy(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
@@ -20,6 +24,7 @@
         let server = proxy::spawn(Clock::system(), &settings).await?;
         log::info!("proxy {} serves callers, revision {}", settings.node, server.revision());
         ended().await?;
+        server.drain(SHUTDOWN).await;
         Ok(Exit::Success)
     })
 }
--- a/src/proxy/caller/read.rs
+++ b/src/proxy/caller/read.rs
@@ -40,7 +40,11 @@
             need.mark = self.mark(request, &epoch, now)?;
             need.waited = now.since(started);
             match self.shared.route(&self.group, &epoch, &need) {
-                Choice::Lost => return Err(Outcome::FloorLost.into()),
+                Choice::Lost => {
+                    // The caller is told once; from now on the session goes on from where its history forked.
+                    self.session.lower(&self.group, need.mark.surviving(&epoch));
+                    return Err(Outcome::FloorLost.into());
+                }
                 Choice::Wait => {
                     self.shared.ask(&self.group);
                     let left = route::WAIT.saturating_sub(need.waited);
@@ -114,6 +118,8 @@
             }
             _ => {}
         }
+        // What was never acknowledged may be gone after a promotion; the rest is still there.
+        self.read = self.read.surviving(epoch);
         self.read
     }
 
@@ -148,7 +154,7 @@
                 && at >= since
                 && status.term == epoch.term
             {
-                return Ok(Mark { term: status.term, position: status.position });
+                return Ok(self.shared.acknowledged(&self.group, status));
             }
             self.hopeful(&epoch, started)?;
             self.shared.ask_one(&epoch.primary);
--- a/src/proxy/floor.rs
+++ b/src/proxy/floor.rs
@@ -30,6 +30,21 @@
 }
 
 impl Mark {
+    /// Returns the mark, or the point where the present history forked from the mark's when that lies before it.
+    pub fn surviving(self, epoch: &Epoch) -> Self {
+        let forks = epoch.forks.iter();
+        let later = forks.filter(|(term, _)| *term > self.term && *term <= epoch.term);
+        match later.min_by_key(|(_, start)| *start) {
+            Some((term, start)) if self.position > *start => Self { term: *term, position: *start },
+            _ => self,
+        }
+    }
+
+    /// Tells whether a promotion left out what the mark names.
+    pub fn is_lost(self, epoch: &Epoch) -> bool {
+        self.surviving(epoch) != self
+    }
+
     /// Compares the mark with an instance at `at`, by the forks of the group's history.
     pub fn reach(self, at: Self, epoch: &Epoch) -> Reach {
         if self.term > at.term {
@@ -64,6 +79,12 @@
         self.marks.iter().find(|(name, _)| name == group).map(|(_, mark)| *mark)
     }
 
+    /// Sets the group's mark, lower than it was.
+    pub fn lower(&mut self, group: &id::Group, mark: Mark) {
+        self.marks.retain(|(name, _)| name != group);
+        self.raise(group, mark);
+    }
+
     /// Raises each mark to that of `other`.
     pub fn merge(&mut self, other: &Self) {
         for (group, mark) in &other.marks {
--- a/src/proxy/route.rs
+++ b/src/proxy/route.rs
@@ -61,7 +61,7 @@
     trail: &Trail,
     domain: &id::Domain,
 ) -> Choice {
-    if is_lost(need.mark, epoch) {
+    if need.mark.is_lost(epoch) {
         return Choice::Lost;
     }
     let usable = |candidate: &&Candidate| {
@@ -113,9 +113,3 @@
         mark.reach(at, epoch) == Reach::Reached
     })
 }
-
-/// Tells whether a promotion left out what the mark names.
-fn is_lost(mark: Mark, epoch: &Epoch) -> bool {
-    let fork = epoch.forks.iter().find(|(term, _)| *term > mark.term && *term <= epoch.term);
-    fork.is_some_and(|(_, start)| mark.position > *start)
-}
--- a/src/proxy/session.rs
+++ b/src/proxy/session.rs
@@ -26,6 +26,11 @@
         self.lock().raise(group, mark)
     }
 
+    /// Sets the session's mark in a group after a promotion left out what it named.
+    pub fn lower(&self, group: &id::Group, mark: Mark) {
+        self.lock().lower(group, mark);
+    }
+
     /// Raises the session's marks to those of `floor`.
     pub fn merge(&self, floor: &Floor) {
         self.lock().merge(floor);
--- a/src/proxy/shared.rs
+++ b/src/proxy/shared.rs
@@ -14,6 +14,7 @@
 use super::server::Shared;
 use super::trail::Trail;
 use crate::clock::Instant;
+use crate::config::Durability;
 use crate::id;
 use crate::upstream::position::Status;
 use crate::wire::Epoch;
@@ -170,6 +171,18 @@
         route::read(self.clock.now(), &candidates, epoch, need, &trail, &self.domain)
     }
 
+    /// Returns a mark that covers all writes that were acknowledged before a primary was asked for its status. What
+    /// is not as durable as declared is not acknowledged, and a promotion may leave it out.
+    pub(super) fn acknowledged(&self, group: &id::Group, status: Status) -> Mark {
+        let fleet = self.fleet();
+        let durability = fleet.group.get(group).map(|group| group.durability);
+        let position = match durability {
+            Some(Durability::Majority) => status.durable.min(status.position),
+            _ => status.position,
+        };
+        Mark { term: status.term, position }
+    }
+
     /// Notes a status of a primary on the group's trail, when the lease covers the moment.
     pub(super) fn trace(&self, group: &id::Group, instance: &id::Instance, at: Instant, s: Status) {
         let Some(epoch) = self.epoch(group) else {
@@ -177,7 +190,7 @@
         };
         let current = epoch.primary == *instance && epoch.term == s.term;
         if current && self.verdict(group, s.term) == Verdict::Release {
-            self.traffic.note(group, at, Mark { term: s.term, position: s.position });
+            self.traffic.note(group, at, self.acknowledged(group, s));
         }
     }
 
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -63,6 +63,15 @@
 
     /// Connects with start-up options.
     pub fn connect_with(&self, proxy: usize, group: &str, options: &str) -> Client {
+        self.open(proxy, group, options).expect("the proxy takes callers")
+    }
+
+    /// Connects, or says why the proxy doesn't take the caller.
+    pub fn try_connect(&self, proxy: usize, group: &str) -> Result<Client, postgres::Error> {
+        self.open(proxy, group, "")
+    }
+
+    fn open(&self, proxy: usize, group: &str, options: &str) -> Result<Client, postgres::Error> {
         let proxies = std::fs::read_to_string(self.path().join("proxies")).expect("proxies");
         let address = proxies.lines().nth(proxy).expect("so many proxies");
         let (host, port) = address.split_once(':').expect("an address");
@@ -71,7 +80,7 @@
         if !options.is_empty() {
             config.options(options);
         }
-        config.connect(NoTls).expect("the proxy takes callers")
+        config.connect(NoTls)
     }
 
     /// Starts a control process again with its settings.
@@ -107,10 +116,15 @@
 
     /// Kills the process with this name, by its pid.
     pub fn kill(&self, name: &str) {
+        self.signal(name, "-9");
+    }
+
+    /// Sends a signal to the process with this name, by its pid.
+    pub fn signal(&self, name: &str, signal: &str) {
         let names = std::fs::read_to_string(self.path().join("names")).expect("names");
         let line = names.lines().rfind(|line| line.ends_with(&format!(" {name}")));
         let pid = line.and_then(|line| line.split_once(' ')).expect("a process of that name").0;
-        let killed = Command::new("kill").args(["-9", pid]).status().expect("kill runs");
+        let killed = Command::new("kill").args([signal, pid]).status().expect("kill runs");
         assert!(killed.success(), "{name} was not running");
     }
 }
--- /dev/null
+++ b/tests/request_decisions.rs
@@ -0,0 +1,472 @@
+//! The decisions of the request path, each as the plain machine or function that it is.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactushatch::clock::Instant;
+use cactushatch::id;
+use cactushatch::proxy::admission::{Arrival, Gate, Input, MAX_WAITING, Output, Ticket};
+use cactushatch::proxy::cancel::{Answer, Registry, Target, Token};
+use cactushatch::proxy::class::{self, Kind, Local};
+use cactushatch::proxy::floor::Mark;
+use cactushatch::proxy::outcome::{Outcome, Reason};
+use cactushatch::proxy::peak;
+use cactushatch::proxy::retry::Budget;
+use cactushatch::proxy::route::{self, Candidate, Choice, Need};
+use cactushatch::proxy::session::Directory;
+use cactushatch::proxy::trail::Trail;
+use cactushatch::upstream::position::Status;
+use cactushatch::wire::{Epoch, Phase, Replica, Role, Trouble};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const MS: u64 = 1_000;
+
+fn at(ms: u64) -> Instant {
+    Instant(ms * MS)
+}
+
+fn mark(term: u64, position: u64) -> Mark {
+    Mark { term: id::Term(term), position: id::Position(position) }
+}
+
+fn arrival(priority: u8, deadline: Instant, customer: &str, caller: u64) -> Arrival {
+    Arrival { priority, deadline, customer: customer.parse().unwrap(), caller }
+}
+
+/// Makes a gate whose statements take a millisecond each, two at once.
+fn gate() -> Gate {
+    let mut gate = Gate::new();
+    gate.step(at(0), Input::Limit { slots: 2, connections: 2 });
+    for number in 0..50 {
+        let ticket = Ticket(1_000_000 + number);
+        gate.step(at(0), Input::Arrive(ticket, arrival(0, at(1_000), "warm", 0)));
+        gate.step(at(0), Input::Done(Some(Duration::from_millis(1))));
+    }
+    gate
+}
+
+fn started(outputs: &[Output]) -> Vec<u64> {
+    let start = |output: &Output| match output {
+        Output::Start(ticket) => Some(ticket.0),
+        Output::Refuse(..) => None,
+    };
+    outputs.iter().filter_map(start).collect()
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Arrive { priority: u8, deadline_ms: u64, customer: u8 },
+    Done { micros: u64 },
+    Hold,
+    Free,
+    Gone,
+    Limit { slots: u32, connections: u32 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        6 => (0..3_u8, 1..500_u64, 0..3_u8).prop_map(|(priority, deadline_ms, customer)| {
+            Event::Arrive { priority, deadline_ms, customer }
+        }),
+        4 => (100..20_000_u64).prop_map(|micros| Event::Done { micros }),
+        1 => Just(Event::Hold),
+        1 => Just(Event::Free),
+        1 => Just(Event::Gone),
+        1 => (1..4_u32, 1..8_u32).prop_map(|(slots, connections)| {
+            Event::Limit { slots, connections }
+        }),
+    ]
+}
+
+/// The cases are the same in each run.
+fn cases() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    /// Nobody runs beyond the limits, everybody gets one answer, and nobody waits while there is room.
+    #[test]
+    fn a_gate_keeps_its_limits_and_answers_each_once(events in prop::collection::vec(event(), 1..300)) {
+        let mut gate = Gate::new();
+        let mut connections = 1;
+        let mut waiting: Vec<Ticket> = Vec::new();
+        let (mut running, mut held) = (0_u32, 0_u32);
+        for (step, event) in events.into_iter().enumerate() {
+            let now = at(step as u64);
+            let input = match event {
+                Event::Arrive { priority, deadline_ms, customer } => {
+                    let ticket = Ticket(step as u64);
+                    waiting.push(ticket);
+                    let deadline = now + Duration::from_millis(deadline_ms);
+                    let customer = format!("c{customer}");
+                    Input::Arrive(ticket, arrival(priority, deadline, &customer, step as u64))
+                }
+                Event::Done { micros } if running > 0 => {
+                    running -= 1;
+                    Input::Done(Some(Duration::from_micros(micros)))
+                }
+                Event::Hold if running > 0 => {
+                    running -= 1;
+                    held += 1;
+                    Input::Hold
+                }
+                Event::Free if held > 0 => {
+                    held -= 1;
+                    Input::Free
+                }
+                Event::Gone if !waiting.is_empty() => Input::Gone(waiting.remove(0)),
+                Event::Limit { slots, connections: limit } => {
+                    connections = limit;
+                    Input::Limit { slots, connections }
+                }
+                _ => continue,
+            };
+            let before = running + held;
+            let outputs = gate.step(now, input);
+            for output in &outputs {
+                let (Output::Start(ticket) | Output::Refuse(ticket, _)) = output;
+                let place = waiting.iter().position(|known| known == ticket);
+                prop_assert!(place.is_some(), "{ticket:?} was answered twice");
+                waiting.remove(place.unwrap());
+            }
+            running += started(&outputs).len() as u32;
+            prop_assert_eq!(gate.used(), running + held);
+            prop_assert!(running + held <= connections.max(before));
+            let room = running < gate.window() && running + held < connections;
+            prop_assert!(!room || waiting.is_empty(), "{} wait while there is room", waiting.len());
+        }
+    }
+
+    /// What the trail proves is never less than what the primary had at the stated age.
+    #[test]
+    fn a_trail_proves_no_age_that_is_not_true(
+        steps in prop::collection::vec((1..200_u64, 0..5_u64), 1..400),
+        age in 1..5_000_u64,
+    ) {
+        let mut trail = Trail::default();
+        let mut history = vec![(at(0), 0)];
+        let (mut now, mut position) = (at(0), 0);
+        for (wait, written) in steps {
+            now = now + Duration::from_millis(wait);
+            position += written;
+            history.push((now, position));
+            trail.note(now, mark(1, position));
+        }
+        let age = Duration::from_millis(age);
+        if let Some(proof) = trail.proof(now, age) {
+            let due = history.iter().rev().find(|(at, _)| now.since(*at) >= age);
+            prop_assert!(proof.position.0 >= due.map_or(0, |(_, position)| *position));
+        }
+    }
+
+    /// A read goes to no replica that is behind its floor, on another term, silent or leaving.
+    #[test]
+    fn a_route_keeps_the_floor(
+        replicas in prop::collection::vec((1..4_u64, 0..20_u64, any::<bool>(), any::<bool>(), 0..5_u32), 0..5),
+        floor in (1..4_u64, 0..20_u64),
+    ) {
+        let epoch = epoch(3, &[(1, 0), (2, 5), (3, 10)]);
+        let candidates: Vec<Candidate> = replicas
+            .iter()
+            .enumerate()
+            .map(|(number, (term, position, silent, draining, busy))| Candidate {
+                trouble: if *silent { Trouble::Silent } else { Trouble::Fine },
+                draining: *draining,
+                ..candidate(&format!("r{number}"), "b", *term, *position, *busy)
+            })
+            .chain([candidate("primary", "a", 3, 30, 0)])
+            .collect();
+        let need = Need { mark: mark(floor.0, floor.1), ..Need::default() };
+        let domain = "a".parse().unwrap();
+        let choice = route::read(at(0), &candidates, &epoch, &need, &Trail::default(), &domain);
+        let lost = (floor.0 == 1 && floor.1 > 5) || (floor.0 == 2 && floor.1 > 10);
+        match choice {
+            Choice::Lost => prop_assert!(lost),
+            Choice::Instance(instance) if instance.as_str() != "primary" => {
+                let number: usize = instance.as_str()[1..].parse().unwrap();
+                let (term, position, silent, draining, busy) = replicas[number];
+                prop_assert!(term == 3 && position >= floor.1 && !silent && !draining);
+                for (other, (term, position, silent, draining, less)) in replicas.iter().enumerate() {
+                    let as_good = *term == 3 && *position >= floor.1 && !silent && !draining;
+                    prop_assert!(!as_good || *less >= busy, "r{other} is less busy");
+                }
+            }
+            other => prop_assert_eq!(other, Choice::Instance("primary".parse().unwrap())),
+        }
+    }
+
+    /// Refusals spread their callers over as long again as the wait.
+    #[test]
+    fn a_refusal_names_a_spread_time(wait in 0..5_000_u64) {
+        let outcome = Outcome::refused(Reason::Busy, Duration::from_millis(wait));
+        let Outcome::NotRun { retry, .. } = outcome else { panic!("it was not run") };
+        let least = Duration::from_millis(wait.max(100));
+        prop_assert!(retry >= least && retry <= least * 2);
+    }
+}
+
+fn epoch(term: u64, forks: &[(u64, u64)]) -> Epoch {
+    let fork = |(term, start): &(u64, u64)| (id::Term(*term), id::Position(*start));
+    Epoch {
+        group: "ops-1".parse().unwrap(),
+        term: id::Term(term),
+        primary: "primary".parse().unwrap(),
+        phase: Phase::Active,
+        forks: forks.iter().map(fork).collect(),
+    }
+}
+
+fn candidate(name: &str, domain: &str, term: u64, position: u64, busy: u32) -> Candidate {
+    let status = Status {
+        role: Role::Replica,
+        term: id::Term(term),
+        position: id::Position(position),
+        received: id::Position(position),
+        durable: id::Position(0),
+        start: id::Position(0),
+    };
+    let replica = Replica {
+        group: "ops-1".parse().unwrap(),
+        instance: name.parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: domain.parse().unwrap(),
+    };
+    let status = Some((at(0), status));
+    Candidate { replica, status, trouble: Trouble::Fine, draining: false, busy }
+}
+
+#[test]
+fn a_read_waits_for_a_replica_that_is_about_to_come_and_for_no_other() {
+    let epoch = epoch(1, &[(1, 0)]);
+    let candidates = [candidate("primary", "a", 1, 9, 0), candidate("r1", "a", 1, 8, 0)];
+    let mut trail = Trail::default();
+    trail.note(at(100), mark(1, 9));
+    let read = |now, waited| {
+        let need = Need { mark: mark(1, 9), waited, ..Need::default() };
+        route::read(now, &candidates, &epoch, &need, &trail, &"a".parse().unwrap())
+    };
+    let primary = Choice::Instance("primary".parse().unwrap());
+    assert_eq!(read(at(105), Duration::ZERO), Choice::Wait);
+    assert_eq!(read(at(105), route::WAIT), primary, "the wait is bounded");
+    assert_eq!(
+        read(at(2_100), Duration::ZERO),
+        primary,
+        "a replica two seconds behind is not waited for"
+    );
+}
+
+#[test]
+fn a_gate_starts_the_first_class_first_and_starves_none() {
+    let mut gate = gate();
+    let far = at(10_000);
+    let low: Vec<u64> = (0..100).collect();
+    let high: Vec<u64> = (100..200).collect();
+    let mut order = Vec::new();
+    for ticket in &low {
+        let input = Input::Arrive(Ticket(*ticket), arrival(2, at(9_000), "a", *ticket));
+        order.extend(started(&gate.step(at(0), input)));
+    }
+    for ticket in &high {
+        let input = Input::Arrive(Ticket(*ticket), arrival(0, far, "a", *ticket));
+        order.extend(started(&gate.step(at(0), input)));
+    }
+    for _ in 0..200 {
+        order.extend(started(&gate.step(at(1), Input::Done(Some(Duration::from_millis(1))))));
+    }
+    let first: Vec<u64> = order[2..102].to_vec();
+    let low_first = first.iter().filter(|ticket| low.contains(ticket)).count();
+    assert!(low_first > 0, "the lower class starves");
+    assert!(low_first <= 100 / 8 + 1, "the lower class takes {low_first} of 100");
+    assert_eq!(order.len(), 200);
+}
+
+#[test]
+fn a_gate_shares_fairly_between_customers_and_callers() {
+    let mut gate = gate();
+    let mut order = Vec::new();
+    let mut whose = BTreeMap::new();
+    let mut ticket = 0;
+    for (customer, count) in [("many", 300), ("few", 30)] {
+        for _ in 0..count {
+            whose.insert(ticket, customer);
+            let input = Input::Arrive(Ticket(ticket), arrival(0, at(10_000), customer, 1));
+            order.extend(started(&gate.step(at(0), input)));
+            ticket += 1;
+        }
+    }
+    for _ in 0..66 {
+        order.extend(started(&gate.step(at(1), Input::Done(Some(Duration::from_millis(1))))));
+    }
+    let few = order.iter().filter(|ticket| whose[ticket] == "few").count();
+    assert!(few >= 25, "the small customer got {few} of 68 starts");
+}
+
+#[test]
+fn a_gate_refuses_at_once_what_can_not_make_its_deadline() {
+    let mut gate = gate();
+    let mut refused = None;
+    for ticket in 0..100 {
+        let input = Input::Arrive(Ticket(ticket), arrival(0, at(10), "a", ticket));
+        if let [Output::Refuse(_, wait)] = gate.step(at(0), input)[..] {
+            refused = refused.or(Some((ticket, wait)));
+        }
+    }
+    let (first, wait) = refused.expect("a queue of 50 ms was taken for a deadline of 10 ms");
+    assert!((16..=26).contains(&first), "the first refusal was for request {first}");
+    assert!(wait >= Duration::from_millis(8), "it is told to come back in {wait:?}");
+}
+
+#[test]
+fn a_full_gate_gives_up_the_lowest_class_first() {
+    let mut gate = gate();
+    for ticket in 0..MAX_WAITING as u64 + 2 {
+        gate.step(at(0), Input::Arrive(Ticket(ticket), arrival(2, at(100_000), "a", ticket)));
+    }
+    let urgent = Ticket(1_000_000_000);
+    let outputs = gate.step(at(0), Input::Arrive(urgent, arrival(0, at(100_000), "a", 1)));
+    assert!(matches!(outputs[..], [Output::Refuse(ticket, _)] if ticket != urgent), "{outputs:?}");
+}
+
+#[test]
+fn a_gate_narrows_when_the_instance_queues_and_widens_again() {
+    let mut gate = Gate::new();
+    gate.step(at(0), Input::Limit { slots: 4, connections: 16 });
+    let mut now = 0;
+    let mut run = |gate: &mut Gate, millis, count| {
+        for _ in 0..count {
+            now += millis;
+            let arrival = arrival(0, at(now + 10_000), "a", 0);
+            gate.step(at(now), Input::Arrive(Ticket(now), arrival));
+            gate.step(at(now), Input::Done(Some(Duration::from_millis(millis))));
+        }
+        gate.window()
+    };
+    assert_eq!(run(&mut gate, 1, 100), 5);
+    assert!(run(&mut gate, 20, 100) <= 2);
+    assert_eq!(run(&mut gate, 1, 400), 5);
+}
+
+#[test]
+fn a_cancel_reaches_only_the_statement_that_it_names() {
+    let proxy = |name: &str| std::sync::Arc::new(Registry::new(&name.parse().unwrap()));
+    let (first, other) = (proxy("proxy-1"), proxy("proxy-2"));
+    let (one, two) = (first.register().unwrap(), first.register().unwrap());
+    let target = Target { address: "127.0.0.1:1".parse().unwrap(), key: (7, 8) };
+    assert_eq!(first.cancel(one.token()), Answer::Nothing, "nothing runs yet");
+    one.start(target);
+    let wrong = Token { secret: one.token().secret ^ 1, ..one.token() };
+    assert_eq!(first.cancel(wrong), Answer::Nothing);
+    assert_eq!(first.cancel(two.token()), Answer::Nothing);
+    assert_eq!(other.cancel(one.token()), Answer::Foreign);
+    assert!(!one.finish(), "nobody cancelled it");
+    one.start(target);
+    assert_eq!(first.cancel(one.token()), Answer::Forward(target));
+    assert!(one.finish(), "the cancel may still come, so the connection must not be reused");
+    assert_eq!(first.cancel(one.token()), Answer::Nothing, "the statement has ended");
+    let gone = one.token();
+    drop(one);
+    assert_eq!(first.cancel(gone), Answer::Nothing);
+}
+
+#[test]
+fn statements_are_classified_by_what_a_pooled_connection_can_bear() {
+    let kinds = [
+        ("SELECT count(*) FROM t", Kind::Read),
+        ("SELECT nextval('s')", Kind::Write),
+        ("WITH d AS (DELETE FROM t RETURNING id) SELECT * FROM d", Kind::Write),
+        ("SELECT 1 FOR UPDATE", Kind::Write),
+        ("not sql at all", Kind::Write),
+        ("SET LOCAL work_mem = '1GB'", Kind::Write),
+        ("SET TRANSACTION READ ONLY", Kind::Write),
+        ("SET application_name = 'x' /*request='push'*/", Kind::Local(Local::Set)),
+        ("set client_encoding to 'UTF8'", Kind::Local(Local::Set)),
+        ("SET TIME ZONE 'UTC'", Kind::Local(Local::Set)),
+        ("RESET ALL", Kind::Local(Local::Reset)),
+        ("DISCARD ALL", Kind::Local(Local::DiscardAll)),
+        ("DEALLOCATE ALL", Kind::Local(Local::DeallocateAll)),
+    ];
+    for (sql, kind) in kinds {
+        assert_eq!(class::kind(sql), kind, "{sql}");
+    }
+    for sql in [
+        "SET work_mem = '1GB'",
+        "SET search_path = secret",
+        "SET SESSION AUTHORIZATION other",
+        "SET ROLE other",
+        "SELECT pg_advisory_lock(1)",
+        "SELECT pg_try_advisory_lock_shared(1)",
+        "PREPARE p AS SELECT 1",
+        "BEGIN; INSERT INTO t VALUES (1)",
+        "COPY t TO STDOUT",
+    ] {
+        assert!(matches!(class::kind(sql), Kind::Refused(_)), "{sql}: {:?}", class::kind(sql));
+    }
+}
+
+#[test]
+fn tags_name_the_request_the_key_and_the_floor() {
+    let sql = "SELECT 1 /*request='menu',key='k-1',floor='ops-1@2.7,ops-2@1.3'*/;";
+    let tags = class::tags(sql);
+    assert_eq!(tags.request.unwrap().as_str(), "menu");
+    assert_eq!(tags.key.unwrap().as_str(), "k-1");
+    let floor = tags.floor.unwrap();
+    assert_eq!(floor.get(&"ops-1".parse().unwrap()), Some(mark(2, 7)));
+    assert_eq!(floor.get(&"ops-2".parse().unwrap()), Some(mark(1, 3)));
+    assert_eq!(class::bare(sql), "SELECT 1");
+    assert_eq!(class::tags("SELECT '/*request=''x''*/'").request, None);
+}
+
+#[test]
+fn retries_stay_under_a_tenth_of_the_load() {
+    let budget = Budget::default();
+    while budget.spend() {}
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.earn();
+        retries += u32::from(budget.spend());
+    }
+    assert!(retries <= 1_000, "{retries} retries of 10000 requests");
+    assert!(retries >= 900, "{retries} retries of 10000 requests");
+}
+
+#[test]
+fn a_mark_beyond_a_fork_is_lost_and_one_before_it_is_not() {
+    let epoch = epoch(3, &[(1, 0), (2, 5), (3, 10)]);
+    assert!(mark(1, 6).is_lost(&epoch));
+    assert!(!mark(1, 5).is_lost(&epoch));
+    assert!(mark(2, 11).is_lost(&epoch));
+    assert!(!mark(2, 10).is_lost(&epoch));
+    assert!(!mark(3, 99).is_lost(&epoch));
+    assert!(!mark(4, 1).is_lost(&epoch), "a term that is not known here yet");
+    assert_eq!(mark(1, 6).surviving(&epoch), mark(2, 5));
+}
+
+#[test]
+fn connections_of_one_name_share_a_floor_and_customers_do_not() {
+    let directory = Directory::default();
+    let open =
+        |customer: &str| directory.open(&customer.parse().unwrap(), &"teacher-1".parse().unwrap());
+    let group: id::Group = "ops-1".parse().unwrap();
+    let (one, two, other) = (open("north"), open("north"), open("south"));
+    one.raise(&group, mark(1, 5));
+    assert_eq!(two.get(&group), Some(mark(1, 5)));
+    assert_eq!(other.get(&group), None);
+}
+
+#[test]
+fn a_daily_peak_is_near_a_minute_ahead_and_until_it_is_over() {
+    let peak =
+        cactushatch::config::Peak { at: "00:00".parse().unwrap(), lasts: "10m".parse().unwrap() };
+    let day = 24 * 60 * 60;
+    assert!(!peak::is_near(10 * day - 61, &peak));
+    assert!(peak::is_near(10 * day - 60, &peak));
+    assert!(peak::is_near(10 * day + 600, &peak));
+    assert!(!peak::is_near(10 * day + 601, &peak));
+}
--- a/tests/request_process.rs
+++ b/tests/request_process.rs
@@ -240,3 +240,23 @@
     assert!(start.elapsed() < Duration::from_secs(6), "no final answer: {:?}", start.elapsed());
     fleet.fault("ops-1-1", "{}");
 }
+
+#[test]
+fn a_shutdown_lets_transactions_end_and_sends_the_rest_elsewhere() {
+    let fleet = Fleet::up();
+    let mut busy = fleet.connect(0, "ops-1");
+    busy.batch_execute("CREATE TABLE push (id INTEGER)").unwrap();
+    let mut idle = Raw::open(&fleet, "ops-1");
+    busy.batch_execute("BEGIN").unwrap();
+    busy.batch_execute("INSERT INTO push VALUES (1)").unwrap();
+    fleet.signal("proxy-1", "-TERM");
+    let told = idle.until_ready();
+    assert!(told[0].0 == b'E' && told[0].1.contains("57P01"), "{told:?}");
+    assert!(told[0].1.contains("retry_after_ms="), "{told:?}");
+    let refused = fleet.try_connect(0, "ops-1").err().expect("a new session is refused");
+    assert_eq!(refusal(&refused).0, "57P01");
+    busy.batch_execute("INSERT INTO push VALUES (2)").unwrap();
+    busy.batch_execute("COMMIT").unwrap();
+    let mut other = fleet.connect(1, "ops-1");
+    assert_eq!(count(&mut other, "push"), 2);
+}
