Retry what a primary that steps down proved not to have run

Cause: a write that met a demoted primary failed with 25006, and one that met a closed idle connection was told 'unknown'. Change: 25006 outside of a transaction proves that nothing ran, so the successor is waited for; a connection that is not quiet is not reused; a shutdown ends a session after it was idle for 100 ms.

--- a/src/pgsql/client.rs
+++ b/src/pgsql/client.rs
@@ -7,7 +7,7 @@
 use postgres_protocol::authentication::sasl::{ChannelBinding, SCRAM_SHA_256, ScramSha256};
 use postgres_protocol::message::backend;
 use postgres_protocol::message::frontend;
-use smol::io::{AsyncWriteExt, BufReader};
+use smol::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 
 use super::{Error, Message, Socket, read_message};
 use crate::clock::Clock;
@@ -116,6 +116,11 @@
         &self.parameters
     }
 
+    /// Tells whether the server has said nothing since its last answer: neither a farewell nor the end.
+    pub async fn is_quiet(&mut self) -> bool {
+        smol::future::poll_once(self.reader.fill_buf()).await.is_none()
+    }
+
     /// Sends bytes of the frontend protocol.
     ///
     /// # Errors
--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -55,6 +55,9 @@
 /// How long a caller may leave an answer unread that is complete.
 const STALL: Duration = Duration::from_secs(30);
 
+/// How long a session is idle before a shutdown ends it, so that its end is not read in place of its last answer.
+const QUIET: Duration = Duration::from_millis(100);
+
 /// The longest batch, in bytes.
 const MAX_BATCH_BYTES: usize = 16 * 1024 * 1024;
 
@@ -202,6 +205,7 @@
         let shared = Arc::clone(&self.shared);
         let leaving = async {
             shared.drained().await;
+            shared.clock.sleep(QUIET).await;
             None
         };
         let came = smol::future::or(async { Some(self.reader.fill_buf().await) }, leaving).await;
--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -6,7 +6,7 @@
 use pgwire::messages::response::NoticeResponse;
 use postgres_protocol::message::frontend;
 
-use super::write::unknown;
+use super::write::{READ_ONLY, unknown};
 use super::{Asked, Caller, Effect, Open, Progress, Request, Stop, Transaction, write_complete};
 use crate::id;
 use crate::pgsql::{self, Row};
@@ -122,6 +122,11 @@
                 if loan.roll_back().await.is_err() {
                     return Ok(Tried::Again);
                 }
+                if code == READ_ONLY {
+                    loan.give_back();
+                    self.step_down(request.arrived).await?;
+                    return Ok(Tried::Again);
+                }
                 if self.shared.has_keys(&self.group) {
                     return Ok(Tried::NoTable);
                 }
--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -3,7 +3,7 @@
 use postgres_protocol::message::frontend;
 
 use super::{
-    Caller, Effect, FAILOVER_WAIT, Open, PAUSE, Request, Stop, Transaction, busy, not_run,
+    Caller, Effect, FAILOVER_WAIT, Open, PAUSE, Progress, Request, Stop, Transaction, busy, not_run,
 };
 use crate::clock::Instant;
 use crate::config::Durability;
@@ -17,18 +17,43 @@
 use crate::upstream::position::{QUERY, Status};
 use crate::wire::Epoch;
 
+/// The SQLSTATE of a write on an instance that is not, or no longer, the primary.
+pub(super) const READ_ONLY: &str = "25006";
+
 impl Caller {
     /// Runs a write, or the beginning of a transaction, on the primary.
     pub(super) async fn write(&mut self, request: &Request) -> Result<(), Stop> {
-        let (mut loan, epoch) = self.primary(request).await?;
-        let mut exchange = self.exchange(&request.asked, &mut loan)?;
-        let begins = matches!(request.summary.kind, Kind::Begin { .. });
-        exchange.hold = !begins;
-        let effect = if begins { Effect::RolledBack } else { Effect::Possible };
-        let finish = self.fenced(loan, &mut exchange, epoch.term, effect).await?;
-        if let Some((loan, finish)) = finish {
+        let started = self.shared.clock.now();
+        loop {
+            let (mut loan, epoch) = self.primary(request).await?;
+            let mut exchange = self.exchange(&request.asked, &mut loan)?;
+            let begins = matches!(request.summary.kind, Kind::Begin { .. });
+            exchange.hold = !begins;
+            let effect = if begins { Effect::RolledBack } else { Effect::Possible };
+            let finish = self.fenced(loan, &mut exchange, epoch.term, effect).await?;
+            let Some((loan, finish)) = finish else {
+                return Ok(());
+            };
+            if finish.code == READ_ONLY && finish.status == b'I' && self.writer.rewind() {
+                // The primary steps down, and proved that it ran nothing.
+                loan.give_back();
+                self.progress = Progress::Waiting;
+                self.step_down(started).await?;
+                continue;
+            }
             self.keep(loan, &finish, epoch.term, true);
+            return Ok(());
+        }
+    }
+
+    /// Waits a moment for the successor of a primary that steps down.
+    pub(super) async fn step_down(&self, started: Instant) -> Result<(), Stop> {
+        let changed = self.shared.changed(&self.group);
+        self.hopeful(&self.epoch()?, started)?;
+        if !self.shared.budget.spend() {
+            return Err(not_run(Reason::Failover));
         }
+        self.shared.clock.timeout(PAUSE, changed).await;
         Ok(())
     }
 
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -182,6 +182,9 @@
             let Some(mut connection) = self.lock().idle.pop() else {
                 break;
             };
+            if !connection.client.is_quiet().await {
+                continue;
+            }
             if self.clock.now().since(connection.used) < IDLE || self.check(&mut connection).await {
                 loan.connection = Some(connection);
                 return Ok(());
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -65,6 +65,8 @@
     pub(super) held: BytesMut,
     /// Whether the upstream reported an error.
     pub(super) failed: bool,
+    /// The SQLSTATE of the error.
+    pub(super) code: String,
     /// The last command tag.
     pub(super) tag: String,
     /// Whether the answer has rows.
@@ -162,7 +164,10 @@
         }
         let asked = advance(exchange, connection, &message);
         match message.tag {
-            b'E' => finish.failed = true,
+            b'E' => {
+                finish.failed = true;
+                finish.code = code(&message);
+            }
             b'C' => finish.tag = tag(&message),
             b'D' | b'T' => finish.rows = true,
             b'G' | b'H' | b'W' => {
@@ -195,6 +200,13 @@
     received.unwrap_or(Err(Error::Timeout(patience)))
 }
 
+/// Returns the SQLSTATE of an `ErrorResponse`.
+fn code(message: &Message) -> String {
+    let mut fields = message.body.split(|byte| *byte == 0);
+    let code = fields.find_map(|field| field.strip_prefix(b"C"));
+    String::from_utf8_lossy(code.unwrap_or_default()).into_owned()
+}
+
 fn tag(message: &Message) -> String {
     let text = message.body.strip_suffix(&[0]).unwrap_or(&message.body);
     String::from_utf8_lossy(text).into_owned()
