Count what earlier terms acknowledged as acknowledged by a new primary

Cause: a session without a floor takes what the primary reports as durable; right after a promotion no follower has reported, so that is 0, and a replica that lags behind acknowledged writes of the former term would have served it.

--- a/bench/src/standin/instance.rs
+++ b/bench/src/standin/instance.rs
@@ -112,6 +112,7 @@
         let start = log.received();
         log.history.push((term, start));
         log.followers.clear();
+        log.most_durable = 0;
         self.journal.changed.notify_all();
         Ok(())
     }
@@ -149,7 +150,7 @@
     }
 
     pub fn status(&self) -> Vec<Value> {
-        let log = self.journal.log.lock().unwrap();
+        let mut log = self.journal.log.lock().unwrap();
         let role = if log.role == Role::Primary { "primary" } else { "replica" };
         let durable = match log.role {
             Role::Replica if !log.stopped => 0,
--- a/bench/src/standin/journal.rs
+++ b/bench/src/standin/journal.rs
@@ -38,6 +38,8 @@
     pub applied: u64,
     /// What each follower holds, by the follower's name.
     pub followers: Vec<(String, u64)>,
+    /// The most that a majority was known to hold in this term.
+    pub most_durable: u64,
     /// Grows whenever connections made earlier must be closed.
     pub generation: u64,
     file: File,
@@ -75,6 +77,7 @@
             applied: records.len() as u64,
             records,
             followers: Vec::new(),
+            most_durable: 0,
             generation: 0,
             file,
         };
@@ -216,13 +219,14 @@
         self.records.len() as u64
     }
 
-    /// Up to where a majority of `instances` holds the log.
-    pub fn durable(&self, instances: usize) -> u64 {
+    /// Up to where a majority of `instances` holds the log; it never sinks within a term.
+    pub fn durable(&mut self, instances: usize) -> u64 {
         let mut held: Vec<u64> = self.followers.iter().map(|follower| follower.1).collect();
         held.push(self.received());
         held.resize(held.len().max(instances), 0);
         held.sort_unstable_by(|a, b| b.cmp(a));
-        held[instances / 2]
+        self.most_durable = self.most_durable.max(held[instances / 2]);
+        self.most_durable
     }
 
     fn push(&mut self, record: Record) {
--- a/src/proxy/shared.rs
+++ b/src/proxy/shared.rs
@@ -14,7 +14,6 @@
 use super::server::Shared;
 use super::trail::Trail;
 use crate::clock::Instant;
-use crate::config::Durability;
 use crate::id;
 use crate::upstream::position::Status;
 use crate::wire::Epoch;
@@ -176,10 +175,7 @@
     pub(super) fn acknowledged(&self, group: &id::Group, status: Status) -> Mark {
         let fleet = self.fleet();
         let durability = fleet.group.get(group).map(|group| group.durability);
-        let position = match durability {
-            Some(Durability::Majority) => status.durable.min(status.position),
-            _ => status.position,
-        };
+        let position = status.acknowledged(durability.unwrap_or_default());
         Mark { term: status.term, position }
     }
 
--- a/src/upstream/position.rs
+++ b/src/upstream/position.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/UPSTREAM.md` gives the SQL that creates them on a real server.
 
+use crate::config::Durability;
 use crate::id;
 use crate::pgsql;
 use crate::wire::{Role, Trouble};
@@ -27,6 +28,17 @@
     pub start: id::Position,
 }
 
+impl Status {
+    /// Returns the position that every acknowledged write lies at or before, on a primary. What earlier terms
+    /// acknowledged lies before the term's start, also while no follower has reported to the new primary yet.
+    pub fn acknowledged(&self, durability: Durability) -> id::Position {
+        match durability {
+            Durability::Majority => self.durable.max(self.start).min(self.position),
+            Durability::Primary => self.position,
+        }
+    }
+}
+
 /// Why a row is no status.
 #[derive(Debug, thiserror::Error)]
 #[error("cactushatch_status answered {0:?}, which is no status")]
