Have a stand-in replica leave a silent primary at once

Cause: gap of 2124 and 2142 ms after SIGSTOP of a primary (trials). Control had promoted after 1.1 s, but the other replica still read from the stopped primary, whose read timeouts of a second it sat out, so no write became durable. A server ends its receiver when it is told to follow another primary.

Ruled out: detection (1.0 s), the fence, the promotion. Change: following another primary shuts the old connection.

--- a/bench/src/standin/instance.rs
+++ b/bench/src/standin/instance.rs
@@ -1,6 +1,6 @@
 //! One running instance: its role, its writer, and its status.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex};
 use std::time::Duration;
@@ -30,6 +30,8 @@
     writing: Mutex<bool>,
     written: Condvar,
     following: Mutex<Option<SocketAddr>>,
+    /// The connection that records of the primary come over.
+    source: Mutex<Option<TcpStream>>,
     pub open: AtomicUsize,
     pub processes: AtomicI32,
 }
@@ -43,6 +45,7 @@
             writing: Mutex::new(false),
             written: Condvar::new(),
             following: Mutex::new(settings.follow),
+            source: Mutex::new(None),
             open: AtomicUsize::new(0),
             processes: AtomicI32::new(1),
             settings,
@@ -121,7 +124,13 @@
         if log.term > term || (log.term == term && log.role == Role::Primary) {
             return Err(format!("this instance is on term {} already", log.term));
         }
-        *self.following.lock().unwrap() = Some(primary);
+        let before = self.following.lock().unwrap().replace(primary);
+        if before != Some(primary)
+            && let Some(source) = self.source.lock().unwrap().take()
+        {
+            // A primary that is silent would be waited for.
+            let _ = source.shutdown(Shutdown::Both);
+        }
         if log.role == Role::Primary {
             log.generation += 1;
         }
@@ -131,6 +140,11 @@
         Ok(())
     }
 
+    /// Notes the connection that records come over, so that following another primary ends it at once.
+    pub fn feed_from(&self, source: TcpStream) {
+        *self.source.lock().unwrap() = Some(source);
+    }
+
     /// Stops writes once open write transactions have ended; the followers are served on.
     pub fn demote(&self, term: u64) -> Result<(), String> {
         let stops = |log: &Log| log.term == term && (log.role == Role::Primary || log.stopped);
--- a/bench/src/standin/replication.rs
+++ b/bench/src/standin/replication.rs
@@ -75,6 +75,7 @@
     let mut address = primary;
     address.set_port(address.port() + 1);
     let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1))?;
+    instance.feed_from(socket.try_clone()?);
     socket.set_nodelay(true)?;
     socket.set_read_timeout(Some(Duration::from_secs(1)))?;
     let hello = {
