--- a/src/cli/online.rs
+++ b/src/cli/online.rs
@@ -74,9 +74,12 @@
 }
 
 fn members(matches: &ArgMatches) -> anyhow::Result<Exit> {
-    let status: serde_json::Value = ask::get(matches, "/status")?;
-    let voters = status.get("voters").cloned().unwrap_or_default();
-    println!("{}", serde_json::to_string_pretty(&voters)?);
+    let status: Status = ask::get(matches, "/status")?;
+    if matches.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&status.voters)?);
+        return Ok(Exit::Success);
+    }
+    show_voters(&status, Paint::stdout());
     Ok(Exit::Success)
 }
 
@@ -111,11 +114,24 @@
             instance.address
         );
     }
+    show_voters(status, paint);
     for proxy in &status.proxies {
         println!("proxy {}", paint.bold(proxy));
     }
 }
 
+fn show_voters(status: &Status, paint: Paint) {
+    for voter in &status.voters {
+        let part = format!("{:?}", voter.part).to_lowercase();
+        let behind = paint.alarm(", not current");
+        let behind = if voter.current { "" } else { behind.as_str() };
+        println!("control {}: {part} in {}{behind}", paint.bold(&voter.node), voter.domain);
+    }
+    for change in &status.wanted {
+        println!("wanted: {change:?}");
+    }
+}
+
 /// Makes a plan of the intent, or carries out the plan that is confirmed.
 fn change(matches: &ArgMatches, intent: Intent) -> anyhow::Result<Exit> {
     if let Some(plan) = matches.get_one::<id::Plan>("confirm") {
@@ -152,8 +168,11 @@
     match outcome {
         Outcome::Refused { reason } => return Err(Stop::Refused(reason.clone()).into()),
         Outcome::Done { revision } if !json => println!("done, revision {revision} is in force"),
-        Outcome::Planned { plan, base, .. } if !json => {
-            println!("{} stands on revision {base}", Paint::stdout().bold(plan));
+        Outcome::Planned { plan, base, effects, .. } if !json => {
+            println!("{} stands on revision {base}; it would:", Paint::stdout().bold(plan));
+            for effect in effects {
+                println!("    {effect}");
+            }
             println!("nothing happens until: cactushatch confirm {plan}");
         }
         _ => {}
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -10,9 +10,11 @@
 use super::core::Core;
 use super::server::{Shared, instances, role_of};
 use super::state::{self, Action, Command, Intent, Membership, Origin};
-use crate::admin::{self, Reply, Request};
+use crate::admin::{self, Client, Reply, Request};
 use crate::clock::Instant;
 use crate::id;
+use crate::report::Peer;
+use crate::security::Denied;
 use crate::wire::{Answer, Phase, Role, Stamp};
 
 /// How long the leader may take to answer for another voter.
@@ -131,18 +133,24 @@
         let message = format!("this voter takes no part any more: {reason}");
         return Reply::refuse(StatusCode::SERVICE_UNAVAILABLE, &message);
     }
+    if request.path == "/metrics" {
+        return Reply::metrics(metrics(shared));
+    }
+    let Ok(operator) = shared.guard.operators.identify(request.token.as_deref()) else {
+        shared.metrics.violated(Peer::Operator, "token");
+        return Reply::refuse(StatusCode::UNAUTHORIZED, &Denied.to_string());
+    };
     match (&request.method, request.path.as_str()) {
-        (&Method::GET, "/metrics") => Reply::metrics(metrics(shared)),
         (&Method::GET, "/status") => match shared.leader_admin() {
-            Some(leader) if request.query.is_empty() => relayed(shared, leader).await,
+            Some(leader) if request.query.is_empty() => relayed(shared, request, leader).await,
             _ => Reply::json(&status(shared)),
         },
         (&Method::POST, "/plan") => match parsed(request) {
-            Ok(body) => reply(plan(shared, body).await),
+            Ok(body) => reply(plan(shared, operator, body).await),
             Err(refused) => refused,
         },
         (&Method::POST, "/confirm") => match parsed(request) {
-            Ok(body) => reply(confirm(shared, body).await),
+            Ok(body) => reply(confirm(shared, operator, body).await),
             Err(refused) => refused,
         },
         _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
@@ -161,8 +169,9 @@
 }
 
 /// Passes on what the leader says.
-async fn relayed(shared: &Shared, leader: std::net::SocketAddr) -> Reply {
-    let asked = shared.clock.timeout(RELAY, admin::get(leader, "/status?relayed")).await;
+async fn relayed(shared: &Shared, request: &Request, leader: std::net::SocketAddr) -> Reply {
+    let client = request.token.as_deref().map(Client::with_token).unwrap_or_default();
+    let asked = shared.clock.timeout(RELAY, client.get(leader, "/status?relayed")).await;
     let status = asked.and_then(Result::ok);
     match status.and_then(|body| serde_json::from_slice::<Status>(&body).ok()) {
         Some(status) => Reply::json(&status),
@@ -190,15 +199,21 @@
     }
 }
 
-async fn plan(shared: &Arc<Shared>, plan: Plan) -> Answer {
+/// Puts the operator whom a token proved in the place of the one whom the command names.
+fn proved(origin: Origin, operator: Option<id::Operator>) -> Option<Origin> {
+    let operator = operator.unwrap_or(origin.operator);
+    Some(Origin { operator, ..origin })
+}
+
+async fn plan(shared: &Arc<Shared>, operator: Option<id::Operator>, plan: Plan) -> Answer {
     let base = plan.base.unwrap_or_else(|| shared.core().state.revision);
     let action = Action::Plan { plan: plan.plan, base, intent: plan.intent, made_ms: wall_ms() };
-    shared.submit(Command { origin: Some(plan.origin), action }).await
+    shared.submit(Command { origin: proved(plan.origin, operator), action }).await
 }
 
-async fn confirm(shared: &Arc<Shared>, confirm: Confirm) -> Answer {
+async fn confirm(shared: &Arc<Shared>, operator: Option<id::Operator>, confirm: Confirm) -> Answer {
     let action = Action::Confirm { plan: confirm.plan, now_ms: wall_ms() };
-    shared.submit(Command { origin: Some(confirm.origin), action }).await
+    shared.submit(Command { origin: proved(confirm.origin, operator), action }).await
 }
 
 fn status(shared: &Shared) -> Status {
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -52,7 +52,8 @@
     async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
         let application = format!("cactushatch/{}/{}", self.me.node, self.domain);
         let user = self.user.clone();
-        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone());
+        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone())
+            .with(self.guard.upstream.clone());
         let mut order = Order::Probe;
         while self.core().leader.replica(&replica.instance) == Some(&replica) {
             let asked = self.clock.now();
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -19,6 +19,7 @@
 use crate::config;
 use crate::id;
 use crate::report::{self, Lease, Metrics};
+use crate::security::Guard;
 use crate::wire::{Answer, Body, Configuration, Frame, Replica, Role, Stream};
 
 /// How often the machines are told that time passed.
@@ -37,6 +38,7 @@
 pub(super) struct Shared {
     pub(super) clock: Clock,
     pub(super) metrics: Metrics,
+    pub(super) guard: Guard,
     pub(super) me: Peer,
     pub(super) domain: id::Domain,
     pub(super) user: String,
@@ -72,6 +74,7 @@
     disk: impl Disk,
 ) -> Result<Server, Error> {
     let control = settings.control.as_ref().ok_or(Error::NotControl)?;
+    let guard = Guard::open(&settings.security)?;
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let fresh = id::Incarnation(wall.as_micros() as u64);
     let (store, found) = Store::start(disk, &settings.node, fresh, fastrand::u32(..))?;
@@ -85,6 +88,7 @@
     let shared = Arc::new(Shared {
         clock,
         metrics: Metrics::default(),
+        guard,
         me,
         domain: settings.domain.clone(),
         user: control.user.clone(),
@@ -99,6 +103,7 @@
     log::info!("read {} bytes of the log and its snapshot", found.read_bytes);
     journal::spawn(Arc::clone(&shared), store, received)?;
     shared.begin_alone();
+    smol::spawn(shared.guard.clone().watch(shared.clock.clone())).detach();
     smol::spawn(Arc::clone(&shared).receive()).detach();
     smol::spawn(Arc::clone(&shared).tick()).detach();
     smol::spawn(Arc::clone(&shared).hello()).detach();
@@ -119,6 +124,11 @@
 }
 
 impl Server {
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
     /// Puts a command into the log and returns what came of it, whoever leads.
     pub async fn submit(&self, command: Command) -> Answer {
         self.shared.submit(command).await
@@ -233,7 +243,7 @@
     }
 
     async fn datagram(&self, to: SocketAddr, body: Body) {
-        match self.frame(body).encode() {
+        match self.guard.seal.encode(&self.frame(body)) {
             Ok(bytes) => {
                 if let Err(error) = self.udp.send_to(&bytes, to).await {
                     log::debug!("a datagram to {to} was not sent: {error}");
@@ -249,7 +259,7 @@
             let Ok((len, from)) = self.udp.recv_from(&mut buffer).await else {
                 continue;
             };
-            match Frame::decode(&buffer[..len]) {
+            match self.guard.seal.decode(&buffer[..len]) {
                 Ok(frame) => self.heartbeat(from, &frame).await,
                 Err(error) => {
                     self.metrics.violated(report::Peer::Process, error.kind());
@@ -417,7 +427,7 @@
 }
 
 async fn converse(shared: &Arc<Shared>, socket: TcpStream) -> Result<(), crate::wire::Error> {
-    let mut stream = Stream::accepted(socket)?;
+    let mut stream = Stream::accepted(socket)?.sealed(&shared.guard.seal);
     loop {
         let frame = stream.receive().await?;
         if let Some(answer) = shared.answer(frame).await {
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -3,13 +3,17 @@
 //! Data flows one way: frame, request, class, route, connection, answer, outcome. See `docs/DESIGN.md`,
 //! "The request path".
 
+mod account;
+mod admin;
 pub mod admission;
 mod batch;
 mod caller;
 pub mod cancel;
 pub mod class;
+mod door;
 pub mod fence;
 pub mod floor;
+pub mod gap;
 mod heartbeat;
 pub mod outcome;
 pub mod peak;
@@ -26,6 +30,7 @@
 pub mod trail;
 mod watch;
 
+pub use account::Account;
 pub use server::{Server, spawn};
 
 /// Why a proxy can't run.
@@ -34,6 +39,9 @@
     /// The settings have no `[proxy]` table.
     #[error("the settings have no [proxy] table")]
     NotProxy,
+    /// A file of keys, certificates or users can't be used.
+    #[error("{0}")]
+    Security(#[from] crate::security::Error),
     /// A socket failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -17,6 +17,7 @@
 use super::floor::Mark;
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{self, Client};
+use crate::security::Upstream;
 use crate::upstream::position::{QUERY, Status};
 use crate::wire::Replica;
 
@@ -69,6 +70,7 @@
     replica: Replica,
     user: String,
     application: String,
+    upstream: Upstream,
     inner: Mutex<Inner>,
 }
 
@@ -112,7 +114,13 @@
             waiting: BTreeMap::new(),
             connections: 1,
         };
-        Self { clock, replica, user, application, inner: Mutex::new(inner) }
+        let upstream = Upstream::default();
+        Self { clock, replica, user, application, upstream, inner: Mutex::new(inner) }
+    }
+
+    /// Has connections made by TLS and with a password when `upstream` has them.
+    pub(super) fn with(self, upstream: Upstream) -> Self {
+        Self { upstream, ..self }
     }
 
     pub(super) fn address(&self) -> SocketAddr {
@@ -182,6 +190,9 @@
             let Some(mut connection) = self.lock().idle.pop() else {
                 break;
             };
+            if !connection.client.is_quiet().await {
+                continue;
+            }
             if self.clock.now().since(connection.used) < IDLE || self.check(&mut connection).await {
                 loan.connection = Some(connection);
                 return Ok(());
@@ -202,7 +213,9 @@
             ("application_name", self.application.as_str()),
         ];
         let address = self.replica.address;
-        let client = Client::open(&self.clock, address, &parameters, None, CONNECT_TIMEOUT).await?;
+        let upstream = Some(&self.upstream);
+        let client =
+            Client::open(&self.clock, address, &parameters, upstream, CONNECT_TIMEOUT).await?;
         let now = self.clock.now();
         let prepared = HashSet::new();
         Ok(Connection { client, prepared, opened: now, proved: None, used: now })
--- a/src/proxy/watch.rs
+++ b/src/proxy/watch.rs
@@ -16,7 +16,8 @@
 /// Watches one instance for as long as it is announced.
 pub(super) async fn watch(shared: Arc<Shared>, replica: Replica) {
     let (user, application) = (shared.user.clone(), shared.application.clone());
-    let mut probe = Probe::new(shared.clock.clone(), user, application, replica.clone());
+    let mut probe = Probe::new(shared.clock.clone(), user, application, replica.clone())
+        .with(shared.guard.upstream.clone());
     while shared.is_announced(&replica) {
         let sent = shared.clock.now();
         match probe.status().await {
--- a/src/upstream/probe.rs
+++ b/src/upstream/probe.rs
@@ -5,6 +5,7 @@
 use super::position::{QUERY, Status, trouble};
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{Client, Error};
+use crate::security::Upstream;
 use crate::wire::{Replica, Trouble};
 
 /// How long an instance may take to answer before it counts as silent.
@@ -24,6 +25,7 @@
     user: String,
     application: String,
     replica: Replica,
+    upstream: Upstream,
     client: Option<Client>,
 }
 
@@ -41,7 +43,13 @@
 impl Probe {
     /// Makes a probe that connects when it is used.
     pub fn new(clock: Clock, user: String, application: String, replica: Replica) -> Self {
-        Self { clock, user, application, replica, client: None }
+        let upstream = Upstream::default();
+        Self { clock, user, application, replica, upstream, client: None }
+    }
+
+    /// Has connections made by TLS and with a password when `upstream` has them.
+    pub fn with(self, upstream: Upstream) -> Self {
+        Self { upstream, ..self }
     }
 
     /// Asks the instance for its status.
@@ -103,7 +111,8 @@
             ("application_name", self.application.as_str()),
         ];
         let address = self.replica.address;
-        let client = Client::open(&self.clock, address, &parameters, None, timeout).await?;
+        let upstream = Some(&self.upstream);
+        let client = Client::open(&self.clock, address, &parameters, upstream, timeout).await?;
         let left = timeout.saturating_sub(self.clock.now().since(started));
         let (client, seen) = self.ask(client, sql, left).await?;
         Ok((client, Seen { reconnected: true, ..seen }))
