--- a/tests/explorer/world.rs
+++ b/tests/explorer/world.rs
@@ -21,6 +21,8 @@
 /// How long things go wrong, and how long they may then take to work again.
 const CHAOS: u64 = 12_000 * MS;
 const CALM: u64 = 90_000 * MS;
+/// How often a write is sent.
+const CALL: u64 = 8 * MS;
 
 /// What happened in a schedule, to see that the schedules do something.
 #[derive(Debug, Default)]
@@ -222,7 +224,7 @@
 
     /// The first write of the time in which nothing goes wrong any more.
     fn settled(&self) -> u64 {
-        CHAOS / (20 * MS)
+        CHAOS / CALL
     }
 
     fn after(&mut self, delay: u64, event: Event) {
@@ -506,7 +508,7 @@
     // The writes.
 
     fn call(&mut self) {
-        self.after(20 * MS, Event::Call);
+        self.after(CALL, Event::Call);
         self.writes += 1;
         let proxy = self.rng.usize(..PROXIES);
         let Some(now) = self.proxy_now(proxy) else {
@@ -722,10 +724,10 @@
     instance.as_str()[1..].parse().expect("a number")
 }
 
-/// Returns a clock that is up to three percent fast or slow, so that two drift less than the margin apart over
-/// one lease.
+/// Returns a clock that is up to 4.5 percent fast or slow, so that two drift just less than the margin apart
+/// over one lease.
 fn drift(rng: &mut Rng) -> Drift {
-    Drift { offset: rng.u64(0..1_000_000_000), per_mille: rng.u64(970..=1_030) }
+    Drift { offset: rng.u64(0..1_000_000_000), per_mille: rng.u64(955..=1_045) }
 }
 
 fn local(drift: Drift, now: u64) -> Instant {
