--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -8,7 +8,7 @@
 use cactushatch::config::Span;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-use crate::{check, drill, load, measure, ready, standin};
+use crate::{check, drill, link, load, measure, ready, standin};
 
 /// Runs the command that the arguments name.
 ///
@@ -22,6 +22,7 @@
         Some(("ports", matches)) => ports(matches),
         Some(("ready", matches)) => ready(matches),
         Some(("load", matches)) => load(matches),
+        Some(("link", matches)) => link(matches),
         Some(("check", matches)) => check(matches),
         Some(("prove", matches)) => prove(matches),
         Some(("measure", matches)) => measure(matches),
@@ -37,6 +38,7 @@
         .subcommand(ports_command())
         .subcommand(ready_command())
         .subcommand(load_command())
+        .subcommand(link_command())
         .subcommand(check_command())
         .subcommand(prove_command())
         .subcommand(measure_command())
@@ -61,6 +63,34 @@
     ready::check(std::path::Path::new(dir), &groups)
 }
 
+fn link_command() -> Command {
+    Command::new("link")
+        .about("Relays the frames of control processes, and cuts failure domains off on command")
+        .arg(Arg::new("control").long("control").required(true).help("Where it takes commands"))
+        .arg(Arg::new("domains").long("domains").required(true).help("The domain of each node"))
+        .arg(
+            Arg::new("route")
+                .long("route")
+                .action(ArgAction::Append)
+                .help("NODE,LISTEN,TARGET of a control process"),
+        )
+}
+
+fn link(matches: &ArgMatches) -> anyhow::Result<()> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let mut routes = Vec::new();
+    for route in matches.get_many::<String>("route").unwrap_or_default() {
+        let mut parts = route.split(',');
+        let (Some(node), Some(listen), Some(target)) = (parts.next(), parts.next(), parts.next())
+        else {
+            anyhow::bail!("{route} is no route such as NODE,LISTEN,TARGET");
+        };
+        let node = node.to_owned();
+        routes.push(link::Route { node, listen: listen.parse()?, target: target.parse()? });
+    }
+    link::run(text("control").parse()?, std::path::Path::new(&text("domains")), &routes)
+}
+
 fn load_command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         let parser = clap::value_parser!(u64);
--- a/bench/src/drill/mod.rs
+++ b/bench/src/drill/mod.rs
@@ -73,7 +73,9 @@
     std::fs::create_dir_all(&dir)?;
     let path = dir.display().to_string();
     let voters = drill.voters.to_string();
-    let up = script(&["up", &path, "--profile", profile, "--voters", &voters]);
+    let link = if drill.link { "yes" } else { "no" };
+    let up = ["up", &path, "--profile", profile, "--voters", &voters, "--link", link];
+    let up = script(&up);
     let result = up.and_then(|()| exercise(drill, seed, &dir));
     if dir.join("pids").exists() {
         script(&["down", &path])?;
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -137,19 +137,34 @@
         Ok(serde_json::from_str(&self.order(instance, "{\"counters\":true}")?)?)
     }
 
+    /// Cuts the frames of a failure domain, or none, where the fleet has a link.
+    pub fn cut_frames(&self, domain: Option<&str>) -> anyhow::Result<()> {
+        let Ok(address) = std::fs::read_to_string(self.dir.join("link")) else {
+            return Ok(());
+        };
+        let answer = send_line(address.trim().parse()?, domain.unwrap_or_default())?;
+        anyhow::ensure!(answer == "ok", "the link: {answer}");
+        Ok(())
+    }
+
     fn order(&self, instance: &str, line: &str) -> anyhow::Result<String> {
         let address = self.upstreams.get(instance);
         let mut address = *address.with_context(|| format!("there is no instance {instance}"))?;
         address.set_port(address.port() + 2);
-        let mut socket = TcpStream::connect_timeout(&address, ORDER_TIMEOUT)?;
-        socket.set_read_timeout(Some(ORDER_TIMEOUT))?;
-        socket.write_all(format!("{line}\n").as_bytes())?;
-        let mut answer = String::new();
-        BufReader::new(socket).read_line(&mut answer)?;
-        Ok(answer.trim().to_owned())
+        send_line(address, line)
     }
 }
 
+/// Sends one line and returns the one that answers it.
+fn send_line(address: SocketAddr, line: &str) -> anyhow::Result<String> {
+    let mut socket = TcpStream::connect_timeout(&address, ORDER_TIMEOUT)?;
+    socket.set_read_timeout(Some(ORDER_TIMEOUT))?;
+    socket.write_all(format!("{line}\n").as_bytes())?;
+    let mut answer = String::new();
+    BufReader::new(socket).read_line(&mut answer)?;
+    Ok(answer.trim().to_owned())
+}
+
 /// Runs `scripts/fleet` below the working folder; its processes outlive the call.
 pub fn script(arguments: &[&str]) -> anyhow::Result<()> {
     let mut command = Command::new("scripts/fleet");
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 mod drill;
 mod fleet;
 pub mod history;
+mod link;
 mod load;
 mod measure;
 mod ready;
--- a/bench/src/load/action.rs
+++ b/bench/src/load/action.rs
@@ -141,6 +141,7 @@
 
 /// Cuts one failure domain off from all others, or none.
 fn cut(fleet: &Fleet, domain: Option<&str>) -> anyhow::Result<()> {
+    fleet.cut_frames(domain)?;
     let domains: BTreeSet<&String> = fleet.domains.values().collect();
     for name in fleet.upstreams.keys() {
         let own = fleet.domains.get(name).map(String::as_str);
--- a/bench/src/load/mod.rs
+++ b/bench/src/load/mod.rs
@@ -30,6 +30,9 @@
 /// How long requests may still take after the end of the load.
 const DRAIN: Duration = Duration::from_secs(15);
 
+/// How many ids each seed has.
+const IDS: u64 = 10_000_000;
+
 /// The file of the history in the fleet's folder.
 pub const HISTORY: &str = "history.jsonl";
 
@@ -135,15 +138,16 @@
         let clock = Clock::system();
         Ok(Self {
             start: clock.now().0,
-            settings,
             fleet,
             groups,
             clock,
             over: AtomicBool::new(false),
-            ids: AtomicU64::new(1),
+            // Loads with other seeds that run on the same fleet must not name the same things.
+            ids: AtomicU64::new(settings.seed * IDS + 1),
             requests: AtomicU64::new(0),
             history: Mutex::new(history),
             census: Census::default(),
+            settings,
         })
     }
 
--- a/bench/src/measure/rush.rs
+++ b/bench/src/measure/rush.rs
@@ -16,8 +16,8 @@
 /// The share of the sustainable rate at which the unloaded latency is taken.
 const LIGHT: f64 = 0.2;
 
-/// How many sessions there are in the rush.
-const SESSIONS: usize = 900;
+/// How long a statement holds its slot here: long enough for one machine to offer the overload too.
+const SERVICE_TIME: &str = "20ms";
 
 /// The longest declared deadline, after which an answer is late, with what its way may take.
 const DEADLINE: Duration = Duration::from_millis(5_250);
@@ -29,7 +29,9 @@
 pub fn run(run: &Run) -> anyhow::Result<Vec<Figure>> {
     let mut figures = Vec::new();
     for profile in PROFILES {
-        figures.extend(with_fleet(profile, &[], |dir| measure(profile, run, dir))?);
+        figures.extend(with_fleet(profile, &["--service-time", SERVICE_TIME], |dir| {
+            measure(profile, run, dir)
+        })?);
     }
     Ok(figures)
 }
@@ -42,8 +44,9 @@
     settings.rate = Some((sustainable * LIGHT) as u32);
     settings.seed += 1_000;
     let light = Phase::run(settings.clone())?;
+    // As many sessions as requests a second, so that each one arrives with a request of its own.
     settings.rate = Some((sustainable * OVERLOAD) as u32);
-    settings.sessions = SESSIONS;
+    settings.sessions = (sustainable * OVERLOAD) as usize;
     settings.rush = Duration::from_secs(1);
     settings.seed += 1_000;
     let rush = Phase::run(settings)?;
