--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -1,9 +1,11 @@
 //! Writes and transactions: on the primary, with what acknowledges them released by the fence only.
 
+use std::sync::Arc;
+
 use postgres_protocol::message::frontend;
 
 use super::{
-    Caller, Effect, FAILOVER_WAIT, Open, PAUSE, Request, Stop, Transaction, busy, not_run,
+    Caller, Effect, FAILOVER_WAIT, Open, PAUSE, Progress, Request, Stop, Transaction, busy, not_run,
 };
 use crate::clock::Instant;
 use crate::config::Durability;
@@ -14,21 +16,47 @@
 use crate::proxy::outcome::{Outcome, Reason};
 use crate::proxy::pool::{self, Loan};
 use crate::proxy::relay::{Broken, Exchange, Finish};
+use crate::proxy::server::Shared;
 use crate::upstream::position::{QUERY, Status};
-use crate::wire::Epoch;
+use crate::wire::{Epoch, Phase};
+
+/// The SQLSTATE of a write on an instance that is not, or no longer, the primary.
+pub(super) const READ_ONLY: &str = "25006";
 
 impl Caller {
     /// Runs a write, or the beginning of a transaction, on the primary.
     pub(super) async fn write(&mut self, request: &Request) -> Result<(), Stop> {
-        let (mut loan, epoch) = self.primary(request).await?;
-        let mut exchange = self.exchange(&request.asked, &mut loan)?;
-        let begins = matches!(request.summary.kind, Kind::Begin { .. });
-        exchange.hold = !begins;
-        let effect = if begins { Effect::RolledBack } else { Effect::Possible };
-        let finish = self.fenced(loan, &mut exchange, epoch.term, effect).await?;
-        if let Some((loan, finish)) = finish {
+        let started = self.shared.clock.now();
+        loop {
+            let (mut loan, epoch) = self.primary(request).await?;
+            let mut exchange = self.exchange(&request.asked, &mut loan)?;
+            let begins = matches!(request.summary.kind, Kind::Begin { .. });
+            exchange.hold = !begins;
+            let effect = if begins { Effect::RolledBack } else { Effect::Possible };
+            let finish = self.fenced(loan, &mut exchange, epoch.term, effect).await?;
+            let Some((loan, finish)) = finish else {
+                return Ok(());
+            };
+            if finish.code == READ_ONLY && finish.status == b'I' && self.writer.rewind() {
+                // The primary steps down, and proved that it ran nothing.
+                loan.give_back();
+                self.progress = Progress::Waiting;
+                self.step_down(started).await?;
+                continue;
+            }
             self.keep(loan, &finish, epoch.term, true);
+            return Ok(());
         }
+    }
+
+    /// Waits a moment for the successor of a primary that steps down.
+    pub(super) async fn step_down(&self, started: Instant) -> Result<(), Stop> {
+        let changed = self.shared.changed(&self.group);
+        self.hopeful(&self.epoch()?, started)?;
+        if !self.shared.budget.spend() {
+            return Err(not_run(Reason::Failover));
+        }
+        self.shared.clock.timeout(PAUSE, changed).await;
         Ok(())
     }
 
@@ -121,7 +149,13 @@
             frontend::query(QUERY, &mut exchange.bytes).map_err(Stop::Caller)?;
         }
         let at = self.shared.clock.now();
-        let ran = self.exchange_on(&mut loan, exchange, effect).await;
+        let (shared, group) = (Arc::clone(&self.shared), self.group.clone());
+        let ran = self.exchange_on(&mut loan, exchange, effect);
+        let Some(ran) = unless_replaced(&shared, &group, term, hold, ran).await else {
+            self.entry.finish();
+            loan.suspect();
+            return Err(unknown(Reason::Failover));
+        };
         let mut finish = match ran {
             Ok(finish) => finish,
             Err(Broken::Upstream { .. }) => {
@@ -134,7 +168,12 @@
             return Ok(Some((loan, finish)));
         }
         loan.running = true;
-        let status = status(&mut loan, effect).await?;
+        let status = status(&mut loan, effect);
+        let Some(status) = unless_replaced(&shared, &group, term, hold, status).await else {
+            loan.suspect();
+            return Err(unknown(Reason::Failover));
+        };
+        let status = status?;
         loan.running = false;
         if finish.failed {
             self.writer.out.extend_from_slice(&finish.held);
@@ -203,6 +242,29 @@
     }
 }
 
+/// Waits for what a primary answers. An answer that is `held` for the fence can't be released any more once the
+/// term is frozen or replaced, so it is not waited for then.
+async fn unless_replaced<T>(
+    shared: &Shared,
+    group: &id::Group,
+    term: id::Term,
+    held: bool,
+    answer: impl Future<Output = T>,
+) -> Option<T> {
+    let replaced = async {
+        loop {
+            let changed = shared.changed(group);
+            let epoch = shared.epoch(group);
+            let stands = |epoch: &Epoch| epoch.term == term && epoch.phase == Phase::Active;
+            if held && !epoch.as_ref().is_some_and(stands) {
+                return None;
+            }
+            changed.await;
+        }
+    };
+    smol::future::or(async { Some(answer.await) }, replaced).await
+}
+
 pub(super) fn unknown(reason: Reason) -> Stop {
     Outcome::Unknown { reason, effect: Effect::Possible }.into()
 }
