--- /dev/null
+++ b/bench/src/measure/heartbeats.rs
@@ -0,0 +1,139 @@
+//! What control costs per proxy: bytes and processor time with simulated proxies that only speak frames.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use anyhow::Context;
+use cactushatch::clock::Clock;
+use cactushatch::id;
+use cactushatch::wire::{Body, Frame, Heartbeat, MAX_DATAGRAM_BYTES, Stamp};
+use smol::net::UdpSocket;
+
+use super::overhead::cpu;
+use super::{Figure, Run, with_fleet};
+use crate::fleet::Fleet;
+
+/// How many proxies are simulated.
+const COUNTS: [usize; 3] = [6, 50, 300];
+
+/// How often a proxy sends a heartbeat when nothing changed, as `proxy::heartbeat` does.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// How long proxies are known before the figures are taken.
+const SETTLE: Duration = Duration::from_secs(2);
+
+/// How long the figures are taken.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Measures the cost with each count of proxies, besides the fleet's own two.
+pub fn run(_: &Run) -> anyhow::Result<Vec<Figure>> {
+    let mut figures = Vec::new();
+    for count in COUNTS {
+        figures.extend(with_fleet("imena", &[], |dir| smol::block_on(measure(dir, count)))?);
+    }
+    Ok(figures)
+}
+
+async fn measure(dir: &Path, count: usize) -> anyhow::Result<Vec<Figure>> {
+    let fleet = Fleet::open(dir)?;
+    let settings = std::fs::read_to_string(dir.join("settings/proxy-1.toml"))?;
+    let control = settings.split("address = \"").nth(1).and_then(|rest| rest.split('"').next());
+    let control = control.context("the settings name no control process")?.to_owned();
+    let bytes = Arc::new(AtomicU64::new(0));
+    let grants = Arc::new(AtomicU64::new(0));
+    let mut proxies = Vec::new();
+    for number in 0..count {
+        let proxy = Proxy::open(number, &control, &bytes, &grants).await?;
+        proxies.push(smol::spawn(proxy.run()));
+    }
+    let clock = Clock::system();
+    clock.sleep(SETTLE).await;
+    let pid = fleet.pid("control-1")?;
+    let (spent, sent) = (cpu(pid)?, bytes.load(Ordering::Relaxed));
+    let granted = grants.load(Ordering::Relaxed);
+    clock.sleep(WINDOW).await;
+    let each = 1.0 / WINDOW.as_secs_f64() / count as f64;
+    let sent = (bytes.load(Ordering::Relaxed) - sent) as f64 * each;
+    let granted = (grants.load(Ordering::Relaxed) - granted) as f64 * each;
+    let spent = (cpu(pid)? - spent) * each;
+    for proxy in proxies {
+        proxy.cancel().await;
+    }
+    let case = format!("{count} simulated proxies");
+    Ok(vec![
+        Figure::new("control_bytes_per_proxy", "bytes/s", &case, sent),
+        Figure::new("control_grants_per_proxy", "grants/s", &case, granted),
+        Figure::new("control_cpu_per_proxy", "% of a core", &case, spent * 100.0),
+    ])
+}
+
+/// A simulated proxy.
+struct Proxy {
+    node: id::Node,
+    socket: UdpSocket,
+    heartbeat: Heartbeat,
+    bytes: Arc<AtomicU64>,
+    grants: Arc<AtomicU64>,
+}
+
+impl Proxy {
+    async fn open(
+        number: usize,
+        control: &str,
+        bytes: &Arc<AtomicU64>,
+        grants: &Arc<AtomicU64>,
+    ) -> anyhow::Result<Self> {
+        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+        socket.connect(control).await?;
+        let address = socket.local_addr()?;
+        let heartbeat = Heartbeat {
+            sequence: id::Sequence(0),
+            domain: "a".parse()?,
+            address,
+            admin: address,
+            seen: Stamp::default(),
+            table: 0,
+            revision: id::Revision(1),
+            sightings: Vec::new(),
+            demand: Vec::new(),
+            draining: false,
+        };
+        let node = format!("simulated-{number}").parse()?;
+        Ok(Self { node, socket, heartbeat, bytes: Arc::clone(bytes), grants: Arc::clone(grants) })
+    }
+
+    async fn run(mut self) {
+        let clock = Clock::system();
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            self.heartbeat.sequence = self.heartbeat.sequence.next();
+            let body = Body::Heartbeat(self.heartbeat.clone());
+            let incarnation = id::Incarnation(1);
+            let frame = Frame { sender: self.node.clone(), incarnation, body };
+            let Ok(bytes) = frame.encode() else { return };
+            if self.socket.send(&bytes).await.is_ok() {
+                self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+            }
+            let next = clock.now() + INTERVAL;
+            while clock.now() < next {
+                let left = next.since(clock.now());
+                let received = clock.timeout(left, self.socket.recv(&mut buffer)).await;
+                if let Some(Ok(len)) = received {
+                    self.take(&buffer[..len]);
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, bytes: &[u8]) {
+        self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
+        let Ok(Frame { body: Body::Grant(grant), .. }) = Frame::decode(bytes) else { return };
+        self.grants.fetch_add(1, Ordering::Relaxed);
+        self.heartbeat.seen = self.heartbeat.seen.max(grant.stamp);
+        if grant.delta.is_some() {
+            self.heartbeat.table = self.heartbeat.table.max(grant.version);
+        }
+    }
+}
--- a/bench/src/measure/mod.rs
+++ b/bench/src/measure/mod.rs
@@ -1,7 +1,9 @@
 //! Measurements: each writes its figures as JSON and a row for `docs/MEASURES.md`.
 
+mod configure;
 mod figure;
 mod gap;
+mod heartbeats;
 mod memory;
 mod overhead;
 mod rush;
@@ -40,6 +42,8 @@
     ("rush", rush::run),
     ("overhead", overhead::run),
     ("memory", memory::run),
+    ("control_cost", heartbeats::run),
+    ("configuration", configure::run),
 ];
 
 /// One run of a measurement.
