--- a/tests/control/raft.rs
+++ b/tests/control/raft.rs
@@ -73,13 +73,14 @@
         let mut cluster = Cluster::new(3, seed);
         cluster.commit_everywhere();
         let leader = cluster.await_leader();
+        let (one, other) = ((leader + 1) % 3, (leader + 2) % 3);
         if seed % 2 == 1 {
             cluster.nodes[leader].slow = Duration::from_millis(200);
-        }
-        let index = cluster.propose(leader).expect("a leader takes commands");
-        if seed % 4 == 0 {
+            cluster.cut_pair(leader, other);
+        } else if seed % 4 == 0 {
             cluster.cut(leader);
         }
+        let index = cluster.propose(leader).expect("a leader takes commands");
         let millis = cluster.random.u64(0..120);
         cluster.run(Duration::from_millis(millis));
         let answered = cluster.live(leader).applied.get(&index).cloned();
@@ -88,8 +89,7 @@
         cluster.heal();
         if seed % 2 == 1 {
             cluster.start(leader);
-            let other = (leader + 1 + cluster.random.usize(0..2)) % 3;
-            cluster.kill(other);
+            cluster.kill(one);
         }
         let next = cluster.await_leader();
         cluster.commit_everywhere();
@@ -220,6 +220,20 @@
     }
 }
 
+#[test]
+fn an_order_to_replace_a_voter_that_was_repaired_already_is_finished() {
+    let mut cluster = Cluster::new(3, 8);
+    cluster.commit_everywhere();
+    let at = (cluster.await_leader() + 1) % 3;
+    cluster.wipe(at);
+    cluster.start(at);
+    repaired(&mut cluster, at);
+    cluster.wanted.push_back(Membership::Learn(voter(at)));
+    cluster.run(3 * SECOND);
+    assert!(cluster.wanted.is_empty(), "{:?}", cluster.wanted);
+    cluster.commit_everywhere();
+}
+
 #[test]
 fn the_last_voter_is_not_removed() {
     let mut cluster = Cluster::new(1, 7);
