--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -2,8 +2,11 @@
 
 pub mod check;
 pub mod cli;
+mod drill;
 mod fleet;
 pub mod history;
 mod load;
+mod measure;
 mod ready;
+mod router;
 mod standin;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,9 +4,12 @@
 mod command;
 mod exit;
 mod generate;
+mod logging;
 mod online;
 mod paint;
 mod process;
+mod report;
+mod secret;
 
 use std::path::Path;
 
@@ -33,6 +36,8 @@
         Some(("undrain", matches)) => online::undrain(matches),
         Some(("peak", matches)) => online::peak(matches),
         Some(("member", matches)) => online::member(matches),
+        Some(("report", matches)) => report::run(matches),
+        Some(("secret", matches)) => secret::run(matches),
         Some(("completions", matches)) => generate::completions(matches),
         Some(("man", matches)) => generate::man(matches),
         _ => anyhow::bail!("there is no such command"),
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -12,7 +12,6 @@
 mod link;
 pub mod member;
 pub mod operator;
-mod probe;
 mod promotion;
 pub mod raft;
 mod server;
@@ -31,6 +30,9 @@
     /// The settings name no data folder.
     #[error("a control process needs a data folder")]
     NoData,
+    /// A file of keys, certificates or users can't be used.
+    #[error("{0}")]
+    Security(#[from] crate::security::Error),
     /// A socket failed.
     #[error("{0}")]
     Io(#[from] std::io::Error),
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,11 +2,11 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
-use std::cell::RefCell;
 use std::fs::{File, OpenOptions};
-use std::io::Write;
+use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
+use std::sync::Mutex;
 
 use postgres::{Client, Config, NoTls};
 
@@ -14,8 +14,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     dir: tempfile::TempDir,
-    /// The processes that were started again.
-    started: RefCell<Vec<Child>>,
+    /// The processes that the test itself started.
+    started: Mutex<Vec<Child>>,
 }
 
 impl Fleet {
@@ -29,7 +29,7 @@
         let dir = tempfile::tempdir().expect("a temporary folder");
         let path = dir.path().display().to_string();
         script(&[&["up", path.as_str()], options].concat());
-        Self { dir, started: RefCell::default() }
+        Self { dir, started: Mutex::default() }
     }
 
     /// Returns the fleet's folder.
@@ -37,6 +37,25 @@
         self.dir.path()
     }
 
+    /// Returns the address of the proxy with number `proxy`, counted from 0.
+    pub fn proxy(&self, proxy: usize) -> String {
+        let proxies = std::fs::read_to_string(self.path().join("proxies")).expect("proxies");
+        proxies.lines().nth(proxy).expect("so many proxies").to_owned()
+    }
+
+    /// Sets the faults of an instance, as one line of JSON.
+    pub fn fault(&self, instance: &str, fault: &str) {
+        let upstreams = std::fs::read_to_string(self.path().join("upstreams")).expect("upstreams");
+        let line = upstreams.lines().find_map(|line| line.strip_prefix(&format!("{instance} ")));
+        let mut address: std::net::SocketAddr = line.expect("an instance").parse().unwrap();
+        address.set_port(address.port() + 2);
+        let mut socket = std::net::TcpStream::connect(address).expect("the fault port");
+        writeln!(socket, "{fault}").expect("the fault is sent");
+        let mut answer = String::new();
+        BufReader::new(socket).read_line(&mut answer).expect("an answer");
+        assert_eq!(answer, "ok\n");
+    }
+
     /// Connects to the proxy with number `proxy`, counted from 0.
     pub fn connect(&self, proxy: usize, group: &str) -> Client {
         self.connect_with(proxy, group, "")
@@ -73,7 +92,7 @@
         };
         note("pids", process.id().to_string());
         note("names", format!("{} {name}", process.id()));
-        self.started.borrow_mut().push(process);
+        self.started.lock().expect("no test panics here").push(process);
     }
 
     /// Asks control for its status, through any voter.
@@ -99,7 +118,7 @@
 impl Drop for Fleet {
     fn drop(&mut self) {
         script(&["down", &self.path().display().to_string()]);
-        for process in self.started.get_mut() {
+        for process in self.started.get_mut().expect("no test panics here") {
             let _ = process.wait();
         }
     }
