--- a/src/cli/online.rs
+++ b/src/cli/online.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use clap::ArgMatches;
+use sha2::{Digest, Sha256};
 
 use super::exit::Stop;
 use super::paint::Paint;
@@ -15,6 +16,9 @@
 use crate::id;
 use crate::wire::Role;
 
+/// The bytes of the digest in a plan's id.
+const DIGEST_BYTES: usize = 4;
+
 /// The milliseconds of a day.
 const DAY_MS: u64 = 24 * 60 * 60 * 1000;
 
@@ -23,7 +27,8 @@
     let path = required::<PathBuf>(matches, "declarations")?;
     let text = read(Path::new(path))?;
     Fleet::parse(&path.display().to_string(), &text)?;
-    change(matches, Intent::Configure { text })
+    let said = text.clone();
+    change(matches, Intent::Configure { text }, &said)
 }
 
 /// `cactushatch confirm PLAN`.
@@ -34,21 +39,26 @@
 /// `cactushatch drain INSTANCE`.
 pub(super) fn drain(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let instance = required::<id::Instance>(matches, "instance")?.clone();
-    change(matches, Intent::Drain { instance })
+    let said = format!("drain {instance}");
+    change(matches, Intent::Drain { instance }, &said)
 }
 
 /// `cactushatch undrain INSTANCE`.
 pub(super) fn undrain(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let instance = required::<id::Instance>(matches, "instance")?.clone();
-    change(matches, Intent::Undrain { instance })
+    let said = format!("undrain {instance}");
+    change(matches, Intent::Undrain { instance }, &said)
 }
 
 /// `cactushatch peak GROUP --at TIME --lasts SPAN`.
 pub(super) fn peak(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let group = required::<id::Group>(matches, "group")?.clone();
-    let at_ms = moment(required::<String>(matches, "at")?, wall_ms())?;
-    let lasts_ms = required::<Span>(matches, "lasts")?.0.as_millis() as u64;
-    change(matches, Intent::Peak { group, at_ms, lasts_ms })
+    let at = required::<String>(matches, "at")?;
+    let at_ms = moment(at, wall_ms())?;
+    let lasts = required::<Span>(matches, "lasts")?;
+    let lasts_ms = lasts.0.as_millis() as u64;
+    let said = format!("peak {group} {at} {lasts}");
+    change(matches, Intent::Peak { group, at_ms, lasts_ms }, &said)
 }
 
 /// `cactushatch member list|add|remove|replace`.
@@ -63,11 +73,13 @@
                 address: *required(matches, "address")?,
                 domain: required::<id::Domain>(matches, "domain")?.clone(),
             };
-            change(matches, Intent::Member(Membership::Learn(voter)))
+            let said = format!("learn {} {} {}", voter.node, voter.address, voter.domain);
+            change(matches, Intent::Member(Membership::Learn(voter)), &said)
         }
         Some(("remove", matches)) => {
             let node = required::<id::Node>(matches, "node")?.clone();
-            change(matches, Intent::Member(Membership::Remove(node)))
+            let said = format!("remove {node}");
+            change(matches, Intent::Member(Membership::Remove(node)), &said)
         }
         _ => anyhow::bail!("there is no such command"),
     }
@@ -132,18 +144,29 @@
     }
 }
 
-/// Makes a plan of the intent, or carries out the plan that is confirmed.
-fn change(matches: &ArgMatches, intent: Intent) -> anyhow::Result<Exit> {
+/// Makes a plan of the intent, or carries out the plan that is confirmed. A plan's id ends in a digest of what was
+/// said when it was made, so that the plan of another command is not confirmed by mistake.
+fn change(matches: &ArgMatches, intent: Intent, said: &str) -> anyhow::Result<Exit> {
+    let digest = digest(said);
     if let Some(plan) = matches.get_one::<id::Plan>("confirm") {
+        if !plan.as_str().ends_with(&format!("-{digest}")) {
+            let reason = format!("{plan} is the plan of another command, or of other arguments");
+            return Err(Stop::Usage(reason).into());
+        }
         return carry_out(matches, plan);
     }
     let origin = origin(matches)?;
     let command = origin.command.to_string();
-    let plan = format!("plan-{command}").parse()?;
+    let plan = format!("plan-{command}-{digest}").parse()?;
     let body = Plan { origin, plan, base: None, intent };
     outcome(matches, &ask::post(matches, "/plan", &command, &body)?)
 }
 
+fn digest(said: &str) -> String {
+    let digest = Sha256::digest(said);
+    digest[..DIGEST_BYTES].iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn carry_out(matches: &ArgMatches, plan: &id::Plan) -> anyhow::Result<Exit> {
     let origin = origin(matches)?;
     let command = origin.command.to_string();
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -104,8 +104,13 @@
         instances.iter().any(|i| i["instance"] == "ops-1-3" && i["draining"] == true)
     };
     let planned = json(&["drain", "ops-1-3"]);
+    assert!(planned.to_string().contains("effects"), "{planned}");
     let plan = planned["planned"]["plan"].as_str().unwrap().to_owned();
     assert!(!draining(), "a plan alone changed something");
+    for other in [["drain", "ops-1-2"], ["undrain", "ops-1-3"]] {
+        ends(Exit::Usage, &[&other[..], &["--confirm", &plan, "--admin", admin]].concat());
+    }
+    assert!(!draining(), "another command's plan was confirmed");
     json(&["drain", "ops-1-3", "--confirm", &plan]);
     assert!(draining(), "a confirmed plan changed nothing");
     let again = ["confirm", &plan, "--admin", admin];
