--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,5 +6,7 @@
 mod fleet;
 pub mod history;
 mod load;
+mod measure;
 mod ready;
+mod router;
 mod standin;
