--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -21,7 +21,8 @@
 pub(super) fn proxy(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
     let log = Logging::start(&settings.log)?;
-    smol::block_on(async {
+    // This thread only waits: driving the sockets is left to the executor's own thread.
+    smol::future::block_on(async {
         let mut signals = signals()?;
         let server = proxy::spawn(Clock::system(), &settings).await?;
         log.count_into(server.metrics());
