--- a/src/control/link.rs
+++ b/src/control/link.rs
@@ -59,7 +59,9 @@
         }
         if stream.is_none() {
             match shared.clock.timeout(CONNECT, Stream::open(address)).await {
-                Some(Ok(open)) => stream = Some((open, shared.clock.now())),
+                Some(Ok(open)) => {
+                    stream = Some((open.sealed(&shared.guard.seal), shared.clock.now()));
+                }
                 _ => {
                     shared.clock.sleep(PAUSE).await;
                     while frames.try_recv().is_ok() {}
