Ask the primary anew for a named connection's first read

Cause: the first read of a named session's connection took any position of the primary that was asked for after the connection arrived, also one from before a write that the session's other connection had acknowledged since. Ruled out: the stand-in's durable position and its DDL replication. Change: a named session without a floor asks from the request's arrival, also the first time.

--- a/src/proxy/caller/read.rs
+++ b/src/proxy/caller/read.rs
@@ -127,10 +127,11 @@
     /// after the session arrived covers all that it wrote before. A named session may have written by another
     /// connection meanwhile, so that it asks for each read that brings no floor.
     async fn place(&mut self, request: &Request) -> Result<(), Stop> {
-        let since = match (self.placed, self.named && request.summary.tags.floor.is_none()) {
-            (false, _) => self.arrived,
-            (true, true) => request.arrived,
-            (true, false) => return Ok(()),
+        let asks = self.named && request.summary.tags.floor.is_none();
+        let since = match (asks, self.placed) {
+            (true, _) => request.arrived,
+            (false, false) => self.arrived,
+            (false, true) => return Ok(()),
         };
         let mark = self.index(since).await?;
         self.session.raise(&self.group, mark);
--- a/tests/request_process.rs
+++ b/tests/request_process.rs
@@ -172,6 +172,23 @@
     }
 }
 
+#[test]
+fn the_first_read_of_a_named_connection_sees_what_was_written_after_it_arrived() {
+    let fleet = Fleet::up();
+    let options = "-c cactushatch.session=teacher-2";
+    let mut first = fleet.connect_with(0, "ops-1", options);
+    first.batch_execute("CREATE TABLE lesson (id INTEGER)").unwrap();
+    let mut second = fleet.connect_with(1, "ops-1", options);
+    for replica in ["ops-1-2", "ops-1-3"] {
+        fleet.fault(replica, r#"{"lag_ms":500}"#);
+    }
+    // The second proxy looks at the primary meanwhile, which must not count for the read below.
+    std::thread::sleep(Duration::from_millis(200));
+    first.execute("INSERT INTO lesson VALUES (1)", &[]).unwrap();
+    let rows = second.simple_query("SELECT id FROM lesson").unwrap();
+    assert_eq!(affected(&rows), 1, "the rows of the first request");
+}
+
 #[test]
 fn a_once_request_runs_once_at_any_proxy() {
     let fleet = Fleet::up();
