--- a/tests/control/raft.rs
+++ b/tests/control/raft.rs
@@ -228,6 +228,7 @@
     cluster.wipe(at);
     cluster.start(at);
     repaired(&mut cluster, at);
+    cluster.run(SECOND);
     cluster.wanted.push_back(Membership::Learn(voter(at)));
     cluster.run(3 * SECOND);
     assert!(cluster.wanted.is_empty(), "{:?}", cluster.wanted);
--- a/tests/control/state.rs
+++ b/tests/control/state.rs
@@ -133,7 +133,8 @@
     let padding = format!("# {}\n", "x".repeat(100_000));
     for number in 0..12_000_u32 {
         let plan: id::Plan = format!("plan-{number}").parse().unwrap();
-        let changed = FIRST.replace("10ms", &format!("{number}ms")).replace("1s", "2s");
+        let changed =
+            FIRST.replace("10ms", &format!("{}ms", number % 9_000 + 11)).replace("1s", "2s");
         let changed = changed.replace("instances = 3", "instances = 5").replace("40", "41");
         let changed =
             changed.replace("slots = 2", "slots = 3").replace("priority = 1", "priority = 2");
