--- a/tests/control/state.rs
+++ b/tests/control/state.rs
@@ -138,7 +138,10 @@
         let changed = changed.replace("instances = 3", "instances = 5").replace("40", "41");
         let changed =
             changed.replace("slots = 2", "slots = 3").replace("priority = 1", "priority = 2");
-        let changed = changed.replace("[group.ops]", &format!("[group.{}]", "o".repeat(100)));
+        let changed = changed.replace(
+            "[group.ops]",
+            &format!("[group.{}]", (if number % 20 < 10 { "o" } else { "p" }).repeat(100)),
+        );
         let text = if number % 100 == 0 { format!("{padding}{FIRST}") } else { changed };
         let intent = Intent::Configure { text };
         let action = Action::Plan { plan, base: state.revision, intent, made_ms: 1_000 };
