Seal the commands that a voter passes to the leader

Cause: with keys set, a follower passed commands on in plain frames, which the leader dropped; operators were told that the outcome is unknown. Test voters_that_seal_their_frames… seen to fail, then to pass.

--- a/src/control/submit.rs
+++ b/src/control/submit.rs
@@ -71,9 +71,10 @@
             return Answer::NotLeader(None);
         };
         let open = self.clock.timeout(CONNECT, Stream::open(address)).await;
-        let Some(Ok(mut stream)) = open else {
+        let Some(Ok(stream)) = open else {
             return Answer::NotLeader(None);
         };
+        let mut stream = stream.sealed(&self.guard.seal);
         let asked = async {
             stream.send(&self.frame(Body::Submit(command))).await?;
             stream.receive().await
--- a/tests/control/server.rs
+++ b/tests/control/server.rs
@@ -1,6 +1,8 @@
 //! Voters with their sockets, in one process, on disks that fail on command.
 
+use std::fs::Permissions;
 use std::net::TcpListener;
+use std::os::unix::fs::PermissionsExt;
 use std::time::{Duration, Instant};
 
 use cactushatch::clock::Clock;
@@ -23,6 +25,11 @@
 
 impl Voters {
     fn start(count: usize) -> Self {
+        Self::start_with(count, "")
+    }
+
+    /// Starts voters with more settings.
+    fn start_with(count: usize, more: &str) -> Self {
         let ports = ports(2 * count);
         let voter = |n: usize| {
             let (address, admin) = (&ports[2 * n], &ports[2 * n + 1]);
@@ -35,7 +42,7 @@
         let settings = |n: usize| {
             let text = format!(
                 "node = \"control-{n}\"\ndomain = \"a\"\ndata = \"unused\"\nvoters = [{}]\n\
-                 [control]\naddress = \"{}\"\nadmin = \"{}\"\n",
+                 [control]\naddress = \"{}\"\nadmin = \"{}\"\n{more}",
                 voters.join(", "),
                 ports[2 * n],
                 ports[2 * n + 1]
@@ -125,6 +132,18 @@
     voters.await_all(|server| server.state().revision == id::Revision(2));
 }
 
+#[test]
+fn voters_that_seal_their_frames_take_commands_through_any_of_them() {
+    let dir = tempfile::tempdir().unwrap();
+    let path = dir.path().join("keys");
+    std::fs::write(&path, format!("1 {}\n", "5a".repeat(32))).unwrap();
+    std::fs::set_permissions(&path, Permissions::from_mode(0o600)).unwrap();
+    let voters = Voters::start_with(3, &format!("[security]\nkeys = \"{}\"\n", path.display()));
+    let leader = voters.leader();
+    let answer = voters.submit((leader + 1) % 3, plan("anna", 0));
+    assert!(matches!(answer, Answer::Applied(Outcome::Planned { .. })), "{answer:?}");
+}
+
 #[test]
 fn of_operators_who_race_through_different_voters_one_wins() {
     let voters = Voters::start(3);
