--- a/tests/control/server.rs
+++ b/tests/control/server.rs
@@ -6,8 +6,9 @@
 use std::time::{Duration, Instant};
 
 use cactushatch::clock::Clock;
-use cactushatch::config::Node;
-use cactushatch::control::state::{Action, Command, Intent, Origin, Outcome};
+use cactushatch::config::{self, Node};
+use cactushatch::control::operator::{Part, Status};
+use cactushatch::control::state::{Action, Command, Intent, Membership, Origin, Outcome, Voter};
 use cactushatch::control::{Server, spawn_on};
 use cactushatch::id;
 use cactushatch::wire::{Answer, Body, Frame, Stream};
@@ -57,6 +58,51 @@
         Self { servers, disks, addresses, settings }
     }
 
+    /// Starts one more process, whose settings name the others and then itself.
+    fn join(&mut self) -> config::Voter {
+        let mut settings = self.settings[0].clone();
+        let ports = ports(2);
+        let (address, admin) = (ports[0].parse().unwrap(), ports[1].parse().unwrap());
+        let node: id::Node = "control-new".parse().unwrap();
+        let voter =
+            config::Voter { node: node.clone(), address, admin, ..settings.voters[0].clone() };
+        settings.node = node;
+        settings.voters.push(voter.clone());
+        let control = settings.control.as_mut().unwrap();
+        (control.address, control.admin) = (address, admin);
+        let disk = Memory::default();
+        let start = spawn_on(Clock::system(), &settings, disk.clone());
+        self.servers.push(smol::block_on(start).unwrap());
+        self.disks.push(disk);
+        self.settings.push(settings);
+        voter
+    }
+
+    /// Plans and confirms through the first process.
+    fn order(&self, name: &str, intent: Intent) {
+        let base = self.servers[0].state().revision;
+        let plan: id::Plan = format!("plan-{name}").parse().unwrap();
+        let action = Action::Plan { plan, base, intent, made_ms: 1_000 };
+        self.submit(0, Command { origin: origin(&format!("p-{name}"), name), action });
+        let answer = self.submit(0, confirm(name));
+        assert!(matches!(answer, Answer::Applied(Outcome::Done { .. })), "{answer:?}");
+    }
+
+    /// Asks one process for its status until `met` holds of it.
+    fn await_status(&self, at: usize, met: impl Fn(&Status) -> bool) {
+        let admin = self.settings[at].control.as_ref().unwrap().admin;
+        let start = Instant::now();
+        loop {
+            let answer = smol::block_on(cactushatch::admin::get(admin, "/status"));
+            let status = answer.ok().map(|body| serde_json::from_slice(&body).unwrap());
+            if status.as_ref().is_some_and(&met) {
+                return;
+            }
+            assert!(start.elapsed() < PATIENCE, "{status:?}");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn leader(&self) -> usize {
         let start = Instant::now();
         while start.elapsed() < PATIENCE {
@@ -144,6 +190,33 @@
     assert!(matches!(answer, Answer::Applied(Outcome::Planned { .. })), "{answer:?}");
 }
 
+#[test]
+fn a_voter_is_added_by_order_and_another_removed() {
+    let mut voters = Voters::start(3);
+    voters.leader();
+    let new = voters.join();
+    let learn = Voter {
+        node: new.node.clone(),
+        incarnation: id::Incarnation(0),
+        address: new.address,
+        domain: new.domain.clone(),
+    };
+    voters.order("add", Intent::Member(Membership::Learn(learn)));
+    let finished = |status: &Status| {
+        let voter = status.voters.iter().find(|voter| voter.node == new.node);
+        let admitted = voter.is_some_and(|voter| voter.part != Part::Learner && voter.current);
+        admitted && status.wanted.is_empty()
+    };
+    voters.await_status(0, finished);
+    let gone = voters.settings[1].node.clone();
+    voters.order("remove", Intent::Member(Membership::Remove(gone.clone())));
+    let removed = |status: &Status| {
+        status.voters.len() == 3 && status.voters.iter().all(|voter| voter.node != gone)
+    };
+    voters.await_status(2, removed);
+    voters.await_status(3, removed);
+}
+
 #[test]
 fn of_operators_who_race_through_different_voters_one_wins() {
     let voters = Voters::start(3);
