--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -163,8 +163,9 @@
                 b'X' => return Ok(()),
                 b'S' if std::mem::take(&mut skipping) => self.ready().await?,
                 _ if skipping => {}
-                b'Q' => self.simple(message).await?,
-                b'S' => self.batch(std::mem::take(&mut batch)).await?,
+                // An idle caller keeps no room for a request.
+                b'Q' => Box::pin(self.simple(message)).await?,
+                b'S' => Box::pin(self.batch(std::mem::take(&mut batch))).await?,
                 b'P' | b'B' | b'D' | b'E' | b'C' => {
                     batch.push(message);
                     if batch.bytes() > MAX_BATCH_BYTES {
--- a/src/proxy/caller/read.rs
+++ b/src/proxy/caller/read.rs
@@ -33,8 +33,8 @@
         self.place(request).await?;
         let started = self.shared.clock.now();
         let mut need = Need::default();
+        let mut changed = None;
         loop {
-            let changed = self.shared.changed(&self.group);
             let epoch = self.epoch()?;
             let now = self.shared.clock.now();
             need.mark = self.mark(request, &epoch, now)?;
@@ -45,15 +45,21 @@
                     self.session.lower(&self.group, need.mark.surviving(&epoch));
                     return Err(Outcome::FloorLost.into());
                 }
-                Choice::Wait => {
-                    self.shared.ask(&self.group);
-                    let left = route::WAIT.saturating_sub(need.waited);
-                    self.shared.clock.timeout(left, changed).await;
-                }
-                Choice::Nowhere => {
-                    self.hopeful(&epoch, started)?;
-                    need.failed.clear();
-                    let left = FAILOVER_WAIT.saturating_sub(need.waited);
+                choice @ (Choice::Wait | Choice::Nowhere) => {
+                    // Whatever changes after this is heard of, so the choice is made once more first.
+                    let Some(changed) = changed.take() else {
+                        changed = Some(self.shared.changed(&self.group));
+                        continue;
+                    };
+                    let limit = if choice == Choice::Wait {
+                        self.shared.ask(&self.group);
+                        route::WAIT
+                    } else {
+                        self.hopeful(&epoch, started)?;
+                        need.failed.clear();
+                        FAILOVER_WAIT
+                    };
+                    let left = limit.saturating_sub(need.waited);
                     self.shared.clock.timeout(left, changed).await;
                 }
                 Choice::Instance(instance) => {
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -228,9 +228,7 @@
 
     /// Has idle connections checked before their next use, because another one went silent.
     pub(super) fn suspect(&self) {
-        for connection in &mut self.lock().idle {
-            connection.used = Instant::default();
-        }
+        self.lock().suspect();
     }
 
     /// Opens connections ahead of a peak until `count` are idle or the share is used up.
@@ -286,6 +284,12 @@
         }
     }
 
+    fn suspect(&mut self) {
+        for connection in &mut self.idle {
+            connection.used = Instant::default();
+        }
+    }
+
     /// Closes idle connections above the share, the longest idle first.
     fn trim(&mut self) {
         let room = self.connections.saturating_sub(self.gate.used()) as usize;
@@ -375,6 +379,9 @@
         let took = self.statement.then(|| now.since(self.since));
         let input = if self.held { Input::Free } else { Input::Done(took) };
         let mut inner = self.pool.lock();
+        if self.running {
+            inner.suspect();
+        }
         let outputs = inner.gate.step(now, input);
         inner.apply(outputs);
         inner.trim();
--- a/src/proxy/route.rs
+++ b/src/proxy/route.rs
@@ -10,7 +10,7 @@
 use crate::wire::{Epoch, Replica, Trouble};
 
 /// How long a read waits for a replica that is about to reach its floor before the primary serves it.
-pub const WAIT: Duration = Duration::from_millis(15);
+pub const WAIT: Duration = Duration::from_millis(25);
 
 /// What a proxy knows of one instance.
 #[derive(Debug, Clone)]
