--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -8,7 +8,7 @@
 use cactushatch::config::Span;
 use clap::{Arg, ArgAction, ArgMatches, Command};
 
-use crate::{check, drill, load, ready, standin};
+use crate::{check, drill, link, load, measure, ready, standin};
 
 /// Runs the command that the arguments name.
 ///
@@ -22,8 +22,10 @@
         Some(("ports", matches)) => ports(matches),
         Some(("ready", matches)) => ready(matches),
         Some(("load", matches)) => load(matches),
+        Some(("link", matches)) => link(matches),
         Some(("check", matches)) => check(matches),
         Some(("prove", matches)) => prove(matches),
+        Some(("measure", matches)) => measure(matches),
         _ => anyhow::bail!("no such command"),
     }
 }
@@ -36,8 +38,10 @@
         .subcommand(ports_command())
         .subcommand(ready_command())
         .subcommand(load_command())
+        .subcommand(link_command())
         .subcommand(check_command())
         .subcommand(prove_command())
+        .subcommand(measure_command())
 }
 
 fn ready_command() -> Command {
@@ -59,6 +63,34 @@
     ready::check(std::path::Path::new(dir), &groups)
 }
 
+fn link_command() -> Command {
+    Command::new("link")
+        .about("Relays the frames of control processes, and cuts failure domains off on command")
+        .arg(Arg::new("control").long("control").required(true).help("Where it takes commands"))
+        .arg(Arg::new("domains").long("domains").required(true).help("The domain of each node"))
+        .arg(
+            Arg::new("route")
+                .long("route")
+                .action(ArgAction::Append)
+                .help("NODE,LISTEN,TARGET of a control process"),
+        )
+}
+
+fn link(matches: &ArgMatches) -> anyhow::Result<()> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let mut routes = Vec::new();
+    for route in matches.get_many::<String>("route").unwrap_or_default() {
+        let mut parts = route.split(',');
+        let (Some(node), Some(listen), Some(target)) = (parts.next(), parts.next(), parts.next())
+        else {
+            anyhow::bail!("{route} is no route such as NODE,LISTEN,TARGET");
+        };
+        let node = node.to_owned();
+        routes.push(link::Route { node, listen: listen.parse()?, target: target.parse()? });
+    }
+    link::run(text("control").parse()?, std::path::Path::new(&text("domains")), &routes)
+}
+
 fn load_command() -> Command {
     let number = |name: &'static str, default: &'static str, help: &'static str| {
         let parser = clap::value_parser!(u64);
@@ -170,6 +202,31 @@
     Ok(())
 }
 
+fn measure_command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        let parser = clap::value_parser!(u64);
+        Arg::new(name).long(name).default_value(default).value_parser(parser).help(help)
+    };
+    Command::new("measure")
+        .about("Takes measurements")
+        .arg(Arg::new("name").action(ArgAction::Append).help("Which; all without a name"))
+        .arg(number("runs", "1", "How often each one runs"))
+        .arg(number("seed", "1", "The seed of the first run"))
+        .arg(Arg::new("out").long("out").required(true).help("The folder for the files"))
+        .arg(Arg::new("label").long("label").required(true).help("What was built"))
+}
+
+fn measure(matches: &ArgMatches) -> anyhow::Result<()> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    measure::run(&measure::Settings {
+        names: matches.get_many::<String>("name").unwrap_or_default().cloned().collect(),
+        runs: matches.get_one::<u64>("runs").copied().unwrap_or(1),
+        seed: matches.get_one::<u64>("seed").copied().unwrap_or(1),
+        out: PathBuf::from(text("out")),
+        label: text("label"),
+    })
+}
+
 /// How many violations of a rule are printed.
 const PRINTED: usize = 5;
 
