Never let a connection's reads go back

Cause: a read that followed another before the next status of its instance came could go to a replica that was behind it, and the earlier read's mark was then forgotten. Change: until a status that was asked for after the read is there, reads stay on its instance (after a read of the primary they ask for its status and wait for it). caller/local.rs is split off. Seen to fail: tests/request_decisions.rs a_read_stays_... without the rule.

--- /dev/null
+++ b/src/proxy/caller/local.rs
@@ -0,0 +1,46 @@
+//! What the proxy answers itself: harmless settings, and the end of a transaction that was lost.
+
+use bytes::{BufMut, BytesMut};
+
+use super::{Asked, Caller, Open, Request, Stop};
+use crate::proxy::class::{Kind, Local};
+use crate::proxy::outcome::Outcome;
+
+impl Caller {
+    /// Answers a statement that the proxy runs itself.
+    pub(super) fn local(&mut self, request: &Request, local: Local) {
+        self.local_tag(request, local.tag());
+        if matches!(local, Local::DiscardAll | Local::DeallocateAll) {
+            self.statements.clear();
+        }
+    }
+
+    /// Answers a statement in a transaction whose connection was lost.
+    pub(super) fn end_lost(&mut self, request: &Request) -> Result<(), Stop> {
+        match request.summary.kind {
+            Kind::Commit | Kind::Rollback => {
+                self.open = Open::None;
+                self.failed = false;
+                self.local_tag(request, "ROLLBACK");
+                Ok(())
+            }
+            _ => Err(Outcome::Aborted.into()),
+        }
+    }
+
+    fn local_tag(&mut self, request: &Request, tag: &str) {
+        let out = &mut self.writer.out;
+        match &request.asked {
+            Asked::Batch(batch) => batch.complete(tag, out),
+            Asked::Simple(_) => write_complete(tag, out),
+        }
+    }
+}
+
+/// Appends a `CommandComplete`.
+pub(super) fn write_complete(tag: &str, out: &mut BytesMut) {
+    out.put_u8(b'C');
+    out.put_u32(4 + tag.len() as u32 + 1);
+    out.put_slice(tag.as_bytes());
+    out.put_u8(0);
+}
--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -1,5 +1,6 @@
 //! One caller's connection, from its start-up to its end.
 
+mod local;
 mod once;
 mod read;
 mod start;
@@ -9,16 +10,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{BufMut, BytesMut};
 use pgwire::messages::response::TransactionStatus;
 use smol::io::{AsyncBufReadExt, BufReader};
 
+use local::write_complete;
 pub(super) use start::accept;
 
 use super::admission::Arrival;
 use super::batch::{Batch, Statements, Summary, hex};
 use super::cancel::Entry;
-use super::class::{self, Kind, Local};
+use super::class::{self, Kind};
 use super::floor::{Floor, Mark};
 use super::outcome::{Effect, Outcome, Reason, write_error, write_ready};
 use super::pool::Loan;
@@ -389,35 +390,6 @@
         }
     }
 
-    /// Answers a statement that the proxy runs itself.
-    fn local(&mut self, request: &Request, local: Local) {
-        self.local_tag(request, local.tag());
-        if matches!(local, Local::DiscardAll | Local::DeallocateAll) {
-            self.statements.clear();
-        }
-    }
-
-    /// Answers a statement in a transaction whose connection was lost.
-    fn end_lost(&mut self, request: &Request) -> Result<(), Stop> {
-        match request.summary.kind {
-            Kind::Commit | Kind::Rollback => {
-                self.open = Open::None;
-                self.failed = false;
-                self.local_tag(request, "ROLLBACK");
-                Ok(())
-            }
-            _ => Err(Outcome::Aborted.into()),
-        }
-    }
-
-    fn local_tag(&mut self, request: &Request, tag: &str) {
-        let out = &mut self.writer.out;
-        match &request.asked {
-            Asked::Batch(batch) => batch.complete(tag, out),
-            Asked::Simple(_) => write_complete(tag, out),
-        }
-    }
-
     fn epoch(&self) -> Result<Epoch, Stop> {
         let epoch = self.shared.epoch(&self.group);
         epoch.ok_or_else(|| not_run(Reason::NoPrimary))
@@ -500,13 +472,6 @@
     }
 }
 
-fn write_complete(tag: &str, out: &mut BytesMut) {
-    out.put_u8(b'C');
-    out.put_u32(4 + tag.len() as u32 + 1);
-    out.put_slice(tag.as_bytes());
-    out.put_u8(0);
-}
-
 fn not_run(reason: Reason) -> Stop {
     Stop::Outcome(Outcome::refused(reason, Duration::ZERO))
 }
--- a/src/proxy/caller/read.rs
+++ b/src/proxy/caller/read.rs
@@ -38,6 +38,7 @@
             let epoch = self.epoch()?;
             let now = self.shared.clock.now();
             need.mark = self.mark(request, &epoch, now)?;
+            need.stay = self.seen.as_ref().map(|seen| seen.instance.clone());
             need.waited = now.since(started);
             match self.shared.route(&self.group, &epoch, &need) {
                 Choice::Lost => {
--- a/src/proxy/route.rs
+++ b/src/proxy/route.rs
@@ -34,6 +34,9 @@
     pub mark: Mark,
     /// How long the read has waited for a replica.
     pub waited: Duration,
+    /// The instance that served the session's last read, as long as it is not known up to where that saw: another
+    /// one may show less.
+    pub stay: Option<id::Instance>,
     /// The instances that failed this read already.
     pub failed: Vec<id::Instance>,
 }
@@ -68,6 +71,13 @@
         is_usable(candidate, epoch) && !need.failed.contains(&candidate.replica.instance)
     };
     let replicas = || candidates.iter().filter(usable);
+    if let Some(stay) = &need.stay {
+        let same = replicas().find(|candidate| candidate.replica.instance == *stay);
+        if same.is_some_and(|candidate| has_reached(candidate, epoch, need.mark)) {
+            return Choice::Instance(stay.clone());
+        }
+        return if need.waited < WAIT { Choice::Wait } else { primary(candidates, epoch, need) };
+    }
     let reached = replicas().filter(|candidate| has_reached(candidate, epoch, need.mark));
     let cost = |candidate: &&Candidate| {
         let far = candidate.replica.domain != *domain;
@@ -84,6 +94,11 @@
     if need.waited < WAIT && replicas().any(is_soon) {
         return Choice::Wait;
     }
+    primary(candidates, epoch, need)
+}
+
+/// Chooses the primary, when it can be used.
+fn primary(candidates: &[Candidate], epoch: &Epoch, need: &Need) -> Choice {
     let is_primary = |candidate: &&Candidate| candidate.replica.instance == epoch.primary;
     match candidates.iter().find(is_primary) {
         Some(primary)
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -263,6 +263,26 @@
     );
 }
 
+#[test]
+fn a_read_stays_where_the_last_one_was_until_that_is_known_to_be_reached_elsewhere() {
+    let epoch = epoch(1, &[(1, 0)]);
+    let candidates = [
+        candidate("primary", "a", 1, 9, 0),
+        candidate("r1", "a", 1, 9, 0),
+        candidate("r2", "b", 1, 9, 5),
+    ];
+    let read = |stay: &str, waited| {
+        let stay = Some(stay.parse().unwrap());
+        let need = Need { mark: mark(1, 9), waited, stay, ..Need::default() };
+        let domain = "a".parse().unwrap();
+        route::read(at(0), &candidates, &epoch, &need, &Trail::default(), &domain)
+    };
+    assert_eq!(read("r2", Duration::ZERO), Choice::Instance("r2".parse().unwrap()));
+    assert_eq!(read("gone", Duration::ZERO), Choice::Wait);
+    assert_eq!(read("gone", route::WAIT), Choice::Instance("primary".parse().unwrap()));
+    assert_eq!(read("primary", Duration::ZERO), Choice::Wait, "its status is asked for at once");
+}
+
 #[test]
 fn a_gate_starts_the_first_class_first_and_starves_none() {
     let mut gate = gate();
