--- a/tests/traces.rs
+++ b/tests/traces.rs
@@ -50,12 +50,12 @@
     mark: (id::Term, id::Position),
     at: (id::Term, id::Position),
     forks: Vec<(id::Term, id::Position)>,
-    is: Reached,
+    is: Standing,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
-enum Reached {
+enum Standing {
     Reached,
     Behind,
     Lost,
@@ -105,9 +105,9 @@
     let mark = Mark { term: step.mark.0, position: step.mark.1 };
     let at = Mark { term: step.at.0, position: step.at.1 };
     let reach = match mark.reach(at, &epoch) {
-        Reach::Reached => Reached::Reached,
-        Reach::Behind => Reached::Behind,
-        Reach::Lost => Reached::Lost,
+        Reach::Reached => Standing::Reached,
+        Reach::Behind => Standing::Behind,
+        Reach::Lost => Standing::Lost,
     };
     assert_eq!(reach, step.is, "{place}");
 }
