--- a/bench/src/drill/list.rs
+++ b/bench/src/drill/list.rs
@@ -54,6 +54,7 @@
         short: true,
         ..drill("lose_answer", &["500ms fault primary:ops-1 {\"lose_after_commit\":20}"])
     },
+    drill("terminate_proxy", &["1500ms terminate proxy-2"]),
     Drill {
         gap: SILENT,
         seconds: 8,
--- a/bench/src/load/caller.rs
+++ b/bench/src/load/caller.rs
@@ -71,7 +71,11 @@
         let mut rows = Vec::new();
         let mut refused = None;
         loop {
-            let message = self.client.receive().await?;
+            let message = match (self.client.receive().await, &refused) {
+                // A fatal error is the last message of a connection.
+                (Err(_), Some(refusal)) if is_fatal(refusal) => break,
+                (message, _) => message?,
+            };
             let mut bytes = BytesMut::with_capacity(message.body.len() + 5);
             message.write(&mut bytes);
             match backend::Message::parse(&mut bytes)? {
@@ -93,6 +97,11 @@
     }
 }
 
+/// Tells whether the proxy ends the connection with this error, as a shutdown does.
+pub fn is_fatal(refusal: &Refusal) -> bool {
+    refusal.code == "57P01"
+}
+
 fn columns(body: &backend::DataRowBody) -> Result<Vec<String>, Error> {
     let buffer = body.buffer_bytes();
     let mut columns = Vec::new();
--- a/bench/src/load/session.rs
+++ b/bench/src/load/session.rs
@@ -7,7 +7,7 @@
 use smol::Timer;
 
 use super::Load;
-use super::caller::{Caller, Reply};
+use super::caller::{Caller, Reply, is_fatal};
 use crate::history::{Kind, Outcome, Refusal, Request};
 
 /// How long a caller waits before it connects again.
@@ -235,6 +235,12 @@
         let outcome = outcome(reply);
         let mark = self.mark(before, &outcome);
         self.record(kind, invoked, outcome.clone(), due, mark);
+        if let Outcome::NotRun(refusal) | Outcome::Unknown(refusal) | Outcome::Failed(refusal) =
+            &outcome
+            && is_fatal(refusal)
+        {
+            self.caller = None;
+        }
         Some(outcome)
     }
 
