Replace a primary that most proxies can't use, though control reaches it

Ruled out: the leases; the cut proxy renewed its lease at that leader. Change: most of the proxies suffice, as well as most of the proxies and control together; still two at least.

--- a/src/control/failover/evidence.rs
+++ b/src/control/failover/evidence.rs
@@ -58,7 +58,8 @@
     }
 
     /// Judges an instance by the proxies that reported on it (see [`Evidence::prune`]), and by control's `own`
-    /// probe, which counts like one proxy. It takes most of them, and two at least: one bad link replaces no primary.
+    /// probe. It takes most of the proxies, or most of the proxies and control together, and two at least: one bad
+    /// link replaces no primary.
     pub(super) fn standing(
         &self,
         now: Instant,
@@ -66,18 +67,17 @@
         own: Option<(Instant, Trouble)>,
     ) -> Standing {
         let reports = self.reports.get(instance).into_iter().flatten();
-        let said = reports.map(|(_, report)| (report.since, report.trouble)).chain(own);
-        let mut observers = 0;
-        let mut bad = 0;
-        let mut refused = 0;
-        for (since, trouble) in said {
-            observers += 1;
-            bad += usize::from(is_bad(now, since, trouble));
-            refused += usize::from(trouble == Trouble::Refused);
+        let mut proxies = Tally::default();
+        for (_, report) in reports {
+            proxies.add(now, report.since, report.trouble);
         }
-        if bad < 2 || bad * 2 <= observers {
+        let mut all = proxies;
+        if let Some((since, trouble)) = own {
+            all.add(now, since, trouble);
+        }
+        if all.bad < 2 || !(proxies.is_most() || all.is_most()) {
             Standing::Usable
-        } else if refused * 2 > bad {
+        } else if all.refused * 2 > all.bad {
             Standing::Crashed
         } else {
             Standing::Lost
@@ -85,6 +85,26 @@
     }
 }
 
+/// How many observers there are, and what they say.
+#[derive(Debug, Clone, Copy, Default)]
+struct Tally {
+    observers: usize,
+    bad: usize,
+    refused: usize,
+}
+
+impl Tally {
+    fn add(&mut self, now: Instant, since: Instant, trouble: Trouble) {
+        self.observers += 1;
+        self.bad += usize::from(is_bad(now, since, trouble));
+        self.refused += usize::from(trouble == Trouble::Refused);
+    }
+
+    fn is_most(self) -> bool {
+        self.bad * 2 > self.observers
+    }
+}
+
 fn is_bad(now: Instant, since: Instant, trouble: Trouble) -> bool {
     match trouble {
         Trouble::Fine => false,
