Hear a primary out for 50 ms after the freeze

Cause: in a drain trial three writes, one for each group, were told that their outcome is unknown: sent again to the primary that had stopped writes, they were on their way when the epoch was frozen, and not waited for. Change: the answer, which proves that the write did not run, is waited for GRACE longer.

--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -1,6 +1,7 @@
 //! Writes and transactions: on the primary, with what acknowledges them released by the fence only.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use postgres_protocol::message::frontend;
 
@@ -242,6 +243,9 @@
     }
 }
 
+/// How long after the freeze an answer is still waited for: it may prove that the write did not run.
+const GRACE: Duration = Duration::from_millis(50);
+
 /// Waits for what a primary answers. An answer that is `held` for the fence can't be released any more once the
 /// term is frozen or replaced, so it is not waited for then.
 async fn unless_replaced<T>(
@@ -257,6 +261,7 @@
             let epoch = shared.epoch(group);
             let stands = |epoch: &Epoch| epoch.term == term && epoch.phase == Phase::Active;
             if held && !epoch.as_ref().is_some_and(stands) {
+                shared.clock.sleep(GRACE).await;
                 return None;
             }
             changed.await;
