--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -116,6 +116,11 @@
         let bytes = frame(Body::Heartbeat(heartbeat(0..groups))).encode().expect("a frame").len();
         println!("| heartbeat | {groups} | {bytes} |");
     }
+    for groups in [1, 10, 100] {
+        let beat = Heartbeat { sightings: Vec::new(), ..heartbeat(0..groups) };
+        let bytes = frame(Body::Heartbeat(beat)).encode().expect("a frame").len();
+        println!("| heartbeat, demands only | {groups} | {bytes} |");
+    }
     for groups in [0, 1, 3, 10, 100] {
         let bytes = frame(Body::Grant(grant(groups))).encode().expect("a frame").len();
         println!("| grant | {groups} | {bytes} |");
