--- a/src/cli/exit.rs
+++ b/src/cli/exit.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use crate::config;
+use crate::{config, security};
 
 /// What the process tells its caller when it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,7 +50,10 @@
 
     /// Returns the exit code of an error.
     pub fn of(error: &anyhow::Error) -> Self {
-        if error.chain().any(|cause| cause.is::<config::Error>()) {
+        let invalid = |cause: &(dyn std::error::Error + 'static)| {
+            cause.is::<config::Error>() || cause.is::<security::Error>()
+        };
+        if error.chain().any(invalid) {
             return Self::Invalid;
         }
         let stop = error.chain().find_map(|cause| cause.downcast_ref::<Stop>());
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -46,6 +46,15 @@
     assert_eq!(err.matches("[cactushatch error]").count(), 1, "{err}");
     assert_eq!(err.lines().count(), 3, "{err}");
     ends(Exit::Invalid, &["proxy", "--settings", &bad]);
+    let empty = write(dir.path(), "keys", "# no key\n");
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+    std::fs::set_permissions(&empty, mode).unwrap();
+    let example = concat!(env!("CARGO_MANIFEST_DIR"), "/examples/imena/proxy-1.toml");
+    let example = std::fs::read_to_string(example).unwrap();
+    let settings = format!("{example}\n[security]\nkeys = \"{empty}\"\n");
+    let settings = write(dir.path(), "proxy.toml", &settings);
+    let (_, err) = ends(Exit::Invalid, &["check", "--settings", &settings]);
+    assert!(err.contains("there is no key"), "{err}");
     ends(Exit::Usage, &["drain"]);
     ends(Exit::Usage, &["peak", "g", "--at", "24:61", "--lasts", "1m", "--admin", "127.0.0.1:9"]);
     ends(Exit::Usage, &["status", "--admin", "nowhere"]);
