--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -26,6 +26,7 @@
 pub mod session;
 pub mod setting;
 mod shared;
+mod state;
 mod sweep;
 pub mod trail;
 mod watch;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,6 +1,5 @@
 //! A proxy process: its sockets, and what its tasks share.
 
-use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -10,12 +9,12 @@
 use super::cancel::Registry;
 use super::class::Kinds;
 use super::fence::{Fence, Verdict};
-use super::gap::Gaps;
 use super::pool::Pool;
 use super::retry::Budget;
 use super::route::Candidate;
 use super::session::Directory;
 use super::shared::{Life, Traffic};
+use super::state::{Instance, State};
 use super::{Error, caller, heartbeat, peak, sweep, watch};
 use crate::clock::{Clock, Instant};
 use crate::config::{self, Fleet};
@@ -25,7 +24,7 @@
 use crate::security::Guard;
 use crate::upstream::announcement;
 use crate::upstream::position::Status;
-use crate::wire::{Body, Demand, Epoch, Frame, Grant, Heartbeat, Replica, Role, Sighting, Trouble};
+use crate::wire::{Body, Epoch, Frame, Grant, Heartbeat, Replica, Role, Trouble};
 
 /// How long the last outcomes of a shutdown may take to be read.
 const GRACE: Duration = Duration::from_secs(1);
@@ -83,40 +82,6 @@
     state: Mutex<State>,
 }
 
-/// What changes, under one lock that is never held over an `await`.
-#[derive(Debug, Default)]
-struct State {
-    fence: Fence,
-    gaps: Gaps,
-    fleet: Arc<Fleet>,
-    revision: id::Revision,
-    fetching: bool,
-    instances: BTreeMap<id::Instance, Instance>,
-    /// When the next unchanged sighting is due, and of which instance it was last.
-    rotation: (Instant, Option<id::Instance>),
-    /// Whether the lease has run out, so that each pool holds one connection.
-    lapsed: bool,
-}
-
-#[derive(Debug)]
-struct Instance {
-    replica: Replica,
-    /// When it last announced itself to this proxy; it may be known from control's table alone.
-    announced: Option<Instant>,
-    status: Option<(Instant, Status)>,
-    life: Life,
-    trouble: Trouble,
-    good: Instant,
-    /// When control last listed it.
-    listed: Option<Instant>,
-    /// What control was told of it, and with which heartbeat.
-    told: Option<(id::Sequence, Trouble)>,
-    pool: Arc<Pool>,
-}
-
-/// How long until control has been told of every instance again, changed or not.
-const ROTATION: Duration = Duration::from_secs(3);
-
 /// Binds the sockets of a proxy and starts it.
 ///
 /// # Errors
@@ -167,28 +132,6 @@
     id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
 }
 
-impl State {
-    /// Takes a grant into the fence; `gap` gets each failover that ended with it. Returns whether what is in force changed.
-    fn step(&mut self, now: Instant, grant: Grant, gap: impl Fn(id::Instance, Duration)) -> bool {
-        let routes = grant.delta.iter().flat_map(|delta| &delta.routes);
-        let groups: Vec<id::Group> = routes.map(|route| route.group.clone()).collect();
-        let before: Vec<Option<Epoch>> =
-            groups.iter().map(|group| self.fence.epoch(group).cloned()).collect();
-        let changed = self.fence.step(grant);
-        for (group, before) in groups.iter().zip(before) {
-            let Some(after) = self.fence.epoch(group) else {
-                continue;
-            };
-            let primary = before.as_ref().and_then(|epoch| self.instances.get(&epoch.primary));
-            let answered = primary.map(|instance| instance.good);
-            if let Some((primary, time)) = self.gaps.step(now, before.as_ref(), after, answered) {
-                gap(primary, time);
-            }
-        }
-        changed
-    }
-}
-
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("nothing panics while it holds the lock")
@@ -488,80 +431,3 @@
         self.lock().instances.get(instance).map(|known| Arc::clone(&known.pool))
     }
 }
-
-impl State {
-    /// Returns how many slots each instance of a group has.
-    fn slots(&self, group: &id::Group) -> u32 {
-        self.fleet.group.get(group).map_or(1, |group| group.slots)
-    }
-
-    /// Keeps one connection to each instance once the lease has run out, since control gives the rest to others.
-    fn lapse(&mut self, now: Instant) {
-        if self.fence.leased(now) || self.lapsed {
-            return;
-        }
-        self.lapsed = true;
-        for instance in self.instances.values() {
-            let slots = self.slots(&instance.replica.group);
-            instance.pool.limit(slots, 1);
-        }
-    }
-
-    /// Collects what control is to hear of instances: what changed, until it is answered, and the rest in turn.
-    fn sightings(&mut self, now: Instant, sequence: id::Sequence) -> Vec<Sighting> {
-        let due = self.due(now);
-        let mut sightings = Vec::new();
-        for (name, instance) in &mut self.instances {
-            let told = instance.told.is_some_and(|(told, trouble)| {
-                self.fence.heard(told) && trouble == instance.trouble
-            });
-            if told && !due.contains(name) {
-                continue;
-            }
-            instance.told = Some((sequence, instance.trouble));
-            sightings.push(Sighting {
-                replica: instance.replica.clone(),
-                trouble: instance.trouble,
-                silent_ms: now.since(instance.good).as_millis() as u32,
-                announced_ms: instance.announced.map(|at| now.since(at).as_millis() as u32),
-            });
-        }
-        sightings
-    }
-
-    /// Returns the instances whose turn it is.
-    fn due(&mut self, now: Instant) -> Vec<id::Instance> {
-        let (next, last) = &self.rotation;
-        if now < *next || self.instances.is_empty() {
-            return Vec::new();
-        }
-        let step = ROTATION / self.instances.len() as u32;
-        let passed = now.since(*next).as_micros() / step.as_micros().max(1);
-        let count = (passed as usize + 1).min(self.instances.len());
-        let after =
-            self.instances.keys().filter(|name| last.as_ref().is_none_or(|last| *name > last));
-        let due: Vec<id::Instance> =
-            after.chain(self.instances.keys()).take(count).cloned().collect();
-        self.rotation = (now + step, due.last().cloned());
-        due
-    }
-
-    /// Tells how many connections each group holds and wants.
-    fn demand(&self) -> Vec<Demand> {
-        let mut demands: BTreeMap<&id::Group, Demand> = BTreeMap::new();
-        for instance in self.instances.values() {
-            let group = &instance.replica.group;
-            let (open, wanted, share) = instance.pool.demand();
-            let demand = demands.entry(group).or_insert_with(|| Demand {
-                group: group.clone(),
-                wanted: 0,
-                open: 0,
-                share: 0,
-            });
-            demand.open = demand.open.max(open);
-            demand.wanted = demand.wanted.max(wanted);
-            demand.share = demand.share.max(share);
-        }
-        demands.into_values().collect()
-    }
-}
