Show no position of a stand-in before its data

Cause: a stand-in that rewound released its log between cutting it and building its database anew, so for some milliseconds its status showed the cut position with an empty database; and a record taken before the cut could be applied to the old file. Ruled out: the proxies, which were not on that path. Change: the database is built under the log's lock, and a record is applied only in the generation that it was taken in.

--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -10,4 +10,4 @@
 mod measure;
 mod ready;
 mod router;
-mod standin;
+pub mod standin;
--- a/bench/src/standin/journal.rs
+++ b/bench/src/standin/journal.rs
@@ -17,20 +17,26 @@
 /// One committed transaction: its statements with their parameters filled in.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Record {
+    /// The term it was committed in.
     pub term: u64,
+    /// Its place in the log; the first is 1.
     pub position: u64,
+    /// The statements, in order.
     pub statements: Vec<String>,
 }
 
 /// What is replicated, under one lock.
 #[derive(Debug)]
 pub struct Log {
+    /// Whether the instance takes writes.
     pub role: Role,
     /// Whether it was primary and was told to stop writes; it feeds its followers on.
     pub stopped: bool,
+    /// The term that the history ends in.
     pub term: u64,
     /// Where each term began.
     pub history: Vec<(u64, u64)>,
+    /// All records that are held, applied or not.
     pub records: Vec<Record>,
     /// When each record was received, for the lag.
     received_at: Vec<Instant>,
@@ -45,15 +51,23 @@
     file: File,
 }
 
+/// The log of an instance and the database that it makes.
 #[derive(Debug)]
 pub struct Journal {
+    /// What is replicated.
     pub log: Mutex<Log>,
+    /// Tells of every change of the log.
     pub changed: Condvar,
     database: PathBuf,
     path: PathBuf,
 }
 
 impl Journal {
+    /// Opens the log in the settings' folder and builds the database from it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a file can't be read or written.
     pub fn open(settings: &Settings) -> anyhow::Result<Self> {
         std::fs::create_dir_all(&settings.data)?;
         let path = settings.data.join(format!("{}.log", settings.instance));
@@ -82,7 +96,7 @@
             file,
         };
         let journal = Self { log: Mutex::new(log), changed: Condvar::new(), database, path };
-        journal.rebuild()?;
+        journal.rebuild(&journal.log.lock().unwrap())?;
         Ok(journal)
     }
 
@@ -95,13 +109,12 @@
         Ok(connection)
     }
 
-    /// Builds the database from the records up to `applied`.
-    fn rebuild(&self) -> anyhow::Result<()> {
+    /// Builds the database from the records up to `applied`; nobody sees a position meanwhile.
+    fn rebuild(&self, log: &Log) -> anyhow::Result<()> {
         for suffix in ["", "-wal", "-shm"] {
             let _ = std::fs::remove_file(format!("{}{suffix}", self.database.display()));
         }
         let connection = self.connect()?;
-        let log = self.log.lock().unwrap();
         connection.execute_batch("BEGIN")?;
         for record in &log.records[..log.applied as usize] {
             run_all(&connection, &record.statements);
@@ -112,8 +125,8 @@
 
     /// Applies all that was received; returns when nothing is left.
     pub fn apply_all(&self, connection: &Connection) {
-        while let Some(record) = self.next_unapplied() {
-            self.apply(connection, &record);
+        while let Some((record, generation)) = self.next_unapplied() {
+            self.apply(connection, &record, generation);
         }
     }
 
@@ -139,18 +152,20 @@
                 std::thread::sleep(wait.min(Duration::from_millis(20)));
                 continue;
             }
-            self.apply(&connection, &record);
+            self.apply(&connection, &record, generation);
         }
     }
 
-    fn next_unapplied(&self) -> Option<Record> {
+    fn next_unapplied(&self) -> Option<(Record, u64)> {
         let log = self.log.lock().unwrap();
-        log.records.get(log.applied as usize).cloned()
+        let record = log.records.get(log.applied as usize).cloned();
+        record.map(|record| (record, log.generation))
     }
 
-    fn apply(&self, connection: &Connection, record: &Record) {
+    /// Applies a record that was taken from the log of `generation`, by a connection as old as that.
+    fn apply(&self, connection: &Connection, record: &Record, generation: u64) {
         let mut log = self.log.lock().unwrap();
-        if log.applied + 1 != record.position {
+        if log.generation != generation || log.applied + 1 != record.position {
             return;
         }
         let _ = connection.execute_batch("BEGIN IMMEDIATE");
@@ -191,30 +206,31 @@
 
     /// Drops all beyond `position` and takes over the primary's term history.
     pub fn rewind(&self, position: u64, term: u64, history: Vec<(u64, u64)>) -> anyhow::Result<()> {
-        let rebuilt = {
-            let mut log = self.log.lock().unwrap();
-            log.term = term;
-            log.history = history;
-            if position >= log.records.len() as u64 {
-                return Ok(());
-            }
-            log.records.truncate(position as usize);
-            log.received_at.truncate(position as usize);
-            log.generation += 1;
-            log.rewrite(&self.path)?;
-            let rebuilt = log.applied > position;
-            log.applied = log.applied.min(position);
-            rebuilt
-        };
-        if rebuilt { self.rebuild() } else { Ok(()) }
+        let mut log = self.log.lock().unwrap();
+        log.term = term;
+        log.history = history;
+        if position >= log.records.len() as u64 {
+            return Ok(());
+        }
+        log.records.truncate(position as usize);
+        log.received_at.truncate(position as usize);
+        log.generation += 1;
+        log.rewrite(&self.path)?;
+        if log.applied > position {
+            log.applied = position;
+            self.rebuild(&log)?;
+        }
+        Ok(())
     }
 }
 
 impl Log {
+    /// Returns up to where reads see the data.
     pub fn position(&self) -> u64 {
         self.applied
     }
 
+    /// Returns up to where the log is held.
     pub fn received(&self) -> u64 {
         self.records.len() as u64
     }
--- a/bench/src/standin/mod.rs
+++ b/bench/src/standin/mod.rs
@@ -8,7 +8,7 @@
 mod execute;
 mod fault;
 mod instance;
-mod journal;
+pub mod journal;
 mod replication;
 mod reply;
 mod server;
