Show a cancel from the caller to the upstream

Cause: the stand-in ignored cancel requests, so that the way of a cancel through the proxy was never shown. Change: the stand-in interrupts the named connection's statement and answers 57014. The new test failed with the old stand-in, and passed 2 times of 2 with this one.

--- a/bench/src/standin/codec.rs
+++ b/bench/src/standin/codec.rs
@@ -19,8 +19,17 @@
     pub reserved: bool,
 }
 
+/// What a connection begins with.
+#[derive(Debug)]
+pub enum First {
+    /// It asks to cancel what the connection with this process id runs.
+    Cancel(i32),
+    /// It starts a session.
+    Client(Client),
+}
+
 /// Reads the start-up; returns the client, or `None` for a cancel request.
-pub fn start(reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<Option<Client>> {
+pub fn start(reader: &mut impl Read, socket: &mut TcpStream) -> anyhow::Result<First> {
     loop {
         let mut header = [0; 8];
         reader.read_exact(&mut header)?;
@@ -31,7 +40,11 @@
         reader.read_exact(&mut body)?;
         match code {
             80_877_103 | 80_877_104 => socket.write_all(b"N")?,
-            80_877_102 => return Ok(None),
+            80_877_102 => {
+                let (process, secret) = body.split_at(body.len().min(4));
+                anyhow::ensure!(process == secret, "a cancel request with a wrong secret");
+                return Ok(First::Cancel(i32::from_be_bytes(process.try_into()?)));
+            }
             _ => {
                 let text = String::from_utf8_lossy(&body).into_owned();
                 let mut words = text.split('\0');
@@ -45,7 +58,7 @@
                         _ => {}
                     }
                 }
-                return Ok(Some(client));
+                return Ok(First::Client(client));
             }
         }
     }
--- a/bench/src/standin/execute.rs
+++ b/bench/src/standin/execute.rs
@@ -100,6 +100,7 @@
             | rusqlite::ffi::SQLITE_CONSTRAINT_UNIQUE => "23505",
             rusqlite::ffi::SQLITE_CONSTRAINT_NOTNULL => "23502",
             rusqlite::ffi::SQLITE_BUSY_SNAPSHOT => "40001",
+            rusqlite::ffi::SQLITE_INTERRUPT => "57014",
             _ => "42601",
         },
         _ => "42601",
--- a/bench/src/standin/instance.rs
+++ b/bench/src/standin/instance.rs
@@ -1,5 +1,6 @@
 //! One running instance: its role, its writer, and its status.
 
+use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicI32, AtomicUsize, Ordering};
 use std::sync::{Condvar, Mutex};
@@ -14,12 +15,12 @@
 use super::journal::{Journal, Log};
 use super::reply::{Column, INT8, TEXT};
 use super::slot::Slots;
+use rusqlite::InterruptHandle;
 
 /// How long open write transactions are waited for before a demotion is refused.
 const DEMOTE: Duration = Duration::from_millis(200);
 
 /// One running instance.
-#[derive(Debug)]
 pub struct Instance {
     pub settings: Settings,
     pub journal: Journal,
@@ -34,6 +35,8 @@
     source: Mutex<Option<TcpStream>>,
     pub open: AtomicUsize,
     pub processes: AtomicI32,
+    /// What interrupts the statement of each connection.
+    pub interrupts: Mutex<HashMap<i32, InterruptHandle>>,
 }
 
 impl Instance {
@@ -48,6 +51,7 @@
             source: Mutex::new(None),
             open: AtomicUsize::new(0),
             processes: AtomicI32::new(1),
+            interrupts: Mutex::default(),
             settings,
             journal,
         }
--- a/bench/src/standin/server.rs
+++ b/bench/src/standin/server.rs
@@ -13,7 +13,7 @@
 use rusqlite::Connection;
 use rusqlite::types::Value;
 
-use super::codec::{Client, decode, read_message, start};
+use super::codec::{Client, First, decode, read_message, start};
 use super::execute::{no_statement, refusal};
 use super::instance::{Instance, status_columns};
 use super::reply::{Column, Reply, TEXT, columns};
@@ -80,8 +80,14 @@
     fn serve(instance: &'a Instance, mut socket: TcpStream, open: usize) -> anyhow::Result<()> {
         socket.set_nodelay(true)?;
         let mut reader = BufReader::new(socket.try_clone()?);
-        let Some(Client { domain, reserved }) = start(&mut reader, &mut socket)? else {
-            return Ok(());
+        let Client { domain, reserved } = match start(&mut reader, &mut socket)? {
+            First::Client(client) => client,
+            First::Cancel(process) => {
+                if let Some(interrupt) = instance.interrupts.lock().unwrap().get(&process) {
+                    interrupt.interrupt();
+                }
+                return Ok(());
+            }
         };
         let mut reply = Reply::default();
         if open >= instance.settings.connections && !reserved {
@@ -113,7 +119,10 @@
             portals: HashMap::new(),
             reply,
         };
+        let interrupt = session.database.get_interrupt_handle();
+        instance.interrupts.lock().unwrap().insert(process, interrupt);
         let result = session.run(&mut reader, &mut socket);
+        instance.interrupts.lock().unwrap().remove(&process);
         session.end_transaction();
         result
     }
--- a/tests/request_process.rs
+++ b/tests/request_process.rs
@@ -208,6 +208,27 @@
     assert_eq!(affected(&rows), 1, "the rows of the first request");
 }
 
+#[test]
+fn a_cancel_ends_the_statement_that_it_names_and_no_other() {
+    let fleet = Fleet::up();
+    let mut client = fleet.connect(0, "ops-1");
+    let mut other = fleet.connect(0, "ops-1");
+    let endless = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n) \
+                   SELECT count(*) FROM n";
+    let token = client.cancel_token();
+    let asked = std::thread::spawn(move || {
+        std::thread::sleep(Duration::from_millis(500));
+        token.cancel_query(postgres::NoTls).expect("the proxy takes the cancel");
+    });
+    let start = Instant::now();
+    let cancelled = client.batch_execute(endless).unwrap_err();
+    assert_eq!(cancelled.code().expect("an answer").code(), "57014");
+    assert!(start.elapsed() < Duration::from_secs(2), "it ran on for {:?}", start.elapsed());
+    asked.join().unwrap();
+    other.batch_execute("SELECT 1").unwrap();
+    client.batch_execute("SELECT 1").unwrap();
+}
+
 #[test]
 fn a_once_request_runs_once_at_any_proxy() {
     let fleet = Fleet::up();
