--- /dev/null
+++ b/src/broker/dispatch.rs
@@ -0,0 +1,315 @@
+//! Which instance of a group runs a statement next, who waits, and who is refused at once.
+//!
+//! A plain machine over permits: each instance has as many as this proxy may hold connections to it. It answers the
+//! rush at a bell: all callers at once, with reads that any caught-up replica can serve and writes that only the
+//! primary can. One queue before all instances keeps each permit busy for whoever may use it, in the order of
+//! priority; what would wait longer than its patience is refused on arrival, with the time after which there is room.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::need::Need;
+use crate::clock::Instant;
+use crate::id;
+use crate::proxy::floor::Mark;
+
+/// The most statements that wait in one group; more are refused.
+pub const MAX_WAITING: usize = 512;
+
+/// How much of a new sample the mean time takes, as one part of this many.
+const SMOOTHING: u32 = 8;
+
+/// The mean time of an instance that nothing ran on yet.
+const FIRST_MEAN: Duration = Duration::from_millis(15);
+
+/// How long after the primary stood at a mark a replica is taken to have received it: a few times the lag that
+/// replicas usually have. One that has not says so, and is then asked only for what it is known to have.
+pub const USUAL_LAG: Duration = Duration::from_millis(150);
+
+/// How long a replica that lacked a mark is asked only for what it is known to have.
+pub const LAGGING: Duration = Duration::from_millis(300);
+
+/// How long an instance that was full is left alone.
+pub const FULL: Duration = Duration::from_millis(10);
+
+/// How long a group is usually without a primary: finding out, the fence, and the promotion.
+pub const USUAL_ABSENCE: Duration = Duration::from_millis(2_000);
+
+/// Every so many starts go to the statement that has waited longest, so that no priority starves.
+const FAIR_START: u64 = 8;
+
+/// How many times the load of a replica the primary's counts for a read that both can serve.
+const PRIMARY_COST: u32 = 3;
+
+/// Numbers the statements of one group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Ticket(pub u64);
+
+/// A statement that asks for an instance.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// Its number.
+    pub ticket: Ticket,
+    /// What it needs.
+    pub need: Need,
+    /// The priority of its class; lower goes first.
+    pub priority: u8,
+    /// How long it may wait.
+    pub patience: Duration,
+    /// The instances that failed it already.
+    pub failed: SmallVec<[id::Instance; 2]>,
+}
+
+/// What an ask comes to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// It runs on this instance now.
+    Start(id::Instance),
+    /// It waits.
+    Wait,
+    /// It is refused; there is room after this time.
+    Refuse(Duration),
+}
+
+/// What is known of an instance.
+#[derive(Debug)]
+struct Seat {
+    permits: u32,
+    used: u32,
+    usable: bool,
+    position: Option<Mark>,
+    lagging: Option<Instant>,
+    full: Option<Instant>,
+    mean: Duration,
+    far: bool,
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ask: Ask,
+    since: Instant,
+}
+
+/// The instances of one group and who waits for them.
+#[derive(Debug, Default)]
+pub struct Dispatch {
+    seats: BTreeMap<id::Instance, Seat>,
+    /// The primary, as long as it may be used.
+    primary: Option<id::Instance>,
+    /// Since when there has been none.
+    absent: Option<Instant>,
+    waiting: Vec<Waiting>,
+    started: u64,
+}
+
+impl Dispatch {
+    /// Adds an instance, or sets whether it may be used and how many connections to it may be held.
+    pub fn seat(&mut self, instance: &id::Instance, permits: u32, usable: bool, far: bool) {
+        let seat = self.seats.entry(instance.clone()).or_insert_with(|| Seat {
+            permits,
+            used: 0,
+            usable,
+            position: None,
+            lagging: None,
+            full: None,
+            mean: FIRST_MEAN,
+            far,
+        });
+        seat.permits = permits;
+        seat.usable = usable;
+        seat.far = far;
+    }
+
+    /// Forgets the instances that `keep` does not name.
+    pub fn retain(&mut self, keep: impl Fn(&id::Instance) -> bool) {
+        self.seats.retain(|instance, _| keep(instance));
+    }
+
+    /// Sets the primary, or none while it may not be used.
+    pub fn lead(&mut self, now: Instant, primary: Option<id::Instance>) {
+        match (&primary, self.absent) {
+            (None, None) => self.absent = Some(now),
+            (Some(_), _) => self.absent = None,
+            _ => {}
+        }
+        self.primary = primary;
+    }
+
+    /// Returns the primary that may be used.
+    pub fn primary(&self) -> Option<&id::Instance> {
+        self.primary.as_ref()
+    }
+
+    /// Notes where an instance stands.
+    pub fn stands(&mut self, instance: &id::Instance, position: Mark) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.position = Some(position);
+        }
+    }
+
+    /// Notes that an instance lacked a mark.
+    pub fn lagged(&mut self, now: Instant, instance: &id::Instance) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.lagging = Some(now + LAGGING);
+        }
+    }
+
+    /// Notes that an instance had no room.
+    pub fn was_full(&mut self, now: Instant, instance: &id::Instance) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.full = Some(now + FULL);
+        }
+    }
+
+    /// Returns how many connections to one instance are in use, at the most.
+    pub fn used(&self) -> u32 {
+        self.seats.values().map(|seat| seat.used).max().unwrap_or(0)
+    }
+
+    /// Returns how many connections to one instance are in use or wanted, at the most.
+    pub fn wanted(&self) -> u32 {
+        let used = self.used();
+        let primary = |waiting: &&Waiting| waiting.ask.need == Need::Primary;
+        let for_primary = self.waiting.iter().filter(primary).count();
+        let others = (self.waiting.len() - for_primary) / self.seats.len().max(1);
+        used + for_primary.max(others) as u32
+    }
+
+    /// Takes a permit of an instance when one is free, for the system's own use.
+    pub fn take(&mut self, instance: &id::Instance) -> bool {
+        match self.seats.get_mut(instance) {
+            Some(seat) if seat.used < seat.permits => {
+                seat.used += 1;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Places a statement, has it wait, or refuses it.
+    pub fn ask(&mut self, now: Instant, ask: Ask) -> Verdict {
+        let ahead = self.waiting.iter().filter(|w| w.ask.priority <= ask.priority).count();
+        if ahead == 0
+            && let Some(instance) = self.place(now, &ask)
+        {
+            self.start(&instance);
+            return Verdict::Start(instance);
+        }
+        let wait = self.wait(now, &ask, ahead);
+        if wait > ask.patience || self.waiting.len() >= MAX_WAITING {
+            return Verdict::Refuse(wait);
+        }
+        self.waiting.push(Waiting { ask, since: now });
+        Verdict::Wait
+    }
+
+    /// Gives a statement up that waits, and returns when there will be room for it.
+    pub fn give_up(&mut self, now: Instant, ticket: Ticket) -> Duration {
+        let found = self.waiting.iter().position(|waiting| waiting.ask.ticket == ticket);
+        let Some(at) = found else {
+            return Duration::ZERO;
+        };
+        let Waiting { ask, .. } = self.waiting.swap_remove(at);
+        let ahead = self.waiting.iter().filter(|w| w.ask.priority <= ask.priority).count();
+        self.wait(now, &ask, ahead)
+    }
+
+    /// Takes a permit back; `took` is how long a statement ran, unless that says nothing.
+    pub fn release(&mut self, instance: &id::Instance, took: Option<Duration>) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.used = seat.used.saturating_sub(1);
+            if let Some(took) = took {
+                seat.mean = (seat.mean * (SMOOTHING - 1) + took) / SMOOTHING;
+            }
+        }
+    }
+
+    /// Starts what can run now, and returns who runs where.
+    pub fn advance(&mut self, now: Instant) -> SmallVec<[(Ticket, id::Instance); 2]> {
+        let mut started = SmallVec::new();
+        while let Some((at, instance)) = self.next(now) {
+            let waiting = self.waiting.swap_remove(at);
+            self.start(&instance);
+            started.push((waiting.ask.ticket, instance));
+        }
+        started
+    }
+
+    fn start(&mut self, instance: &id::Instance) {
+        self.started += 1;
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.used += 1;
+        }
+    }
+
+    /// Returns who goes next, and where.
+    fn next(&self, now: Instant) -> Option<(usize, id::Instance)> {
+        let fair = self.started % FAIR_START == FAIR_START - 1;
+        let mut order: SmallVec<[usize; 16]> = (0..self.waiting.len()).collect();
+        order.sort_by_key(|at| {
+            let waiting = &self.waiting[*at];
+            let priority = if fair { 0 } else { waiting.ask.priority };
+            (priority, waiting.since, waiting.ask.ticket)
+        });
+        order.into_iter().find_map(|at| {
+            let instance = self.place(now, &self.waiting[at].ask)?;
+            Some((at, instance))
+        })
+    }
+
+    /// Returns the instance with a free permit that runs a statement soonest.
+    fn place(&self, now: Instant, ask: &Ask) -> Option<id::Instance> {
+        let free = |(instance, seat): &(&id::Instance, &Seat)| {
+            seat.used < seat.permits
+                && !ask.failed.contains(instance)
+                && self.serves(now, instance, seat, ask.need)
+        };
+        let cost = |(instance, seat): &(&id::Instance, &Seat)| {
+            let load = seat.mean * (seat.used + 1) + Duration::from_millis(u64::from(seat.far));
+            let primary = self.primary.as_ref() == Some(*instance);
+            if primary { load * PRIMARY_COST } else { load }
+        };
+        let best = self.seats.iter().filter(free).min_by_key(cost);
+        best.map(|(instance, _)| instance.clone())
+    }
+
+    /// Tells whether an instance can run a statement with this need.
+    fn serves(&self, now: Instant, instance: &id::Instance, seat: &Seat, need: Need) -> bool {
+        if !seat.usable || seat.full.is_some_and(|until| now < until) {
+            return false;
+        }
+        let leads = self.primary.as_ref() == Some(instance);
+        match need {
+            Need::Primary => leads,
+            Need::Reached { .. } if leads => true,
+            Need::Reached { mark, since } => {
+                let known = seat.position.is_some_and(|position| position >= mark);
+                let lagging = seat.lagging.is_some_and(|until| now < until);
+                known || (!lagging && now.since(since) >= USUAL_LAG)
+            }
+        }
+    }
+
+    /// Estimates how long a statement waits that has `ahead` others before it.
+    fn wait(&self, now: Instant, ask: &Ask, ahead: usize) -> Duration {
+        if ask.need == Need::Primary && self.primary.is_none() {
+            let passed = self.absent.map_or(Duration::ZERO, |since| now.since(since));
+            return USUAL_ABSENCE.checked_sub(passed).unwrap_or(USUAL_ABSENCE);
+        }
+        let able = |(instance, seat): &(&id::Instance, &Seat)| match ask.need {
+            Need::Primary => self.primary.as_ref() == Some(*instance),
+            Need::Reached { .. } => seat.usable,
+        };
+        let (mut permits, mut mean) = (0, FIRST_MEAN);
+        for (_, seat) in self.seats.iter().filter(able) {
+            permits += seat.permits;
+            mean = mean.max(seat.mean);
+        }
+        if permits == 0 {
+            return USUAL_ABSENCE;
+        }
+        mean * (ahead as u32 / permits + 1)
+    }
+}
--- /dev/null
+++ b/src/broker/keeper.rs
@@ -0,0 +1,76 @@
+//! Keeps what the request path knows fresh while traffic alone doesn't: whether instances answer, and where the
+//! primaries stand. One timer serves all instances, and nobody is asked that has answered a moment ago.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::lane::{Lane, Permit};
+use super::server::Shared;
+use crate::clock::Instant;
+use crate::statement::Order;
+use crate::upstream::channel::{Error, Outcome};
+use crate::wire::{Replica, Trouble};
+
+/// How often the instances are looked at.
+const INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long an instance may say nothing until it is asked.
+const QUIET: Duration = Duration::from_millis(700);
+
+/// How old the last sight of a primary may be until it is asked; bounded reads of half a second can still be proved.
+const FADED: Duration = Duration::from_millis(400);
+
+/// How long an instance may take to answer before it counts as silent.
+const SILENCE: Duration = Duration::from_millis(800);
+
+/// Looks after the instances for ever.
+pub(super) async fn run(shared: Arc<Shared>) {
+    loop {
+        shared.clock.sleep(INTERVAL).await;
+        let now = shared.clock.now();
+        let faded = shared.faded(FADED);
+        let due = shared.instances(|known| {
+            let quiet = now.since(known.good) >= QUIET || known.trouble != Trouble::Fine;
+            let needed = quiet || faded.contains(&known.replica.instance);
+            needed.then(|| known.replica.clone())
+        });
+        for replica in due.into_iter().flatten() {
+            if let Some(permit) = shared.permit_now(&replica) {
+                smol::spawn(ask(Arc::clone(&shared), replica, permit)).detach();
+            }
+        }
+    }
+}
+
+/// Asks an instance where it stands, over an idle connection or a new one.
+async fn ask(shared: Arc<Shared>, replica: Replica, permit: Permit) {
+    let instance = &replica.instance;
+    let deadline = shared.clock.now() + SILENCE;
+    let term = shared.reign(&replica.group, instance);
+    let lane = match shared.idle(instance, &Default::default()) {
+        Some(lane) => Ok(lane),
+        None => shared.open(instance, deadline).await,
+    };
+    let Ok(mut lane) = lane else {
+        // What is wrong was noted when the connection failed.
+        return;
+    };
+    let sent = shared.clock.now();
+    match ping(&shared, &mut lane, deadline).await {
+        Ok(outcome) => {
+            shared.answered(instance, outcome.position);
+            let same = term.is_some() && term == shared.reign(&replica.group, instance);
+            if let Some(mark) = outcome.position.filter(|_| same) {
+                shared.trace(&replica.group, sent, mark);
+            }
+            shared.keep(instance, lane);
+        }
+        Err(error) => shared.failed(instance, &error),
+    }
+    drop(permit);
+}
+
+async fn ping(shared: &Shared, lane: &mut Lane, deadline: Instant) -> Result<Outcome, Error> {
+    lane.applied.clear();
+    lane.channel.ask(&shared.clock, &Order::Reset, deadline).await
+}
--- /dev/null
+++ b/src/broker/run/acquire.rs
@@ -0,0 +1,83 @@
+//! Finding an instance and a connection for a statement.
+
+use std::time::Duration;
+
+use super::{Attempt, Refusal, Runner};
+use crate::broker::dispatch::{Ask, FULL};
+use crate::broker::lane::Hold;
+use crate::broker::need::Need;
+use crate::id;
+use crate::upstream::channel::Error;
+
+/// On how many instances a statement may fail.
+const TRIES: usize = 3;
+
+/// How long a statement waits for a primary, as a part of its timeout in percent; the rest is left for running it.
+const PRIMARY_PATIENCE_PERCENT: u32 = 85;
+
+impl Runner {
+    /// Waits for a connection to an instance that the statement can run on.
+    pub(super) async fn acquire(
+        &self,
+        attempt: &mut Attempt<'_>,
+        need: Need,
+    ) -> Result<Hold, Refusal> {
+        loop {
+            let left = attempt.limit.since(self.shared.clock.now());
+            if left.is_zero() {
+                return Err(Refusal::busy("no instance took it in time", FULL));
+            }
+            let ask = Ask {
+                ticket: self.shared.ticket(),
+                need,
+                priority: attempt.priority,
+                patience: patience(attempt, need).min(left),
+                failed: attempt.failed.clone(),
+            };
+            let permit = self.shared.permit(&attempt.database.group, ask).await;
+            let permit = permit.map_err(|wait| Refusal::busy("no instance has room", wait))?;
+            let instance = permit.instance.clone();
+            let term = self.shared.reign(&permit.group, &instance);
+            if need == Need::Primary && term.is_none() {
+                return Err(Refusal::busy("the primary is being replaced", FULL));
+            }
+            let lane = match self.shared.idle(&instance, attempt.session.values()) {
+                Some(lane) => Ok(lane),
+                None => self.shared.open(&instance, attempt.limit).await,
+            };
+            match lane {
+                Ok(lane) => return Ok(Hold { lane, permit, term, wrote: false }),
+                Err(error) => {
+                    log::debug!("{instance} gave request {} no connection: {error}", attempt.id);
+                    if matches!(error, Error::Refused { .. }) {
+                        self.shared.refused_by(&permit, false);
+                    }
+                    drop(permit);
+                    self.leave_out(attempt, instance)?;
+                }
+            }
+        }
+    }
+
+    /// Leaves an instance out from now on, unless the statement failed often enough.
+    pub(super) fn leave_out(
+        &self,
+        attempt: &mut Attempt<'_>,
+        instance: id::Instance,
+    ) -> Result<(), Refusal> {
+        attempt.failed.push(instance);
+        if attempt.failed.len() >= TRIES {
+            return Err(Refusal::busy("the instances that could run it failed", FULL));
+        }
+        Ok(())
+    }
+}
+
+/// Returns how long a statement may wait for a connection. A read goes where there is room, so it need not wait for
+/// longer than it should take; a write has one place to go to.
+fn patience(attempt: &Attempt<'_>, need: Need) -> Duration {
+    match need {
+        Need::Primary => attempt.database.timeout.0 * PRIMARY_PATIENCE_PERCENT / 100,
+        Need::Reached { .. } => attempt.database.target.0,
+    }
+}
--- /dev/null
+++ b/src/broker/server.rs
@@ -0,0 +1,602 @@
+//! A broker process: its sockets, and what its tasks share.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use event_listener::Event;
+use smol::channel::{Receiver, Sender, bounded};
+use smol::net::{TcpListener, UdpSocket};
+
+use super::closing::{Closing, Stage};
+use super::dispatch::{self, Ask, Ticket};
+use super::lane::{Lane, Permit};
+use super::need::{self, Need, Sight};
+use super::state::{Instance, State};
+use super::{Error, caller, keeper};
+use crate::clock::{Clock, Instant};
+use crate::config::{self, Database, Fleet};
+use crate::id;
+use crate::proxy::fence::{Fence, Verdict};
+use crate::proxy::floor::Mark;
+use crate::proxy::heartbeat;
+use crate::report::{Failure, Metrics};
+use crate::security::Guard;
+use crate::statement::Codec;
+use crate::upstream::channel::{Channel, Error as ChannelError};
+use crate::wire::{Body, Frame, Grant, Heartbeat, Replica, Trouble};
+
+/// How long a balancer that asks once a second takes to hear that this process leaves: two questions, and the
+/// answer's way.
+const NOTICE: Duration = Duration::from_millis(2_300);
+
+/// How long before the kill the process ends by itself.
+const HEADROOM: Duration = Duration::from_millis(500);
+
+/// How long an orderly end takes when nothing kills the process.
+const DEFAULT_GRACE: Duration = Duration::from_secs(30);
+
+/// How long a connection to an instance may take to be made.
+const OPEN: Duration = Duration::from_millis(700);
+
+/// How much younger than allowed the proof of a read is, for the time between the caller's sending and the decision.
+const AGE_MARGIN: Duration = Duration::from_millis(50);
+
+/// How long without a lease the process still says that it takes sessions: a change of control's leader takes less.
+const READY_WITHOUT_LEASE: Duration = Duration::from_millis(1_500);
+
+/// A running broker.
+#[derive(Debug, Clone)]
+pub struct Server {
+    shared: Arc<Shared>,
+}
+
+/// What the tasks of a broker share.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub(super) clock: Clock,
+    pub(super) codec: &'static dyn Codec,
+    pub(super) metrics: Metrics,
+    pub(super) closing: Closing,
+    guard: Guard,
+    node: id::Node,
+    domain: id::Domain,
+    seeds: Mutex<Vec<SocketAddr>>,
+    settings: config::Proxy,
+    incarnation: id::Incarnation,
+    nudge: Sender<()>,
+    nudged: Receiver<()>,
+    tickets: AtomicU64,
+    changed: Event,
+    state: Mutex<State>,
+}
+
+/// Binds the sockets of a broker and starts it.
+///
+/// # Errors
+///
+/// Fails when the settings don't make a proxy, or a socket can't be bound.
+pub async fn spawn(
+    clock: Clock,
+    settings: &config::Node,
+    codec: &'static dyn Codec,
+) -> Result<Server, Error> {
+    let proxy = settings.proxy.as_ref().ok_or(Error::NotProxy)?;
+    let guard = Guard::open(&settings.security)?;
+    let listener = TcpListener::bind(proxy.listen).await?;
+    let admin = TcpListener::bind(proxy.admin).await?;
+    let udp = UdpSocket::bind(proxy.address).await?;
+    let (nudge, nudged) = bounded(1);
+    let incarnation = new_incarnation();
+    let shared = Arc::new(Shared {
+        clock,
+        codec,
+        metrics: Metrics::default(),
+        closing: Closing::default(),
+        guard,
+        node: settings.node.clone(),
+        domain: settings.domain.clone(),
+        seeds: Mutex::new(seeds(settings)),
+        settings: proxy.clone(),
+        incarnation,
+        nudge,
+        nudged,
+        tickets: AtomicU64::new(0),
+        changed: Event::new(),
+        state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
+    });
+    smol::spawn(shared.guard.clone().watch(shared.clock.clone())).detach();
+    heartbeat::spawn(&shared, udp);
+    smol::spawn(caller::accept(Arc::clone(&shared), listener)).detach();
+    smol::spawn(keeper::run(Arc::clone(&shared))).detach();
+    smol::spawn(crate::admin::serve_metrics(shared.metrics.clone(), admin)).detach();
+    Ok(Server { shared })
+}
+
+/// Returns where the settings say that control takes frames.
+fn seeds(settings: &config::Node) -> Vec<SocketAddr> {
+    let named = settings.voters.iter().map(|voter| voter.address);
+    let seeds = settings.seeds.iter().flat_map(|seeds| seeds.addresses.iter().copied());
+    named.chain(seeds).collect()
+}
+
+/// Numbers this life of the process; the wall clock goes on when the VM is started anew.
+fn new_incarnation() -> id::Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
+}
+
+impl Server {
+    /// Returns the metrics of the process.
+    pub fn metrics(&self) -> &Metrics {
+        &self.shared.metrics
+    }
+
+    /// Takes over where changed settings say that control takes frames.
+    pub fn reseed(&self, settings: &config::Node) {
+        *self.shared.seeds.lock().expect("nothing panics under this lock") = seeds(settings);
+    }
+
+    /// Tells whether a balancer should send sessions here.
+    pub fn is_ready(&self) -> bool {
+        self.shared.is_ready()
+    }
+
+    /// Ends serving in order: the balancer hears of it first, then sessions end between their transactions, and
+    /// what is still open after half of the grace is given up.
+    pub async fn drain(&self) {
+        let shared = &self.shared;
+        let grace = shared.settings.grace.map_or(DEFAULT_GRACE, |grace| grace.0);
+        let start = shared.clock.now();
+        shared.closing.reach(Stage::Leaving);
+        shared.nudge();
+        shared.clock.sleep(NOTICE.min(grace / 3)).await;
+        shared.closing.reach(Stage::Closing);
+        let left = |until: Duration| (start + until).since(shared.clock.now());
+        if shared.clock.timeout(left(grace / 2), shared.closing.emptied()).await.is_none() {
+            shared.closing.reach(Stage::Ending);
+            let end = grace.saturating_sub(HEADROOM);
+            shared.clock.timeout(left(end), shared.closing.emptied()).await;
+        }
+        log::info!("{} sessions are open at the end", shared.closing.sessions());
+    }
+}
+
+impl heartbeat::Member for Shared {
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    fn voters(&self) -> Vec<SocketAddr> {
+        let mut voters = self.lock().voters.clone();
+        let seeds = self.seeds.lock().expect("nothing panics under this lock");
+        for seed in seeds.iter() {
+            if !voters.contains(seed) {
+                voters.push(*seed);
+            }
+        }
+        voters
+    }
+
+    fn met(&self, voters: Vec<SocketAddr>) {
+        self.lock().voters = voters;
+    }
+
+    fn nudged(&self) -> &Receiver<()> {
+        &self.nudged
+    }
+
+    fn nudge(&self) {
+        let _ = self.nudge.try_send(());
+    }
+
+    fn frame(&self, body: Body) -> Frame {
+        Frame { sender: self.node.clone(), incarnation: self.incarnation, body }
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.leased != state.fence.leased(now) {
+            log::warn!("the lease has run out");
+            state.refresh(now, &self.domain);
+        }
+        let sequence = state.fence.send(now);
+        let (seen, table, _) = state.fence.seen();
+        Heartbeat {
+            sequence,
+            domain: self.domain.clone(),
+            address: self.settings.address,
+            admin: self.settings.admin,
+            seen,
+            table,
+            revision: state.revision,
+            sightings: state.sightings(now, sequence),
+            demand: state.demand(),
+            draining: self.closing.is_past(Stage::Leaving),
+        }
+    }
+
+    fn granted(self: &Arc<Self>, grant: Grant) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        self.metrics.stamp(grant.stamp);
+        let mut changed = state.fence.step(grant);
+        if !state.leased && state.fence.leased(now) {
+            log::info!("a lease is held");
+            changed = true;
+        }
+        if changed {
+            self.take_over(now, &mut state);
+        }
+        changed
+    }
+
+    fn wants_configuration(&self) -> bool {
+        let mut state = self.lock();
+        let (_, _, newest) = state.fence.seen();
+        let wants = newest > state.revision && !state.fetching;
+        state.fetching |= wants;
+        wants
+    }
+
+    fn fetched(&self) {
+        self.lock().fetching = false;
+    }
+
+    fn configure(&self, revision: id::Revision, fleet: Fleet) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if revision <= state.revision {
+            return;
+        }
+        log::info!("configuration revision {revision} is in force");
+        self.metrics.revision(revision);
+        state.revision = revision;
+        state.fleet = Arc::new(fleet);
+        self.take_over(now, &mut state);
+        drop(state);
+        self.nudge();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("nothing panics while it holds the lock")
+    }
+
+    pub(super) fn nudge(&self) {
+        heartbeat::Member::nudge(self);
+    }
+
+    /// Takes what changed over and wakes whoever waited for it.
+    fn take_over(&self, now: Instant, state: &mut State) {
+        state.refresh(now, &self.domain);
+        let names: Vec<id::Group> = state.groups.keys().cloned().collect();
+        for name in names {
+            state.advance(now, &name);
+        }
+        self.changed.notify(usize::MAX);
+    }
+
+    fn is_ready(&self) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let recent = now.since(state.fence.lease()) < READY_WITHOUT_LEASE;
+        !self.closing.is_past(Stage::Leaving) && state.revision.0 > 0 && recent
+    }
+
+    /// Returns the declaration of a database.
+    pub(super) fn database(&self, name: &str) -> Option<Database> {
+        let name: id::Database = name.parse().ok()?;
+        self.lock().fleet.database.get(&name).cloned()
+    }
+
+    /// Returns the priority of a class.
+    pub(super) fn priority(&self, class: &id::Class) -> u8 {
+        self.lock().fleet.class.get(class).map_or(u8::MAX, |class| class.priority)
+    }
+
+    /// Returns how long a transaction may rest.
+    pub(super) fn idle_transaction(&self) -> Option<Duration> {
+        self.lock().fleet.idle_transaction.map(|span| span.0)
+    }
+
+    /// Decides what a read of a database needs.
+    pub(super) fn need(&self, database: &Database, own: Option<Sight>) -> Need {
+        let now = self.clock.now();
+        let age = need::max_age(database.reads).map(|age| age.saturating_sub(AGE_MARGIN));
+        let proof = age.and_then(|age| self.lock().sight(now, &database.group, age));
+        need::read(database.reads, proof, own)
+    }
+
+    pub(super) fn ticket(&self) -> Ticket {
+        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Waits for a permit. Fails at once, or when the patience has run out, with how long it is until there is room.
+    pub(super) async fn permit(
+        self: &Arc<Self>,
+        group: &id::Group,
+        ask: Ask,
+    ) -> Result<Permit, Duration> {
+        let (ticket, patience) = (ask.ticket, ask.patience);
+        let received = {
+            let now = self.clock.now();
+            let mut state = self.lock();
+            let Some(queue) = state.groups.get_mut(group) else {
+                return Err(dispatch::USUAL_ABSENCE);
+            };
+            match queue.dispatch.ask(now, ask) {
+                dispatch::Verdict::Start(instance) => {
+                    return Ok(Permit::new(Arc::clone(self), group.clone(), instance));
+                }
+                dispatch::Verdict::Refuse(wait) => return Err(wait),
+                dispatch::Verdict::Wait => {
+                    let (sender, receiver) = bounded(1);
+                    queue.waiters.insert(ticket, sender);
+                    receiver
+                }
+            }
+        };
+        let mut waiting = Waiting { shared: self, group, ticket, received, over: false };
+        match self.clock.timeout(patience, waiting.received.recv()).await {
+            Some(Ok(instance)) => {
+                waiting.over = true;
+                Ok(Permit::new(Arc::clone(self), group.clone(), instance))
+            }
+            _ => Err(waiting.give_up()),
+        }
+    }
+
+    /// Takes a permit of one instance when one is free.
+    pub(super) fn permit_now(self: &Arc<Self>, replica: &Replica) -> Option<Permit> {
+        let mut state = self.lock();
+        let group = state.groups.get_mut(&replica.group)?;
+        let taken = group.dispatch.take(&replica.instance);
+        let (group, instance) = (replica.group.clone(), replica.instance.clone());
+        taken.then(|| Permit::new(Arc::clone(self), group, instance))
+    }
+
+    pub(super) fn release(
+        &self,
+        group: &id::Group,
+        instance: &id::Instance,
+        took: Option<Duration>,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(queue) = state.groups.get_mut(group) {
+            queue.dispatch.release(instance, took);
+        }
+        state.advance(now, group);
+    }
+
+    /// Notes that an instance had no room, or lacked what was asked for.
+    pub(super) fn refused_by(&self, permit: &Permit, lagging: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(queue) = state.groups.get_mut(&permit.group) {
+            if lagging {
+                queue.dispatch.lagged(now, &permit.instance);
+            } else {
+                queue.dispatch.was_full(now, &permit.instance);
+            }
+        }
+    }
+
+    /// Tries again to place what waits in a group.
+    pub(super) fn advance(&self, group: &id::Group) {
+        let now = self.clock.now();
+        self.lock().advance(now, group);
+    }
+
+    /// Takes an idle connection, one with the session's values before others.
+    pub(super) fn idle(
+        &self,
+        instance: &id::Instance,
+        values: &BTreeMap<String, String>,
+    ) -> Option<Lane> {
+        let mut state = self.lock();
+        let idle = &mut state.instances.get_mut(instance)?.idle;
+        let fitting = idle.iter().rposition(|lane| lane.applied.matches(values));
+        match fitting {
+            Some(at) => Some(idle.swap_remove(at)),
+            None => idle.pop(),
+        }
+    }
+
+    /// Opens a connection to an instance.
+    pub(super) async fn open(
+        &self,
+        instance: &id::Instance,
+        limit: Instant,
+    ) -> Result<Lane, ChannelError> {
+        let replica = self.lock().instances.get(instance).map(|known| known.replica.clone());
+        let replica = replica.ok_or(ChannelError::Closed)?;
+        let deadline = limit.min(self.clock.now() + OPEN);
+        let opened = Channel::open(&self.clock, self.codec, &replica, deadline).await;
+        let (channel, position) = match opened {
+            Ok(opened) => opened,
+            Err(error) => {
+                self.failed(instance, &error);
+                return Err(error);
+            }
+        };
+        self.answered(instance, position);
+        Ok(Lane { channel, applied: Default::default() })
+    }
+
+    /// Gives a connection back that is fit for the next session.
+    pub(super) fn keep(&self, instance: &id::Instance, lane: Lane) {
+        let mut state = self.lock();
+        let Some(known) = state.instances.get_mut(instance) else {
+            return;
+        };
+        known.idle.push(lane);
+    }
+
+    /// Notes that an instance answered, and where it stands.
+    pub(super) fn answered(&self, instance: &id::Instance, position: Option<Mark>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(known) = state.instances.get_mut(instance) else {
+            return;
+        };
+        known.good = now;
+        let recovered = known.trouble != Trouble::Fine;
+        known.trouble = Trouble::Fine;
+        let group = known.replica.group.clone();
+        if let Some(mark) = position
+            && let Some(queue) = state.groups.get_mut(&group)
+        {
+            queue.dispatch.stands(instance, mark);
+        }
+        if recovered {
+            log::info!("{instance} answers again");
+            self.take_over(now, &mut state);
+            drop(state);
+            self.nudge();
+        }
+    }
+
+    /// Notes what a failure says of an instance.
+    pub(super) fn failed(&self, instance: &id::Instance, error: &ChannelError) {
+        let trouble = error.trouble();
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let Some(known) = state.instances.get_mut(instance) else {
+            return;
+        };
+        if trouble == Trouble::Fine || known.trouble == trouble {
+            return;
+        }
+        known.trouble = trouble;
+        known.idle.clear();
+        log::warn!("{instance} is {trouble:?}: {error}");
+        self.metrics.upstream_failed(match trouble {
+            Trouble::Refused => Failure::Refused,
+            Trouble::Silent => Failure::Silent,
+            Trouble::Faulty | Trouble::Fine => Failure::Faulty,
+        });
+        self.take_over(now, &mut state);
+        drop(state);
+        self.nudge();
+    }
+
+    /// Notes where the primary stood when it was asked under a valid lease.
+    pub(super) fn trace(&self, group: &id::Group, asked: Instant, mark: Mark) {
+        if let Some(queue) = self.lock().groups.get_mut(group) {
+            queue.trail.note(asked, mark);
+        }
+    }
+
+    /// Returns the epoch's term when the instance is its primary and the lease is valid.
+    pub(super) fn reign(&self, group: &id::Group, instance: &id::Instance) -> Option<id::Term> {
+        self.lock().reign(self.clock.now(), group, instance)
+    }
+
+    /// Judges whether the answer to a write may be released now.
+    pub(super) fn verdict(&self, group: &id::Group, term: id::Term) -> Verdict {
+        self.lock().fence.verdict(self.clock.now(), group, term)
+    }
+
+    /// Waits until a group's epoch is replaced, or on its way to be.
+    pub(super) async fn replaced(&self, group: &id::Group, term: id::Term) {
+        while self.verdict(group, term) != Verdict::Replaced {
+            let changed = self.changed.listen();
+            if self.verdict(group, term) == Verdict::Replaced {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Notes that a commit was sent, until what is returned is dropped.
+    pub(super) fn committing(self: &Arc<Self>, instance: &id::Instance) -> Committing {
+        let sent = self.clock.now();
+        if let Some(known) = self.lock().instances.get_mut(instance) {
+            known.committing.push(sent);
+        }
+        Committing { shared: Arc::clone(self), instance: instance.clone(), sent }
+    }
+
+    /// Returns the instances and how they were last seen.
+    pub(super) fn instances<T>(&self, seen: impl Fn(&Instance) -> T) -> Vec<T> {
+        self.lock().instances.values().map(seen).collect()
+    }
+
+    /// Returns the groups whose trail is older than `age`, with their primary.
+    pub(super) fn faded(&self, age: Duration) -> Vec<id::Instance> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let faded = |group: &&super::state::Group| {
+            group.trail.newest().is_none_or(|asked| now.since(asked) > age)
+        };
+        let groups = state.groups.values().filter(faded);
+        groups.filter_map(|group| group.dispatch.primary().cloned()).collect()
+    }
+}
+
+/// A commit that is not answered yet.
+#[derive(Debug)]
+pub(super) struct Committing {
+    shared: Arc<Shared>,
+    instance: id::Instance,
+    sent: Instant,
+}
+
+impl Drop for Committing {
+    fn drop(&mut self) {
+        if let Some(known) = self.shared.lock().instances.get_mut(&self.instance)
+            && let Some(at) = known.committing.iter().position(|sent| *sent == self.sent)
+        {
+            known.committing.swap_remove(at);
+        }
+    }
+}
+
+/// A statement that waits for a permit; one that comes too late is given back.
+struct Waiting<'a> {
+    shared: &'a Arc<Shared>,
+    group: &'a id::Group,
+    ticket: Ticket,
+    received: Receiver<id::Instance>,
+    over: bool,
+}
+
+impl Waiting<'_> {
+    fn give_up(&mut self) -> Duration {
+        self.over = true;
+        let now = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        let Some(queue) = state.groups.get_mut(self.group) else {
+            return dispatch::USUAL_ABSENCE;
+        };
+        queue.waiters.remove(&self.ticket);
+        if let Ok(instance) = self.received.try_recv() {
+            queue.dispatch.release(&instance, None);
+            state.advance(now, self.group);
+            return Duration::ZERO;
+        }
+        queue.dispatch.give_up(now, self.ticket)
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.over {
+            self.give_up();
+        }
+    }
+}
--- /dev/null
+++ b/src/broker/state.rs
@@ -0,0 +1,177 @@
+//! What changes in a broker: control's decisions, the instances, and the groups' queues.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::channel::Sender;
+
+use super::dispatch::{Dispatch, Ticket};
+use super::lane::Lane;
+use super::need::Sight;
+use crate::clock::Instant;
+use crate::config::Fleet;
+use crate::id;
+use crate::proxy::fence::{Fence, Verdict};
+use crate::proxy::trail::Trail;
+use crate::wire::{Demand, Phase, Replica, Sighting, Trouble};
+
+/// What changes, under one lock that is never held over an `await`.
+#[derive(Debug, Default)]
+pub(super) struct State {
+    pub(super) fence: Fence,
+    pub(super) fleet: Arc<Fleet>,
+    pub(super) revision: id::Revision,
+    pub(super) fetching: bool,
+    pub(super) instances: BTreeMap<id::Instance, Instance>,
+    pub(super) groups: BTreeMap<id::Group, Group>,
+    /// Where control processes take frames, besides the seeds.
+    pub(super) voters: Vec<SocketAddr>,
+    /// Whether the lease was valid when it was last looked at.
+    pub(super) leased: bool,
+}
+
+/// An instance of the table.
+#[derive(Debug)]
+pub(super) struct Instance {
+    pub(super) replica: Replica,
+    pub(super) idle: Vec<Lane>,
+    /// When it last answered anything.
+    pub(super) good: Instant,
+    pub(super) trouble: Trouble,
+    /// What control was told of it, and with which heartbeat.
+    told: Option<(id::Sequence, Trouble)>,
+    /// When the oldest commit that is not answered was sent.
+    pub(super) committing: Vec<Instant>,
+}
+
+/// A group's queue and what is known of its primary.
+#[derive(Debug, Default)]
+pub(super) struct Group {
+    pub(super) dispatch: Dispatch,
+    pub(super) trail: Trail,
+    pub(super) waiters: BTreeMap<Ticket, Sender<id::Instance>>,
+}
+
+/// How long a commit may be unanswered until its primary is reported: it may have lost all its replicas, while it
+/// still answers everything else. Commits take a round trip to a replica, so this is far over what load makes.
+const COMMIT_SILENCE: Duration = Duration::from_millis(1_000);
+
+impl Instance {
+    fn new(now: Instant, replica: Replica) -> Self {
+        Self {
+            replica,
+            idle: Vec::new(),
+            good: now,
+            trouble: Trouble::Fine,
+            told: None,
+            committing: Vec::new(),
+        }
+    }
+
+    /// Returns what is wrong with it, unanswered commits included.
+    fn seen(&self, now: Instant) -> Trouble {
+        let stalled = self.committing.iter().any(|sent| now.since(*sent) >= COMMIT_SILENCE);
+        match self.trouble {
+            Trouble::Fine if stalled => Trouble::Silent,
+            trouble => trouble,
+        }
+    }
+}
+
+impl State {
+    /// Takes over what control decided since the last time.
+    pub(super) fn refresh(&mut self, now: Instant, domain: &id::Domain) {
+        self.leased = self.fence.leased(now);
+        let table = self.fence.table();
+        let listed = |instance: &Instance| table.replicas.contains(&instance.replica);
+        self.instances.retain(|_, instance| listed(instance));
+        for replica in &table.replicas {
+            let known = self.instances.entry(replica.instance.clone());
+            let instance = known.or_insert_with(|| Instance::new(now, replica.clone()));
+            let group = self.groups.entry(replica.group.clone()).or_default();
+            let share = table.shares.iter().find(|(name, _)| *name == replica.group);
+            let share = share.map_or(1, |(_, share)| *share);
+            let permits = if self.leased { share } else { 1 };
+            let usable =
+                instance.trouble == Trouble::Fine && !table.draining.contains(&replica.instance);
+            let far = replica.domain != *domain;
+            group.dispatch.seat(&replica.instance, permits, usable, far);
+            instance.idle.truncate(permits as usize);
+        }
+        for (name, group) in &mut self.groups {
+            let gone = |seat: &id::Instance| !self.instances.contains_key(seat);
+            group.dispatch.retain(|seat| !gone(seat));
+            let epoch = self.fence.epoch(name).filter(|epoch| epoch.phase == Phase::Active);
+            let leads = epoch.filter(|_| self.leased).map(|epoch| epoch.primary.clone());
+            group.dispatch.lead(now, leads);
+        }
+    }
+
+    /// Returns the epoch's term when the instance is its primary and the lease is valid.
+    pub(super) fn reign(
+        &self,
+        now: Instant,
+        group: &id::Group,
+        instance: &id::Instance,
+    ) -> Option<id::Term> {
+        let epoch = self.fence.epoch(group)?;
+        let valid = self.fence.verdict(now, group, epoch.term) == Verdict::Release;
+        (valid && epoch.primary == *instance).then_some(epoch.term)
+    }
+
+    /// Returns where the primary stood within `age`, as early as is known.
+    pub(super) fn sight(&self, now: Instant, group: &id::Group, age: Duration) -> Option<Sight> {
+        let (asked, mark) = self.groups.get(group)?.trail.entry(now, age)?;
+        Some(Sight { asked, mark })
+    }
+
+    /// Starts what can run now.
+    pub(super) fn advance(&mut self, now: Instant, name: &id::Group) {
+        let Some(group) = self.groups.get_mut(name) else {
+            return;
+        };
+        for (ticket, instance) in group.dispatch.advance(now) {
+            let told =
+                group.waiters.remove(&ticket).map(|waiter| waiter.try_send(instance.clone()));
+            if !matches!(told, Some(Ok(()))) {
+                group.dispatch.release(&instance, None);
+            }
+        }
+    }
+
+    /// Collects what control is to hear of instances: what changed, until it is answered.
+    pub(super) fn sightings(&mut self, now: Instant, sequence: id::Sequence) -> Vec<Sighting> {
+        let mut sightings = Vec::new();
+        for instance in self.instances.values_mut() {
+            let trouble = instance.seen(now);
+            let told = instance.told;
+            if told.is_some_and(|(told, what)| what == trouble && self.fence.heard(told)) {
+                continue;
+            }
+            instance.told = Some((sequence, trouble));
+            sightings.push(Sighting {
+                replica: instance.replica.clone(),
+                trouble,
+                silent_ms: now.since(instance.good).as_millis() as u32,
+                announced_ms: None,
+            });
+        }
+        sightings
+    }
+
+    /// Tells how many connections each group holds and wants.
+    pub(super) fn demand(&self) -> Vec<Demand> {
+        let table = self.fence.table();
+        let demand = |(name, group): (&id::Group, &Group)| {
+            let share = table.shares.iter().find(|(known, _)| known == name);
+            let share = share.map_or(0, |(_, share)| *share);
+            let instances = self.instances.values().filter(|i| i.replica.group == *name);
+            let idle = instances.map(|instance| instance.idle.len()).max().unwrap_or(0) as u32;
+            let wanted = group.dispatch.wanted().max(1);
+            Demand { group: name.clone(), wanted, open: idle.max(group.dispatch.used()), share }
+        };
+        self.groups.iter().map(demand).collect()
+    }
+}
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -14,6 +14,36 @@
     pub class: BTreeMap<id::Class, Class>,
     /// The database groups.
     pub group: BTreeMap<id::Group, Group>,
+    /// The names by which callers reach the groups, where the protocol has such names.
+    pub database: BTreeMap<id::Database, Database>,
+    /// How long a transaction may rest between two statements before it is rolled back.
+    pub idle_transaction: Option<Span>,
+}
+
+/// A name by which callers reach a group, and what its sessions may expect.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Database {
+    /// The group.
+    pub group: id::Group,
+    /// The class of its statements.
+    pub class: id::Class,
+    /// What its reads must see.
+    pub reads: Reads,
+    /// How long one statement may take.
+    pub timeout: Span,
+    /// How soon a request is answered when all is well.
+    pub target: Span,
+}
+
+/// What a read must see.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reads {
+    /// Every acknowledged write.
+    Latest,
+    /// Every write that was acknowledged longer ago than this.
+    Bounded(Span),
+    /// The same, and every write of its own session.
+    Session(Span),
 }
 
 /// A class of requests: who goes first, and how long an answer may take.
@@ -64,6 +94,8 @@
     pub connect_time: Span,
     /// When a write is acknowledged.
     pub durability: Durability,
+    /// Whether an outside service promotes instances, which then take the next term by themselves.
+    pub promoted_outside: bool,
     /// The class of a statement that names no request.
     pub default_class: id::Class,
     /// The declared requests.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -11,8 +11,8 @@
 mod unit;
 
 pub use fault::{Fault, Faults};
-pub use fleet::{Class, Durability, Fleet, Group, Objective, Peak, Request};
-pub use node::{Control, Format, Log, Node, Proxy, Security, Tls, Voter};
+pub use fleet::{Class, Database, Durability, Fleet, Group, Objective, Peak, Reads, Request};
+pub use node::{Control, Format, Log, Node, Proxy, Security, Seeds, Tls, Voter};
 pub use secret::{Error as SecretError, Secret};
 pub use unit::{Daytime, Rate, Share, Size, Span};
 
--- a/src/config/node.rs
+++ b/src/config/node.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
-use super::{Error, Rate, Secret, Size, read};
+use super::{Error, Rate, Secret, Size, Span, read};
 use crate::id;
 
 /// The user that a process is to the upstreams when the settings name none.
@@ -26,6 +26,8 @@
     pub data: Option<PathBuf>,
     /// The control voters that it talks to first.
     pub voters: Vec<Voter>,
+    /// Where control processes find each other when the settings name no voters.
+    pub seeds: Option<Seeds>,
     /// What a proxy needs.
     pub proxy: Option<Proxy>,
     /// What a control process needs.
@@ -103,6 +105,24 @@
     pub admin: SocketAddr,
 }
 
+/// Where some control processes were when the settings were written. Whoever votes is told by the log alone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Seeds {
+    /// Where they take frames.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether the whole system starts for the first time, with blank disks.
+    pub first_start: bool,
+    /// How many control processes may be lost at once.
+    pub losses: u32,
+}
+
+impl Seeds {
+    /// Returns how many voters there should be, so that a majority outlives the losses.
+    pub fn seats(&self) -> usize {
+        2 * self.losses.max(1) as usize + 1
+    }
+}
+
 /// The addresses of a proxy.
 #[derive(Debug, Clone)]
 pub struct Proxy {
@@ -114,6 +134,10 @@
     pub admin: SocketAddr,
     /// The user that it is to the upstreams.
     pub user: String,
+    /// Where a balancer asks whether it takes new sessions.
+    pub ready: Option<SocketAddr>,
+    /// How long after SIGTERM it is killed, when something outside does so.
+    pub grace: Option<Span>,
 }
 
 /// The addresses of a control process.
@@ -125,6 +149,10 @@
     pub admin: SocketAddr,
     /// The user that it is to the upstreams.
     pub user: String,
+    /// Where it takes the announcements and declarations of an outside platform.
+    pub gateway: Option<SocketAddr>,
+    /// The outside service that promotes instances.
+    pub promoter: Option<SocketAddr>,
 }
 
 impl Node {
@@ -171,7 +199,7 @@
         if security.upstream_roots.is_none() {
             warnings.push("security.upstream_roots is off: upstreams are reached in clear");
         }
-        if self.control.is_some() && self.voters.len().is_multiple_of(2) {
+        if self.control.is_some() && self.seeds.is_none() && self.voters.len().is_multiple_of(2) {
             warnings.push("voters is an even number: one voter fewer outlives as many failures");
         }
         warnings
--- a/src/config/read/fleet.rs
+++ b/src/config/read/fleet.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::table::Table;
-use crate::config::{Class, Durability, Fleet, Group, Objective, Peak, Request};
+use crate::config::Span;
+use crate::config::{Class, Database, Durability, Fleet, Group, Objective, Peak, Reads, Request};
 use crate::id;
 
 const fn seconds(from: u64, to: u64) -> Range<Duration> {
@@ -16,6 +17,10 @@
 const DEADLINE: Range<Duration> = Duration::from_millis(10)..Duration::from_secs(300);
 /// How old the data of a read may be.
 const MAX_AGE: Range<Duration> = Duration::from_millis(1)..Duration::from_secs(3_600);
+/// How long a statement may take, or should take at the most.
+const TIMEOUT: Range<Duration> = Duration::from_millis(1)..Duration::from_secs(300);
+/// How long a transaction may rest.
+const IDLE_TRANSACTION: Range<Duration> = Duration::from_millis(10)..Duration::from_secs(3_600);
 /// How long a key is kept.
 const KEEP: Range<Duration> = seconds(60, 90 * 86_400);
 /// How long a peak lasts.
@@ -39,7 +44,47 @@
     let class: BTreeMap<id::Class, Class> = root.named("class", read_class).into_iter().collect();
     let names: BTreeSet<id::Class> = class.keys().cloned().collect();
     let group = root.named("group", |table| read_group(table, &names));
-    Some(Fleet { class, group: group.into_iter().collect() })
+    let group: BTreeMap<id::Group, Group> = group.into_iter().collect();
+    let database = root.named("database", |table| read_database(table, &names, &group));
+    let idle_transaction = root.span("idle_transaction", IDLE_TRANSACTION);
+    Some(Fleet { class, group, database: database.into_iter().collect(), idle_transaction })
+}
+
+fn read_database(
+    table: &Table<'_>,
+    classes: &BTreeSet<id::Class>,
+    groups: &BTreeMap<id::Group, Group>,
+) -> Option<Database> {
+    let group: Option<id::Group> = table.required("group", NAME);
+    if group.as_ref().is_some_and(|group| !groups.contains_key(group)) {
+        table.fault("group", "is not declared");
+    }
+    let class = table.required("class", NAME);
+    declared(table, "class", class.as_ref(), classes);
+    let words =
+        [("latest", Promise::Latest), ("bounded", Promise::Bounded), ("session", Promise::Session)];
+    let promise = table.word("reads", &words).unwrap_or(Promise::Latest);
+    let max_age = table.span("max_age", MAX_AGE);
+    if max_age.is_none() && promise != Promise::Latest {
+        table.fault("max_age", "is missing; reads that may be old need it; valid: 1ms to 1h");
+    }
+    let age = max_age.unwrap_or(Span(Duration::ZERO));
+    let reads = match promise {
+        Promise::Latest => Reads::Latest,
+        Promise::Bounded => Reads::Bounded(age),
+        Promise::Session => Reads::Session(age),
+    };
+    let timeout = table.required_span("timeout", TIMEOUT);
+    let target = table.required_span("target", TIMEOUT);
+    Some(Database { group: group?, class: class?, reads, timeout: timeout?, target: target? })
+}
+
+/// What a database promises of its reads, before the age is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Promise {
+    Latest,
+    Bounded,
+    Session,
 }
 
 fn read_class(table: &Table<'_>) -> Option<Class> {
@@ -76,6 +121,7 @@
     let connect_time = table.required_span("connect_time", CONNECT_TIME);
     let words = [("majority", Durability::Majority), ("primary", Durability::Primary)];
     let durability = table.word("durability", &words).unwrap_or_default();
+    let promoted_outside = table.flag("promoted_outside");
     let default_class = table.required("default_class", NAME);
     declared(table, "default_class", default_class.as_ref(), classes);
     let request = table.named("request", |table| read_request(table, classes));
@@ -86,6 +132,7 @@
         connections: connections?,
         connect_time: connect_time?,
         durability,
+        promoted_outside,
         default_class: default_class?,
         request: request.into_iter().collect(),
         peak,
--- a/src/config/read/node.rs
+++ b/src/config/read/node.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use super::table::Table;
 use crate::config::node::{DEFAULT_HISTORY, DEFAULT_USER};
-use crate::config::{Control, Format, Log, Node, Proxy, Secret, Security, Size, Tls, Voter};
+use crate::config::{Control, Format, Log, Node, Proxy, Secret, Security, Seeds, Size, Tls, Voter};
 
 /// What an address may be.
 const ADDRESS: &str = "an IP number and a port of 1 to 65535, such as 10.0.0.1:5432";
@@ -14,6 +16,10 @@
 const NAME: &str = "letters, digits and -_.:";
 /// What a path may be.
 const PATH: &str = "a path";
+/// How long after SIGTERM a process may be killed.
+const GRACE: Range<Duration> = Duration::from_secs(1)..Duration::from_secs(3_600);
+/// The most losses that a majority is planned for; each costs two more voters, and more than nine slow the log.
+const MAX_LOSSES: u32 = 4;
 /// What the size of a history may be.
 const HISTORY: std::ops::RangeInclusive<u64> = 64 * 1024..=1024 * 1024 * 1024;
 
@@ -22,6 +28,7 @@
     let domain = root.required("domain", NAME);
     let data = root.text::<PathBuf>("data", PATH);
     let voters = root.list("voters", read_voter);
+    let seeds = root.table("seeds", read_seeds);
     let proxy = root.table("proxy", read_proxy);
     let control = root.table("control", read_control);
     let security = root.table("security", |table| Some(read_security(table)));
@@ -32,6 +39,7 @@
         domain: domain?,
         data,
         voters,
+        seeds,
         proxy,
         control,
         security: security.unwrap_or_default(),
@@ -52,19 +60,40 @@
     Some(Voter { node: node?, address: frames?, domain: domain?, admin: admin? })
 }
 
+fn read_seeds(table: &Table<'_>) -> Option<Seeds> {
+    let hosts: Vec<SocketAddr> = table.texts("hosts", ADDRESS);
+    if hosts.is_empty() {
+        table.fault("hosts", format!("names nobody; valid: a list of at least one of {ADDRESS}"));
+    }
+    let port = table.number("port", 1..=u32::from(u16::MAX));
+    let first_start = table.flag("first_start");
+    let losses = table.number("losses", 0..=MAX_LOSSES);
+    let port = u16::try_from(port?).ok()?;
+    let addresses = hosts.iter().map(|host| SocketAddr::new(host.ip(), port)).collect();
+    Some(Seeds { addresses, first_start, losses: losses? })
+}
+
 fn read_proxy(table: &Table<'_>) -> Option<Proxy> {
     let listen = address(table, "listen");
     let frames = address(table, "address");
     let admin = address(table, "admin");
     let user = table.text("user", NAME).unwrap_or_else(|| DEFAULT_USER.to_owned());
-    Some(Proxy { listen: listen?, address: frames?, admin: admin?, user })
+    let ready = optional_address(table, "ready");
+    let grace = table.span("grace", GRACE);
+    Some(Proxy { listen: listen?, address: frames?, admin: admin?, user, ready, grace })
 }
 
 fn read_control(table: &Table<'_>) -> Option<Control> {
     let frames = address(table, "address");
     let admin = address(table, "admin");
     let user = table.text("user", NAME).unwrap_or_else(|| DEFAULT_USER.to_owned());
-    Some(Control { address: frames?, admin: admin?, user })
+    let gateway = optional_address(table, "gateway");
+    let promoter = optional_address(table, "promoter");
+    Some(Control { address: frames?, admin: admin?, user, gateway, promoter })
+}
+
+fn optional_address(table: &Table<'_>, key: &'static str) -> Option<SocketAddr> {
+    table.text(key, ADDRESS)
 }
 
 fn address(table: &Table<'_>, key: &'static str) -> Option<SocketAddr> {
@@ -155,7 +184,7 @@
 }
 
 fn check_voters(root: &Table<'_>, node: &Node) {
-    if node.voters.is_empty() {
+    if node.voters.is_empty() && node.seeds.is_none() {
         root.fault("voters", "is missing; valid: a list with every control process");
     }
     let mut seen = BTreeSet::new();
@@ -186,10 +215,12 @@
     let mut udp = Vec::new();
     if let Some(proxy) = &node.proxy {
         tcp.extend([("proxy.listen", proxy.listen), ("proxy.admin", proxy.admin)]);
+        tcp.extend(proxy.ready.map(|ready| ("proxy.ready", ready)));
         udp.push(("proxy.address", proxy.address));
     }
     if let Some(control) = &node.control {
         tcp.extend([("control.address", control.address), ("control.admin", control.admin)]);
+        tcp.extend(control.gateway.map(|gateway| ("control.gateway", gateway)));
         udp.push(("control.address", control.address));
     }
     for listeners in [tcp, udp] {
--- a/src/config/read/table.rs
+++ b/src/config/read/table.rs
@@ -85,6 +85,30 @@
         self.text(key, valid)
     }
 
+    /// Reads a list of texts that `T` can be parsed from.
+    pub(super) fn texts<T>(&self, key: &'static str, valid: &str) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let Some(value) = self.find(key) else {
+            return Vec::new();
+        };
+        let Some(items) = value.get_ref().as_array() else {
+            self.fault(key, format!("is not a list; valid: a list of {valid}"));
+            return Vec::new();
+        };
+        let mut all = Vec::new();
+        for item in items {
+            match item.get_ref().as_str().map(str::parse) {
+                Some(Ok(value)) => all.push(value),
+                Some(Err(error)) => self.fault(key, format!("{error}; valid: a list of {valid}")),
+                None => self.fault(key, format!("is not a list of texts; valid: {valid}")),
+            }
+        }
+        all
+    }
+
     /// Reads one of a few words.
     pub(super) fn word<T: Copy>(&self, key: &'static str, words: &[(&str, T)]) -> Option<T> {
         let value = self.find(key)?;
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -5,9 +5,10 @@
 mod number;
 
 pub use name::{
-    Class, Command, Customer, Domain, Group, Instance, Key, Node, Operator, Plan, Request, Session,
+    Class, Command, Customer, Database, Domain, Group, Instance, Key, Node, Operator, Plan,
+    Request, Session,
 };
-pub use number::{Incarnation, Index, Position, Revision, Sequence, Term};
+pub use number::{Edition, Incarnation, Index, Position, Revision, Sequence, Term};
 
 /// Why a text is not a valid name or number.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/src/id/name.rs
+++ b/src/id/name.rs
@@ -56,6 +56,9 @@
 name!(
     /// A database group: one primary and its replicas.
     Group, "group");
+name!(
+    /// The name by which callers open a session; it leads to a group.
+    Database, "database");
 name!(
     /// One upstream instance of a group.
     Instance, "instance");
--- a/src/id/number.rs
+++ b/src/id/number.rs
@@ -48,6 +48,9 @@
 number!(
     /// A revision of the configuration.
     Revision, "revision");
+number!(
+    /// An operator's own number of the declarations; the highest one counts.
+    Edition, "edition");
 number!(
     /// An index in the control log.
     Index, "index");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! state machines as production. `docs/DESIGN.md` describes how the modules fit together.
 
 pub mod admin;
+pub mod broker;
 pub mod cli;
 pub mod clock;
 pub mod config;
@@ -13,5 +14,6 @@
 pub mod proxy;
 pub mod report;
 pub mod security;
+pub mod statement;
 pub mod upstream;
 pub mod wire;
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -104,6 +104,11 @@
         sequence > self.before && sequence <= self.answered
     }
 
+    /// Returns until when the lease runs.
+    pub fn lease(&self) -> Instant {
+        self.lease
+    }
+
     /// Tells whether the lease has not run out.
     pub fn leased(&self, now: Instant) -> bool {
         now < self.lease
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -1,18 +1,20 @@
-//! The proxy's talk with control: heartbeats out, grants in, the configuration fetched when it changed.
+//! A process's talk with control: heartbeats out, grants in, the configuration fetched when it changed.
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use smol::channel::Receiver;
 use smol::net::UdpSocket;
 
-use super::server::Shared;
-use crate::clock::Instant;
+use crate::clock::{Clock, Instant};
 use crate::config::Fleet;
-use crate::report::Peer;
-use crate::wire::{Body, Frame, Grant, MAX_DATAGRAM_BYTES, Stream};
+use crate::id;
+use crate::report::{Metrics, Peer};
+use crate::security::Guard;
+use crate::wire::{Body, Frame, Grant, Heartbeat, MAX_DATAGRAM_BYTES, Stream};
 
-/// How often the proxy sends a heartbeat when nothing changed.
+/// How often the process sends a heartbeat when nothing changed.
 const INTERVAL: Duration = Duration::from_millis(150);
 
 /// How long the leader may leave heartbeats unanswered until every voter is asked.
@@ -21,89 +23,123 @@
 /// How long to wait before a failed fetch is tried again.
 const PAUSE: Duration = Duration::from_millis(200);
 
+/// A process that serves callers by the decisions of control.
+pub(crate) trait Member: Send + Sync + 'static {
+    /// Returns the clock.
+    fn clock(&self) -> &Clock;
+    /// Returns the metrics.
+    fn metrics(&self) -> &Metrics;
+    /// Returns the keys.
+    fn guard(&self) -> &Guard;
+    /// Returns where control processes take frames.
+    fn voters(&self) -> Vec<SocketAddr>;
+    /// Takes over where control processes take frames.
+    fn met(&self, voters: Vec<SocketAddr>);
+    /// Returns what tells that a heartbeat is due at once.
+    fn nudged(&self) -> &Receiver<()>;
+    /// Has a heartbeat sent at once.
+    fn nudge(&self);
+    /// Makes a frame.
+    fn frame(&self, body: Body) -> Frame;
+    /// Makes a heartbeat.
+    fn heartbeat(&self) -> Heartbeat;
+    /// Takes a grant; returns whether what is in force changed.
+    fn granted(self: &Arc<Self>, grant: Grant) -> bool;
+    /// Tells whether a newer configuration is to be fetched, once until [`Member::fetched`].
+    fn wants_configuration(&self) -> bool;
+    /// Notes that a fetch has ended.
+    fn fetched(&self);
+    /// Puts a configuration in force.
+    fn configure(&self, revision: id::Revision, fleet: Fleet);
+}
+
 /// The voter that answered last, and when.
 type Leader = Arc<Mutex<Option<(SocketAddr, Instant)>>>;
 
 /// Runs the talk with control for ever.
-pub(super) fn spawn(shared: &Arc<Shared>, socket: UdpSocket) {
+pub(crate) fn spawn<M: Member>(member: &Arc<M>, socket: UdpSocket) {
     let leader = Leader::default();
-    smol::spawn(send(Arc::clone(shared), socket.clone(), Arc::clone(&leader))).detach();
-    smol::spawn(receive(Arc::clone(shared), socket, leader)).detach();
+    smol::spawn(send(Arc::clone(member), socket.clone(), Arc::clone(&leader))).detach();
+    smol::spawn(receive(Arc::clone(member), socket, leader)).detach();
 }
 
-async fn send(shared: Arc<Shared>, socket: UdpSocket, leader: Leader) {
+async fn send<M: Member>(member: Arc<M>, socket: UdpSocket, leader: Leader) {
     loop {
-        let body = Body::Heartbeat(shared.heartbeat());
-        match shared.guard.seal.encode(&shared.frame(body)) {
+        let body = Body::Heartbeat(member.heartbeat());
+        match member.guard().seal.encode(&member.frame(body)) {
             Ok(bytes) => {
-                shared.metrics.heartbeat_sent();
-                for address in addressed(&shared, &leader) {
-                    let _ = socket.send_to(&bytes, address).await;
+                member.metrics().heartbeat_sent();
+                for address in addressed(&*member, &leader) {
+                    if let Err(error) = socket.send_to(&bytes, address).await {
+                        log::debug!("a heartbeat to {address} was not sent: {error}");
+                    }
                 }
             }
             Err(error) => log::error!("a heartbeat can't be encoded: {error}"),
         }
-        shared.clock.timeout(INTERVAL, shared.nudged.recv()).await;
+        member.clock().timeout(INTERVAL, member.nudged().recv()).await;
     }
 }
 
 /// Returns whom to send a heartbeat: the leader, or every voter when the leader doesn't answer.
-fn addressed(shared: &Shared, leader: &Leader) -> Vec<SocketAddr> {
-    let now = shared.clock.now();
+fn addressed<M: Member>(member: &M, leader: &Leader) -> Vec<SocketAddr> {
+    let now = member.clock().now();
     let known = *leader.lock().expect("nothing panics under this lock");
     match known {
         Some((address, at)) if now.since(at) < UNANSWERED => vec![address],
-        _ => shared.voters.iter().map(|voter| voter.address).collect(),
+        _ => member.voters(),
     }
 }
 
-async fn receive(shared: Arc<Shared>, socket: UdpSocket, leader: Leader) {
+async fn receive<M: Member>(member: Arc<M>, socket: UdpSocket, leader: Leader) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
-        match shared.guard.seal.decode(&buffer[..len]) {
-            Ok(Frame { body: Body::Grant(grant), .. }) => take(&shared, from, &leader, grant),
+        match member.guard().seal.decode(&buffer[..len]) {
+            Ok(Frame { body: Body::Grant(grant), .. }) => take(&member, from, &leader, grant),
+            Ok(Frame { body: Body::Voters(voters), .. }) => member.met(voters),
             Ok(_) => {}
             Err(error) => {
-                shared.metrics.violated(Peer::Process, error.kind());
+                member.metrics().violated(Peer::Process, error.kind());
                 log::debug!("a datagram from {from} is dropped: {error}");
             }
         }
     }
 }
 
-fn take(shared: &Arc<Shared>, from: SocketAddr, leader: &Leader, grant: Grant) {
+fn take<M: Member>(member: &Arc<M>, from: SocketAddr, leader: &Leader, grant: Grant) {
     let unasked = grant.sequence.is_none();
-    let now = shared.clock.now();
+    let now = member.clock().now();
     if !unasked {
         *leader.lock().expect("nothing panics under this lock") = Some((from, now));
     }
-    if shared.granted(grant) || unasked {
-        shared.nudge();
+    if member.granted(grant) || unasked {
+        member.nudge();
     }
-    if shared.wants_configuration() {
-        smol::spawn(fetch(Arc::clone(shared), from)).detach();
+    if member.wants_configuration() {
+        smol::spawn(fetch(Arc::clone(member), from)).detach();
     }
 }
 
-async fn fetch(shared: Arc<Shared>, from: SocketAddr) {
+async fn fetch<M: Member>(member: Arc<M>, from: SocketAddr) {
     let fetched = async {
-        let mut stream = Stream::open(from).await?.sealed(&shared.guard.seal);
-        stream.send(&shared.frame(Body::Fetch)).await?;
+        let mut stream = Stream::open(from).await?.sealed(&member.guard().seal);
+        stream.send(&member.frame(Body::Fetch)).await?;
         stream.receive().await
     };
-    match shared.clock.timeout(Duration::from_secs(2), fetched).await {
+    match member.clock().timeout(Duration::from_secs(2), fetched).await {
         Some(Ok(Frame { body: Body::Configuration(configuration), .. })) => {
             match Fleet::parse("declarations", &configuration.text) {
-                Ok(fleet) => shared.configure(configuration.revision, fleet),
+                Ok(fleet) => member.configure(configuration.revision, fleet),
                 Err(error) => log::error!("the configuration in force is not valid: {error}"),
             }
         }
+        Some(Ok(_)) => log::debug!("{from} does not lead, so it sent no configuration"),
         Some(Err(error)) => log::debug!("the configuration was not fetched: {error}"),
-        _ => {}
+        None => log::debug!("the configuration did not come in time from {from}"),
     }
-    shared.clock.sleep(PAUSE).await;
-    shared.fetched();
+    member.clock().sleep(PAUSE).await;
+    member.fetched();
 }
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -14,7 +14,7 @@
 pub mod fence;
 pub mod floor;
 pub mod gap;
-mod heartbeat;
+pub(crate) mod heartbeat;
 pub mod outcome;
 pub mod peak;
 mod pool;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -1,5 +1,6 @@
 //! A proxy process: its sockets, and what its tasks share.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -431,3 +432,57 @@
         self.lock().instances.get(instance).map(|known| Arc::clone(&known.pool))
     }
 }
+
+impl heartbeat::Member for Shared {
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    fn voters(&self) -> Vec<SocketAddr> {
+        self.voters.iter().map(|voter| voter.address).collect()
+    }
+
+    fn met(&self, _voters: Vec<SocketAddr>) {
+        // The settings name every voter.
+    }
+
+    fn nudged(&self) -> &Receiver<()> {
+        &self.nudged
+    }
+
+    fn nudge(&self) {
+        Self::nudge(self);
+    }
+
+    fn frame(&self, body: Body) -> Frame {
+        Self::frame(self, body)
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        Self::heartbeat(self)
+    }
+
+    fn granted(self: &Arc<Self>, grant: Grant) -> bool {
+        Self::granted(self, grant)
+    }
+
+    fn wants_configuration(&self) -> bool {
+        Self::wants_configuration(self)
+    }
+
+    fn fetched(&self) {
+        Self::fetched(self);
+    }
+
+    fn configure(&self, revision: id::Revision, fleet: Fleet) {
+        Self::configure(self, revision, fleet);
+    }
+}
--- a/src/proxy/trail.rs
+++ b/src/proxy/trail.rs
@@ -45,8 +45,17 @@
     /// Returns the mark that an instance must have reached so that its data is at most `age` old at `now`, or
     /// `None` when that can't be proved.
     pub fn proof(&self, now: Instant, age: Duration) -> Option<Mark> {
-        let recent = self.entries.iter().find(|(at, _)| now.since(*at) <= age);
-        recent.map(|(_, mark)| *mark)
+        self.entry(now, age).map(|(_, mark)| mark)
+    }
+
+    /// Returns the same with when the primary stood there.
+    pub fn entry(&self, now: Instant, age: Duration) -> Option<(Instant, Mark)> {
+        self.entries.iter().find(|(at, _)| now.since(*at) <= age).copied()
+    }
+
+    /// Returns when the primary was last asked.
+    pub fn newest(&self) -> Option<Instant> {
+        self.entries.back().map(|(at, _)| *at)
     }
 
     /// Returns for how long at least an instance at `mark` has been behind, or `None` when it is not on the
