Find voters by seeds, and take declarations and instances that come as confirmed

Cause: the platform names seeds instead of voters, replaces machines without an operator, and has its own calls for configurations, instances and promotions. Ruled out: a fixed list of voters, which a replaced machine would not be in. Change: processes greet the seeds; the leader fills a number of seats, also from who was met later, and gives the seat of a silent voter away. Declarations with an operator's own number go into the log as confirmed; instances are listed in the log. Promotion by an outside service is a second way to reach instances.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -6,13 +6,15 @@
 
 use super::failover::Output as Decision;
 use super::leader::Leader;
+use super::meeting::{Greeting, Meeting};
 use super::member::{self, Heard};
 use super::raft::{Bootstrap, Entry, Last, Message, Output, Raft, Snapshot};
+use super::registry::Verdict;
 use super::state::{Action, Command, State};
 use crate::clock::Instant;
 use crate::config;
 use crate::id;
-use crate::wire::{Answer, Frame, Grant, Heartbeat, Stamp};
+use crate::wire::{Announced, Answer, Frame, Grant, Heartbeat, Phase, Stamp};
 
 /// After how many entries the log is compacted; it bounds what a restart reads.
 const COMPACT_ENTRIES: u64 = 512;
@@ -26,6 +28,8 @@
     pub(super) leader: Leader,
     pub(super) heard: Heard,
     pub(super) bootstrap: Bootstrap,
+    /// How this process gets to know the others, where the settings name seeds.
+    pub(super) meeting: Option<Meeting>,
     /// Why this process takes no part any more.
     pub(super) stopped: Option<String>,
     /// Since when this process leads with the decisions of all earlier leaders applied.
@@ -46,6 +50,7 @@
             leader: Leader::default(),
             heard: Heard::default(),
             bootstrap,
+            meeting: None,
             stopped: None,
             reign: None,
             applied: Last::default(),
@@ -126,7 +131,7 @@
             self.registering.remove(&(node.clone(), *incarnation));
         }
         self.changing = self.changing.filter(|index| *index > entry.index);
-        if matches!(entry.command.action, Action::Confirm { .. }) {
+        if matches!(entry.command.action, Action::Confirm { .. } | Action::Declare(_)) {
             self.configure();
         }
         if self.reign.is_some() {
@@ -185,6 +190,45 @@
         (None, Some(Message::Hello { members: Some(self.raft.members().clone()) }))
     }
 
+    /// Hears a process that has only this one's address. Returns the first members once they are known.
+    pub(super) fn greeted(
+        &mut self,
+        now: Instant,
+        greeting: &Greeting,
+    ) -> Option<super::raft::Members> {
+        if self.raft.is_blank() {
+            return self.meeting.as_mut().and_then(|meeting| meeting.hear(greeting));
+        }
+        let node = &greeting.peer.node;
+        if greeting.members.is_none() {
+            self.heard.blank.insert(node.clone(), greeting.peer.incarnation);
+        }
+        self.heard.met.insert(node.clone(), (now, greeting.voter()));
+        None
+    }
+
+    /// Takes an announcement while this process leads.
+    pub(super) fn announced(&mut self, now: Instant, said: &Announced) -> Verdict {
+        if !self.fleet.group.contains_key(&said.replica.group) {
+            // Whoever claims to belong to a group that nobody declared gets no work and displaces nobody.
+            return Verdict::Known;
+        }
+        self.leader.hear(now, said, &self.state)
+    }
+
+    /// Tells whether a group has a primary in force.
+    pub(super) fn is_settled(&self, group: &id::Group) -> bool {
+        self.state.epochs.get(group).is_some_and(|epoch| {
+            epoch.phase == Phase::Active && !self.state.draining.contains(&epoch.primary)
+        })
+    }
+
+    /// Returns where the members take frames.
+    pub(super) fn addresses(&self) -> Vec<std::net::SocketAddr> {
+        let members = self.raft.members();
+        members.voters.values().chain(members.learners.values()).map(|v| v.address).collect()
+    }
+
     /// Takes a heartbeat and makes the answer; an unknown proxy is registered first.
     pub(super) fn heartbeat(
         &mut self,
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -42,6 +42,13 @@
 /// How long one instance is given to take its term before the choice is made anew; it doubles each time.
 pub const ATTEMPT: Duration = Duration::from_secs(1);
 
+/// How long an instance is given that an outside service promotes: the service may be slow, and an order that it
+/// carries out after another instance was chosen would replace that one.
+pub const OUTSIDE_ATTEMPT: Duration = Duration::from_secs(4);
+
+/// How long until an outside service is asked again.
+pub const OUTSIDE_REPEAT: Duration = Duration::from_millis(1_500);
+
 /// The longest such time.
 const ATTEMPT_LIMIT: Duration = Duration::from_secs(16);
 
@@ -78,6 +85,11 @@
         /// What it sees.
         trouble: Trouble,
     },
+    /// The outside service says that the instance doesn't run, so that it was not promoted.
+    Declined {
+        /// The instance.
+        instance: id::Instance,
+    },
     /// Time passed.
     Tick(View<'a>),
 }
@@ -154,6 +166,10 @@
     attempt: Option<(id::Term, Instant, u32)>,
     damper: Damper,
     handover: Handover,
+    /// Whether an outside service promotes, which chooses the term and takes its time.
+    outside: bool,
+    /// The instance that the outside service did not promote, since it doesn't run.
+    declined: Option<id::Instance>,
 }
 
 #[derive(Debug)]
@@ -177,9 +193,16 @@
             attempt: None,
             damper: Damper::default(),
             handover: Handover::default(),
+            outside: false,
+            declined: None,
         }
     }
 
+    /// Sets whether an outside service promotes.
+    pub fn promoted_outside(&mut self, outside: bool) {
+        self.outside = outside;
+    }
+
     /// Takes one input and returns what is to be done.
     pub fn step(&mut self, now: Instant, input: Input<'_>) -> Vec<Output> {
         match input {
@@ -192,6 +215,7 @@
             Input::Reported { node, instance, trouble } => {
                 self.evidence.report(now, node, instance, trouble);
             }
+            Input::Declined { instance } => self.declined = Some(instance),
             Input::Tick(view) => return self.tick(now, view),
         }
         Vec::new()
@@ -306,36 +330,48 @@
             return known.map(|instance| Output::Probe { instance }).collect();
         };
         match view.claim.filter(|claim| claim.term > epoch.term) {
-            Some(claim) if !self.is_over(now, claim.term) => self.promote(now, claim),
+            Some(claim) if !self.is_over(now, claim) => self.promote(now, epoch, claim),
             claim => self.choose(now, epoch, claim, fenced, view),
         }
     }
 
     /// Tells whether the instance that has the term reserved was given long enough to take it.
-    fn is_over(&mut self, now: Instant, term: id::Term) -> bool {
+    fn is_over(&mut self, now: Instant, claim: &Claim) -> bool {
+        let term = claim.term;
+        let patience = if self.outside { OUTSIDE_ATTEMPT } else { ATTEMPT };
         let count = match self.attempt {
             Some((known, since, count)) if known == term => {
-                return now.since(since) >= doubled(ATTEMPT, count, ATTEMPT_LIMIT);
+                let declined = self.declined.as_ref() == Some(&claim.primary);
+                return declined || now.since(since) >= doubled(patience, count, ATTEMPT_LIMIT);
             }
             Some((_, _, count)) => count + 1,
             None => 0,
         };
         self.attempt = Some((term, now, count));
+        self.declined = None;
         false
     }
 
     /// Promotes the instance that has the term reserved; puts its epoch in force once it says that it is
     /// primary. It may have been promoted by an earlier leader.
-    fn promote(&mut self, now: Instant, claim: &Claim) -> Vec<Output> {
+    fn promote(&mut self, now: Instant, epoch: &Epoch, claim: &Claim) -> Vec<Output> {
+        let outside = self.outside;
         let promoted = self.fresh(now).find(|(instance, status)| {
-            **instance == claim.primary && status.role == Role::Primary && status.term == claim.term
+            let term = if outside { status.term > epoch.term } else { status.term == claim.term };
+            **instance == claim.primary && status.role == Role::Primary && term
         });
         if let Some((instance, status)) = promoted {
-            let action = self.promotion(instance, status);
+            let action = match self.promotion(instance, status) {
+                Action::Promote { group, term, primary, start } if outside => {
+                    Action::Adopt { group, term, primary, start }
+                }
+                action => action,
+            };
             return self.once(now, Output::Submit(action));
         }
         let promote = Output::Promote { instance: claim.primary.clone(), term: claim.term };
-        self.once(now, promote)
+        let repeat = if outside { OUTSIDE_REPEAT } else { REPEAT };
+        self.once_in(now, promote, repeat)
     }
 
     /// Reserves a new term for the instance that holds every acknowledged write.
@@ -365,6 +401,11 @@
         let Some(chosen) = ballot.choose() else {
             return Vec::new();
         };
+        if self.outside && *chosen.instance == epoch.primary {
+            // An outside service does not promote an instance that leads, so the epoch goes on as it was.
+            let action = Action::Thaw { group: self.group.clone(), term: epoch.term };
+            return self.once(now, Output::Submit(action));
+        }
         let newest = claim.map_or(epoch.term, |claim| claim.term);
         let term = newest.max(epoch.term).max(chosen.status.term).next();
         let primary = chosen.instance.clone();
@@ -412,7 +453,14 @@
 
     /// Gives an order unless the same one was given a moment ago.
     fn once(&mut self, now: Instant, output: Output) -> Vec<Output> {
-        self.ordered.retain(|(at, _)| now.since(*at) < REPEAT);
+        self.once_in(now, output, REPEAT)
+    }
+
+    fn once_in(&mut self, now: Instant, output: Output, repeat: Duration) -> Vec<Output> {
+        let over = |at: Instant, earlier: &Output| {
+            now.since(at) >= if *earlier == output { repeat } else { OUTSIDE_REPEAT }
+        };
+        self.ordered.retain(|(at, earlier)| !over(*at, earlier));
         if self.ordered.iter().any(|(_, earlier)| *earlier == output) {
             return Vec::new();
         }
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -5,15 +5,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::budget::{Budget, Member};
+use super::budget::{Budget, Member, WATCH};
 use super::failover::{Group, Input, Output, View};
 use super::lease::{CONFIRMATION, LEASE, Leases, Life};
+use super::registry::{Registry, Verdict};
 use super::state::{Action, State};
 use crate::clock::Instant;
 use crate::config::Fleet;
 use crate::id;
 use crate::upstream::announcement;
-use crate::wire::{Delta, Demand, Grant, Heartbeat, Phase, Replica, Route, Stamp};
+use crate::wire::{Announced, Delta, Demand, Grant, Heartbeat, Phase, Replica, Route, Stamp};
 
 /// How often the connections are shared anew.
 const RESHARE: Duration = Duration::from_millis(200);
@@ -37,6 +38,9 @@
     budgets: BTreeMap<id::Group, Budget>,
     reshared: Option<Instant>,
     forgetting: BTreeMap<id::Node, Instant>,
+    registry: Registry,
+    /// Whether instances announce themselves to control, and the log has them.
+    enlists: bool,
     version: u64,
 }
 
@@ -92,6 +96,11 @@
         self.replicas.get(instance).map(|(_, replica)| replica)
     }
 
+    /// Takes an announcement that came to control itself.
+    pub fn hear(&mut self, now: Instant, said: &Announced, state: &State) -> Verdict {
+        self.registry.hear(now, said, state)
+    }
+
     /// Returns the proxies whose lease has not run out.
     pub fn live(&self, now: Instant) -> BTreeSet<id::Node> {
         self.leases.live(now).map(|(node, _)| node.clone()).collect()
@@ -99,7 +108,14 @@
 
     /// Makes the table anew from what was decided; its version grows when it differs.
     pub fn refresh(&mut self, now: Instant, state: &State, fleet: &Fleet) {
-        self.replicas.retain(|_, (at, _)| now.since(*at) < announcement::EXPIRY);
+        self.enlists |= !state.enlisted.is_empty();
+        if self.enlists {
+            let enlisted = self.registry.replicas(now, state).into_iter();
+            let named = enlisted.map(|(at, replica)| (replica.instance.clone(), (at, replica)));
+            self.replicas = named.collect();
+        } else {
+            self.replicas.retain(|_, (at, _)| now.since(*at) < announcement::EXPIRY);
+        }
         let groups: BTreeSet<id::Group> =
             fleet.group.keys().chain(state.epochs.keys()).cloned().collect();
         for group in groups {
@@ -274,6 +290,8 @@
         self.leases.prune(now, over);
         let live = self.live(now);
         let mut outputs = self.forget(now, state);
+        let silent = self.registry.silent(now, state).into_iter();
+        outputs.extend(silent.map(|gone| Output::Submit(Action::Announce(gone))));
         let names: Vec<id::Group> = self.groups.keys().cloned().collect();
         for name in names {
             let Some(declared) = fleet.group.get(&name) else {
@@ -291,6 +309,9 @@
                 live: &live,
                 draining: &state.draining,
             };
+            if let Some(group) = self.groups.get_mut(&name) {
+                group.promoted_outside(declared.promoted_outside);
+            }
             outputs.extend(self.step(now, &name, Input::Tick(view)));
         }
         outputs
@@ -322,7 +343,10 @@
         let inherited = self.leases.inherited(now);
         for (name, group) in &fleet.group {
             let budget = self.budgets.entry(name.clone()).or_default();
-            if budget.step(group.connections, &members, inherited, self.version + 1) {
+            // Where instances are promoted outside, proxies watch them over the connections that they share.
+            let unwatched = if group.promoted_outside { WATCH * members.len() as u32 } else { 0 };
+            let connections = group.connections + unwatched;
+            if budget.step(connections, &members, inherited, self.version + 1) {
                 self.refresh_group(name.clone(), state);
             }
         }
--- /dev/null
+++ b/src/control/meeting.rs
@@ -0,0 +1,98 @@
+//! How control processes find each other when the settings name seeds instead of voters.
+//!
+//! A seed is an address where a control process was when the settings were written; who votes is told by the log. A
+//! blank disk alone can't tell a first start from a lost disk, so the first members are made only at a start that
+//! the settings call the first one, by the seed with the lowest address alone, and only when every other seed says
+//! that its disk is blank and that this is its first start too. Everyone else learns the members from whoever knows
+//! them, and is taken in by the leader. See `docs/PLATFORM.md`, "Voters".
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::raft::{Members, Peer};
+use super::state::Voter;
+use crate::config::Seeds;
+use crate::id;
+
+/// What one control process tells another that it has only an address of.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Greeting {
+    /// Which life of which process this is.
+    pub peer: Peer,
+    /// Where it takes frames.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Whether its settings call this the first start of the whole system.
+    pub first_start: bool,
+    /// The members that it knows, or none when its disk is blank.
+    pub members: Option<Members>,
+}
+
+impl Greeting {
+    /// Returns the process as a voter.
+    pub fn voter(&self) -> Voter {
+        Voter {
+            node: self.peer.node.clone(),
+            incarnation: self.peer.incarnation,
+            address: self.address,
+            domain: self.domain.clone(),
+        }
+    }
+}
+
+/// The machine of a blank process.
+#[derive(Debug)]
+pub struct Meeting {
+    seeds: Seeds,
+    own: Voter,
+    /// The blank processes at a first start that were met, by their address.
+    blank: BTreeMap<SocketAddr, Voter>,
+}
+
+impl Meeting {
+    /// Starts with the seeds of the settings.
+    pub fn new(seeds: Seeds, own: Voter) -> Self {
+        let blank = BTreeMap::from([(own.address, own.clone())]);
+        Self { seeds, own, blank }
+    }
+
+    /// Returns the members when nobody else has to be met.
+    pub fn alone(&self) -> Option<Members> {
+        self.found()
+    }
+
+    /// Hears another process, and returns the first members once they are known.
+    pub fn hear(&mut self, greeting: &Greeting) -> Option<Members> {
+        match &greeting.members {
+            Some(members) if members.votes(&self.own.node, self.own.incarnation) => {
+                Some(members.clone())
+            }
+            Some(_) => {
+                // The system runs already, so this is no first start.
+                self.seeds.first_start = false;
+                None
+            }
+            None if greeting.first_start => {
+                self.blank.insert(greeting.address, greeting.voter());
+                self.found()
+            }
+            None => None,
+        }
+    }
+
+    fn found(&self) -> Option<Members> {
+        let founder = self.seeds.addresses.iter().min()?;
+        if !self.seeds.first_start || *founder != self.own.address {
+            return None;
+        }
+        let mut members = Members::default();
+        for address in &self.seeds.addresses {
+            let voter = self.blank.get(address)?;
+            members.voters.insert(voter.node.clone(), voter.clone());
+        }
+        Some(members)
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -6,20 +6,24 @@
 pub mod budget;
 mod core;
 pub mod failover;
+mod gateway;
 mod journal;
 pub mod leader;
 pub mod lease;
 mod link;
+pub mod meeting;
 pub mod member;
 pub mod operator;
-mod promotion;
+pub mod promotion;
 pub mod raft;
+pub mod registry;
 mod server;
 pub mod state;
 pub mod store;
 mod submit;
 
-pub use server::{Server, spawn, spawn_on};
+pub use gateway::Unavailable;
+pub use server::{Server, spawn, spawn_by, spawn_on};
 
 /// Why a control process can't run.
 #[derive(Debug, thiserror::Error)]
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -1,7 +1,10 @@
-//! What a leader does to instances: it asks how they stand and carries out the orders of the groups' machines.
+//! The connections from the leader to instances: probes, promotions, and orders to follow. It is an edge: nothing
+//! here decides.
 
 use std::collections::BTreeMap;
+use std::fmt::Debug;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
@@ -10,16 +13,72 @@
 use super::failover::{Input, Output};
 use super::server::Shared;
 use super::state::{Action, Command};
-use crate::clock::Instant;
+use crate::clock::{Clock, Instant};
 use crate::id;
 use crate::pgsql;
+use crate::statement::{self, Codec};
+use crate::upstream::channel::{self, Channel};
 use crate::upstream::position;
-use crate::upstream::probe::Probe;
-use crate::wire::Replica;
+use crate::upstream::probe::{Probe, SILENCE};
+use crate::wire::{Replica, Trouble};
 
 /// How often an instance is asked.
 const INTERVAL: Duration = Duration::from_millis(50);
 
+/// How often an instance is asked whose status takes one of its slots, while its group has a primary in force.
+const SETTLED_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// How long an order to an instance may take.
+const ORDER: Duration = Duration::from_millis(1_000);
+
+/// How control reaches instances.
+#[derive(Debug, Clone)]
+pub enum Reach {
+    /// By PostgreSQL's protocol; an instance is promoted by a statement to it.
+    Pgsql,
+    /// By another protocol; an outside service promotes.
+    Outside {
+        /// The protocol.
+        codec: &'static dyn Codec,
+        /// The service.
+        promoter: Arc<dyn Promoter>,
+    },
+}
+
+/// An outside service that promotes instances.
+pub trait Promoter: Debug + Send + Sync {
+    /// Asks for a promotion. That it was taken doesn't say that the instance leads already.
+    fn promote(
+        &self,
+        promotion: Promotion,
+    ) -> Pin<Box<dyn Future<Output = Result<(), Declined>> + Send>>;
+}
+
+/// What an outside service is asked for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Promotion {
+    /// The group.
+    pub group: id::Group,
+    /// The instance that is to lead it.
+    pub instance: id::Instance,
+    /// Which control process asks.
+    pub holder: id::Node,
+    /// The term of the control log that it leads. No two processes ever lead one term, and a later leader has a
+    /// greater one.
+    pub token: id::Term,
+}
+
+/// Why an outside service did not take a promotion.
+#[derive(Debug, thiserror::Error)]
+pub enum Declined {
+    /// The instance doesn't run.
+    #[error("the instance doesn't run")]
+    NotRunning,
+    /// The service could not be asked, or failed; the promotion may happen nevertheless.
+    #[error("{0}")]
+    Failed(String),
+}
+
 /// What the connection to an instance is used for besides the regular probe.
 #[derive(Debug)]
 pub(super) enum Order {
@@ -42,11 +101,29 @@
             if !probes.contains_key(&replica.instance) {
                 let (orders, ordered) = unbounded();
                 probes.insert(replica.instance.clone(), orders);
-                smol::spawn(Arc::clone(self).watch(replica, ordered)).detach();
+                match self.reach.clone() {
+                    Reach::Pgsql => {
+                        smol::spawn(Arc::clone(self).watch(replica, ordered)).detach();
+                    }
+                    Reach::Outside { codec, promoter } => {
+                        let shared = Arc::clone(self);
+                        let watch = shared.watch_outside(replica, ordered, codec, promoter);
+                        smol::spawn(watch).detach();
+                    }
+                }
             }
         }
     }
 
+    fn is_watched(&self, replica: &Replica) -> bool {
+        self.core().leader.replica(&replica.instance) == Some(replica)
+    }
+
+    fn saw(&self, replica: &Replica, input: Input<'_>) {
+        let now = self.clock.now();
+        self.core().leader.step(now, &replica.group, input);
+    }
+
     /// Probes an instance, and carries out the orders to it, for as long as this process leads and the instance
     /// announces itself.
     async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
@@ -55,11 +132,10 @@
         let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone())
             .with(self.guard.upstream.clone());
         let mut order = Order::Probe;
-        while self.core().leader.replica(&replica.instance) == Some(&replica) {
+        while self.is_watched(&replica) {
             let asked = self.clock.now();
             if let Some(input) = run(&mut probe, &replica.instance, asked, order).await {
-                let now = self.clock.now();
-                self.core().leader.step(now, &replica.group, input);
+                self.saw(&replica, input);
             }
             let waited = self.clock.timeout(INTERVAL, ordered.recv()).await;
             order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
@@ -67,13 +143,73 @@
         self.probes().remove(&replica.instance);
     }
 
+    /// The same over a [`Codec`], where an outside service promotes.
+    async fn watch_outside(
+        self: Arc<Self>,
+        replica: Replica,
+        ordered: Receiver<Order>,
+        codec: &'static dyn Codec,
+        promoter: Arc<dyn Promoter>,
+    ) {
+        let mut line =
+            Line { clock: self.clock.clone(), codec, replica: replica.clone(), open: None };
+        let mut order = Order::Probe;
+        while self.is_watched(&replica) {
+            let instance = replica.instance.clone();
+            let input = match order {
+                Order::Probe => Some(line.probe().await),
+                Order::Promote(_) => self.promote(&replica, &*promoter).await,
+                Order::Follow(_, term) => {
+                    line.order(&statement::Order::Demote { term }).await;
+                    Some(line.probe().await)
+                }
+                // Such a primary can't be told to stop writes by itself. What it has now is what a replica must
+                // have received before the freeze, and the freeze stops the writes.
+                Order::Demote(_) => line.last().await.map_or_else(
+                    || Some(Input::Refused { instance: instance.clone() }),
+                    |status| Some(Input::Demoted { instance: instance.clone(), status }),
+                ),
+            };
+            if let Some(input) = input {
+                self.saw(&replica, input);
+            }
+            let settled = self.core().is_settled(&replica.group);
+            let interval = if settled { SETTLED_INTERVAL } else { INTERVAL };
+            let waited = self.clock.timeout(interval, ordered.recv()).await;
+            order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
+        }
+        self.probes().remove(&replica.instance);
+    }
+
+    async fn promote(&self, replica: &Replica, promoter: &dyn Promoter) -> Option<Input<'static>> {
+        let token = {
+            let core = self.core();
+            core.leads(self.clock.now()).then(|| core.raft.term())?
+        };
+        let promotion = Promotion {
+            group: replica.group.clone(),
+            instance: replica.instance.clone(),
+            holder: self.me.node.clone(),
+            token,
+        };
+        log::info!("asks to promote {} of {} with token {token}", replica.instance, replica.group);
+        match promoter.promote(promotion).await {
+            Ok(()) => None,
+            Err(declined) => {
+                log::warn!("{} was not promoted: {declined}", replica.instance);
+                let not_running = matches!(declined, Declined::NotRunning);
+                not_running.then(|| Input::Declined { instance: replica.instance.clone() })
+            }
+        }
+    }
+
     pub(super) fn carry_out(self: &Arc<Self>, output: Output) {
         match output {
             Output::Submit(action) => {
                 log::info!("control decides {action:?}");
                 match &action {
                     Action::Freeze { .. } => self.metrics.frozen(),
-                    Action::Promote { .. } => self.metrics.promoted(),
+                    Action::Promote { .. } | Action::Adopt { .. } => self.metrics.promoted(),
                     _ => {}
                 }
                 self.propose(Command { origin: None, action });
@@ -127,3 +263,63 @@
         }
     }
 }
+
+/// A connection to one instance over a [`Codec`] that is made again when it fails.
+struct Line {
+    clock: Clock,
+    codec: &'static dyn Codec,
+    replica: Replica,
+    open: Option<Channel>,
+}
+
+impl Line {
+    /// Asks the instance for its status. An open connection that failed proves little, so a new one decides.
+    async fn probe(&mut self) -> Input<'static> {
+        let instance = self.replica.instance.clone();
+        let mut asked = self.clock.now();
+        let mut answer = self.ask(&statement::Order::Status, SILENCE / 2).await;
+        if answer.is_err() {
+            asked = self.clock.now();
+            answer = self.ask(&statement::Order::Status, SILENCE / 2).await;
+        }
+        let seen = match answer {
+            Ok(Some(status)) => Ok(status),
+            // It lives, and is too busy to say more.
+            Ok(None) => Err(Trouble::Fine),
+            Err(error) => Err(error.trouble()),
+        };
+        Input::Probed { instance, asked, seen }
+    }
+
+    /// Returns the instance's status when it says it.
+    async fn last(&mut self) -> Option<position::Status> {
+        match self.ask(&statement::Order::Status, ORDER).await {
+            Ok(status) => status,
+            Err(error) => {
+                log::debug!("{} did not say its status: {error}", self.replica.instance);
+                None
+            }
+        }
+    }
+
+    async fn order(&mut self, order: &statement::Order<'_>) {
+        if let Err(error) = self.ask(order, ORDER).await {
+            log::warn!("{} did not carry out {order:?}: {error}", self.replica.instance);
+        }
+    }
+
+    async fn ask(
+        &mut self,
+        order: &statement::Order<'_>,
+        limit: Duration,
+    ) -> Result<Option<position::Status>, channel::Error> {
+        let deadline = self.clock.now() + limit;
+        let mut channel = match self.open.take() {
+            Some(channel) => channel,
+            None => Channel::open(&self.clock, self.codec, &self.replica, deadline).await?.0,
+        };
+        let status = channel.status(&self.clock, order, deadline).await?;
+        self.open = Some(channel);
+        Ok(status)
+    }
+}
--- a/src/control/raft/lead.rs
+++ b/src/control/raft/lead.rs
@@ -105,6 +105,18 @@
         *node == self.me.node || progress.is_some_and(|p| now.since(p.heard) < MAX_ELECTION)
     }
 
+    /// Returns how long a member has not answered; one that never did is silent since the election.
+    pub fn silence(&self, now: Instant, node: &id::Node) -> Duration {
+        let Role::Leader(lead) = &self.role else {
+            return Duration::ZERO;
+        };
+        if *node == self.me.node {
+            return Duration::ZERO;
+        }
+        let heard = lead.peers.get(node).map_or(lead.since, |progress| progress.heard);
+        now.since(heard.max(lead.since))
+    }
+
     /// Returns when this leader sent what a majority last answered.
     pub fn confirmed(&self, now: Instant) -> Option<Instant> {
         match &self.role {
--- a/src/control/raft/machine.rs
+++ b/src/control/raft/machine.rs
@@ -124,6 +124,11 @@
         self.leader.as_ref()
     }
 
+    /// Tells how long no leader was heard here; a leader hears itself.
+    pub fn leaderless(&self, now: Instant) -> Duration {
+        if self.is_leader() { Duration::ZERO } else { now.since(self.heard) }
+    }
+
     /// Tells whether this is the leader by its own view; [`Raft::leads`] tells whether that is proved.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, Role::Leader(_))
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -11,6 +11,8 @@
 use super::core::Core;
 use super::journal::{self, Order};
 use super::link::Link;
+use super::meeting::{Greeting, Meeting};
+use super::promotion::Reach;
 use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
 use super::state::{Command, State, Voter};
 use super::store::{Disk, Folder, Store};
@@ -28,10 +30,16 @@
 /// How often a blank process asks for the others.
 const HELLO: Duration = Duration::from_millis(100);
 
+/// How long to wait for the answer to a greeting, and between two of them.
+const GREETING: Duration = Duration::from_millis(500);
+
+/// How long no leader is heard until a member greets the others: it may have been removed meanwhile.
+const LEADERLESS: Duration = Duration::from_millis(1_500);
+
 /// A running control process.
 #[derive(Debug, Clone)]
 pub struct Server {
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
 }
 
 #[derive(Debug)]
@@ -42,7 +50,10 @@
     pub(super) me: Peer,
     pub(super) domain: id::Domain,
     pub(super) user: String,
+    pub(super) reach: Reach,
+    address: SocketAddr,
     voters: Vec<config::Voter>,
+    seeds: Mutex<Option<config::Seeds>>,
     core: Mutex<Core>,
     /// Where the orders to each instance go.
     pub(super) probes: Mutex<BTreeMap<id::Instance, Sender<promotion::Order>>>,
@@ -58,9 +69,22 @@
 ///
 /// Fails when the settings don't make a control process, or a socket or the disk can't be opened.
 pub async fn spawn(clock: Clock, settings: &config::Node) -> Result<Server, Error> {
+    spawn_by(clock, settings, Reach::Pgsql).await
+}
+
+/// Starts a control process that reaches instances in a certain way; see [`spawn`].
+///
+/// # Errors
+///
+/// Fails as [`spawn`] does.
+pub async fn spawn_by(
+    clock: Clock,
+    settings: &config::Node,
+    reach: Reach,
+) -> Result<Server, Error> {
     let data = settings.data.as_ref().ok_or(Error::NoData)?;
     let disk = Folder::open(data)?;
-    spawn_on(clock, settings, disk).await
+    start(clock, settings, disk, reach).await
 }
 
 /// Starts a control process on any disk; see [`spawn`].
@@ -72,6 +96,15 @@
     clock: Clock,
     settings: &config::Node,
     disk: impl Disk,
+) -> Result<Server, Error> {
+    start(clock, settings, disk, Reach::Pgsql).await
+}
+
+async fn start(
+    clock: Clock,
+    settings: &config::Node,
+    disk: impl Disk,
+    reach: Reach,
 ) -> Result<Server, Error> {
     let control = settings.control.as_ref().ok_or(Error::NotControl)?;
     let guard = Guard::open(&settings.security)?;
@@ -84,6 +117,17 @@
     let me = found.peer;
     let raft = Raft::new(clock.now(), me.clone(), &found.saved, fastrand::u64(..));
     let bootstrap = Bootstrap::new(me.clone(), initial(settings));
+    let mut core = Core::new(raft, bootstrap, found.saved.snapshot.as_ref());
+    if let Some(seeds) = &settings.seeds {
+        let own = Voter {
+            node: me.node.clone(),
+            incarnation: me.incarnation,
+            address: control.address,
+            domain: settings.domain.clone(),
+        };
+        core.heard.seats = Some(seeds.seats());
+        core.meeting = Some(Meeting::new(seeds.clone(), own));
+    }
     let (orders, received) = mpsc::channel();
     let shared = Arc::new(Shared {
         clock,
@@ -92,8 +136,11 @@
         me,
         domain: settings.domain.clone(),
         user: control.user.clone(),
+        reach,
+        address: control.address,
         voters: settings.voters.clone(),
-        core: Mutex::new(Core::new(raft, bootstrap, found.saved.snapshot.as_ref())),
+        seeds: Mutex::new(settings.seeds.clone()),
+        core: Mutex::new(core),
         probes: Mutex::default(),
         links: Mutex::default(),
         seen: Mutex::default(),
@@ -107,6 +154,9 @@
     smol::spawn(Arc::clone(&shared).receive()).detach();
     smol::spawn(Arc::clone(&shared).tick()).detach();
     smol::spawn(Arc::clone(&shared).hello()).detach();
+    if settings.seeds.is_some() {
+        smol::spawn(Arc::clone(&shared).meet()).detach();
+    }
     smol::spawn(accept(Arc::clone(&shared), tcp)).detach();
     smol::spawn(operator::serve(Arc::clone(&shared), admin)).detach();
     Ok(Server { shared })
@@ -145,6 +195,11 @@
         self.shared.core().leads(now)
     }
 
+    /// Takes the seeds of changed settings over.
+    pub fn reseed(&self, seeds: config::Seeds) {
+        self.shared.reseed(seeds);
+    }
+
     /// Returns why this process takes no part any more.
     pub fn stopped(&self) -> Option<String> {
         self.shared.core().stopped.clone()
@@ -200,8 +255,9 @@
 
     fn begin_alone(self: &Arc<Self>) {
         let mut core = self.core();
+        let met = core.meeting.as_ref().and_then(Meeting::alone);
         if core.raft.is_blank()
-            && let Some(members) = core.bootstrap.alone()
+            && let Some(members) = met.or_else(|| core.bootstrap.alone())
         {
             self.step_in(&mut core, Input::Found(members));
         }
@@ -290,9 +346,20 @@
         };
         let granted = matches!(answer, Some(Body::Grant(_)));
         self.metrics.lease(if granted { Lease::Granted } else { Lease::Refused });
+        // A proxy that is new here, or that asked the wrong process, may not know who takes part by now.
+        let new = !granted || is_new(heartbeat, self.core().raft.term());
         if let Some(answer) = answer {
             self.datagram(from, answer).await;
         }
+        if new && self.greets() {
+            let addresses = self.core().addresses();
+            self.datagram(from, Body::Voters(addresses)).await;
+        }
+    }
+
+    /// Tells whether processes find each other by seeds.
+    fn greets(&self) -> bool {
+        self.seeds.lock().expect("nothing panics under this lock").is_some()
     }
 
     async fn tick(self: Arc<Self>) {
@@ -325,6 +392,75 @@
         }
     }
 
+    /// Says who this is.
+    fn greeting(&self, core: &Core) -> Greeting {
+        let seeds = self.seeds.lock().expect("nothing panics under this lock");
+        Greeting {
+            peer: self.me.clone(),
+            address: self.address,
+            domain: self.domain.clone(),
+            first_start: seeds.as_ref().is_some_and(|seeds| seeds.first_start),
+            members: (!core.raft.is_blank()).then(|| core.raft.members().clone()),
+        }
+    }
+
+    /// Greets the seeds and the members for as long as this process has no part in the log, or hears no leader.
+    async fn meet(self: Arc<Self>) {
+        loop {
+            let (addresses, pause) = {
+                let core = self.core();
+                let blank = core.raft.is_blank();
+                let alone = core.raft.leaderless(self.clock.now()) >= LEADERLESS;
+                let addresses = if blank || alone { self.known(&core) } else { Vec::new() };
+                (addresses, if blank { HELLO } else { GREETING })
+            };
+            for address in addresses {
+                smol::spawn(Arc::clone(&self).greet(address)).detach();
+            }
+            self.clock.sleep(pause).await;
+        }
+    }
+
+    /// Returns where other control processes are or were.
+    fn known(&self, core: &Core) -> Vec<SocketAddr> {
+        let seeds = self.seeds.lock().expect("nothing panics under this lock");
+        let mut known = core.addresses();
+        known.extend(seeds.iter().flat_map(|seeds| seeds.addresses.iter().copied()));
+        known.sort_unstable();
+        known.dedup();
+        known.retain(|address| *address != self.address);
+        known
+    }
+
+    async fn greet(self: Arc<Self>, address: SocketAddr) {
+        let greeting = self.greeting(&self.core());
+        let greeted = async {
+            let mut stream = Stream::open(address).await?.sealed(&self.guard.seal);
+            stream.send(&self.frame(Body::Meet(greeting))).await?;
+            stream.receive().await
+        };
+        match self.clock.timeout(GREETING, greeted).await {
+            Some(Ok(Frame { body: Body::Meet(greeting), .. })) => self.greeted(&greeting),
+            Some(Ok(_)) => log::debug!("{address} answered a greeting with something else"),
+            Some(Err(error)) => log::debug!("{address} could not be greeted: {error}"),
+            None => log::debug!("{address} did not answer a greeting"),
+        }
+    }
+
+    fn greeted(self: &Arc<Self>, greeting: &Greeting) {
+        let now = self.clock.now();
+        let mut core = self.core();
+        if let Some(members) = core.greeted(now, greeting) {
+            log::info!("the members of control are {:?}", members.voters.keys());
+            self.step_in(&mut core, Input::Found(members));
+        }
+    }
+
+    /// Takes the seeds of changed settings over; whoever has found the others needs none.
+    pub(super) fn reseed(&self, seeds: config::Seeds) {
+        *self.seeds.lock().expect("nothing panics under this lock") = Some(seeds);
+    }
+
     /// Asks for the others for as long as this disk is blank.
     async fn hello(self: Arc<Self>) {
         while self.core().raft.is_blank() {
@@ -402,11 +538,25 @@
                 }))
             }
             Body::Submit(command) => Some(Body::Answer(self.submit_here(command).await)),
+            Body::Announce(said) => Some(Body::Answer(self.announce_here(said).await)),
+            Body::Declarations => Some(match self.declared() {
+                Some(declared) => Body::Declared(declared),
+                None => Body::Redirect(self.core().raft.leader().cloned()),
+            }),
+            Body::Meet(greeting) => {
+                self.greeted(&greeting);
+                Some(Body::Meet(self.greeting(&self.core())))
+            }
             _ => None,
         }
     }
 }
 
+/// Tells whether a proxy has not heard of the present leader.
+fn is_new(heartbeat: &crate::wire::Heartbeat, term: id::Term) -> bool {
+    heartbeat.seen.term != term
+}
+
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     loop {
         let Ok((socket, from)) = listener.accept().await else {
--- a/src/control/state/apply.rs
+++ b/src/control/state/apply.rs
@@ -4,6 +4,9 @@
 use crate::id;
 use crate::wire;
 
+/// How many of a group's forks are kept, for instances that come back after as many promotions.
+const KEPT_FORKS: usize = 32;
+
 /// How many operators' commands keep their first outcome.
 const KEPT_OUTCOMES: usize = 10_000;
 
@@ -58,6 +61,15 @@
             }
             Action::Member(change) => self.member(change),
             Action::Claim { group, term, primary } => self.claim(group, *term, primary),
+            Action::Declare(declared) => self.declare(declared),
+            Action::Announce(announced) => {
+                self.announce(announced);
+                self.done()
+            }
+            Action::Thaw { group, term } => self.thaw(group, *term),
+            Action::Adopt { group, term, primary, start } => {
+                self.adopt(group, *term, primary, *start)
+            }
         }
     }
 
@@ -85,25 +97,68 @@
         }
     }
 
+    fn thaw(&mut self, group: &id::Group, term: id::Term) -> Outcome {
+        let reserved = self.claims.get(group).is_some_and(|claim| claim.term > term);
+        match self.epochs.get_mut(group) {
+            Some(epoch) if epoch.term == term && !reserved => {
+                epoch.phase = wire::Phase::Active;
+                self.done()
+            }
+            _ => refused(format!("term {term} of group {group} can't go on")),
+        }
+    }
+
     fn promote(
         &mut self,
         group: &id::Group,
         term: id::Term,
         primary: &id::Instance,
         start: id::Position,
+    ) -> Outcome {
+        let claim = Claim { term, primary: primary.clone() };
+        if let Some(epoch) = self.epochs.get(group)
+            && epoch.term < term
+            && (epoch.phase != wire::Phase::Frozen || self.claims.get(group) != Some(&claim))
+        {
+            return refused(format!("term {term} of group {group} is not {primary}'s to take"));
+        }
+        self.reign(group, term, primary, start)
+    }
+
+    /// Puts the epoch in force of the instance that a term is reserved for, whichever term it took.
+    fn adopt(
+        &mut self,
+        group: &id::Group,
+        term: id::Term,
+        primary: &id::Instance,
+        start: id::Position,
+    ) -> Outcome {
+        let frozen = self.epochs.get(group).is_none_or(|e| e.phase == wire::Phase::Frozen);
+        let claimed = self.claims.get(group).is_some_and(|claim| claim.primary == *primary);
+        if !frozen || !claimed {
+            return refused(format!("group {group} is not {primary}'s to lead"));
+        }
+        self.reign(group, term, primary, start)
+    }
+
+    fn reign(
+        &mut self,
+        group: &id::Group,
+        term: id::Term,
+        primary: &id::Instance,
+        start: id::Position,
     ) -> Outcome {
         let mut forks = Vec::new();
         if let Some(epoch) = self.epochs.get(group) {
             if epoch.term >= term {
                 return refused(format!("group {group} is on term {} already", epoch.term));
             }
-            let claim = Claim { term, primary: primary.clone() };
-            if epoch.phase != wire::Phase::Frozen || self.claims.get(group) != Some(&claim) {
-                return refused(format!("term {term} of group {group} is not {primary}'s to take"));
-            }
             forks = epoch.forks.clone();
         }
         forks.push((term, start));
+        // Only the newest forks are asked for; older ones would grow without end.
+        let old = forks.len().saturating_sub(KEPT_FORKS);
+        forks.drain(..old);
         let epoch = wire::Epoch {
             group: group.clone(),
             term,
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -45,6 +45,21 @@
     pub records: VecDeque<Record>,
     /// The changes of the voters that were confirmed and are not finished.
     pub wanted: VecDeque<Membership>,
+    /// The instances that announce themselves to control.
+    pub enlisted: BTreeMap<id::Instance, wire::Announced>,
+    /// What was declared without a plan, when that is what is in force.
+    pub declared: Option<Declared>,
+}
+
+/// Declarations that come as confirmed, with their operator's own number.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Declared {
+    /// The operator's number.
+    pub edition: id::Edition,
+    /// The declarations, in TOML.
+    pub text: String,
+    /// What the operator sent, to be shown again as it was.
+    pub source: String,
 }
 
 /// A term that one instance alone may be promoted to; the log gives no term to two instances.
@@ -161,6 +176,30 @@
     },
     /// Change the voters by one.
     Member(Membership),
+    /// Put declarations in force that come as confirmed, unless others with a number as high are.
+    Declare(Declared),
+    /// An instance came, is about to leave, or left.
+    Announce(wire::Announced),
+    /// Put a frozen epoch in force again under its own term, unless a newer term was reserved: then another instance
+    /// may have been promoted already.
+    Thaw {
+        /// The group.
+        group: id::Group,
+        /// The term.
+        term: id::Term,
+    },
+    /// Put the epoch in force of an instance that has a term reserved and was promoted by an outside service, which
+    /// chose the term.
+    Adopt {
+        /// The group.
+        group: id::Group,
+        /// The term that the instance took.
+        term: id::Term,
+        /// The primary.
+        primary: id::Instance,
+        /// Where the new term's history begins.
+        start: id::Position,
+    },
     /// Reserve a term of a frozen group for one instance, before it is ordered to take it.
     Claim {
         /// The group.
--- a/src/control/state/plan.rs
+++ b/src/control/state/plan.rs
@@ -3,7 +3,7 @@
 use sha2::{Digest, Sha256};
 
 use super::apply::refused;
-use super::{Intent, Origin, Outcome, Planned, Record, State, effect};
+use super::{Declared, Intent, Origin, Outcome, Planned, Record, State, effect};
 use crate::config;
 use crate::id;
 use crate::wire;
@@ -135,6 +135,21 @@
         });
     }
 
+    /// Puts declarations in force that come as confirmed. One whose number is not higher changes nothing.
+    pub(super) fn declare(&mut self, declared: &Declared) -> Outcome {
+        if self.declared.as_ref().is_some_and(|known| known.edition >= declared.edition) {
+            return self.done();
+        }
+        if let Err(error) = config::Fleet::parse("declarations", &declared.text) {
+            return refused(error.to_string());
+        }
+        self.digest = digest(&declared.text);
+        self.text.clone_from(&declared.text);
+        self.declared = Some(declared.clone());
+        self.revision = self.revision.next();
+        self.done()
+    }
+
     fn carry_out(&mut self, intent: Intent) {
         match intent {
             Intent::Configure { text } => {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -25,6 +25,8 @@
     Grant(Grant),
     /// A voter that is not the leader to a proxy, over UDP: ask this one instead.
     Redirect(Option<id::Node>),
+    /// A voter to a proxy, over UDP: where the members of control take frames now.
+    Voters(Vec<SocketAddr>),
     /// Proxy to leader, over TCP: send the configuration that is in force.
     Fetch,
     /// Leader to proxy, over TCP: the configuration in force.
@@ -40,6 +42,15 @@
     Submit(control::state::Command),
     /// Voter to the process that submitted.
     Answer(Answer),
+    /// A control process to another one whose address it was given, over TCP, and the answer to it; see
+    /// [`control::meeting`].
+    Meet(control::meeting::Greeting),
+    /// A voter to the leader, over TCP: an instance announced itself here. [`Answer`] is the answer.
+    Announce(Announced),
+    /// A voter to the leader, over TCP: say what was declared last. [`Body::Declared`] or a redirection answers.
+    Declarations,
+    /// Leader to voter, over TCP: what was declared last, in the declarer's own form, when anything was.
+    Declared(Option<control::state::Declared>),
 }
 
 /// What a proxy tells control with each heartbeat.
@@ -129,6 +140,30 @@
     pub domain: id::Domain,
 }
 
+/// What an instance, or somebody on its behalf, said of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announced {
+    /// Which instance it is and where.
+    pub replica: Replica,
+    /// Which life of it this is; a later life has a greater number.
+    pub born: id::Incarnation,
+    /// Numbers what this life says.
+    pub sequence: id::Sequence,
+    /// What it says.
+    pub standing: Standing,
+}
+
+/// Whether an instance takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Standing {
+    /// It takes work.
+    Ready,
+    /// It is about to leave and takes no new work.
+    Leaving,
+    /// It has left.
+    Gone,
+}
+
 /// The leader's answer to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Grant {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -11,8 +11,8 @@
 
 pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
 pub use message::{
-    Answer, Body, Configuration, Delta, Demand, Epoch, Grant, Heartbeat, Peak, Phase, Replica,
-    Role, Route, Sighting, Stamp, Table, Trouble,
+    Announced, Answer, Body, Configuration, Delta, Demand, Epoch, Grant, Heartbeat, Peak, Phase,
+    Replica, Role, Route, Sighting, Stamp, Standing, Table, Trouble,
 };
 pub use seal::{SEAL_BYTES, Seal};
 pub use stream::Stream;
