--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -38,7 +38,7 @@
     ///
     /// Fails when the other side can't be reached or refuses.
     pub async fn get(&self, address: SocketAddr, path: &str) -> Result<Bytes, Error> {
-        self.call(address, Method::GET, path, Bytes::new()).await
+        self.call(address, Method::GET, path, &[], Bytes::new()).await
     }
 
     /// Posts `body` as JSON and returns the answer's JSON.
@@ -53,15 +53,21 @@
         body: &impl Serialize,
     ) -> Result<T, Error> {
         let body = serde_json::to_vec(body)?;
-        let answer = self.call(address, Method::POST, path, body.into()).await?;
+        let answer = self.call(address, Method::POST, path, &[], body.into()).await?;
         Ok(serde_json::from_slice(&answer)?)
     }
 
-    async fn call(
+    /// Sends a request with more headers, and returns the body of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the other side can't be reached or refuses.
+    pub async fn call(
         &self,
         address: SocketAddr,
         method: Method,
         path: &str,
+        headers: &[(&str, &str)],
         body: Bytes,
     ) -> Result<Bytes, Error> {
         let socket = TcpStream::connect(address).await.map_err(Error::Connect)?;
@@ -72,6 +78,9 @@
             .uri(path)
             .header("host", address.to_string())
             .header("content-type", "application/json");
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
         if let Some(token) = &self.token {
             request = request.header(AUTHORIZATION, format!("Bearer {token}"));
         }
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -4,7 +4,7 @@
 mod server;
 
 pub use client::{Client, get, post};
-pub use server::{Reply, Request, serve};
+pub use server::{Reply, Request, serve, serve_metrics};
 
 /// The longest body that is read, in bytes.
 pub const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -13,6 +13,7 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::MAX_BODY_BYTES;
+use crate::report::Metrics;
 
 /// A request whose body has been read.
 #[derive(Debug, Clone)]
@@ -48,6 +49,11 @@
         }
     }
 
+    /// Answers with JSON that is encoded already.
+    pub fn json_text(body: String) -> Self {
+        Self { status: StatusCode::OK, kind: "application/json", body: body.into() }
+    }
+
     /// Answers with text.
     pub fn text(body: String) -> Self {
         Self { status: StatusCode::OK, kind: "text/plain; charset=utf-8", body: body.into() }
@@ -83,6 +89,22 @@
     }
 }
 
+/// Serves a process's metrics and nothing else, until the listener fails.
+pub async fn serve_metrics(metrics: Metrics, listener: TcpListener) {
+    let handle = move |request: Request| {
+        let metrics = metrics.clone();
+        async move {
+            match (&request.method, request.path.as_str()) {
+                (&Method::GET, "/metrics") => Reply::metrics(metrics.encode()),
+                _ => Reply::refuse(StatusCode::NOT_FOUND, "there is nothing here"),
+            }
+        }
+    };
+    if let Err(error) = serve(listener, handle).await {
+        log::error!("metrics can't be served any more: {error}");
+    }
+}
+
 async fn connection<F>(socket: TcpStream, handle: impl Fn(Request) -> F + Send + Sync + 'static)
 where
     F: Future<Output = Reply> + Send + 'static,
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod command;
 mod exit;
 mod generate;
+mod host;
 mod logging;
 mod online;
 mod paint;
@@ -17,14 +18,30 @@
 
 pub use command::command;
 pub use exit::{EXITS, Exit, describe};
+pub use host::Host;
 
-/// Reads the command line and runs its command.
+/// A command that is not the library's own, such as the adapter to an outside platform.
+#[derive(Debug, Clone)]
+pub struct Extension {
+    /// How it looks.
+    pub command: clap::Command,
+    /// What it does.
+    pub run: fn(&clap::ArgMatches) -> anyhow::Result<Exit>,
+}
+
+/// Reads the command line and runs its command, one of `extensions` or the library's own.
 ///
 /// # Errors
 ///
 /// Fails when the command does; the error is printed once, by `main`, and [`Exit::of`] gives its exit code.
-pub fn run() -> anyhow::Result<Exit> {
-    let matches = command().get_matches();
+pub fn run(extensions: &[Extension]) -> anyhow::Result<Exit> {
+    let commands = extensions.iter().map(|extension| extension.command.clone());
+    let matches = command().subcommands(commands).get_matches();
+    if let Some((name, matches)) = matches.subcommand()
+        && let Some(known) = extensions.iter().find(|known| known.command.get_name() == name)
+    {
+        return (known.run)(matches);
+    }
     match matches.subcommand() {
         Some(("proxy", matches)) => process::proxy(matches),
         Some(("control", matches)) => process::control(matches),
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,8 +2,11 @@
 
 use std::process::ExitCode;
 
+#[path = "../platform/mod.rs"]
+mod platform;
+
 fn main() -> ExitCode {
-    match cactushatch::cli::run() {
+    match cactushatch::cli::run(&[platform::extension()]) {
         Ok(code) => code.into(),
         Err(error) => {
             eprintln!("[cactushatch error]: {}", cactushatch::cli::describe(&error));
