--- /dev/null
+++ b/tests/broker.rs
@@ -0,0 +1,358 @@
+//! The broker's machines: what a statement comes to, what is sent before it, what it needs, and where it runs.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use cactushatch::broker::applied::{self, Applied, Fix};
+use cactushatch::broker::dispatch::{
+    Ask, Dispatch, FULL, LAGGING, MAX_WAITING, Ticket, USUAL_ABSENCE, USUAL_LAG, Verdict,
+};
+use cactushatch::broker::need::{self, Need, Sight};
+use cactushatch::broker::session::{self, Session, Step, What, Work};
+use cactushatch::clock::Instant;
+use cactushatch::config::{Reads, Span};
+use cactushatch::id;
+use cactushatch::proxy::floor::Mark;
+use cactushatch::statement::{Access, Code, Shape, State, Statement};
+use proptest::prelude::*;
+use smallvec::SmallVec;
+
+fn at(ms: u64) -> Instant {
+    Instant(1_000_000_000) + Duration::from_millis(ms)
+}
+
+fn instance(name: &str) -> id::Instance {
+    name.parse().expect("a name")
+}
+
+fn mark(term: u64, position: u64) -> Mark {
+    Mark { term: id::Term(term), position: id::Position(position) }
+}
+
+fn shape(access: Access, text: &str) -> Shape {
+    Shape { access, text: text.into() }
+}
+
+fn data(access: Access) -> Statement {
+    Statement::Data { access, text: "x".to_owned() }
+}
+
+fn work(access: Access) -> Work {
+    Work { access, what: What::Text("x".to_owned()) }
+}
+
+fn set(name: &str, value: &str) -> Statement {
+    Statement::Set { name: name.to_owned(), value: value.to_owned() }
+}
+
+#[test]
+fn a_transaction_takes_its_statements_inside_and_ends_idle() {
+    let mut session = Session::default();
+    assert_eq!(session.step(Statement::Begin { read_only: false }), Step::Done);
+    assert_eq!(session.state(), State::Open);
+    let inside = Step::Inside { work: work(Access::Write), read_only: false };
+    assert_eq!(session.step(data(Access::Write)), inside);
+    assert_eq!(session.step(Statement::Commit), Step::Commit { read_only: false });
+    assert_eq!(session.state(), State::Idle);
+    assert_eq!(session.step(data(Access::Read)), Step::Single(work(Access::Read)));
+}
+
+#[test]
+fn a_failed_transaction_refuses_all_but_its_end() {
+    let mut session = Session::default();
+    session.step(Statement::Begin { read_only: false });
+    session.fail();
+    assert_eq!(session.state(), State::Failed);
+    for statement in [data(Access::Read), set("a", "1"), Statement::Begin { read_only: true }] {
+        assert!(matches!(session.step(statement), Step::Refuse(Code::Malformed, _)));
+    }
+    assert!(matches!(session.step(Statement::Commit), Step::Refuse(Code::Aborted, _)));
+    assert_eq!(session.state(), State::Idle);
+}
+
+#[test]
+fn a_transaction_that_only_reads_refuses_a_write() {
+    let mut session = Session::default();
+    session.step(Statement::Begin { read_only: true });
+    assert!(matches!(session.step(data(Access::Write)), Step::Refuse(Code::ReadOnly, _)));
+    assert_eq!(session.state(), State::Failed);
+}
+
+#[test]
+fn prepared_names_are_the_sessions_own() {
+    let mut session = Session::default();
+    let execute = || Statement::Execute { name: "s1".to_owned(), arguments: "k v".to_owned() };
+    assert!(matches!(session.step(execute()), Step::Refuse(Code::NoStatement, _)));
+    let shape = shape(Access::Write, "q2c");
+    session.step(Statement::Prepare { name: "s1".to_owned(), shape: shape.clone() });
+    let what = What::Prepared { shape, arguments: "k v".to_owned() };
+    let run = Step::Single(Work { access: Access::Write, what });
+    assert_eq!(session.step(execute()), run);
+    assert_eq!(session.step(Statement::Deallocate { name: "s1".to_owned() }), Step::Done);
+    assert!(matches!(session.step(execute()), Step::Refuse(Code::NoStatement, _)));
+}
+
+#[test]
+fn what_a_session_holds_is_bounded() {
+    let mut session = Session::default();
+    for at in 0..session::MAX_VALUES {
+        assert_eq!(session.step(set(&format!("v{at}"), "1")), Step::Done);
+    }
+    assert!(matches!(session.step(set("one-more", "1")), Step::Refuse(Code::Failed, _)));
+    assert_eq!(session.step(set("v0", "2")), Step::Done);
+}
+
+/// Carries out fixes as a connection would, and returns what it then has.
+fn carry_out(values: &mut BTreeMap<String, String>, names: &mut Vec<String>, fixes: &[Fix]) {
+    for fix in fixes {
+        match fix {
+            Fix::Reset => {
+                values.clear();
+                names.clear();
+            }
+            Fix::Set { name, value } => {
+                values.insert(name.clone(), value.clone());
+            }
+            Fix::Prepare { name, .. } => {
+                assert!(!names.contains(name), "{name} is prepared twice");
+                names.push(name.clone());
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever sessions used a connection before, a statement finds exactly its own session's values and a
+    /// prepared statement that is there.
+    #[test]
+    fn a_connection_never_shows_another_sessions_values(
+        uses in prop::collection::vec(
+            (prop::collection::btree_map("[a-c]", "[0-9]", 0..4), prop::option::of(0..200_u32)),
+            1..60,
+        )
+    ) {
+        let mut applied = Applied::default();
+        let (mut values, mut names) = (BTreeMap::new(), Vec::new());
+        for (wanted, prepared) in uses {
+            let shape = prepared.map(|at| shape(Access::Read, &format!("t{at}")));
+            let fixes = applied.fix(&wanted, shape.as_ref(), true);
+            carry_out(&mut values, &mut names, &fixes);
+            prop_assert_eq!(&values, &wanted);
+            prop_assert!(applied.matches(&wanted));
+            if let Some(shape) = shape {
+                let name = applied.name(&shape).expect("it is prepared").to_owned();
+                prop_assert!(names.contains(&name));
+            }
+            prop_assert!(names.len() <= applied::MAX_PREPARED);
+        }
+    }
+}
+
+#[test]
+fn a_transaction_is_never_reset() {
+    let mut applied = Applied::default();
+    let some = BTreeMap::from([("a".to_owned(), "1".to_owned())]);
+    applied.fix(&some, None, true);
+    let fixes = applied.fix(&BTreeMap::new(), Some(&shape(Access::Read, "t")), false);
+    assert!(!fixes.contains(&Fix::Reset));
+}
+
+fn sight(asked: u64, term: u64, position: u64) -> Sight {
+    Sight { asked: at(asked), mark: mark(term, position) }
+}
+
+#[test]
+fn a_read_of_the_latest_needs_the_primary_whatever_is_known() {
+    assert_eq!(need::read(Reads::Latest, Some(sight(0, 1, 5)), None), Need::Primary);
+}
+
+#[test]
+fn a_bounded_read_without_a_proof_needs_the_primary() {
+    let reads = Reads::Bounded(Span(Duration::from_secs(1)));
+    assert_eq!(need::read(reads, None, Some(sight(0, 1, 5))), Need::Primary);
+}
+
+#[test]
+fn a_sessions_read_needs_its_own_write_too() {
+    let reads = Reads::Session(Span(Duration::from_secs(1)));
+    let (proof, own) = (sight(10, 1, 5), sight(20, 1, 7));
+    let reached = |sight: Sight| Need::Reached { mark: sight.mark, since: sight.asked };
+    assert_eq!(need::read(reads, Some(proof), Some(own)), reached(own));
+    let bounded = Reads::Bounded(Span(Duration::from_secs(1)));
+    assert_eq!(need::read(bounded, Some(proof), Some(own)), reached(proof));
+    let newer_term = sight(30, 2, 1);
+    assert_eq!(need::read(reads, Some(newer_term), Some(own)), reached(newer_term));
+}
+
+/// A group with a primary `p` and two replicas, each with `permits` connections.
+fn group(permits: u32) -> Dispatch {
+    let mut dispatch = Dispatch::default();
+    for name in ["p", "r1", "r2"] {
+        dispatch.seat(&instance(name), permits, true, false);
+    }
+    dispatch.lead(at(0), Some(instance("p")));
+    dispatch
+}
+
+fn ask(ticket: u64, need: Need, priority: u8, patience_ms: u64) -> Ask {
+    let patience = Duration::from_millis(patience_ms);
+    Ask { ticket: Ticket(ticket), need, priority, patience, failed: SmallVec::new() }
+}
+
+fn old_mark() -> Need {
+    Need::Reached { mark: mark(1, 5), since: at(0) }
+}
+
+#[test]
+fn reads_spread_over_replicas_and_leave_the_primary_to_writes() {
+    let mut dispatch = group(2);
+    let now = at(1_000);
+    let mut placed = Vec::new();
+    for ticket in 0..4 {
+        match dispatch.ask(now, ask(ticket, old_mark(), 1, 100)) {
+            Verdict::Start(instance) => placed.push(instance.to_string()),
+            verdict => panic!("{verdict:?}"),
+        }
+    }
+    placed.sort_unstable();
+    assert_eq!(placed, ["r1", "r1", "r2", "r2"]);
+    let write = dispatch.ask(now, ask(9, Need::Primary, 1, 100));
+    assert_eq!(write, Verdict::Start(instance("p")));
+}
+
+#[test]
+fn a_fresh_mark_goes_only_where_it_is_known_to_be() {
+    let mut dispatch = group(2);
+    let fresh = Need::Reached { mark: mark(1, 9), since: at(1_000) };
+    assert_eq!(dispatch.ask(at(1_010), ask(1, fresh, 1, 100)), Verdict::Start(instance("p")));
+    dispatch.stands(&instance("r2"), mark(1, 9));
+    assert_eq!(dispatch.ask(at(1_010), ask(2, fresh, 1, 100)), Verdict::Start(instance("r2")));
+    let later = at(1_000) + USUAL_LAG;
+    assert_eq!(dispatch.ask(later, ask(3, fresh, 1, 100)), Verdict::Start(instance("r1")));
+}
+
+#[test]
+fn a_replica_that_lags_is_asked_only_for_what_it_has() {
+    let mut dispatch = group(2);
+    let now = at(1_000);
+    for name in ["r1", "r2"] {
+        dispatch.stands(&instance(name), mark(1, 3));
+        dispatch.lagged(now, &instance(name));
+    }
+    assert_eq!(dispatch.ask(now, ask(1, old_mark(), 1, 100)), Verdict::Start(instance("p")));
+    let known = Need::Reached { mark: mark(1, 3), since: at(0) };
+    assert!(
+        matches!(dispatch.ask(now, ask(2, known, 1, 100)), Verdict::Start(i) if i != instance("p"))
+    );
+    let over = now + LAGGING;
+    assert!(
+        matches!(dispatch.ask(over, ask(3, old_mark(), 1, 100)), Verdict::Start(i) if i != instance("p"))
+    );
+}
+
+/// The load of a bell: everybody at once, twice what there is room for. Who starts goes by priority; what can't be
+/// served within its patience is told so on arrival, with a time that grows with the queue.
+#[test]
+fn a_rush_starts_the_urgent_first_and_refuses_the_rest_at_once() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    let mut waiting = Vec::new();
+    let mut refused = Vec::new();
+    assert_eq!(dispatch.ask(now, ask(0, Need::Primary, 2, 50)), Verdict::Start(instance("p")));
+    for ticket in 1..20 {
+        match dispatch.ask(now, ask(ticket, Need::Primary, 2, 60)) {
+            Verdict::Wait => waiting.push(ticket),
+            Verdict::Refuse(after) => refused.push(after),
+            Verdict::Start(instance) => panic!("{instance} has no room"),
+        }
+    }
+    assert!(!waiting.is_empty() && waiting.len() <= 4, "{waiting:?}");
+    assert!(refused.iter().all(|after| *after > Duration::from_millis(60)), "{refused:?}");
+    assert_eq!(dispatch.ask(now, ask(99, Need::Primary, 0, 60)), Verdict::Wait);
+    dispatch.release(&instance("p"), Some(Duration::from_millis(10)));
+    let started: Vec<u64> = dispatch.advance(now).iter().map(|(ticket, _)| ticket.0).collect();
+    assert_eq!(started, [99]);
+}
+
+#[test]
+fn nobody_starves_behind_the_urgent() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    dispatch.ask(now, ask(0, Need::Primary, 0, 10_000));
+    dispatch.ask(now, ask(1, Need::Primary, 9, 10_000));
+    for ticket in 2..40 {
+        dispatch.ask(at(1_000 + ticket), ask(ticket, Need::Primary, 0, 10_000));
+    }
+    let mut order = Vec::new();
+    for _ in 0..12 {
+        dispatch.release(&instance("p"), Some(Duration::from_millis(10)));
+        order.extend(dispatch.advance(at(2_000)).iter().map(|(ticket, _)| ticket.0));
+    }
+    assert!(order.contains(&1), "{order:?}");
+}
+
+#[test]
+fn a_queue_is_bounded() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    dispatch.ask(now, ask(0, Need::Primary, 1, 1));
+    let hour = 3_600_000;
+    for ticket in 0..MAX_WAITING as u64 {
+        assert_eq!(dispatch.ask(now, ask(1 + ticket, Need::Primary, 1, hour)), Verdict::Wait);
+    }
+    let more = dispatch.ask(now, ask(9_999, Need::Primary, 1, hour));
+    assert!(matches!(more, Verdict::Refuse(_)), "{more:?}");
+}
+
+/// While a primary is replaced, a write waits when the new one may be there in time and is refused when it can't be.
+#[test]
+fn a_write_waits_for_a_primary_only_as_long_as_it_may_come() {
+    let mut dispatch = group(1);
+    dispatch.lead(at(1_000), None);
+    let short = dispatch.ask(at(1_000), ask(1, Need::Primary, 1, 500));
+    assert_eq!(short, Verdict::Refuse(USUAL_ABSENCE));
+    let late = at(1_000) + USUAL_ABSENCE - Duration::from_millis(300);
+    assert_eq!(dispatch.ask(late, ask(2, Need::Primary, 1, 500)), Verdict::Wait);
+    dispatch.lead(late, Some(instance("r1")));
+    let started = dispatch.advance(late);
+    assert_eq!(started.as_slice(), [(Ticket(2), instance("r1"))]);
+}
+
+#[test]
+fn an_instance_without_room_is_left_alone_for_a_moment() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    dispatch.was_full(now, &instance("p"));
+    assert_eq!(dispatch.ask(now, ask(1, Need::Primary, 1, 100)), Verdict::Wait);
+    assert_eq!(dispatch.advance(now + FULL).len(), 1);
+}
+
+#[test]
+fn what_is_not_usable_or_failed_gets_nothing() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    dispatch.seat(&instance("r1"), 1, false, false);
+    let mut second = ask(1, old_mark(), 1, 100);
+    second.failed.push(instance("r2"));
+    assert_eq!(dispatch.ask(now, second), Verdict::Start(instance("p")));
+    assert_eq!(dispatch.ask(now, ask(2, old_mark(), 1, 100)), Verdict::Start(instance("r2")));
+}
+
+#[test]
+fn permits_come_back_when_a_statement_gives_up() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    dispatch.ask(now, ask(0, Need::Primary, 1, 100));
+    assert_eq!(dispatch.ask(now, ask(1, Need::Primary, 1, 100)), Verdict::Wait);
+    dispatch.give_up(now, Ticket(1));
+    dispatch.release(&instance("p"), None);
+    assert!(dispatch.advance(now).is_empty());
+    assert!(matches!(dispatch.ask(now, ask(2, Need::Primary, 1, 100)), Verdict::Start(_)));
+}
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -6,6 +6,8 @@
 
 use crate::disk::Memory;
 use cactushatch::clock::Instant;
+use cactushatch::config::Seeds;
+use cactushatch::control::meeting::{Greeting, Meeting};
 use cactushatch::control::member::{self, Heard};
 use cactushatch::control::raft::{
     Bootstrap, Change, Entry, Input, Members, Message, Output, Peer, Raft,
@@ -25,6 +27,8 @@
     pub nodes: Vec<Node>,
     pub random: fastrand::Rng,
     initial: usize,
+    /// How many may be lost at once, where voters find each other by seeds; the first three processes are the seeds.
+    losses: Option<u32>,
     queue: Vec<(Instant, Peer, usize, Message)>,
     cut: BTreeSet<usize>,
     cut_pairs: BTreeSet<(usize, usize)>,
@@ -50,6 +54,9 @@
     store: Store<Memory>,
     bootstrap: Bootstrap,
     heard: Heard,
+    meeting: Option<(bool, Meeting)>,
+    /// When it last greeted the others.
+    greeted: Instant,
     writes: VecDeque<(Instant, u64, Change)>,
     /// The commands applied, as a snapshot would hold them.
     pub applied: BTreeMap<id::Index, Vec<u8>>,
@@ -66,7 +73,7 @@
     Voter {
         node: name(number),
         incarnation: id::Incarnation(0),
-        address: "127.0.0.1:1".parse().unwrap(),
+        address: ([127, 0, 0, 1], number as u16 + 1).into(),
         domain: "a".parse().unwrap(),
     }
 }
@@ -99,6 +106,7 @@
             now: Instant(1_000_000_000),
             nodes: (0..count + spares).map(node).collect(),
             initial: count,
+            losses: None,
             random: fastrand::Rng::with_seed(seed),
             queue: Vec::new(),
             cut: BTreeSet::new(),
@@ -112,8 +120,21 @@
         cluster
     }
 
-    /// Starts a process on its disk, unless it runs.
+    /// Starts `count` blank processes that know the first three as seeds only; `spares` more can be started later.
+    pub fn with_seeds(count: usize, spares: usize, losses: u32, seed: u64) -> Self {
+        let mut cluster = Self::with_spares(0, count + spares, seed);
+        cluster.losses = Some(losses);
+        (0..count).for_each(|at| cluster.start_with(at, true));
+        cluster
+    }
+
+    /// Starts a process on its disk, unless it runs; it is not the first start of the system.
     pub fn start(&mut self, at: usize) {
+        self.start_with(at, false);
+    }
+
+    /// Starts a process on its disk, unless it runs.
+    fn start_with(&mut self, at: usize, first_start: bool) {
         if self.nodes[at].live.is_some() {
             return;
         }
@@ -131,6 +152,8 @@
             peer: found.peer,
             store,
             heard: Heard::default(),
+            meeting: None,
+            greeted: self.now,
             writes: VecDeque::new(),
             applied: BTreeMap::new(),
             compacted: 0,
@@ -140,6 +163,13 @@
         if let Some(snapshot) = &found.saved.snapshot {
             live.restore(&snapshot.state);
         }
+        if let Some(losses) = self.losses {
+            let addresses = (0..3).map(|seed| voter(seed).address).collect();
+            let seeds = Seeds { addresses, first_start, losses };
+            let own = Voter { incarnation: live.peer.incarnation, ..voter(at) };
+            live.heard.seats = Some(seeds.seats());
+            live.meeting = Some((first_start, Meeting::new(seeds, own)));
+        }
         let alone = live.bootstrap.alone().filter(|_| live.raft.is_blank());
         node.live = Some(live);
         if let Some(members) = alone {
@@ -277,7 +307,9 @@
         let Some(live) = &mut self.nodes[at].live else {
             return;
         };
-        if live.raft.is_blank() {
+        if live.meeting.is_some() {
+            self.greet(at);
+        } else if live.raft.is_blank() {
             for to in 0..self.nodes.len() {
                 let to = self.nodes[to].name.clone();
                 self.send(at, &to, Message::Hello { members: None });
@@ -303,6 +335,59 @@
         self.compact(at);
     }
 
+    /// Has a process that has no part in the log, or hears no leader, greet all others, as `control::server` does.
+    fn greet(&mut self, at: usize) {
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        let alone = live.raft.leaderless(self.now) >= Duration::from_millis(1_500);
+        let pause = Duration::from_millis(if live.raft.is_blank() { 100 } else { 500 });
+        if !(live.raft.is_blank() || alone) || self.now.since(live.greeted) < pause {
+            return;
+        }
+        live.greeted = self.now;
+        for to in 0..self.nodes.len() {
+            let cut = self.cut.contains(&at) || self.cut.contains(&to);
+            if to == at
+                || cut
+                || self.cut_pairs.contains(&(at, to))
+                || self.nodes[to].live.is_none()
+            {
+                continue;
+            }
+            let (asking, answering) = (self.greeting(at), self.greeting(to));
+            self.greeted(to, &asking);
+            self.greeted(at, &answering);
+        }
+    }
+
+    fn greeting(&self, at: usize) -> Greeting {
+        let live = self.live(at);
+        let known = !live.raft.is_blank();
+        Greeting {
+            peer: live.peer.clone(),
+            address: voter(at).address,
+            domain: voter(at).domain,
+            first_start: live.meeting.as_ref().is_some_and(|(first, _)| *first),
+            members: known.then(|| live.raft.members().clone()),
+        }
+    }
+
+    fn greeted(&mut self, at: usize, greeting: &Greeting) {
+        let now = self.now;
+        let live = self.nodes[at].live.as_mut().expect("the process runs");
+        if live.raft.is_blank() {
+            let meeting = live.meeting.as_mut().map(|(_, meeting)| meeting);
+            if let Some(members) = meeting.and_then(|meeting| meeting.hear(greeting)) {
+                self.input(at, Input::Found(members));
+            }
+            return;
+        }
+        let node = greeting.peer.node.clone();
+        if greeting.members.is_none() {
+            live.heard.blank.insert(node.clone(), greeting.peer.incarnation);
+        }
+        live.heard.met.insert(node, (now, greeting.voter()));
+    }
+
     fn change(&mut self, at: usize) {
         let now = self.now;
         let live = self.nodes[at].live.as_mut().expect("the process runs");
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod disk;
 mod raft;
+mod seeds;
 mod server;
 mod state;
 mod store;
--- /dev/null
+++ b/tests/control/seeds.rs
@@ -0,0 +1,165 @@
+//! Voters that find each other by seeds: the first start, spares, lost disks, machines that are replaced for good.
+
+use std::time::Duration;
+
+use crate::cluster::{Cluster, name};
+
+const SECONDS: Duration = Duration::from_secs(1);
+
+/// Returns who votes by the leader's view, in order.
+fn voters(cluster: &mut Cluster) -> Vec<String> {
+    let leader = cluster.await_leader();
+    let members = cluster.live(leader).members();
+    members.voters.keys().map(ToString::to_string).collect()
+}
+
+fn settle(cluster: &mut Cluster) {
+    cluster.run(SECONDS * 6);
+    cluster.commit_everywhere();
+}
+
+#[test]
+fn the_seeds_found_the_system_and_a_fourth_learns() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_seeds(4, 0, 1, seed);
+        settle(&mut cluster);
+        assert_eq!(voters(&mut cluster), ["control-1", "control-2", "control-3"]);
+        let leader = cluster.await_leader();
+        assert!(cluster.live(leader).members().learners.contains_key(&name(3)), "seed {seed}");
+    }
+}
+
+#[test]
+fn more_losses_take_more_seats() {
+    let mut cluster = Cluster::with_seeds(8, 0, 2, 1);
+    settle(&mut cluster);
+    assert_eq!(voters(&mut cluster).len(), 5);
+}
+
+/// A blank disk says nothing of a first start: without the settings' word nobody begins a second system.
+#[test]
+fn blank_disks_alone_found_nothing() {
+    let mut cluster = Cluster::with_seeds(0, 3, 1, 1);
+    (0..3).for_each(|at| cluster.start(at));
+    cluster.run(SECONDS * 20);
+    assert!(cluster.leader().is_none());
+}
+
+#[test]
+fn a_spare_takes_the_seat_of_a_voter_that_is_gone() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_seeds(4, 0, 1, seed);
+        settle(&mut cluster);
+        let leader = cluster.await_leader();
+        cluster.kill(leader);
+        cluster.run(SECONDS * 5);
+        assert_eq!(voters(&mut cluster).len(), 3, "seed {seed}");
+        assert!(!voters(&mut cluster).contains(&name(leader).to_string()), "seed {seed}");
+        // The seat was filled, so one more may be lost.
+        let leader = cluster.await_leader();
+        cluster.kill(leader);
+        cluster.run(SECONDS * 5);
+        cluster.commit_everywhere();
+    }
+}
+
+/// Another machine takes the place of one that is gone for good, with a new name, address and disk; within four
+/// seconds of its start the next one may be lost.
+#[test]
+fn a_replaced_machine_votes_within_four_seconds() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_seeds(3, 1, 1, seed);
+        settle(&mut cluster);
+        cluster.kill(0);
+        cluster.run(SECONDS);
+        cluster.start(3);
+        cluster.run(SECONDS * 4);
+        assert_eq!(voters(&mut cluster), ["control-2", "control-3", "control-4"], "seed {seed}");
+        cluster.kill(1);
+        cluster.run(SECONDS * 2);
+        cluster.commit_everywhere();
+    }
+}
+
+#[test]
+fn a_lost_disk_learns_and_votes_again() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_seeds(3, 0, 1, seed);
+        settle(&mut cluster);
+        cluster.wipe(1);
+        cluster.run(SECONDS);
+        cluster.start(1);
+        settle(&mut cluster);
+        assert_eq!(voters(&mut cluster).len(), 3, "seed {seed}");
+        cluster.kill(0);
+        cluster.run(SECONDS * 3);
+        cluster.commit_everywhere();
+    }
+}
+
+/// A voter that was cut off for long loses its seat, and learns again once it is back.
+#[test]
+fn a_voter_that_was_removed_comes_back_as_a_learner() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_seeds(4, 0, 1, seed);
+        settle(&mut cluster);
+        let leader = cluster.await_leader();
+        cluster.cut(leader);
+        cluster.run(SECONDS * 6);
+        cluster.heal();
+        settle(&mut cluster);
+        let now = cluster.await_leader();
+        let members = cluster.live(now).members();
+        assert!(members.learners.contains_key(&name(leader)), "seed {seed}: {members:?}");
+    }
+}
+
+/// Everyone loses power at once, and one disk is lost too: what was committed is there afterwards.
+#[test]
+fn a_commit_outlives_a_loss_of_all_power_with_one_disk() {
+    for seed in 0..20 {
+        let mut cluster = Cluster::with_seeds(4, 0, 1, seed);
+        settle(&mut cluster);
+        let leader = cluster.await_leader();
+        let index = cluster.propose(leader).expect("a leader takes commands");
+        while !cluster.is_committed(index) {
+            cluster.run(Duration::from_millis(5));
+        }
+        cluster.wipe(leader);
+        (0..4).filter(|at| *at != leader).for_each(|at| cluster.kill(at));
+        cluster.run(SECONDS);
+        (0..4).for_each(|at| cluster.start(at));
+        settle(&mut cluster);
+        let now = cluster.await_leader();
+        assert!(cluster.live(now).applied.contains_key(&index), "seed {seed}");
+    }
+}
+
+/// Half of the processes are cut from the other half, and processes come and go meanwhile: nothing that was committed
+/// changes, and the system goes on afterwards. [`Cluster`] checks after each step.
+#[test]
+fn losses_that_overlap_lose_nothing() {
+    for seed in 0..30 {
+        let mut cluster = Cluster::with_seeds(4, 1, 1, seed);
+        settle(&mut cluster);
+        let mut random = fastrand::Rng::with_seed(seed);
+        for _ in 0..6 {
+            let (one, other) = (random.usize(0..4), random.usize(0..4));
+            match random.u8(0..4) {
+                0 => cluster.kill(one),
+                1 => cluster.cut(one),
+                2 => (0..4).for_each(|to| cluster.cut_pair(other, to)),
+                _ => cluster.heal(),
+            }
+            if let Some(leader) = cluster.leader() {
+                cluster.propose(leader);
+            }
+            cluster.run(Duration::from_millis(random.u64(100..4_000)));
+            cluster.start(one);
+        }
+        cluster.heal();
+        (0..4).for_each(|at| cluster.start(at));
+        cluster.run(SECONDS * 12);
+        cluster.commit_everywhere();
+    }
+}
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,233 @@
+//! The adapter's formats: lines, heartbeats and configurations, good and bad.
+
+#[path = "../platform/announcement.rs"]
+#[allow(dead_code, reason = "the answer to a heartbeat is made by the gateway")]
+mod announcement;
+#[path = "../platform/declaration.rs"]
+mod declaration;
+#[path = "../platform/line.rs"]
+mod line;
+
+use bytes::BytesMut;
+use cactushatch::config::{Durability, Fleet, Reads, Span};
+use cactushatch::id;
+use cactushatch::proxy::floor::Mark;
+use cactushatch::statement::{
+    Access, Answer, Call, Code, Codec, Id, MAX_LINE_BYTES, Malformed, Order, State, Statement,
+};
+use cactushatch::wire::{Role, Standing};
+use line::Lines;
+use proptest::prelude::*;
+use std::time::Duration;
+
+fn call(line: &str) -> Result<Option<Call>, Malformed> {
+    Lines.call(&mut BytesMut::from(format!("{line}\r\n").as_bytes()))
+}
+
+fn answer(line: &str) -> Result<Option<Answer>, Malformed> {
+    Lines.answer(&mut BytesMut::from(format!("{line}\r\n").as_bytes()))
+}
+
+fn order(order: &Order<'_>) -> String {
+    let mut output = BytesMut::new();
+    Lines.order(order, &mut output);
+    String::from_utf8(output.to_vec()).expect("text")
+}
+
+fn mark(term: u64, position: u64) -> Mark {
+    Mark { term: id::Term(term), position: id::Position(position) }
+}
+
+#[test]
+fn callers_lines_are_decoded() {
+    let opened = Call::Open { database: "lepu270".to_owned() };
+    assert_eq!(call("CONNECT lepu270 u3f1"), Ok(Some(opened)));
+    let query = |statement| Ok(Some(Call::Query { id: Id::new("5c0e"), statement }));
+    let text = "PUT 1a4 two  words".to_owned();
+    let put = Statement::Data { access: Access::Write, text: text.clone() };
+    assert_eq!(call(&format!("QUERY 5c0e {text}")), query(put));
+    assert_eq!(call("QUERY 5c0e BEGIN FETCH"), query(Statement::Begin { read_only: true }));
+    assert_eq!(call("QUERY 5c0e BEGIN"), query(Statement::Begin { read_only: false }));
+    let execute = Statement::Execute { name: "s1".to_owned(), arguments: "1a4 x y".to_owned() };
+    assert_eq!(call("QUERY 5c0e EXEC s1 1a4 x y"), query(execute));
+    let set = Statement::Set { name: "zone".to_owned(), value: "a b".to_owned() };
+    assert_eq!(call("QUERY 5c0e SET zone a b"), query(set));
+    assert_eq!(call("QUERY 5c0e AFTER 1.2 FETCH 1a4"), query(Statement::Unknown));
+    assert_eq!(call("BYE"), Ok(Some(Call::Close)));
+}
+
+#[test]
+fn bad_lines_have_typed_errors() {
+    assert_eq!(call("HELLO there"), Err(Malformed::Kind));
+    assert_eq!(call("CONNECT lepu270"), Err(Malformed::Field));
+    assert_eq!(call("QUERY 5c0e"), Err(Malformed::Field));
+    assert_eq!(answer("READY X 1.2"), Err(Malformed::Field));
+    assert_eq!(answer("READY I 12"), Err(Malformed::Field));
+    assert_eq!(answer("ROWS x"), Err(Malformed::Kind));
+    let mut bytes = BytesMut::from(&b"QUERY 1 FETCH \xff\xfe\r\n"[..]);
+    assert_eq!(Lines.call(&mut bytes), Err(Malformed::NoText));
+    let mut endless = BytesMut::from(vec![b'x'; MAX_LINE_BYTES + 1].as_slice());
+    assert_eq!(Lines.call(&mut endless), Err(Malformed::TooLong));
+}
+
+#[test]
+fn a_line_that_is_not_whole_stays() {
+    let mut bytes = BytesMut::from(&b"QUERY 1 FET"[..]);
+    assert_eq!(Lines.call(&mut bytes), Ok(None));
+    assert_eq!(&bytes[..], b"QUERY 1 FET");
+}
+
+#[test]
+fn instances_answers_are_decoded() {
+    let ready = Answer::Ready { state: State::Failed, position: Some(mark(3, 1209)) };
+    assert_eq!(answer("READY E 3.1209"), Ok(Some(ready)));
+    let ready = Answer::Ready { state: State::Idle, position: None };
+    assert_eq!(answer("READY I -"), Ok(Some(ready)));
+    let failed = Answer::Failed { code: Code::ReadOnly, text: "i-7f 3a".to_owned() };
+    assert_eq!(answer("ERR READONLY i-7f 3a"), Ok(Some(failed)));
+    let other = Answer::Failed { code: Code::Other("NOAUTH".to_owned()), text: String::new() };
+    assert_eq!(answer("ERR NOAUTH"), Ok(Some(other)));
+}
+
+#[test]
+fn orders_keep_id_and_text() {
+    let id = Id::new("5c0e");
+    let text = "FETCH 1a4";
+    let data = |after| order(&Order::Data { id: &id, after, text });
+    assert_eq!(data(None), "QUERY 5c0e FETCH 1a4\r\n");
+    assert_eq!(data(Some(mark(3, 7))), "QUERY 5c0e AFTER 3.7 FETCH 1a4\r\n");
+    let begin = Order::Begin { read_only: true, after: Some(mark(3, 7)) };
+    assert_eq!(order(&begin), "QUERY - AFTER 3.7 BEGIN FETCH\r\n");
+    let execute = Order::Execute { id: &id, after: None, name: "c1", arguments: "1a4 x" };
+    assert_eq!(order(&execute), "QUERY 5c0e EXEC c1 1a4 x\r\n");
+    let (group, instance) = ("huvo11a".parse().unwrap(), "i-7f".parse().unwrap());
+    let open = Order::Open { group: &group, instance: &instance };
+    assert_eq!(order(&open), "CONNECT huvo11a cactushatch i-7f\r\n");
+}
+
+#[test]
+fn a_status_says_where_its_term_began_only_while_that_is_known() {
+    let status = Lines.status("replica 3 3.1209 0 12 2 17").unwrap();
+    assert_eq!((status.role, status.term), (Role::Replica, id::Term(3)));
+    assert_eq!((status.received, status.start), (id::Position(1209), id::Position(0)));
+    let promoted = Lines.status("primary 4 3.1209 0 0 0 3").unwrap();
+    assert_eq!((promoted.term, promoted.start), (id::Term(4), id::Position(1209)));
+    assert_eq!(Lines.status("witness 3 3.1209 0 12 2 17"), Err(Malformed::Field));
+    assert_eq!(Lines.status("replica 3"), Err(Malformed::Field));
+}
+
+const HEARTBEAT: &str = r#"{"Service":"huvo11a","Addr":"10.128.0.9:8080","Zone":"a","Version":"v1","Slots":2,
+    "State":"draining","ColdLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000000}"#;
+
+#[test]
+fn a_heartbeat_is_decoded() {
+    let said = announcement::decode("i-7f", HEARTBEAT.as_bytes()).unwrap();
+    assert_eq!(said.replica.group.as_str(), "huvo11a");
+    assert_eq!(said.replica.address, "10.128.0.9:8080".parse().unwrap());
+    assert_eq!((said.standing, said.sequence), (Standing::Leaving, id::Sequence(4)));
+    assert_eq!(said.born, id::Incarnation(1_700_000_000_000));
+}
+
+#[test]
+fn a_foreign_heartbeat_names_no_instance() {
+    for (from, to) in [
+        ("\"Seq\":4", "\"Seq\":\"4\""),
+        ("\"Seq\":4,", ""),
+        ("draining", "resting"),
+        ("\"Addr\":\"10.128.0.9:8080\"", "\"Addr\":7"),
+        ("10.128.0.9:8080", "here"),
+        ("\"replica\"", "\"witness\""),
+        ("\"Zone\":\"a\",", ""),
+        ("1700000000000", "1700000000000.5"),
+    ] {
+        let body = HEARTBEAT.replace(from, to);
+        assert_ne!(body, HEARTBEAT, "{from} is not there");
+        assert!(announcement::decode("i-7f", body.as_bytes()).is_err(), "{body}");
+    }
+    assert!(announcement::decode("i 7f", HEARTBEAT.as_bytes()).is_err());
+    assert!(announcement::decode("i-7f", b"\xff\x00").is_err());
+}
+
+const CONFIGURATION: &str = r#"{"Version":7,"Routes":[
+    {"Name":"r-1","Host":"fiti","PathPrefix":"/","Type":"session","TimeoutMs":800,"TargetLatencyMs":200,
+     "Priority":2,"Service":"huvo11a","Attempts":2,"MaxStaleMs":2500},
+    {"Name":"r-2","Host":"lepu","PathPrefix":"/","Type":"primary","TimeoutMs":800,"TargetLatencyMs":120,
+     "Priority":1,"Service":"huvo11a","Attempts":2},
+    {"Name":"r-3","Host":"xapu","PathPrefix":"/","Type":"bounded","TimeoutMs":1500,"TargetLatencyMs":400,
+     "Priority":2,"Service":"kafi81c","Attempts":2,"MaxStaleMs":1500}],
+  "Services":[{"Name":"huvo11a","HealthPath":"/healthz","MaxConns":16,"Protocol":"h1","Tls":false,"SyncCount":1},
+    {"Name":"kafi81c","HealthPath":"/healthz","MaxConns":16,"Protocol":"h1","Tls":false,"SyncCount":1}],
+  "Limits":{"MaxHeaderBytes":16384,"TxIdleMs":3000}}"#;
+
+#[test]
+fn a_configuration_becomes_declarations_that_the_product_takes() {
+    let declared = declaration::decode(CONFIGURATION.as_bytes()).unwrap();
+    assert_eq!(declared.edition, id::Edition(7));
+    assert_eq!(declared.source, CONFIGURATION);
+    let fleet = Fleet::parse("declarations", &declared.text).unwrap();
+    let database = |name: &str| &fleet.database[&name.parse::<id::Database>().unwrap()];
+    let span = |ms| Span(Duration::from_millis(ms));
+    assert_eq!(database("fiti").reads, Reads::Session(span(2_500)));
+    assert_eq!(database("lepu").reads, Reads::Latest);
+    assert_eq!(database("xapu").reads, Reads::Bounded(span(1_500)));
+    assert_eq!((database("xapu").timeout, database("xapu").target), (span(1_500), span(400)));
+    let group = &fleet.group[&"huvo11a".parse::<id::Group>().unwrap()];
+    assert_eq!((group.instances, group.connections), (3, 16));
+    assert_eq!((group.durability, group.promoted_outside), (Durability::Majority, true));
+    assert_eq!(fleet.idle_transaction, Some(span(3_000)));
+    let class = &fleet.class[&database("lepu").class];
+    assert_eq!(class.priority, 1);
+}
+
+#[test]
+fn an_invalid_configuration_is_refused() {
+    for (from, to) in [
+        ("\"TimeoutMs\":1500", "\"TimeoutMs\":0"),
+        ("\"Service\":\"kafi81c\"", "\"Service\":\"nobody\""),
+        ("\"Host\":\"xapu\"", "\"Host\":\"lepu\""),
+        ("\"Version\":7", "\"Version\":\"7\""),
+        ("\"bounded\"", "\"sometimes\""),
+        ("3000}}", "3000}"),
+        ("\"TimeoutMs\":1500,", ""),
+    ] {
+        let body = CONFIGURATION.replace(from, to);
+        assert_ne!(body, CONFIGURATION, "{from} is not there");
+        assert!(declaration::decode(body.as_bytes()).is_err(), "{from} -> {to}");
+    }
+    assert!(declaration::decode(b"").is_err());
+    assert!(declaration::decode(b"\xff").is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn decoders_refuse_or_decode_any_bytes(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let mut input = BytesMut::from(bytes.as_slice());
+        while let Ok(Some(_)) = Lines.call(&mut input) {}
+        let mut input = BytesMut::from(bytes.as_slice());
+        while let Ok(Some(_)) = Lines.answer(&mut input) {}
+        let _ = Lines.status(&String::from_utf8_lossy(&bytes));
+        let _ = announcement::decode("i-1", &bytes);
+        let _ = declaration::decode(&bytes);
+    }
+
+    #[test]
+    fn damaged_bodies_are_refused_or_decode(cut in 0..600_usize, flip in 0..600_usize, bit in 0..8_u8) {
+        for body in [HEARTBEAT, CONFIGURATION] {
+            let mut bytes = body.as_bytes().to_vec();
+            let at = flip % bytes.len();
+            bytes[at] ^= 1 << bit;
+            bytes.truncate(bytes.len() - cut % bytes.len());
+            let _ = announcement::decode("i-1", &bytes);
+            if let Ok(declared) = declaration::decode(&bytes) {
+                prop_assert!(Fleet::parse("declarations", &declared.text).is_ok(), "{}", declared.text);
+            }
+        }
+    }
+}
