Greet the members that others name, so that a blank process finds the leader

Ruled out: a damaged or refused disk (no such line in the logs), a second system (one founder only). Change: a greeting's members are greeted next. A test with replaced seeds failed before and passes.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -196,8 +196,9 @@
         now: Instant,
         greeting: &Greeting,
     ) -> Option<super::raft::Members> {
+        let found = self.meeting.as_mut().and_then(|meeting| meeting.hear(greeting));
         if self.raft.is_blank() {
-            return self.meeting.as_mut().and_then(|meeting| meeting.hear(greeting));
+            return found;
         }
         let node = &greeting.peer.node;
         if greeting.members.is_none() {
@@ -223,12 +224,6 @@
         })
     }
 
-    /// Returns where the members take frames.
-    pub(super) fn addresses(&self) -> Vec<std::net::SocketAddr> {
-        let members = self.raft.members();
-        members.voters.values().chain(members.learners.values()).map(|v| v.address).collect()
-    }
-
     /// Takes a heartbeat and makes the answer; an unknown proxy is registered first.
     pub(super) fn heartbeat(
         &mut self,
--- a/src/control/meeting.rs
+++ b/src/control/meeting.rs
@@ -43,20 +43,23 @@
     }
 }
 
-/// The machine of a blank process.
+/// What a process knows of the others by greeting them.
 #[derive(Debug)]
 pub struct Meeting {
     seeds: Seeds,
     own: Voter,
     /// The blank processes at a first start that were met, by their address.
     blank: BTreeMap<SocketAddr, Voter>,
+    /// Where those whom others named as members take frames. The seeds may be gone or know no leader, and a process
+    /// that was away for long knows members that were replaced since.
+    named: Vec<SocketAddr>,
 }
 
 impl Meeting {
     /// Starts with the seeds of the settings.
     pub fn new(seeds: Seeds, own: Voter) -> Self {
         let blank = BTreeMap::from([(own.address, own.clone())]);
-        Self { seeds, own, blank }
+        Self { seeds, own, blank, named: Vec::new() }
     }
 
     /// Returns the members when nobody else has to be met.
@@ -64,8 +67,32 @@
         self.found()
     }
 
+    /// Takes the seeds of changed settings over.
+    pub fn reseed(&mut self, seeds: Seeds) {
+        self.seeds.addresses = seeds.addresses;
+    }
+
+    /// Tells whether the settings call this the first start of the whole system.
+    pub fn is_first_start(&self) -> bool {
+        self.seeds.first_start
+    }
+
+    /// Returns whom to greet: the seeds, the members that this process knows, and those that others named last.
+    pub fn addresses(&self, members: &Members) -> Vec<SocketAddr> {
+        let mut addresses = members.addresses();
+        addresses.extend(&self.seeds.addresses);
+        addresses.extend(&self.named);
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses.retain(|address| *address != self.own.address);
+        addresses
+    }
+
     /// Hears another process, and returns the first members once they are known.
     pub fn hear(&mut self, greeting: &Greeting) -> Option<Members> {
+        if let Some(members) = &greeting.members {
+            self.named = members.addresses();
+        }
         match &greeting.members {
             Some(members) if members.votes(&self.own.node, self.own.incarnation) => {
                 Some(members.clone())
--- a/src/control/raft/members.rs
+++ b/src/control/raft/members.rs
@@ -1,6 +1,7 @@
 //! Who votes. Changed by entries of the log, one voter at a time, in force as soon as the entry is in the log.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +26,11 @@
         self.voters.is_empty() && self.learners.is_empty()
     }
 
+    /// Returns where everyone takes frames.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        self.voters.values().chain(self.learners.values()).map(|voter| voter.address).collect()
+    }
+
     /// Returns how many voters are a majority.
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -53,7 +53,6 @@
     pub(super) reach: Reach,
     address: SocketAddr,
     voters: Vec<config::Voter>,
-    seeds: Mutex<Option<config::Seeds>>,
     core: Mutex<Core>,
     /// Where the orders to each instance go.
     pub(super) probes: Mutex<BTreeMap<id::Instance, Sender<promotion::Order>>>,
@@ -139,7 +138,6 @@
         reach,
         address: control.address,
         voters: settings.voters.clone(),
-        seeds: Mutex::new(settings.seeds.clone()),
         core: Mutex::new(core),
         probes: Mutex::default(),
         links: Mutex::default(),
@@ -197,7 +195,9 @@
 
     /// Takes the seeds of changed settings over.
     pub fn reseed(&self, seeds: config::Seeds) {
-        self.shared.reseed(seeds);
+        if let Some(meeting) = &mut self.shared.core().meeting {
+            meeting.reseed(seeds);
+        }
     }
 
     /// Returns why this process takes no part any more.
@@ -351,15 +351,20 @@
         if let Some(answer) = answer {
             self.datagram(from, answer).await;
         }
-        if new && self.greets() {
-            let addresses = self.core().addresses();
-            self.datagram(from, Body::Voters(addresses)).await;
+        if new {
+            self.name_voters(from).await;
         }
     }
 
-    /// Tells whether processes find each other by seeds.
-    fn greets(&self) -> bool {
-        self.seeds.lock().expect("nothing panics under this lock").is_some()
+    /// Tells a proxy where the members take frames, unless the settings name them.
+    async fn name_voters(&self, to: SocketAddr) {
+        let addresses = {
+            let core = self.core();
+            core.meeting.as_ref().map(|_| core.raft.members().addresses())
+        };
+        if let Some(addresses) = addresses {
+            self.datagram(to, Body::Voters(addresses)).await;
+        }
     }
 
     async fn tick(self: Arc<Self>) {
@@ -394,12 +399,11 @@
 
     /// Says who this is.
     fn greeting(&self, core: &Core) -> Greeting {
-        let seeds = self.seeds.lock().expect("nothing panics under this lock");
         Greeting {
             peer: self.me.clone(),
             address: self.address,
             domain: self.domain.clone(),
-            first_start: seeds.as_ref().is_some_and(|seeds| seeds.first_start),
+            first_start: core.meeting.as_ref().is_some_and(Meeting::is_first_start),
             members: (!core.raft.is_blank()).then(|| core.raft.members().clone()),
         }
     }
@@ -411,27 +415,17 @@
                 let core = self.core();
                 let blank = core.raft.is_blank();
                 let alone = core.raft.leaderless(self.clock.now()) >= LEADERLESS;
-                let addresses = if blank || alone { self.known(&core) } else { Vec::new() };
+                let meeting = core.meeting.as_ref().filter(|_| blank || alone);
+                let addresses = meeting.map(|meeting| meeting.addresses(core.raft.members()));
                 (addresses, if blank { HELLO } else { GREETING })
             };
-            for address in addresses {
+            for address in addresses.unwrap_or_default() {
                 smol::spawn(Arc::clone(&self).greet(address)).detach();
             }
             self.clock.sleep(pause).await;
         }
     }
 
-    /// Returns where other control processes are or were.
-    fn known(&self, core: &Core) -> Vec<SocketAddr> {
-        let seeds = self.seeds.lock().expect("nothing panics under this lock");
-        let mut known = core.addresses();
-        known.extend(seeds.iter().flat_map(|seeds| seeds.addresses.iter().copied()));
-        known.sort_unstable();
-        known.dedup();
-        known.retain(|address| *address != self.address);
-        known
-    }
-
     async fn greet(self: Arc<Self>, address: SocketAddr) {
         let greeting = self.greeting(&self.core());
         let greeted = async {
@@ -456,11 +450,6 @@
         }
     }
 
-    /// Takes the seeds of changed settings over; whoever has found the others needs none.
-    pub(super) fn reseed(&self, seeds: config::Seeds) {
-        *self.seeds.lock().expect("nothing panics under this lock") = Some(seeds);
-    }
-
     /// Asks for the others for as long as this disk is blank.
     async fn hello(self: Arc<Self>) {
         while self.core().raft.is_blank() {
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -344,8 +344,12 @@
             return;
         }
         live.greeted = self.now;
+        let members = live.raft.members().clone();
+        let meeting = live.meeting.as_ref().map(|(_, meeting)| meeting);
+        let known = meeting.map(|meeting| meeting.addresses(&members)).unwrap_or_default();
         for to in 0..self.nodes.len() {
-            let cut = self.cut.contains(&at) || self.cut.contains(&to);
+            let unknown = !known.contains(&voter(to).address);
+            let cut = self.cut.contains(&at) || self.cut.contains(&to) || unknown;
             if to == at
                 || cut
                 || self.cut_pairs.contains(&(at, to))
@@ -374,9 +378,10 @@
     fn greeted(&mut self, at: usize, greeting: &Greeting) {
         let now = self.now;
         let live = self.nodes[at].live.as_mut().expect("the process runs");
+        let meeting = live.meeting.as_mut().map(|(_, meeting)| meeting);
+        let found = meeting.and_then(|meeting| meeting.hear(greeting));
         if live.raft.is_blank() {
-            let meeting = live.meeting.as_mut().map(|(_, meeting)| meeting);
-            if let Some(members) = meeting.and_then(|meeting| meeting.hear(greeting)) {
+            if let Some(members) = found {
                 self.input(at, Input::Found(members));
             }
             return;
--- a/tests/control/seeds.rs
+++ b/tests/control/seeds.rs
@@ -114,6 +114,32 @@
     }
 }
 
+/// The machines that were seeds are replaced one after the other, and then a voter loses its disk: the one seed that
+/// is left need not lead, but it knows who does.
+#[test]
+fn a_lost_disk_votes_again_though_most_seeds_are_gone() {
+    for seed in 0..10 {
+        let mut cluster = Cluster::with_seeds(3, 2, 1, seed);
+        settle(&mut cluster);
+        for (gone, next) in [(0, 3), (1, 4)] {
+            cluster.kill(gone);
+            cluster.run(SECONDS);
+            cluster.start(next);
+            settle(&mut cluster);
+        }
+        let leader = cluster.await_leader();
+        let other = [3, 4].into_iter().find(|at| *at != leader).expect("one of two");
+        cluster.wipe(other);
+        cluster.run(SECONDS);
+        cluster.start(other);
+        cluster.run(SECONDS * 3);
+        let leader = cluster.await_leader();
+        cluster.kill(leader);
+        cluster.run(SECONDS * 3);
+        cluster.commit_everywhere();
+    }
+}
+
 /// Everyone loses power at once, and one disk is lost too: what was committed is there afterwards.
 #[test]
 fn a_commit_outlives_a_loss_of_all_power_with_one_disk() {
