Answer a leader whose address is known from a greeting only

Cause: a learner had no address for the leader until it held the log, so it never acknowledged anything; no lost disk and no spare ever voted again, and a silent learner was learnt and removed again without end. Ruled out: the greetings (the leader proposed the change at once, by its log). Change: the members that others named are kept with their addresses; a member's silence counts from when it became one.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -262,6 +262,7 @@
             return None;
         }
         let change = member::next(now, &self.raft, &self.state.wanted, &self.heard)?;
+        log::info!("control changes its members: {change:?}");
         self.changing = Some(self.raft.last().1.next());
         Some(Command { origin: None, action: Action::Member(change) })
     }
--- a/src/control/meeting.rs
+++ b/src/control/meeting.rs
@@ -50,16 +50,16 @@
     own: Voter,
     /// The blank processes at a first start that were met, by their address.
     blank: BTreeMap<SocketAddr, Voter>,
-    /// Where those whom others named as members take frames. The seeds may be gone or know no leader, and a process
-    /// that was away for long knows members that were replaced since.
-    named: Vec<SocketAddr>,
+    /// The members that another process named last. The seeds may be gone or know no leader, and a process that was
+    /// away for long knows members that were replaced since.
+    named: Members,
 }
 
 impl Meeting {
     /// Starts with the seeds of the settings.
     pub fn new(seeds: Seeds, own: Voter) -> Self {
         let blank = BTreeMap::from([(own.address, own.clone())]);
-        Self { seeds, own, blank, named: Vec::new() }
+        Self { seeds, own, blank, named: Members::default() }
     }
 
     /// Returns the members when nobody else has to be met.
@@ -72,6 +72,11 @@
         self.seeds.addresses = seeds.addresses;
     }
 
+    /// Returns where a process takes frames that somebody else named as a member.
+    pub fn address(&self, node: &id::Node) -> Option<SocketAddr> {
+        self.named.address(node)
+    }
+
     /// Tells whether the settings call this the first start of the whole system.
     pub fn is_first_start(&self) -> bool {
         self.seeds.first_start
@@ -81,7 +86,7 @@
     pub fn addresses(&self, members: &Members) -> Vec<SocketAddr> {
         let mut addresses = members.addresses();
         addresses.extend(&self.seeds.addresses);
-        addresses.extend(&self.named);
+        addresses.extend(self.named.addresses());
         addresses.sort_unstable();
         addresses.dedup();
         addresses.retain(|address| *address != self.own.address);
@@ -91,7 +96,7 @@
     /// Hears another process, and returns the first members once they are known.
     pub fn hear(&mut self, greeting: &Greeting) -> Option<Members> {
         if let Some(members) = &greeting.members {
-            self.named = members.addresses();
+            self.named = members.clone();
         }
         match &greeting.members {
             Some(members) if members.votes(&self.own.node, self.own.incarnation) => {
--- a/src/control/raft/lead.rs
+++ b/src/control/raft/lead.rs
@@ -33,6 +33,8 @@
 /// How far a follower is.
 #[derive(Debug, Default, Clone)]
 struct Progress {
+    /// Since when it is a member, or this leader leads.
+    since: Instant,
     /// The entry to send next, and the last one known to match there.
     next: id::Index,
     matched: id::Index,
@@ -51,9 +53,9 @@
         Self { since: now, first, round: 0, rounds, peers, beat: now }
     }
 
-    fn progress(&mut self, node: &id::Node) -> &mut Progress {
+    fn progress(&mut self, now: Instant, node: &id::Node) -> &mut Progress {
         let first = self.first;
-        let fresh = || Progress { next: first, ..Progress::default() };
+        let fresh = || Progress { since: now, next: first, ..Progress::default() };
         self.peers.entry(node.clone()).or_insert_with(fresh)
     }
 
@@ -113,8 +115,8 @@
         if *node == self.me.node {
             return Duration::ZERO;
         }
-        let heard = lead.peers.get(node).map_or(lead.since, |progress| progress.heard);
-        now.since(heard.max(lead.since))
+        let progress = lead.peers.get(node);
+        now.since(progress.map_or(lead.since, |progress| progress.heard.max(progress.since)))
     }
 
     /// Returns when this leader sent what a majority last answered.
@@ -187,6 +189,7 @@
         lead.beat = now + HEARTBEAT;
         let others = self.log.members.others(&self.me.node);
         let others: Vec<id::Node> = others.map(|voter| voter.node.clone()).collect();
+        lead.peers.retain(|node, _| others.contains(node));
         for node in others {
             self.replicate(now, &node);
         }
@@ -198,7 +201,7 @@
             return;
         };
         let round = lead.round;
-        let progress = lead.progress(node);
+        let progress = lead.progress(now, node);
         let previous = id::Index(progress.next.0.saturating_sub(1));
         let known = self.log.term(previous);
         let message = match (known, &self.log.snapshot) {
@@ -239,11 +242,11 @@
         if !known || term != self.term || last > end {
             return;
         }
-        let progress = lead.progress(&from.node);
+        let progress = lead.progress(now, &from.node);
         let life = (from.incarnation, from.start);
         if progress.life.0 != from.incarnation {
-            let next = progress.next;
-            *progress = Progress { next, life, ..Progress::default() };
+            let Progress { since, next, .. } = *progress;
+            *progress = Progress { since, next, life, ..Progress::default() };
         }
         if !matched && life != progress.life && last < progress.matched {
             let start = Start { count: from.start.count + 1, ..from.start };
--- a/src/control/raft/members.rs
+++ b/src/control/raft/members.rs
@@ -31,6 +31,12 @@
         self.voters.values().chain(self.learners.values()).map(|voter| voter.address).collect()
     }
 
+    /// Returns where a member takes frames; a learner's new disk may be at another address than its old one was.
+    pub fn address(&self, node: &id::Node) -> Option<SocketAddr> {
+        let member = self.learners.get(node).or_else(|| self.voters.get(node));
+        member.map(|member| member.address)
+    }
+
     /// Returns how many voters are a majority.
     pub fn majority(&self) -> usize {
         self.voters.len() / 2 + 1
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -13,7 +13,7 @@
 use super::link::Link;
 use super::meeting::{Greeting, Meeting};
 use super::promotion::Reach;
-use super::raft::{Bootstrap, Input, Message, Output, Peer, Raft};
+use super::raft::{Bootstrap, Input, Members, Message, Output, Peer, Raft};
 use super::state::{Command, State, Voter};
 use super::store::{Disk, Folder, Store};
 use super::{Error, operator, promotion};
@@ -187,6 +187,16 @@
         self.shared.core().state.clone()
     }
 
+    /// Returns who takes part in the log, as far as this process knows.
+    pub fn members(&self) -> Members {
+        self.shared.core().raft.members().clone()
+    }
+
+    /// Takes no part any more, as after a failure of the disk.
+    pub fn end(&self) {
+        self.shared.stop("it was told to end");
+    }
+
     /// Tells whether this process leads, proved by its majority.
     pub fn leads(&self) -> bool {
         let now = self.shared.clock.now();
@@ -264,11 +274,9 @@
     }
 
     fn send(self: &Arc<Self>, core: &Core, to: &id::Node, message: Message) {
-        let members = core.raft.members();
-        let voter = members.learners.get(to).or_else(|| members.voters.get(to));
-        let address = voter.map(|voter| voter.address);
         let named = || self.voters.iter().find(|voter| voter.node == *to).map(|v| v.address);
-        let Some(address) = address.or_else(named) else {
+        let met = || core.meeting.as_ref().and_then(|meeting| meeting.address(to));
+        let Some(address) = core.raft.members().address(to).or_else(named).or_else(met) else {
             return;
         };
         let frame = self.frame(Body::Raft { start: self.me.start, message });
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -477,6 +477,12 @@
         let Some(number) = self.nodes.iter().position(|node| node.name == *to) else {
             return;
         };
+        if let Some((_, meeting)) = &self.live(from).meeting {
+            let members = self.live(from).raft.members();
+            if members.address(to).or_else(|| meeting.address(to)).is_none() {
+                return;
+            }
+        }
         let lost = self.random.u8(0..20) == 0 || self.cut_pairs.contains(&(from, number));
         if number == from || lost || self.cut.contains(&from) || self.cut.contains(&number) {
             return;
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod disk;
 mod raft;
 mod seeds;
+mod seeds_server;
 mod server;
 mod state;
 mod store;
--- /dev/null
+++ b/tests/control/seeds_server.rs
@@ -0,0 +1,100 @@
+//! Control processes with their sockets that know each other by seeds only.
+
+use std::net::TcpListener;
+use std::time::{Duration, Instant};
+
+use cactushatch::clock::Clock;
+use cactushatch::config::Node;
+use cactushatch::control::state::Declared;
+use cactushatch::control::{Server, spawn_on};
+use cactushatch::id;
+use cactushatch::wire::Answer;
+
+use crate::disk::Memory;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Processes on one address of the loopback range each, with the same ports, as VMs have.
+struct Fleet {
+    /// The second byte of the addresses, so that tests don't meet.
+    net: u8,
+    port: u16,
+    seeds: Vec<u8>,
+}
+
+impl Fleet {
+    fn new(net: u8, seeds: &[u8]) -> Self {
+        let free =
+            TcpListener::bind((std::net::Ipv4Addr::new(127, net, 0, 1), 0)).expect("a free port");
+        let port = free.local_addr().expect("an address").port();
+        Self { net, port, seeds: seeds.to_vec() }
+    }
+
+    fn settings(&self, host: u8, first_start: bool) -> Node {
+        let (net, port) = (self.net, self.port);
+        let hosts: Vec<String> =
+            self.seeds.iter().map(|seed| format!("\"127.{net}.0.{seed}:1\"")).collect();
+        let text = format!(
+            "node = \"control-{host}\"\ndomain = \"a\"\ndata = \"unused\"\n\
+             [seeds]\nhosts = [{}]\nport = {port}\nfirst_start = {first_start}\nlosses = 1\n\
+             [control]\naddress = \"127.{net}.0.{host}:{port}\"\nadmin = \"127.{net}.1.{host}:{port}\"\n",
+            hosts.join(", ")
+        );
+        Node::parse("settings", &text).expect("valid settings")
+    }
+
+    fn start(&self, host: u8, first_start: bool, disk: &Memory) -> Server {
+        let settings = self.settings(host, first_start);
+        smol::block_on(spawn_on(Clock::system(), &settings, disk.clone())).expect("it starts")
+    }
+}
+
+fn until(what: &str, mut met: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !met() {
+        assert!(start.elapsed() < PATIENCE, "not in time: {what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn declare(server: &Server, edition: u64) -> Answer {
+    let declared = Declared {
+        edition: id::Edition(edition),
+        text: "[class.c]\npriority = 0\ndeadline = \"1s\"\n".to_owned(),
+        source: format!("{edition}"),
+    };
+    smol::block_on(server.declare(declared))
+}
+
+/// Returns who votes and who learns by a process's own view.
+fn members(server: &Server) -> (Vec<String>, Vec<String>) {
+    let members = server.members();
+    let names = |names: Vec<&id::Node>| names.into_iter().map(ToString::to_string).collect();
+    (names(members.voters.keys().collect()), names(members.learners.keys().collect()))
+}
+
+#[test]
+fn seeds_found_the_system_and_take_in_who_comes_later() {
+    let fleet = Fleet::new(71, &[1, 2, 3]);
+    let disks: Vec<Memory> = (0..5).map(|_| Memory::default()).collect();
+    let mut servers: Vec<Server> =
+        (1..=4).map(|host| fleet.start(host, true, &disks[usize::from(host) - 1])).collect();
+    until("a leader", || servers.iter().any(Server::leads));
+    assert!(matches!(declare(&servers[3], 7), Answer::Applied(_)), "a process without a vote");
+    until("the fourth learns", || members(&servers[0]).1 == ["control-4"]);
+    until("the fourth has the state", || servers[3].state().declared.is_some());
+    let read = smol::block_on(servers[3].declarations()).expect("a leader answers");
+    assert_eq!(read.map(|declared| declared.edition), Some(id::Edition(7)));
+
+    // A voter ends for good; the spare takes its seat.
+    let gone = servers.iter().position(Server::leads).expect("one leads");
+    servers[gone].end();
+    until("the spare votes", || {
+        let others = servers.iter().enumerate().filter(|(at, _)| *at != gone);
+        others
+            .map(|(_, server)| members(server).0)
+            .all(|voters| voters.len() == 3 && !voters.contains(&format!("control-{}", gone + 1)))
+    });
+    servers.push(fleet.start(5, false, &disks[4]));
+    until("a new one learns", || servers[4].state().declared.is_some());
+}
