End sessions on a proxy that hears nothing of control, once the balancer sends them elsewhere

Cause: in a partition (zone cut, primary cut off with proxies) callers stayed with proxies that have no lease, and were refused until the end of the cut. Ruled out: serving without a lease; a read could show less than another proxy acknowledged.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -11,6 +11,7 @@
 use super::run::{Reply, Runner};
 use super::server::Shared;
 use super::session::{Session, Step};
+use crate::clock::Instant;
 use crate::config::Database;
 use crate::report::Peer;
 use crate::statement::{Answer, Call, Code, Id, Malformed, State, Statement};
@@ -43,7 +44,7 @@
     Call(Call),
     /// The caller has gone.
     Gone,
-    /// The process ends, and the session may end now.
+    /// The process ends, or others serve the session better, and it may end now.
     Closing,
     /// The transaction has rested for too long, or may not outlive the process.
     GiveUp,
@@ -72,6 +73,8 @@
         input: BytesMut::new(),
         output: BytesMut::new(),
         session: Session::default(),
+        opened: shared.clock.now(),
+        spread: fastrand::f64(),
         runner: Runner::new(Arc::clone(&shared)),
         shared: Arc::clone(&shared),
     };
@@ -93,6 +96,9 @@
     input: BytesMut,
     output: BytesMut,
     session: Session,
+    opened: Instant,
+    /// The place of this session among those that are ended together.
+    spread: f64,
     runner: Runner,
 }
 
@@ -131,6 +137,8 @@
     /// Waits for what comes next.
     async fn next(&mut self) -> Result<Next, End> {
         let open = self.session.state() == State::Open;
+        let idle = self.session.state() == State::Idle;
+        let (opened, spread) = (self.opened, self.spread);
         let shared = Arc::clone(&self.shared);
         let stage = if open { Stage::Ending } else { Stage::Closing };
         let rest = shared.idle_transaction().filter(|_| self.runner.holds());
@@ -144,7 +152,14 @@
             shared.closing.reached(stage).await;
             Ok(if open { Next::GiveUp } else { Next::Closing })
         };
-        let waiting = smol::future::or(call, closing);
+        let stranded = async {
+            if !idle {
+                std::future::pending::<()>().await;
+            }
+            shared.stranded(opened, spread).await;
+            Ok(Next::Closing)
+        };
+        let waiting = smol::future::or(call, smol::future::or(closing, stranded));
         match rest {
             Some(rest) => shared.clock.timeout(rest, waiting).await.unwrap_or(Ok(Next::GiveUp)),
             None => waiting.await,
--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -27,6 +27,7 @@
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
         shared.clock.sleep(INTERVAL).await;
+        shared.look_around();
         let now = shared.clock.now();
         let faded = shared.faded(FADED);
         let due = shared.instances(|known| {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -2,7 +2,7 @@
 //! [`Codec`](crate::statement::Codec).
 //!
 //! A session takes a connection for a statement or a transaction and gives it back; what it has set and prepared
-//! goes with it. Decisions are plain machines ([`session`], [`applied`], [`dispatch`], [`need`]); the rest
+//! goes with it. Decisions are plain machines ([`session`], [`applied`], [`dispatch`], [`need`], [`stranded`]); the rest
 //! moves bytes. See `docs/PLATFORM.md`, "The broker".
 
 pub mod applied;
@@ -16,6 +16,7 @@
 mod server;
 pub mod session;
 mod state;
+pub mod stranded;
 
 pub use server::{Server, spawn};
 
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -15,6 +15,7 @@
 use super::lane::{Lane, Permit};
 use super::need::{self, Need, Sight};
 use super::state::{Instance, State};
+use super::stranded::NOTICE;
 use super::{Error, caller, keeper};
 use crate::clock::{Clock, Instant};
 use crate::config::{self, Database, Fleet};
@@ -28,10 +29,6 @@
 use crate::upstream::channel::{Channel, Error as ChannelError};
 use crate::wire::{Body, Frame, Grant, Heartbeat, Replica, Trouble};
 
-/// How long a balancer that asks once a second takes to hear that this process leaves: two questions, and the
-/// answer's way.
-const NOTICE: Duration = Duration::from_millis(2_300);
-
 /// How long before the kill the process ends by itself.
 const HEADROOM: Duration = Duration::from_millis(500);
 
@@ -44,9 +41,6 @@
 /// How much younger than allowed the proof of a read is, for the time between the caller's sending and the decision.
 const AGE_MARGIN: Duration = Duration::from_millis(50);
 
-/// How long without a lease the process still says that it takes sessions: a change of control's leader takes less.
-const READY_WITHOUT_LEASE: Duration = Duration::from_millis(1_500);
-
 /// A running broker.
 #[derive(Debug, Clone)]
 pub struct Server {
@@ -290,10 +284,40 @@
     }
 
     fn is_ready(&self) -> bool {
-        let now = self.clock.now();
         let state = self.lock();
-        let recent = now.since(state.fence.lease()) < READY_WITHOUT_LEASE;
-        !self.closing.is_past(Stage::Leaving) && state.revision.0 > 0 && recent
+        let serves = state.revision.0 > 0 && !state.stranded.is_stranded();
+        serves && !self.closing.is_past(Stage::Leaving)
+    }
+
+    /// Looks whether control was heard of lately.
+    pub(super) fn look_around(&self) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let renewed = state.fence.renewed();
+        if !state.stranded.step(now, renewed) {
+            return;
+        }
+        match state.stranded.is_stranded() {
+            true => log::warn!("no lease was renewed for {} ms", now.since(renewed).as_millis()),
+            false => log::info!("leases are renewed again"),
+        }
+        drop(state);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Waits until a session without a transaction that was opened at `opened` is better served elsewhere.
+    pub(super) async fn stranded(&self, opened: Instant, spread: f64) {
+        loop {
+            let changed = self.changed.listen();
+            let ends = self.lock().stranded.ends(opened, spread);
+            match ends.map(|ends| ends.since(self.clock.now())) {
+                Some(Duration::ZERO) => return,
+                Some(left) => {
+                    self.clock.timeout(left, changed).await;
+                }
+                None => changed.await,
+            }
+        }
     }
 
     /// Returns the declaration of a database.
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -10,6 +10,7 @@
 use super::dispatch::{Dispatch, Ticket};
 use super::lane::Lane;
 use super::need::Sight;
+use super::stranded::Stranded;
 use crate::clock::Instant;
 use crate::config::Fleet;
 use crate::id;
@@ -30,6 +31,8 @@
     pub(super) voters: Vec<SocketAddr>,
     /// Whether the lease was valid when it was last looked at.
     pub(super) leased: bool,
+    /// Whether callers are better served elsewhere.
+    pub(super) stranded: Stranded,
 }
 
 /// An instance of the table.
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -35,6 +35,7 @@
     version: u64,
     table: Table,
     lease: Instant,
+    renewed: Instant,
     revision: id::Revision,
 }
 
@@ -78,6 +79,7 @@
         if let Some(sent) = grant.sequence.and_then(|sequence| self.sent_at(sequence))
             && self.version >= grant.version
         {
+            self.renewed = self.renewed.max(sent);
             self.lease = self.lease.max(sent + Duration::from_millis(u64::from(grant.lease_ms)));
         }
         newer
@@ -104,9 +106,9 @@
         sequence > self.before && sequence <= self.answered
     }
 
-    /// Returns until when the lease runs.
-    pub fn lease(&self) -> Instant {
-        self.lease
+    /// Returns when the heartbeat was sent that renewed the lease last.
+    pub fn renewed(&self) -> Instant {
+        self.renewed
     }
 
     /// Tells whether the lease has not run out.
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -9,6 +9,7 @@
 };
 use cactushatch::broker::need::{self, Need, Sight};
 use cactushatch::broker::session::{self, Session, Step, What, Work};
+use cactushatch::broker::stranded::{NOTICE, SPREAD, Stranded, UNHEARD};
 use cactushatch::clock::Instant;
 use cactushatch::config::{Reads, Span};
 use cactushatch::id;
@@ -345,6 +346,23 @@
     assert_eq!(dispatch.ask(now, ask(2, old_mark(), 1, 100)), Verdict::Start(instance("r2")));
 }
 
+/// A partition leaves callers connected to a proxy that hears nothing of control: the balancer is told first, then the
+/// sessions end one after the other. A short pause of control ends none.
+#[test]
+fn a_stranded_proxy_sends_its_sessions_elsewhere() {
+    let mut stranded = Stranded::default();
+    let short = UNHEARD - Duration::from_millis(1);
+    assert!(!stranded.step(at(0) + short, at(0)));
+    assert_eq!(stranded.ends(at(0), 0.0), None);
+    let since = at(0) + UNHEARD;
+    assert!(stranded.step(since, at(0)) && stranded.is_stranded());
+    assert_eq!(stranded.ends(at(0), 0.0), Some(since + NOTICE));
+    assert_eq!(stranded.ends(at(0), 1.0), Some(since + NOTICE + SPREAD));
+    let later = since + Duration::from_secs(5);
+    assert_eq!(stranded.ends(later, 0.0), Some(later + NOTICE), "it has just come");
+    assert!(stranded.step(later, later) && !stranded.is_stranded());
+}
+
 #[test]
 fn permits_come_back_when_a_statement_gives_up() {
     let mut dispatch = group(1);
