Ask silent instances sooner, and tell the balancer sooner

Cause: an instance counted as silent 1.5 s after its last answer, and a proxy without leases stayed ready for 0.7 s.

--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -12,16 +12,17 @@
 use crate::wire::{Replica, Trouble};
 
 /// How often the instances are looked at.
-const INTERVAL: Duration = Duration::from_millis(250);
+const INTERVAL: Duration = Duration::from_millis(100);
 
-/// How long an instance may say nothing until it is asked.
-const QUIET: Duration = Duration::from_millis(700);
+/// How long an instance may say nothing until it is asked; under load all answer more often.
+const QUIET: Duration = Duration::from_millis(250);
 
 /// How old the last sight of a primary may be until it is asked; bounded reads of half a second can still be proved.
 const FADED: Duration = Duration::from_millis(400);
 
-/// How long an instance may take to answer before it counts as silent.
-const SILENCE: Duration = Duration::from_millis(800);
+/// How long an instance may take to answer before it counts as silent: the question takes none of its slots, so this is
+/// many round trips between failure domains, and room for a new connection.
+const SILENCE: Duration = Duration::from_millis(350);
 
 /// Looks after the instances for ever.
 pub(super) async fn run(shared: Arc<Shared>) {
--- a/src/broker/stranded.rs
+++ b/src/broker/stranded.rs
@@ -10,12 +10,13 @@
 
 use crate::clock::Instant;
 
-/// How long a lease may not have been renewed until the balancer is told. A change of control's leader takes less.
-pub const UNHEARD: Duration = Duration::from_millis(700);
+/// How long a lease may not have been renewed until the balancer is told: three heartbeats. A change of control's leader
+/// takes a little longer and is over before the balancer has asked twice.
+pub const UNHEARD: Duration = Duration::from_millis(500);
 
 /// How long a balancer that asks once a second takes to send new sessions elsewhere: two questions, and the answers'
 /// way.
-pub const NOTICE: Duration = Duration::from_millis(2_300);
+pub const NOTICE: Duration = Duration::from_millis(2_100);
 
 /// Over how long sessions are ended, so that they don't all come back at once.
 pub const SPREAD: Duration = Duration::from_millis(400);
