Ask a silent instance though statements hold all permits

Cause: statements that waited for a primary that was cut off held every permit, so it was asked only after they timed out, 0.9 s after the cut. Change: the question needs no permit; one at a time for each instance.

--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::lane::{Lane, Permit};
-use super::server::Shared;
+use super::server::{Asking, Shared};
 use crate::clock::Instant;
 use crate::statement::Order;
 use crate::upstream::channel::{Error, Outcome};
@@ -37,15 +37,17 @@
             needed.then(|| known.replica.clone())
         });
         for replica in due.into_iter().flatten() {
-            if let Some(permit) = shared.permit_now(&replica) {
-                smol::spawn(ask(Arc::clone(&shared), replica, permit)).detach();
+            let permit = shared.permit_now(&replica);
+            if let Some(asking) = shared.begin_to_ask(&replica) {
+                smol::spawn(ask(Arc::clone(&shared), replica, permit, asking)).detach();
             }
         }
     }
 }
 
-/// Asks an instance where it stands, over an idle connection or a new one.
-async fn ask(shared: Arc<Shared>, replica: Replica, permit: Permit) {
+/// Asks an instance where it stands, over an idle connection or a new one. Statements that wait for an instance that
+/// is gone hold all permits, and then the question needs none: an instance that has no connection left says so.
+async fn ask(shared: Arc<Shared>, replica: Replica, permit: Option<Permit>, asking: Asking) {
     let instance = &replica.instance;
     let deadline = shared.clock.now() + SILENCE;
     let term = shared.reign(&replica.group, instance);
@@ -65,11 +67,13 @@
             if let Some(mark) = outcome.position.filter(|_| same) {
                 shared.trace(&replica.group, sent, mark);
             }
-            shared.keep(instance, lane);
+            if permit.is_some() {
+                shared.keep(instance, lane);
+            }
         }
         Err(error) => shared.failed(instance, &error),
     }
-    drop(permit);
+    drop(asking);
 }
 
 async fn ping(shared: &Shared, lane: &mut Lane, deadline: Instant) -> Result<Outcome, Error> {
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -555,6 +555,17 @@
         Committing { shared: Arc::clone(self), instance: instance.clone(), sent }
     }
 
+    /// Notes that an instance is asked where it stands, unless that is so already.
+    pub(super) fn begin_to_ask(self: &Arc<Self>, replica: &Replica) -> Option<Asking> {
+        let instance = replica.instance.clone();
+        let mut state = self.lock();
+        let known = state.instances.get_mut(&instance)?;
+        if std::mem::replace(&mut known.asked, true) {
+            return None;
+        }
+        Some(Asking { shared: Arc::clone(self), instance })
+    }
+
     /// Returns the instances and how they were last seen.
     pub(super) fn instances<T>(&self, seen: impl Fn(&Instance) -> T) -> Vec<T> {
         self.lock().instances.values().map(seen).collect()
@@ -590,6 +601,21 @@
     }
 }
 
+/// A question to an instance that is not answered yet.
+#[derive(Debug)]
+pub(super) struct Asking {
+    shared: Arc<Shared>,
+    instance: id::Instance,
+}
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        if let Some(known) = self.shared.lock().instances.get_mut(&self.instance) {
+            known.asked = false;
+        }
+    }
+}
+
 /// A statement that waits for a permit; one that comes too late is given back.
 struct Waiting<'a> {
     shared: &'a Arc<Shared>,
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -45,8 +45,10 @@
     pub(super) trouble: Trouble,
     /// What control was told of it, and with which heartbeat.
     told: Option<(id::Sequence, Trouble)>,
-    /// When the oldest commit that is not answered was sent.
+    /// When the commits were sent that are not answered.
     pub(super) committing: Vec<Instant>,
+    /// Whether it is being asked where it stands.
+    pub(super) asked: bool,
 }
 
 /// A group's queue and what is known of its primary.
@@ -70,6 +72,7 @@
             trouble: Trouble::Fine,
             told: None,
             committing: Vec::new(),
+            asked: false,
         }
     }
 
