Lease a starting process sooner; have sessions wait for its first configuration

Cause: a process that had just started refused every session as one of an unknown database, and got its lease at the second heartbeat, 150 ms after the first.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -110,6 +110,9 @@
         let Some(Call::Open { database }) = opened else {
             return Ok(());
         };
+        if !self.shared.configured().await {
+            return self.refuse(Code::Busy, "no configuration is in force yet").await;
+        }
         if self.shared.database(&database).is_none() {
             return self.refuse(Code::NoDatabase, "there is no such database").await;
         }
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -38,6 +38,9 @@
 /// How long a connection to an instance may take to be made.
 const OPEN: Duration = Duration::from_millis(700);
 
+/// How long a session waits for the first configuration; callers give up after two seconds.
+const CONFIGURED: Duration = Duration::from_millis(1_500);
+
 /// How much younger than allowed the proof of a read is, for the time between the caller's sending and the decision.
 const AGE_MARGIN: Duration = Duration::from_millis(50);
 
@@ -198,6 +201,10 @@
         Frame { sender: self.node.clone(), incarnation: self.incarnation, body }
     }
 
+    fn is_leased(&self) -> bool {
+        self.lock().fence.leased(self.clock.now())
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -320,6 +327,20 @@
         }
     }
 
+    /// Waits until a configuration is in force, for a process that has just started; tells whether one is.
+    pub(super) async fn configured(&self) -> bool {
+        let configured = async {
+            while self.lock().revision.0 == 0 {
+                let changed = self.changed.listen();
+                if self.lock().revision.0 > 0 {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        self.clock.timeout(CONFIGURED, configured).await.is_some()
+    }
+
     /// Returns the declaration of a database.
     pub(super) fn database(&self, name: &str) -> Option<Database> {
         let name: id::Database = name.parse().ok()?;
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -99,7 +99,7 @@
             let group = self.groups.entry(replica.group.clone()).or_default();
             let share = table.shares.iter().find(|(name, _)| *name == replica.group);
             let share = share.map_or(1, |(_, share)| *share);
-            let permits = if self.leased { share } else { 1 };
+            let permits = if self.leased { share.max(1) } else { 1 };
             let usable =
                 instance.trouble == Trouble::Fine && !table.draining.contains(&replica.instance);
             let far = replica.domain != *domain;
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -17,6 +17,9 @@
 /// How often the process sends a heartbeat when nothing changed.
 const INTERVAL: Duration = Duration::from_millis(150);
 
+/// The same without a lease: a process that starts, or control that comes back, is not kept waiting.
+const UNLEASED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How long the leader may leave heartbeats unanswered until every voter is asked.
 const UNANSWERED: Duration = Duration::from_millis(200);
 
@@ -41,6 +44,8 @@
     fn nudge(&self);
     /// Makes a frame.
     fn frame(&self, body: Body) -> Frame;
+    /// Tells whether the lease has not run out.
+    fn is_leased(&self) -> bool;
     /// Makes a heartbeat.
     fn heartbeat(&self) -> Heartbeat;
     /// Takes a grant; returns whether what is in force changed.
@@ -77,7 +82,8 @@
             }
             Err(error) => log::error!("a heartbeat can't be encoded: {error}"),
         }
-        member.clock().timeout(INTERVAL, member.nudged().recv()).await;
+        let interval = if member.is_leased() { INTERVAL } else { UNLEASED_INTERVAL };
+        member.clock().timeout(interval, member.nudged().recv()).await;
     }
 }
 
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -466,6 +466,10 @@
         Self::frame(self, body)
     }
 
+    fn is_leased(&self) -> bool {
+        self.lock().fence.leased(self.clock.now())
+    }
+
     fn heartbeat(&self) -> Heartbeat {
         Self::heartbeat(self)
     }
