Ask the primary for a proof instead of reading there

Cause: after a restart of all processes nothing proved an age, so every read went to the primary, where it took a slot.

--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -26,7 +26,7 @@
 
 /// How long after the primary stood at a mark a replica is taken to have received it: a few times the lag that
 /// replicas usually have. One that has not says so, and is then asked only for what it is known to have.
-pub const USUAL_LAG: Duration = Duration::from_millis(150);
+pub const USUAL_LAG: Duration = Duration::from_millis(50);
 
 /// How long a replica that lacked a mark is asked only for what it is known to have.
 pub const LAGGING: Duration = Duration::from_millis(300);
--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -7,6 +7,7 @@
 use super::lane::{Lane, Permit};
 use super::server::{Asking, Shared};
 use crate::clock::Instant;
+use crate::id;
 use crate::statement::Order;
 use crate::upstream::channel::{Error, Outcome};
 use crate::wire::{Replica, Trouble};
@@ -17,9 +18,6 @@
 /// How long an instance may say nothing until it is asked; under load all answer more often.
 const QUIET: Duration = Duration::from_millis(250);
 
-/// How old the last sight of a primary may be until it is asked; bounded reads of half a second can still be proved.
-const FADED: Duration = Duration::from_millis(400);
-
 /// How long an instance may take to answer before it counts as silent: the question takes none of its slots, so this is
 /// many round trips between failure domains, and room for a new connection.
 const SILENCE: Duration = Duration::from_millis(350);
@@ -30,21 +28,32 @@
         shared.clock.sleep(INTERVAL).await;
         shared.look_around();
         let now = shared.clock.now();
-        let faded = shared.faded(FADED);
+        let faded = shared.faded();
         let due = shared.instances(|known| {
             let quiet = now.since(known.good) >= QUIET || known.trouble != Trouble::Fine;
             let needed = quiet || faded.contains(&known.replica.instance);
             needed.then(|| known.replica.clone())
         });
         for replica in due.into_iter().flatten() {
-            let permit = shared.permit_now(&replica);
-            if let Some(asking) = shared.begin_to_ask(&replica) {
-                smol::spawn(ask(Arc::clone(&shared), replica, permit, asking)).detach();
-            }
+            begin(&shared, replica);
         }
     }
 }
 
+/// Asks a group's primary where it stands, unless that is under way.
+pub(super) fn ask_primary(shared: &Arc<Shared>, group: &id::Group) {
+    if let Some(primary) = shared.primary(group) {
+        begin(shared, primary);
+    }
+}
+
+fn begin(shared: &Arc<Shared>, replica: Replica) {
+    if let Some(asking) = shared.begin_to_ask(&replica) {
+        let permit = shared.permit_now(&replica);
+        smol::spawn(ask(Arc::clone(shared), replica, permit, asking)).detach();
+    }
+}
+
 /// Asks an instance where it stands, over an idle connection or a new one. Statements that wait for an instance that
 /// is gone hold all permits, and then the question needs none: an instance that has no connection left says so.
 async fn ask(shared: Arc<Shared>, replica: Replica, permit: Option<Permit>, asking: Asking) {
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -93,7 +93,7 @@
     ) -> Result<(Hold, Need), Refusal> {
         loop {
             let need = match read_only {
-                true => self.shared.need(attempt.database, self.own),
+                true => self.shared.need(attempt.database, self.own).await,
                 false => Need::Primary,
             };
             let mut hold = self.acquire(attempt, need).await?;
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -35,9 +35,15 @@
 /// How long an orderly end takes when nothing kills the process.
 const DEFAULT_GRACE: Duration = Duration::from_secs(30);
 
+/// How old the last sight of a primary may be until it is asked; bounded reads of half a second can still be proved.
+const FADED: Duration = Duration::from_millis(400);
+
 /// How long a connection to an instance may take to be made.
 const OPEN: Duration = Duration::from_millis(700);
 
+/// How long a read waits for the primary to be asked where it stands, before it goes to the primary itself.
+const PROOF: Duration = Duration::from_millis(60);
+
 /// How long a session waits for the first configuration; callers give up after two seconds.
 const CONFIGURED: Duration = Duration::from_millis(1_500);
 
@@ -357,14 +363,42 @@
         self.lock().fleet.idle_transaction.map(|span| span.0)
     }
 
-    /// Decides what a read of a database needs.
-    pub(super) fn need(&self, database: &Database, own: Option<Sight>) -> Need {
+    /// Decides what a read of a database needs. Where a proof is all that is missing for it to run on any instance, the
+    /// primary is asked for one first: that takes none of its slots, as the read itself would.
+    pub(super) async fn need(self: &Arc<Self>, database: &Database, own: Option<Sight>) -> Need {
+        let need = self.need_now(database, own);
+        if need != Need::Primary || need::max_age(database.reads).is_none() {
+            return need;
+        }
+        let seen = async {
+            loop {
+                let changed = self.changed.listen();
+                keeper::ask_primary(self, &database.group);
+                let need = self.need_now(database, own);
+                if need != Need::Primary {
+                    return need;
+                }
+                changed.await;
+            }
+        };
+        let need = self.clock.timeout(PROOF, seen).await;
+        need.unwrap_or_else(|| self.need_now(database, own))
+    }
+
+    fn need_now(&self, database: &Database, own: Option<Sight>) -> Need {
         let now = self.clock.now();
         let age = need::max_age(database.reads).map(|age| age.saturating_sub(AGE_MARGIN));
         let proof = age.and_then(|age| self.lock().sight(now, &database.group, age));
         need::read(database.reads, proof, own)
     }
 
+    /// Returns the primary of a group that may be used.
+    pub(super) fn primary(&self, group: &id::Group) -> Option<Replica> {
+        let state = self.lock();
+        let primary = state.groups.get(group)?.dispatch.primary()?;
+        state.instances.get(primary).map(|known| known.replica.clone())
+    }
+
     pub(super) fn ticket(&self) -> Ticket {
         Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
     }
@@ -541,8 +575,17 @@
 
     /// Notes where the primary stood when it was asked under a valid lease.
     pub(super) fn trace(&self, group: &id::Group, asked: Instant, mark: Mark) {
-        if let Some(queue) = self.lock().groups.get_mut(group) {
+        let first = {
+            let mut state = self.lock();
+            let Some(queue) = state.groups.get_mut(group) else {
+                return;
+            };
+            let faded = queue.trail.newest().is_none_or(|at| asked.since(at) > FADED);
             queue.trail.note(asked, mark);
+            faded
+        };
+        if first {
+            self.changed.notify(usize::MAX);
         }
     }
 
@@ -592,12 +635,12 @@
         self.lock().instances.values().map(seen).collect()
     }
 
-    /// Returns the groups whose trail is older than `age`, with their primary.
-    pub(super) fn faded(&self, age: Duration) -> Vec<id::Instance> {
+    /// Returns the primaries whose last sight is older than [`FADED`].
+    pub(super) fn faded(&self) -> Vec<id::Instance> {
         let now = self.clock.now();
         let state = self.lock();
         let faded = |group: &&super::state::Group| {
-            group.trail.newest().is_none_or(|asked| now.since(asked) > age)
+            group.trail.newest().is_none_or(|asked| now.since(asked) > FADED)
         };
         let groups = state.groups.values().filter(faded);
         groups.filter_map(|group| group.dispatch.primary().cloned()).collect()
