--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -34,7 +34,13 @@
 /// How long an instance that was full is left alone.
 pub const FULL: Duration = Duration::from_millis(10);
 
-/// How long a group is usually without a primary: finding out, the fence, and the promotion.
+/// How long a promotion usually takes from the freeze on: the fence, the readings, and the instance's own time.
+pub const USUAL_PROMOTION: Duration = Duration::from_millis(600);
+
+/// How much longer a promotion may take that has taken its usual time.
+const LATE_PROMOTION: Duration = Duration::from_millis(200);
+
+/// How long it takes until there is a primary when nothing is known of a promotion.
 pub const USUAL_ABSENCE: Duration = Duration::from_millis(2_000);
 
 /// Every so many starts go to the statement that has waited longest, so that no priority starves.
@@ -73,6 +79,17 @@
     Refuse(Duration),
 }
 
+/// Who leads a group, as far as this proxy may rely on it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lead {
+    /// This instance.
+    Primary(id::Instance),
+    /// Another one is being promoted.
+    Promoting,
+    /// Nobody that this proxy knows of: it has no lease, or the group has no primary yet.
+    Nobody,
+}
+
 /// What is known of an instance.
 #[derive(Debug)]
 struct Seat {
@@ -98,8 +115,8 @@
     seats: BTreeMap<id::Instance, Seat>,
     /// The primary, as long as it may be used.
     primary: Option<id::Instance>,
-    /// Since when there has been none.
-    absent: Option<Instant>,
+    /// Since when one is being promoted.
+    promoting: Option<Instant>,
     waiting: Vec<Waiting>,
     started: u64,
 }
@@ -128,13 +145,16 @@
     }
 
     /// Sets the primary, or none while it may not be used.
-    pub fn lead(&mut self, now: Instant, primary: Option<id::Instance>) {
-        match (&primary, self.absent) {
-            (None, None) => self.absent = Some(now),
-            (Some(_), _) => self.absent = None,
-            _ => {}
-        }
-        self.primary = primary;
+    pub fn lead(&mut self, now: Instant, lead: Lead) {
+        self.promoting = match (&lead, self.promoting) {
+            (Lead::Promoting, None) => Some(now),
+            (Lead::Promoting, since) => since,
+            _ => None,
+        };
+        self.primary = match lead {
+            Lead::Primary(primary) => Some(primary),
+            Lead::Promoting | Lead::Nobody => None,
+        };
     }
 
     /// Returns the primary that may be used.
@@ -295,8 +315,9 @@
     /// Estimates how long a statement waits that has `ahead` others before it.
     fn wait(&self, now: Instant, ask: &Ask, ahead: usize) -> Duration {
         if ask.need == Need::Primary && self.primary.is_none() {
-            let passed = self.absent.map_or(Duration::ZERO, |since| now.since(since));
-            return USUAL_ABSENCE.checked_sub(passed).unwrap_or(USUAL_ABSENCE);
+            return self.promoting.map_or(USUAL_ABSENCE, |since| {
+                USUAL_PROMOTION.saturating_sub(now.since(since)).max(LATE_PROMOTION)
+            });
         }
         let able = |(instance, seat): &(&id::Instance, &Seat)| match ask.need {
             Need::Primary => self.primary.as_ref() == Some(*instance),
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -13,7 +13,7 @@
 const TRIES: usize = 3;
 
 /// How long a statement waits for a primary, as a part of its timeout in percent; the rest is left for running it.
-const PRIMARY_PATIENCE_PERCENT: u32 = 85;
+const PRIMARY_PATIENCE_PERCENT: u32 = 70;
 
 impl Runner {
     /// Waits for a connection to an instance that the statement can run on.
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -7,7 +7,7 @@
 
 use smol::channel::Sender;
 
-use super::dispatch::{Dispatch, Ticket};
+use super::dispatch::{Dispatch, Lead, Ticket};
 use super::lane::Lane;
 use super::need::Sight;
 use super::stranded::Stranded;
@@ -16,7 +16,7 @@
 use crate::id;
 use crate::proxy::fence::{Fence, Verdict};
 use crate::proxy::trail::Trail;
-use crate::wire::{Demand, Phase, Replica, Sighting, Trouble};
+use crate::wire::{Demand, Epoch, Phase, Replica, Sighting, Trouble};
 
 /// What changes, under one lock that is never held over an `await`.
 #[derive(Debug, Default)]
@@ -109,9 +109,12 @@
         for (name, group) in &mut self.groups {
             let gone = |seat: &id::Instance| !self.instances.contains_key(seat);
             group.dispatch.retain(|seat| !gone(seat));
-            let epoch = self.fence.epoch(name).filter(|epoch| epoch.phase == Phase::Active);
-            let leads = epoch.filter(|_| self.leased).map(|epoch| epoch.primary.clone());
-            group.dispatch.lead(now, leads);
+            let lead = match self.fence.epoch(name).filter(|_| self.leased) {
+                Some(Epoch { phase: Phase::Active, primary, .. }) => Lead::Primary(primary.clone()),
+                Some(Epoch { phase: Phase::Frozen, .. }) => Lead::Promoting,
+                None => Lead::Nobody,
+            };
+            group.dispatch.lead(now, lead);
         }
     }
 
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -5,7 +5,8 @@
 
 use cactushatch::broker::applied::{self, Applied, Fix};
 use cactushatch::broker::dispatch::{
-    Ask, Dispatch, FULL, LAGGING, MAX_WAITING, Ticket, USUAL_ABSENCE, USUAL_LAG, Verdict,
+    Ask, Dispatch, FULL, LAGGING, Lead, MAX_WAITING, Ticket, USUAL_ABSENCE, USUAL_LAG,
+    USUAL_PROMOTION, Verdict,
 };
 use cactushatch::broker::need::{self, Need, Sight};
 use cactushatch::broker::session::{self, Session, Step, What, Work};
@@ -198,7 +199,7 @@
     for name in ["p", "r1", "r2"] {
         dispatch.seat(&instance(name), permits, true, false);
     }
-    dispatch.lead(at(0), Some(instance("p")));
+    dispatch.lead(at(0), Lead::Primary(instance("p")));
     dispatch
 }
 
@@ -316,12 +317,16 @@
 #[test]
 fn a_write_waits_for_a_primary_only_as_long_as_it_may_come() {
     let mut dispatch = group(1);
-    dispatch.lead(at(1_000), None);
+    dispatch.lead(at(1_000), Lead::Nobody);
+    let unknown = dispatch.ask(at(1_000), ask(1, Need::Primary, 1, 1_000));
+    assert_eq!(unknown, Verdict::Refuse(USUAL_ABSENCE), "nothing is known of a promotion");
+    dispatch.lead(at(1_000), Lead::Promoting);
     let short = dispatch.ask(at(1_000), ask(1, Need::Primary, 1, 500));
-    assert_eq!(short, Verdict::Refuse(USUAL_ABSENCE));
-    let late = at(1_000) + USUAL_ABSENCE - Duration::from_millis(300);
+    assert_eq!(short, Verdict::Refuse(USUAL_PROMOTION));
+    let late = at(1_000) + USUAL_PROMOTION - Duration::from_millis(300);
+    dispatch.lead(late, Lead::Promoting);
     assert_eq!(dispatch.ask(late, ask(2, Need::Primary, 1, 500)), Verdict::Wait);
-    dispatch.lead(late, Some(instance("r1")));
+    dispatch.lead(late, Lead::Primary(instance("r1")));
     let started = dispatch.advance(late);
     assert_eq!(started.as_slice(), [(Ticket(2), instance("r1"))]);
 }
