Let as many statements run on an instance as it takes without a queue

Ruled out: stale knowledge of the replicas (each answer said where they stood), too few permits. Change: a window for each instance follows the time that statements take against what they take without a queue; a transaction that rests counts as a connection and not as running; a statement waits for 60 % of its target, or 70 % of its timeout for a promotion.

--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -4,6 +4,10 @@
 //! rush at a bell: all callers at once, with reads that any caught-up replica can serve and writes that only the
 //! primary can. One queue before all instances keeps each permit busy for whoever may use it, in the order of
 //! priority; what would wait longer than its patience is refused on arrival, with the time after which there is room.
+//!
+//! It also answers replicas that fall behind, so that the primary alone is left for all reads: then the instance's own
+//! queue would make every answer late, and nobody would know. How many statements run on an instance follows the time
+//! that they take there ([`Seat::learn`]), so that the wait is here, where it can be foreseen.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +25,13 @@
 /// How much of a new sample the mean time takes, as one part of this many.
 const SMOOTHING: u32 = 8;
 
+/// An instance queues when statements take this many times, in tenths, what they take when it does not.
+const QUEUEING: u32 = 25;
+
+/// How fast the time without a queue is taken to rise, as one part of this many with each statement: slowly, so that a
+/// lasting change becomes the new measure and a rush doesn't.
+const BASELINE_RISE: u32 = 512;
+
 /// The mean time of an instance that nothing ran on yet.
 const FIRST_MEAN: Duration = Duration::from_millis(15);
 
@@ -62,8 +73,10 @@
     pub need: Need,
     /// The priority of its class; lower goes first.
     pub priority: u8,
-    /// How long it may wait.
+    /// How long it may wait for room.
     pub patience: Duration,
+    /// How long it may wait for a primary that is being promoted.
+    pub promotion_patience: Duration,
     /// The instances that failed it already.
     pub failed: SmallVec<[id::Instance; 2]>,
 }
@@ -94,15 +107,40 @@
 #[derive(Debug)]
 struct Seat {
     permits: u32,
+    /// How many connections are in use.
     used: u32,
+    /// On how many of them a statement runs; the others rest in a transaction.
+    running: u32,
+    /// How many statements may run.
+    window: f64,
     usable: bool,
     position: Option<Mark>,
     lagging: Option<Instant>,
     full: Option<Instant>,
     mean: Duration,
+    /// What the mean is while the instance does not queue.
+    baseline: Duration,
     far: bool,
 }
 
+impl Seat {
+    fn has_room(&self) -> bool {
+        self.used < self.permits && self.running < (self.window as u32).max(1)
+    }
+
+    /// Takes in how long a statement took. The window falls by a tenth while the instance seems to queue, and grows
+    /// by one over a window of good ones otherwise.
+    fn learn(&mut self, took: Duration) {
+        self.mean = (self.mean * (SMOOTHING - 1) + took) / SMOOTHING;
+        self.baseline = self.mean.min(self.baseline + self.baseline / BASELINE_RISE);
+        if self.mean * 10 > self.baseline * QUEUEING {
+            self.window = (self.window * 0.9).max(1.0);
+        } else {
+            self.window = (self.window + 1.0 / self.window).min(f64::from(self.permits.max(1)));
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Waiting {
     ask: Ask,
@@ -127,11 +165,14 @@
         let seat = self.seats.entry(instance.clone()).or_insert_with(|| Seat {
             permits,
             used: 0,
+            running: 0,
+            window: f64::from(permits.max(1)),
             usable,
             position: None,
             lagging: None,
             full: None,
             mean: FIRST_MEAN,
+            baseline: FIRST_MEAN,
             far,
         });
         seat.permits = permits;
@@ -202,6 +243,7 @@
         match self.seats.get_mut(instance) {
             Some(seat) if seat.used < seat.permits => {
                 seat.used += 1;
+                seat.running += 1;
                 true
             }
             _ => false,
@@ -218,13 +260,21 @@
             return Verdict::Start(instance);
         }
         let wait = self.wait(now, &ask, ahead);
-        if wait > ask.patience || self.waiting.len() >= MAX_WAITING {
+        if wait > self.patience(&ask) || self.waiting.len() >= MAX_WAITING {
             return Verdict::Refuse(wait);
         }
         self.waiting.push(Waiting { ask, since: now });
         Verdict::Wait
     }
 
+    /// Returns how long a statement may wait for what it waits for now.
+    pub fn patience(&self, ask: &Ask) -> Duration {
+        match self.promoting {
+            Some(_) if ask.need == Need::Primary => ask.promotion_patience,
+            _ => ask.patience,
+        }
+    }
+
     /// Gives a statement up that waits, and returns when there will be room for it.
     pub fn give_up(&mut self, now: Instant, ticket: Ticket) -> Duration {
         let found = self.waiting.iter().position(|waiting| waiting.ask.ticket == ticket);
@@ -238,11 +288,24 @@
 
     /// Takes a permit back; `took` is how long a statement ran, unless that says nothing.
     pub fn release(&mut self, instance: &id::Instance, took: Option<Duration>) {
+        self.rest(instance, took);
         if let Some(seat) = self.seats.get_mut(instance) {
             seat.used = seat.used.saturating_sub(1);
-            if let Some(took) = took {
-                seat.mean = (seat.mean * (SMOOTHING - 1) + took) / SMOOTHING;
-            }
+        }
+    }
+
+    /// Notes that a transaction rests between two statements: it keeps its connection and takes no slot.
+    pub fn rest(&mut self, instance: &id::Instance, took: Option<Duration>) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.running = seat.running.saturating_sub(1);
+            took.into_iter().for_each(|took| seat.learn(took));
+        }
+    }
+
+    /// Notes that a transaction goes on; it doesn't wait, since others wait for what it holds.
+    pub fn resume(&mut self, instance: &id::Instance) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            seat.running += 1;
         }
     }
 
@@ -261,6 +324,7 @@
         self.started += 1;
         if let Some(seat) = self.seats.get_mut(instance) {
             seat.used += 1;
+            seat.running += 1;
         }
     }
 
@@ -282,12 +346,12 @@
     /// Returns the instance with a free permit that runs a statement soonest.
     fn place(&self, now: Instant, ask: &Ask) -> Option<id::Instance> {
         let free = |(instance, seat): &(&id::Instance, &Seat)| {
-            seat.used < seat.permits
+            seat.has_room()
                 && !ask.failed.contains(instance)
                 && self.serves(now, instance, seat, ask.need)
         };
         let cost = |(instance, seat): &(&id::Instance, &Seat)| {
-            let load = seat.mean * (seat.used + 1) + Duration::from_millis(u64::from(seat.far));
+            let load = seat.mean * (seat.running + 1) + Duration::from_millis(u64::from(seat.far));
             let primary = self.primary.as_ref() == Some(*instance);
             if primary { load * PRIMARY_COST } else { load }
         };
@@ -325,7 +389,7 @@
         };
         let (mut permits, mut mean) = (0, FIRST_MEAN);
         for (_, seat) in self.seats.iter().filter(able) {
-            permits += seat.permits;
+            permits += seat.permits.min((seat.window as u32).max(1));
             mean = mean.max(seat.mean);
         }
         if permits == 0 {
--- a/src/broker/lane.rs
+++ b/src/broker/lane.rs
@@ -27,16 +27,32 @@
     pub(super) instance: id::Instance,
     /// How long a statement ran there last.
     pub(super) took: Option<Duration>,
+    /// Whether its transaction rests between two statements.
+    rests: bool,
 }
 
 impl Permit {
     pub(super) fn new(shared: Arc<Shared>, group: id::Group, instance: id::Instance) -> Self {
-        Self { shared, group, instance, took: None }
+        Self { shared, group, instance, took: None, rests: false }
+    }
+
+    /// Lets others run while the transaction rests; the connection stays taken.
+    pub(super) fn rest(&mut self) {
+        self.rests = true;
+        self.shared.rest(&self.group, &self.instance, self.took.take());
+    }
+
+    /// Goes on after a rest.
+    pub(super) fn resume(&mut self) {
+        if std::mem::take(&mut self.rests) {
+            self.shared.resume(&self.group, &self.instance);
+        }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
+        self.resume();
         self.shared.release(&self.group, &self.instance, self.took);
     }
 }
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -12,8 +12,11 @@
 /// On how many instances a statement may fail.
 const TRIES: usize = 3;
 
-/// How long a statement waits for a primary, as a part of its timeout in percent; the rest is left for running it.
-const PRIMARY_PATIENCE_PERCENT: u32 = 70;
+/// How long a statement waits for room, as a part of its target in percent; the rest is left for running it.
+const PATIENCE_PERCENT: u32 = 60;
+
+/// How long a statement waits for a primary that is being promoted, as a part of its timeout in percent.
+const PROMOTION_PATIENCE_PERCENT: u32 = 70;
 
 impl Runner {
     /// Waits for a connection to an instance that the statement can run on.
@@ -31,7 +34,8 @@
                 ticket: self.shared.ticket(),
                 need,
                 priority: attempt.priority,
-                patience: patience(attempt, need).min(left),
+                patience: patience(attempt).min(left),
+                promotion_patience: promotion_patience(attempt).min(left),
                 failed: attempt.failed.clone(),
             };
             let permit = self.shared.permit(&attempt.database.group, ask).await;
@@ -73,11 +77,13 @@
     }
 }
 
-/// Returns how long a statement may wait for a connection. A read goes where there is room, so it need not wait for
-/// longer than it should take; a write has one place to go to.
-fn patience(attempt: &Attempt<'_>, need: Need) -> Duration {
-    match need {
-        Need::Primary => attempt.database.timeout.0 * PRIMARY_PATIENCE_PERCENT / 100,
-        Need::Reached { .. } => attempt.database.target.0,
-    }
+/// Returns how long a statement may wait for room: a part of the time that its answer should take, so that what is
+/// begun ends in time.
+fn patience(attempt: &Attempt<'_>) -> Duration {
+    attempt.database.target.0 * PATIENCE_PERCENT / 100
+}
+
+/// Returns how long a statement may wait for a primary that is being promoted: there is nowhere else to go.
+fn promotion_patience(attempt: &Attempt<'_>) -> Duration {
+    attempt.database.timeout.0 * PROMOTION_PATIENCE_PERCENT / 100
 }
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -29,7 +29,10 @@
     ) -> (Reply, bool) {
         let result = match self.hold.take() {
             None => self.first(&mut attempt, work, read_only).await,
-            Some(hold) => self.following(&mut attempt, hold, work, read_only).await,
+            Some(mut hold) => {
+                hold.permit.resume();
+                self.following(&mut attempt, hold, work, read_only).await
+            }
         };
         let goes_on = result.is_ok();
         (self.conclude(&attempt, result), goes_on)
@@ -57,6 +60,7 @@
             match outcome.result.clone() {
                 Ok(signature) if outcome.state == State::Open => {
                     hold.wrote |= work.access == Access::Write;
+                    hold.permit.rest();
                     self.hold = Some(hold);
                     return Ok(success(outcome, signature));
                 }
@@ -179,6 +183,7 @@
         match outcome.result.clone() {
             Ok(signature) if outcome.state == State::Open => {
                 hold.wrote |= work.access == Access::Write;
+                hold.permit.rest();
                 self.hold = Some(hold);
                 Ok(success(outcome, signature))
             }
@@ -197,7 +202,10 @@
         read_only: bool,
     ) -> Reply {
         let hold = match self.hold.take() {
-            Some(hold) => Ok(hold),
+            Some(mut hold) => {
+                hold.permit.resume();
+                Ok(hold)
+            }
             None => self.begin(&mut attempt, None, read_only).await.map(|(hold, _)| hold),
         };
         let result = match hold {
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -409,13 +409,14 @@
         group: &id::Group,
         ask: Ask,
     ) -> Result<Permit, Duration> {
-        let (ticket, patience) = (ask.ticket, ask.patience);
-        let received = {
+        let ticket = ask.ticket;
+        let (received, patience) = {
             let now = self.clock.now();
             let mut state = self.lock();
             let Some(queue) = state.groups.get_mut(group) else {
                 return Err(dispatch::USUAL_ABSENCE);
             };
+            let patience = queue.dispatch.patience(&ask);
             match queue.dispatch.ask(now, ask) {
                 dispatch::Verdict::Start(instance) => {
                     return Ok(Permit::new(Arc::clone(self), group.clone(), instance));
@@ -424,7 +425,7 @@
                 dispatch::Verdict::Wait => {
                     let (sender, receiver) = bounded(1);
                     queue.waiters.insert(ticket, sender);
-                    receiver
+                    (receiver, patience)
                 }
             }
         };
@@ -461,6 +462,23 @@
         state.advance(now, group);
     }
 
+    /// Lets others run while a transaction rests.
+    pub(super) fn rest(&self, group: &id::Group, instance: &id::Instance, took: Option<Duration>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if let Some(queue) = state.groups.get_mut(group) {
+            queue.dispatch.rest(instance, took);
+        }
+        state.advance(now, group);
+    }
+
+    /// Notes that a transaction goes on after a rest.
+    pub(super) fn resume(&self, group: &id::Group, instance: &id::Instance) {
+        if let Some(queue) = self.lock().groups.get_mut(group) {
+            queue.dispatch.resume(instance);
+        }
+    }
+
     /// Notes that an instance had no room, or lacked what was asked for.
     pub(super) fn refused_by(&self, permit: &Permit, lagging: bool) {
         let now = self.clock.now();
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -205,7 +205,9 @@
 
 fn ask(ticket: u64, need: Need, priority: u8, patience_ms: u64) -> Ask {
     let patience = Duration::from_millis(patience_ms);
-    Ask { ticket: Ticket(ticket), need, priority, patience, failed: SmallVec::new() }
+    let promotion_patience = patience;
+    let failed = SmallVec::new();
+    Ask { ticket: Ticket(ticket), need, priority, patience, promotion_patience, failed }
 }
 
 fn old_mark() -> Need {
@@ -283,6 +285,57 @@
     assert_eq!(started, [99]);
 }
 
+/// Both replicas fall behind and the primary is left for everything: statements there take ten times as long, since the
+/// instance queues. Fewer run at once then, the rest waits here, and the window grows back afterwards.
+#[test]
+fn an_instance_that_queues_gets_less_until_it_does_not() {
+    let mut dispatch = group(4);
+    let now = at(1_000);
+    let run = |dispatch: &mut Dispatch, ms: u64, count: u64| {
+        for ticket in 0..count {
+            let verdict = dispatch.ask(now, ask(ticket, Need::Primary, 1, 10_000));
+            assert!(matches!(verdict, Verdict::Start(_)), "{verdict:?}");
+            dispatch.release(&instance("p"), Some(Duration::from_millis(ms)));
+        }
+    };
+    let room = |dispatch: &mut Dispatch| {
+        let started = (0..5).filter(|ticket| {
+            let verdict = dispatch.ask(now, ask(1_000 + ticket, Need::Primary, 1, 10_000));
+            verdict == Verdict::Start(instance("p"))
+        });
+        let started = started.count();
+        (0..5).for_each(|ticket| {
+            dispatch.give_up(now, Ticket(1_000 + ticket));
+        });
+        (0..started).for_each(|_| dispatch.release(&instance("p"), None));
+        started
+    };
+    run(&mut dispatch, 15, 20);
+    assert_eq!(room(&mut dispatch), 4);
+    run(&mut dispatch, 150, 30);
+    assert_eq!(room(&mut dispatch), 1);
+    run(&mut dispatch, 15, 60);
+    assert_eq!(room(&mut dispatch), 4);
+}
+
+/// Transactions rest most of the time; what they hold is a connection, not a slot.
+#[test]
+fn a_transaction_that_rests_leaves_the_slot_to_others() {
+    let mut dispatch = group(2);
+    let now = at(1_000);
+    for ticket in 0..20 {
+        dispatch.ask(now, ask(ticket, Need::Primary, 1, 10_000));
+        dispatch.release(&instance("p"), Some(Duration::from_millis(150)));
+    }
+    assert!(matches!(dispatch.ask(now, ask(50, Need::Primary, 1, 10_000)), Verdict::Start(_)));
+    assert_eq!(dispatch.ask(now, ask(51, Need::Primary, 1, 10_000)), Verdict::Wait);
+    dispatch.rest(&instance("p"), None);
+    assert_eq!(dispatch.advance(now).as_slice(), [(Ticket(51), instance("p"))]);
+    assert_eq!(dispatch.ask(now, ask(52, Need::Primary, 1, 10_000)), Verdict::Wait);
+    dispatch.rest(&instance("p"), None);
+    assert!(dispatch.advance(now).is_empty(), "both connections are held");
+}
+
 #[test]
 fn nobody_starves_behind_the_urgent() {
     let mut dispatch = group(1);
