--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -65,6 +65,15 @@
         core
     }
 
+    /// Starts anew with what the disk holds, keeping who was met.
+    pub(super) fn revive(&mut self, raft: Raft, snapshot: Option<&Snapshot>) {
+        let own = Bootstrap::new(raft.me().clone(), Vec::new());
+        let mut fresh = Self::new(raft, own, snapshot);
+        fresh.heard.seats = self.heard.seats;
+        fresh.meeting = self.meeting.take();
+        *self = fresh;
+    }
+
     pub(super) fn stamp(&self) -> Stamp {
         Stamp { term: self.raft.term(), index: self.applied.1 }
     }
--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -1,10 +1,20 @@
 //! The thread that writes to the disk, so that nobody else waits for it.
+//!
+//! After a failure nobody knows what the disk holds, so the process takes no part from then on. Where voters are
+//! named by the settings it stays like that until an operator looks. Where the leader decides who votes, the thread
+//! goes on trying to read the disk and to write all of it anew; once that is synced, what it holds is known again, and the
+//! process takes part as after a restart.
 
 use std::sync::{Arc, mpsc};
+use std::time::Duration;
 
 use super::raft::{Change, Input, Peer};
 use super::server::Shared;
-use super::store::{Disk, Error, Store};
+use super::store::{Disk, Error, Found, Store};
+use crate::id;
+
+/// How long to wait before a disk that failed is tried again.
+const RETRY: Duration = Duration::from_millis(250);
 
 /// What the thread is to do.
 #[derive(Debug)]
@@ -15,20 +25,37 @@
     Refuse(Peer),
 }
 
-/// Starts the thread. It ends with the first failure: after a failed sync nobody knows what the disk holds.
+/// Starts the thread.
 pub(super) fn spawn<D: Disk>(
     shared: Arc<Shared>,
     mut store: Store<D>,
     orders: mpsc::Receiver<Order>,
 ) -> std::io::Result<()> {
     let write = move || {
-        if let Err(error) = run(&shared, &mut store, &orders) {
+        while let Err(error) = run(&shared, &mut store, &orders) {
             shared.stop(&error.to_string());
+            if !shared.revives() || !matches!(error, Error::Io { .. }) {
+                return;
+            }
+            let found;
+            (store, found) = revive(store, &shared.me().node);
+            shared.revive(found, &orders);
         }
     };
     std::thread::Builder::new().name("journal".to_owned()).spawn(write).map(|_| ())
 }
 
+/// Reads a disk that failed and writes all of it anew, until both are done.
+fn revive<D: Disk>(mut store: Store<D>, node: &id::Node) -> (Store<D>, Found) {
+    loop {
+        std::thread::sleep(RETRY);
+        match store.again(node, fastrand::u32(..)) {
+            Ok(found) => return (store, found),
+            Err(error) => log::warn!("the disk still fails: {error}"),
+        }
+    }
+}
+
 fn run<D: Disk>(
     shared: &Arc<Shared>,
     store: &mut Store<D>,
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -127,7 +127,7 @@
     /// Probes an instance, and carries out the orders to it, for as long as this process leads and the instance
     /// announces itself.
     async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
-        let application = format!("cactushatch/{}/{}", self.me.node, self.domain);
+        let application = format!("cactushatch/{}/{}", self.me().node, self.domain);
         let user = self.user.clone();
         let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone())
             .with(self.guard.upstream.clone());
@@ -189,7 +189,7 @@
         let promotion = Promotion {
             group: replica.group.clone(),
             instance: replica.instance.clone(),
-            holder: self.me.node.clone(),
+            holder: self.me().node.clone(),
             token,
         };
         log::info!("asks to promote {} of {} with token {token}", replica.instance, replica.group);
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -15,7 +15,7 @@
 use super::promotion::Reach;
 use super::raft::{Bootstrap, Input, Members, Message, Output, Peer, Raft};
 use super::state::{Command, State, Voter};
-use super::store::{Disk, Folder, Store};
+use super::store::{Disk, Folder, Found, Store};
 use super::{Error, operator, promotion};
 use crate::clock::{Clock, Instant};
 use crate::config;
@@ -47,7 +47,8 @@
     pub(super) clock: Clock,
     pub(super) metrics: Metrics,
     pub(super) guard: Guard,
-    pub(super) me: Peer,
+    /// Which disk this process has; its newest start is the machine's to know.
+    me: Peer,
     pub(super) domain: id::Domain,
     pub(super) user: String,
     pub(super) reach: Reach,
@@ -221,6 +222,26 @@
         self.core.lock().expect("nothing panics while it holds the lock")
     }
 
+    pub(super) fn me(&self) -> &Peer {
+        &self.me
+    }
+
+    /// Tells whether the process takes part again once a disk that failed is sound: where the leader decides who
+    /// votes, nobody else would look after it.
+    pub(super) fn revives(&self) -> bool {
+        self.core().meeting.is_some()
+    }
+
+    /// Takes part again with what the disk holds, as after a restart. What was to be written before is void.
+    pub(super) fn revive(&self, found: Found, orders: &mpsc::Receiver<Order>) {
+        let mut core = self.core();
+        while orders.try_recv().is_ok() {}
+        log::info!("the disk is sound again; read {} bytes", found.read_bytes);
+        let now = self.clock.now();
+        let raft = Raft::new(now, found.peer, &found.saved, fastrand::u64(..));
+        core.revive(raft, found.saved.snapshot.as_ref());
+    }
+
     /// Takes no part any more, and says so.
     pub(super) fn stop(&self, reason: &str) {
         log::error!("this voter stops taking part: {reason}");
@@ -279,7 +300,7 @@
         let Some(address) = core.raft.members().address(to).or_else(named).or_else(met) else {
             return;
         };
-        let frame = self.frame(Body::Raft { start: self.me.start, message });
+        let frame = self.frame(Body::Raft { start: core.raft.me().start, message });
         let mut links = self.links.lock().expect("nothing panics under this lock");
         if links.get(to).is_none_or(|link| link.address != address) {
             links.insert(to.clone(), Link::open(Arc::clone(self), to.clone(), address));
@@ -408,7 +429,7 @@
     /// Says who this is.
     fn greeting(&self, core: &Core) -> Greeting {
         Greeting {
-            peer: self.me.clone(),
+            peer: core.raft.me().clone(),
             address: self.address,
             domain: self.domain.clone(),
             first_start: core.meeting.as_ref().is_some_and(Meeting::is_first_start),
@@ -499,7 +520,7 @@
                 }
             }
             Message::Outdated { known } => {
-                if self.me.is_outdated_by(&known) {
+                if core.raft.me().is_outdated_by(&known) {
                     drop(core);
                     let _ = self.orders.send(Order::Refuse(known.clone()));
                     self.stop(&format!(
--- a/src/control/store/mod.rs
+++ b/src/control/store/mod.rs
@@ -132,23 +132,34 @@
         fresh: id::Incarnation,
         token: u32,
     ) -> Result<(Self, Found), Error> {
-        let identity = read(&mut disk, IDENTITY)?;
-        let snapshot = read(&mut disk, SNAPSHOT)?;
-        let log = read(&mut disk, LOG)?;
-        let read_bytes = [&identity, &snapshot, &log].map(|file| file.as_ref().map_or(0, Vec::len));
-        let identity = identify(identity, snapshot.is_some() || log.is_some(), fresh, token)?;
-        write(&mut disk, IDENTITY, &frame(&identity)?)?;
-        let (saved, good) = load(snapshot.as_deref(), log.as_deref().unwrap_or_default())?;
-        if log.is_some_and(|log| good < log.len()) {
-            disk.truncate(LOG, good).map_err(failed(LOG))?;
-        }
+        let (identity, saved, read_bytes) = open(&mut disk, fresh, token)?;
         let start = identity.start;
         let peer = Peer { node: node.clone(), incarnation: identity.incarnation, start };
-        let found = Found { peer, saved: saved.clone(), read_bytes: read_bytes.iter().sum() };
+        let found = Found { peer, saved: saved.clone(), read_bytes };
         let (term, vote) = (saved.term, saved.vote.clone());
         Ok((Self { disk, identity, term, vote, held: saved }, found))
     }
 
+    /// Reads the disk again after it failed, as a further start. What was written before the failure may be in memory
+    /// only, whatever a read shows, so the log is written and synced anew before it counts.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`Store::start`] does; it can be tried again.
+    pub fn again(&mut self, node: &id::Node, token: u32) -> Result<Found, Error> {
+        let (identity, saved, read_bytes) = open(&mut self.disk, self.identity.incarnation, token)?;
+        if let Some(snapshot) = &saved.snapshot {
+            write(&mut self.disk, SNAPSHOT, &frame(snapshot)?)?;
+        }
+        let start = identity.start;
+        let peer = Peer { node: node.clone(), incarnation: identity.incarnation, start };
+        self.identity = identity;
+        (self.term, self.vote) = (saved.term, saved.vote.clone());
+        self.held = saved.clone();
+        self.rewrite()?;
+        Ok(Found { peer, saved, read_bytes })
+    }
+
     /// Writes and syncs a change. After a failure nothing may be acknowledged any more.
     ///
     /// # Errors
@@ -190,6 +201,25 @@
     }
 }
 
+/// Reads what a disk holds, counts this start, and cuts a torn end. Returns the bytes that were read too.
+fn open(
+    disk: &mut impl Disk,
+    fresh: id::Incarnation,
+    token: u32,
+) -> Result<(Identity, Saved, usize), Error> {
+    let identity = read(disk, IDENTITY)?;
+    let snapshot = read(disk, SNAPSHOT)?;
+    let log = read(disk, LOG)?;
+    let read_bytes = [&identity, &snapshot, &log].map(|file| file.as_ref().map_or(0, Vec::len));
+    let identity = identify(identity, snapshot.is_some() || log.is_some(), fresh, token)?;
+    write(disk, IDENTITY, &frame(&identity)?)?;
+    let (saved, good) = load(snapshot.as_deref(), log.as_deref().unwrap_or_default())?;
+    if log.is_some_and(|log| good < log.len()) {
+        disk.truncate(LOG, good).map_err(failed(LOG))?;
+    }
+    Ok((identity, saved, read_bytes.iter().sum()))
+}
+
 /// Takes a change into what the disk holds.
 fn merge(held: &mut Saved, change: Change) {
     if let Some((term, vote)) = change.vote {
--- a/src/control/submit.rs
+++ b/src/control/submit.rs
@@ -53,7 +53,7 @@
                 return Answer::NotLeader(None);
             }
             let Some(last) = self.step_in(&mut core, Input::Propose(command)) else {
-                let other = core.raft.leader().filter(|leader| **leader != self.me.node);
+                let other = core.raft.leader().filter(|leader| **leader != self.me().node);
                 return Answer::NotLeader(other.cloned());
             };
             core.wait(last, waiter);
--- a/tests/control/seeds_server.rs
+++ b/tests/control/seeds_server.rs
@@ -10,7 +10,7 @@
 use cactushatch::id;
 use cactushatch::wire::Answer;
 
-use crate::disk::Memory;
+use crate::disk::{Fault, Memory};
 
 const PATIENCE: Duration = Duration::from_secs(10);
 
@@ -98,3 +98,38 @@
     servers.push(fleet.start(5, false, &disks[4]));
     until("a new one learns", || servers[4].state().declared.is_some());
 }
+
+/// A disk that fails or is full for a while: nothing is acknowledged meanwhile, and the process takes part again by
+/// itself afterwards, with what it had acknowledged.
+#[test]
+fn a_voter_takes_part_again_once_its_disk_is_sound() {
+    for (net, fault) in [(72, Fault::Full), (73, Fault::Sync)] {
+        let fleet = Fleet::new(net, &[1]);
+        let disk = Memory::default();
+        let server = fleet.start(1, true, &disk);
+        until("a leader", || server.leads());
+        assert!(matches!(declare(&server, 7), Answer::Applied(_)));
+        disk.fail(Some(fault));
+        assert!(!matches!(declare(&server, 8), Answer::Applied(_)), "{fault:?}");
+        assert!(!server.leads(), "{fault:?}");
+        disk.fail(None);
+        until("it leads again", || server.leads());
+        let read = smol::block_on(server.declarations()).expect("it leads");
+        let edition = read.expect("something was declared").edition;
+        assert!(edition >= id::Edition(7), "{fault:?}: {edition}");
+        assert!(matches!(declare(&server, 9), Answer::Applied(_)));
+        // What is acknowledged from now on outlives a loss of power.
+        server.end();
+        disk.lose_power();
+        let again = fleet.settings(2, false);
+        let settings = Node { node: server_name(1), ..again };
+        let server = smol::block_on(spawn_on(Clock::system(), &settings, disk)).expect("it starts");
+        until("it leads after the loss of power", || server.leads());
+        let read = smol::block_on(server.declarations()).expect("it leads");
+        assert_eq!(read.map(|declared| declared.edition), Some(id::Edition(9)), "{fault:?}");
+    }
+}
+
+fn server_name(host: u8) -> id::Node {
+    format!("control-{host}").parse().expect("a name")
+}
