--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -51,6 +51,9 @@
 /// How much longer a promotion may take that has taken its usual time.
 const LATE_PROMOTION: Duration = Duration::from_millis(200);
 
+/// How long a proxy is without a lease when control changes its leader and the lease did not outlast that.
+pub const USUAL_ELECTION: Duration = Duration::from_millis(500);
+
 /// How long it takes until there is a primary when nothing is known of a promotion.
 pub const USUAL_ABSENCE: Duration = Duration::from_millis(2_000);
 
@@ -153,8 +156,8 @@
     seats: BTreeMap<id::Instance, Seat>,
     /// The primary, as long as it may be used.
     primary: Option<id::Instance>,
-    /// Since when one is being promoted.
-    promoting: Option<Instant>,
+    /// Since when there has been none, and whether one is being promoted.
+    absent: Option<(Instant, bool)>,
     waiting: Vec<Waiting>,
     started: u64,
 }
@@ -187,10 +190,13 @@
 
     /// Sets the primary, or none while it may not be used.
     pub fn lead(&mut self, now: Instant, lead: Lead) {
-        self.promoting = match (&lead, self.promoting) {
-            (Lead::Promoting, None) => Some(now),
-            (Lead::Promoting, since) => since,
-            _ => None,
+        let same = |since: Option<(Instant, bool)>, promoting| {
+            since.filter(|(_, known)| *known == promoting).or(Some((now, promoting)))
+        };
+        self.absent = match &lead {
+            Lead::Primary(_) => None,
+            Lead::Promoting => same(self.absent, true),
+            Lead::Nobody => same(self.absent, false),
         };
         self.primary = match lead {
             Lead::Primary(primary) => Some(primary),
@@ -269,7 +275,7 @@
 
     /// Returns how long a statement may wait for what it waits for now.
     pub fn patience(&self, ask: &Ask) -> Duration {
-        match self.promoting {
+        match self.absent {
             Some(_) if ask.need == Need::Primary => ask.promotion_patience,
             _ => ask.patience,
         }
@@ -379,9 +385,15 @@
     /// Estimates how long a statement waits that has `ahead` others before it.
     fn wait(&self, now: Instant, ask: &Ask, ahead: usize) -> Duration {
         if ask.need == Need::Primary && self.primary.is_none() {
-            return self.promoting.map_or(USUAL_ABSENCE, |since| {
-                USUAL_PROMOTION.saturating_sub(now.since(since)).max(LATE_PROMOTION)
-            });
+            return match self.absent {
+                Some((since, true)) => {
+                    USUAL_PROMOTION.saturating_sub(now.since(since)).max(LATE_PROMOTION)
+                }
+                Some((since, false)) if now.since(since) < USUAL_ELECTION => {
+                    USUAL_ELECTION.saturating_sub(now.since(since))
+                }
+                _ => USUAL_ABSENCE,
+            };
         }
         let able = |(instance, seat): &(&id::Instance, &Seat)| match ask.need {
             Need::Primary => self.primary.as_ref() == Some(*instance),
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -201,10 +201,16 @@
         }
     }
 
-    /// Tells whether the answer to a write may be released, and takes its position for the session's own.
-    fn release(&mut self, hold: &Hold, outcome: &Outcome) -> Result<(), Refusal> {
+    /// Tells whether the answer to a write may be released, and takes its position for the session's own. Without a lease
+    /// it waits for the next one, which says whether the epoch has gone on.
+    async fn release(
+        &mut self,
+        attempt: &Attempt<'_>,
+        hold: &Hold,
+        outcome: &Outcome,
+    ) -> Result<(), Refusal> {
         let term = hold.term.unwrap_or_default();
-        let reason = match self.shared.verdict(&hold.permit.group, term) {
+        let reason = match self.shared.judged(&hold.permit.group, term, attempt.limit).await {
             Verdict::Release => {
                 let asked = self.shared.clock.now();
                 self.own = outcome.position.map(|mark| Sight { asked, mark });
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -87,7 +87,7 @@
             let state = outcome.state;
             match outcome.result.clone() {
                 Ok(signature) => {
-                    let released = self.release(&hold, &outcome);
+                    let released = self.release(attempt, &hold, &outcome).await;
                     self.give_back(hold, state);
                     return released.map(|()| success(outcome, signature));
                 }
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -238,7 +238,10 @@
             let state = outcome.state;
             match outcome.result.clone() {
                 Ok(signature) => {
-                    let released = if wrote { self.release(&hold, &outcome) } else { Ok(()) };
+                    let released = match wrote {
+                        true => self.release(attempt, &hold, &outcome).await,
+                        false => Ok(()),
+                    };
                     self.give_back(hold, state);
                     return released.map(|()| success(outcome, signature));
                 }
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -617,6 +617,26 @@
         self.lock().fence.verdict(self.clock.now(), group, term)
     }
 
+    /// Judges the same once there is a lease to judge by, or at `limit`.
+    pub(super) async fn judged(
+        &self,
+        group: &id::Group,
+        term: id::Term,
+        limit: Instant,
+    ) -> Verdict {
+        let judged = async {
+            loop {
+                let changed = self.changed.listen();
+                match self.verdict(group, term) {
+                    Verdict::NoLease => changed.await,
+                    verdict => return verdict,
+                }
+            }
+        };
+        let left = limit.since(self.clock.now());
+        self.clock.timeout(left, judged).await.unwrap_or(Verdict::NoLease)
+    }
+
     /// Waits until a group's epoch is replaced, or on its way to be.
     pub(super) async fn replaced(&self, group: &id::Group, term: id::Term) {
         while self.verdict(group, term) != Verdict::Replaced {
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -370,9 +370,12 @@
 #[test]
 fn a_write_waits_for_a_primary_only_as_long_as_it_may_come() {
     let mut dispatch = group(1);
-    dispatch.lead(at(1_000), Lead::Nobody);
+    dispatch.lead(at(0), Lead::Nobody);
+    let soon = dispatch.ask(at(0), ask(8, Need::Primary, 1, 600));
+    assert_eq!(soon, Verdict::Wait, "control may be changing its leader");
     let unknown = dispatch.ask(at(1_000), ask(1, Need::Primary, 1, 1_000));
     assert_eq!(unknown, Verdict::Refuse(USUAL_ABSENCE), "nothing is known of a promotion");
+    dispatch.give_up(at(1_000), Ticket(8));
     dispatch.lead(at(1_000), Lead::Promoting);
     let short = dispatch.ask(at(1_000), ask(1, Need::Primary, 1, 500));
     assert_eq!(short, Verdict::Refuse(USUAL_PROMOTION));
