Have a proxy that comes back report what it sees now

Ruled out: trouble of that primary (the two other proxies used it all along). Change: when a proxy is leased again every instance counts as sound until it is asked.

--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -10,7 +10,7 @@
 use crate::id;
 use crate::statement::Order;
 use crate::upstream::channel::{Error, Outcome};
-use crate::wire::{Replica, Trouble};
+use crate::wire::Replica;
 
 /// How often the instances are looked at.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -30,7 +30,7 @@
         let now = shared.clock.now();
         let faded = shared.faded();
         let due = shared.instances(|known| {
-            let quiet = now.since(known.good) >= QUIET || known.trouble != Trouble::Fine;
+            let quiet = known.health.silence(now) >= QUIET || !known.health.is_usable();
             let needed = quiet || faded.contains(&known.replica.instance);
             needed.then(|| known.replica.clone())
         });
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -2,13 +2,14 @@
 //! [`Codec`](crate::statement::Codec).
 //!
 //! A session takes a connection for a statement or a transaction and gives it back; what it has set and prepared
-//! goes with it. Decisions are plain machines ([`session`], [`applied`], [`dispatch`], [`need`], [`stranded`]); the rest
+//! goes with it. Decisions are plain machines ([`session`], [`applied`], [`dispatch`], [`health`], [`need`], [`stranded`]); the rest
 //! moves bytes. See `docs/PLATFORM.md`, "The broker".
 
 pub mod applied;
 mod caller;
 mod closing;
 pub mod dispatch;
+pub mod health;
 mod keeper;
 mod lane;
 pub mod need;
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -241,6 +241,7 @@
         let mut changed = state.fence.step(grant);
         if !state.leased && state.fence.leased(now) {
             log::info!("a lease is held");
+            state.instances.values_mut().for_each(|known| known.health.relearn(now));
             changed = true;
         }
         if changed {
@@ -550,9 +551,7 @@
         let Some(known) = state.instances.get_mut(instance) else {
             return;
         };
-        known.good = now;
-        let recovered = known.trouble != Trouble::Fine;
-        known.trouble = Trouble::Fine;
+        let recovered = known.health.answered(now);
         let group = known.replica.group.clone();
         if let Some(mark) = position
             && let Some(queue) = state.groups.get_mut(&group)
@@ -575,10 +574,9 @@
         let Some(known) = state.instances.get_mut(instance) else {
             return;
         };
-        if trouble == Trouble::Fine || known.trouble == trouble {
+        if !known.health.failed(trouble) {
             return;
         }
-        known.trouble = trouble;
         known.idle.clear();
         log::warn!("{instance} is {trouble:?}: {error}");
         self.metrics.upstream_failed(match trouble {
@@ -652,7 +650,7 @@
     pub(super) fn committing(self: &Arc<Self>, instance: &id::Instance) -> Committing {
         let sent = self.clock.now();
         if let Some(known) = self.lock().instances.get_mut(instance) {
-            known.committing.push(sent);
+            known.health.begin_commit(sent);
         }
         Committing { shared: Arc::clone(self), instance: instance.clone(), sent }
     }
@@ -695,10 +693,8 @@
 
 impl Drop for Committing {
     fn drop(&mut self) {
-        if let Some(known) = self.shared.lock().instances.get_mut(&self.instance)
-            && let Some(at) = known.committing.iter().position(|sent| *sent == self.sent)
-        {
-            known.committing.swap_remove(at);
+        if let Some(known) = self.shared.lock().instances.get_mut(&self.instance) {
+            known.health.end_commit(self.sent);
         }
     }
 }
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -8,6 +8,7 @@
 use smol::channel::Sender;
 
 use super::dispatch::{Dispatch, Lead, Ticket};
+use super::health::Health;
 use super::lane::Lane;
 use super::need::Sight;
 use super::stranded::Stranded;
@@ -16,7 +17,7 @@
 use crate::id;
 use crate::proxy::fence::{Fence, Verdict};
 use crate::proxy::trail::Trail;
-use crate::wire::{Demand, Epoch, Phase, Replica, Sighting, Trouble};
+use crate::wire::{Demand, Epoch, Phase, Replica, Sighting};
 
 /// What changes, under one lock that is never held over an `await`.
 #[derive(Debug, Default)]
@@ -40,13 +41,7 @@
 pub(super) struct Instance {
     pub(super) replica: Replica,
     pub(super) idle: Vec<Lane>,
-    /// When it last answered anything.
-    pub(super) good: Instant,
-    pub(super) trouble: Trouble,
-    /// What control was told of it, and with which heartbeat.
-    told: Option<(id::Sequence, Trouble)>,
-    /// When the commits were sent that are not answered.
-    pub(super) committing: Vec<Instant>,
+    pub(super) health: Health,
     /// Whether it is being asked where it stands.
     pub(super) asked: bool,
 }
@@ -59,30 +54,9 @@
     pub(super) waiters: BTreeMap<Ticket, Sender<id::Instance>>,
 }
 
-/// How long a commit may be unanswered until its primary is reported: it may have lost all its replicas, while it
-/// still answers everything else. Commits take a round trip to a replica, so this is far over what load makes.
-const COMMIT_SILENCE: Duration = Duration::from_millis(1_000);
-
 impl Instance {
     fn new(now: Instant, replica: Replica) -> Self {
-        Self {
-            replica,
-            idle: Vec::new(),
-            good: now,
-            trouble: Trouble::Fine,
-            told: None,
-            committing: Vec::new(),
-            asked: false,
-        }
-    }
-
-    /// Returns what is wrong with it, unanswered commits included.
-    fn seen(&self, now: Instant) -> Trouble {
-        let stalled = self.committing.iter().any(|sent| now.since(*sent) >= COMMIT_SILENCE);
-        match self.trouble {
-            Trouble::Fine if stalled => Trouble::Silent,
-            trouble => trouble,
-        }
+        Self { replica, idle: Vec::new(), health: Health::new(now), asked: false }
     }
 }
 
@@ -100,8 +74,7 @@
             let share = table.shares.iter().find(|(name, _)| *name == replica.group);
             let share = share.map_or(1, |(_, share)| *share);
             let permits = if self.leased { share.max(1) } else { 1 };
-            let usable =
-                instance.trouble == Trouble::Fine && !table.draining.contains(&replica.instance);
+            let usable = instance.health.is_usable() && !table.draining.contains(&replica.instance);
             let far = replica.domain != *domain;
             group.dispatch.seat(&replica.instance, permits, usable, far);
             instance.idle.truncate(permits as usize);
@@ -154,16 +127,14 @@
     pub(super) fn sightings(&mut self, now: Instant, sequence: id::Sequence) -> Vec<Sighting> {
         let mut sightings = Vec::new();
         for instance in self.instances.values_mut() {
-            let trouble = instance.seen(now);
-            let told = instance.told;
-            if told.is_some_and(|(told, what)| what == trouble && self.fence.heard(told)) {
+            let heard = |told| self.fence.heard(told);
+            let Some(trouble) = instance.health.report(now, sequence, heard) else {
                 continue;
-            }
-            instance.told = Some((sequence, trouble));
+            };
             sightings.push(Sighting {
                 replica: instance.replica.clone(),
                 trouble,
-                silent_ms: now.since(instance.good).as_millis() as u32,
+                silent_ms: instance.health.silence(now).as_millis() as u32,
                 announced_ms: None,
             });
         }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -8,6 +8,7 @@
     Ask, Dispatch, FULL, LAGGING, Lead, MAX_WAITING, Ticket, USUAL_ABSENCE, USUAL_LAG,
     USUAL_PROMOTION, Verdict,
 };
+use cactushatch::broker::health::{COMMIT_SILENCE, Health};
 use cactushatch::broker::need::{self, Need, Sight};
 use cactushatch::broker::session::{self, Session, Step, What, Work};
 use cactushatch::broker::stranded::{NOTICE, SPREAD, Stranded, UNHEARD};
@@ -16,6 +17,7 @@
 use cactushatch::id;
 use cactushatch::proxy::floor::Mark;
 use cactushatch::statement::{Access, Code, Shape, State, Statement};
+use cactushatch::wire::Trouble;
 use proptest::prelude::*;
 use smallvec::SmallVec;
 
@@ -424,6 +426,35 @@
     assert!(stranded.step(later, later) && !stranded.is_stranded());
 }
 
+/// A partition ends: what a proxy saw of the new primary while it was cut off must not have it replaced again.
+#[test]
+fn a_proxy_that_comes_back_says_what_it_sees_now() {
+    let sequence = id::Sequence;
+    let mut health = Health::new(at(0));
+    assert!(health.failed(Trouble::Silent) && !health.failed(Trouble::Silent));
+    assert_eq!(health.report(at(400), sequence(1), |_| false), Some(Trouble::Silent));
+    health.relearn(at(5_000));
+    assert_eq!(health.report(at(5_000), sequence(9), |_| false), Some(Trouble::Fine));
+    assert_eq!(health.report(at(5_050), sequence(10), |told| told == sequence(9)), None);
+    assert_eq!(health.silence(at(5_300)), Duration::from_millis(300), "it is asked soon");
+    assert!(health.failed(Trouble::Silent));
+    assert_eq!(health.report(at(5_700), sequence(11), |_| true), Some(Trouble::Silent));
+}
+
+/// A primary that lost its replicas answers everything but commits.
+#[test]
+fn a_primary_that_commits_nothing_is_reported() {
+    let mut health = Health::new(at(0));
+    health.begin_commit(at(100));
+    health.answered(at(900));
+    let late = at(100) + COMMIT_SILENCE;
+    assert_eq!(health.report(at(900), id::Sequence(1), |_| true), Some(Trouble::Fine));
+    assert_eq!(health.report(late, id::Sequence(2), |_| true), Some(Trouble::Silent));
+    assert!(health.is_usable(), "reads go on there");
+    health.end_commit(at(100));
+    assert_eq!(health.report(late, id::Sequence(3), |_| true), Some(Trouble::Fine));
+}
+
 #[test]
 fn permits_come_back_when_a_statement_gives_up() {
     let mut dispatch = group(1);
