Have replicas stop receiving, so that a promotion need not wait for the leases

Cause: a promotion was ordered only after the leases of proxies that were cut off had run out, and after both replicas had found a slot for the question where they stand: 1.2 s between freeze and order in a zone cut (trials with the probes and the leases logged). Ruled out: shorter leases, which a change of control's leader would outlast; a promotion without readings. Change: where an outside service promotes, replicas are paused at the freeze; what they then hold is final, since a commit is acknowledged only when one has received it. The new epoch still waits for the fence. An epoch that goes on resumes them. The wait that is left is the lease of a leader that was in the cut zone.

The broker's and control's servers are split by job; nothing else changes in them.

--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::guard::Asking;
 use super::lane::{Lane, Permit};
-use super::server::{Asking, Shared};
+use super::server::Shared;
 use crate::clock::Instant;
 use crate::id;
 use crate::statement::Order;
--- /dev/null
+++ b/src/broker/member.rs
@@ -0,0 +1,127 @@
+//! The broker as a process that serves callers by the decisions of control.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use smol::channel::Receiver;
+
+use super::closing::Stage;
+use super::server::Shared;
+use crate::clock::Clock;
+use crate::config::Fleet;
+use crate::id;
+use crate::proxy::heartbeat;
+use crate::report::Metrics;
+use crate::security::Guard;
+use crate::wire::{Body, Frame, Grant, Heartbeat};
+
+impl heartbeat::Member for Shared {
+    fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    fn guard(&self) -> &Guard {
+        &self.guard
+    }
+
+    fn voters(&self) -> Vec<SocketAddr> {
+        let mut voters = self.lock().voters.clone();
+        let seeds = self.seeds.lock().expect("nothing panics under this lock");
+        for seed in seeds.iter() {
+            if !voters.contains(seed) {
+                voters.push(*seed);
+            }
+        }
+        voters
+    }
+
+    fn met(&self, voters: Vec<SocketAddr>) {
+        self.lock().voters = voters;
+    }
+
+    fn nudged(&self) -> &Receiver<()> {
+        &self.nudged
+    }
+
+    fn nudge(&self) {
+        let _ = self.nudge.try_send(());
+    }
+
+    fn frame(&self, body: Body) -> Frame {
+        Frame { sender: self.node.clone(), incarnation: self.incarnation, body }
+    }
+
+    fn is_leased(&self) -> bool {
+        self.lock().fence.leased(self.clock.now())
+    }
+
+    fn heartbeat(&self) -> Heartbeat {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.leased != state.fence.leased(now) {
+            log::warn!("the lease has run out");
+            state.refresh(now, &self.domain);
+        }
+        let sequence = state.fence.send(now);
+        let (seen, table, _) = state.fence.seen();
+        Heartbeat {
+            sequence,
+            domain: self.domain.clone(),
+            address: self.settings.address,
+            admin: self.settings.admin,
+            seen,
+            table,
+            revision: state.revision,
+            sightings: state.sightings(now, sequence),
+            demand: state.demand(),
+            draining: self.closing.is_past(Stage::Leaving),
+        }
+    }
+
+    fn granted(self: &Arc<Self>, grant: Grant) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        self.metrics.stamp(grant.stamp);
+        let mut changed = state.fence.step(grant);
+        if !state.leased && state.fence.leased(now) {
+            log::info!("a lease is held");
+            state.instances.values_mut().for_each(|known| known.health.relearn(now));
+            changed = true;
+        }
+        if changed {
+            self.take_over(now, &mut state);
+        }
+        changed
+    }
+
+    fn wants_configuration(&self) -> bool {
+        let mut state = self.lock();
+        let (_, _, newest) = state.fence.seen();
+        let wants = newest > state.revision && !state.fetching;
+        state.fetching |= wants;
+        wants
+    }
+
+    fn fetched(&self) {
+        self.lock().fetching = false;
+    }
+
+    fn configure(&self, revision: id::Revision, fleet: Fleet) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if revision <= state.revision {
+            return;
+        }
+        log::info!("configuration revision {revision} is in force");
+        self.metrics.revision(revision);
+        state.revision = revision;
+        state.fleet = Arc::new(fleet);
+        self.take_over(now, &mut state);
+        drop(state);
+        self.nudge();
+    }
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -9,13 +9,16 @@
 mod caller;
 mod closing;
 pub mod dispatch;
+mod guard;
 pub mod health;
 mod keeper;
 mod lane;
+mod member;
 pub mod need;
 mod run;
 mod server;
 pub mod session;
+mod shared;
 mod state;
 pub mod stranded;
 
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -85,6 +85,13 @@
         /// What it sees.
         trouble: Trouble,
     },
+    /// The instance has stopped receiving; it holds no more than the status says.
+    Paused {
+        /// The instance.
+        instance: id::Instance,
+        /// Its status.
+        status: Status,
+    },
     /// The outside service says that the instance doesn't run, so that it was not promoted.
     Declined {
         /// The instance.
@@ -132,6 +139,18 @@
         /// The term.
         term: id::Term,
     },
+    /// Have this replica stop receiving, then report what it holds.
+    Pause {
+        /// The instance.
+        instance: id::Instance,
+        /// A term above all that were given.
+        term: id::Term,
+    },
+    /// Have this replica receive again.
+    Resume {
+        /// The instance.
+        instance: id::Instance,
+    },
     /// Make this primary stop writes, then report what it says.
     Demote {
         /// The instance.
@@ -170,6 +189,8 @@
     outside: bool,
     /// The instance that the outside service did not promote, since it doesn't run.
     declined: Option<id::Instance>,
+    /// What the replicas hold that have stopped receiving, since the epoch was frozen.
+    paused: BTreeMap<id::Instance, Status>,
 }
 
 #[derive(Debug)]
@@ -195,6 +216,7 @@
             handover: Handover::default(),
             outside: false,
             declined: None,
+            paused: BTreeMap::new(),
         }
     }
 
@@ -215,6 +237,9 @@
             Input::Reported { node, instance, trouble } => {
                 self.evidence.report(now, node, instance, trouble);
             }
+            Input::Paused { instance, status } => {
+                self.paused.insert(instance, status);
+            }
             Input::Declined { instance } => self.declined = Some(instance),
             Input::Tick(view) => return self.tick(now, view),
         }
@@ -294,6 +319,9 @@
         }
         let mut outputs = self.hand_over(now, epoch, view);
         outputs.extend(self.rejoin(now, epoch));
+        // A promotion has ended the pauses, but an epoch that goes on has not.
+        let paused = std::mem::take(&mut self.paused).into_keys();
+        outputs.extend(paused.map(|instance| Output::Resume { instance }));
         outputs
     }
 
@@ -323,14 +351,14 @@
     fn frozen(&mut self, now: Instant, epoch: &Epoch, view: View<'_>) -> Vec<Output> {
         let Some(fenced) = self.fenced else {
             if !view.fenced {
-                return Vec::new();
+                return if self.outside { self.hurry(now, epoch, view) } else { Vec::new() };
             }
             self.fenced = Some(now);
             let known = view.known.iter().cloned();
             return known.map(|instance| Output::Probe { instance }).collect();
         };
         match view.claim.filter(|claim| claim.term > epoch.term) {
-            Some(claim) if !self.is_over(now, claim) => self.promote(now, epoch, claim),
+            Some(claim) if !self.is_over(now, claim) => self.take_over(now, epoch, claim),
             claim => self.choose(now, epoch, claim, fenced, view),
         }
     }
@@ -352,28 +380,76 @@
         false
     }
 
-    /// Promotes the instance that has the term reserved; puts its epoch in force once it says that it is
-    /// primary. It may have been promoted by an earlier leader.
-    fn promote(&mut self, now: Instant, epoch: &Epoch, claim: &Claim) -> Vec<Output> {
-        let outside = self.outside;
-        let promoted = self.fresh(now).find(|(instance, status)| {
-            let term = if outside { status.term > epoch.term } else { status.term == claim.term };
-            **instance == claim.primary && status.role == Role::Primary && term
-        });
-        if let Some((instance, status)) = promoted {
-            let action = match self.promotion(instance, status) {
-                Action::Promote { group, term, primary, start } if outside => {
-                    Action::Adopt { group, term, primary, start }
-                }
-                action => action,
-            };
-            return self.once(now, Output::Submit(action));
+    /// Does what need not wait for the fence where an outside service promotes. A commit is acknowledged only once
+    /// a replica has received it, so nothing more can be once every replica has stopped receiving; what they hold then
+    /// is final. The epoch of the promoted instance waits for the fence, since reads and answers under the old one do.
+    fn hurry(&mut self, now: Instant, epoch: &Epoch, view: View<'_>) -> Vec<Output> {
+        if let Some(claim) = view.claim.filter(|claim| claim.term > epoch.term) {
+            let led = self.promoted(now, epoch, claim).is_some();
+            let wait = led || self.is_over(now, claim);
+            return if wait { Vec::new() } else { self.promote(now, claim) };
+        }
+        let term = epoch.term.next();
+        let others = view.known.iter().filter(|instance| **instance != epoch.primary);
+        let missing = others.filter(|instance| !self.paused.contains_key(*instance));
+        let missing: Vec<id::Instance> = missing.cloned().collect();
+        if !missing.is_empty() {
+            let pause = |instance| self.once(now, Output::Pause { instance, term });
+            return missing.into_iter().flat_map(pause).collect();
         }
+        let readings = self.paused.iter().map(|(instance, status)| {
+            let usable = self.standing(now, instance) == Standing::Usable;
+            Reading { instance, status, usable }
+        });
+        let ballot = Ballot {
+            epoch,
+            readings: readings.collect(),
+            declared: view.instances,
+            known: self.known(epoch, view),
+            durability: view.durability,
+            draining: view.draining,
+            waited: false,
+        };
+        let Some(chosen) = ballot.choose().filter(|chosen| *chosen.instance != epoch.primary)
+        else {
+            return Vec::new();
+        };
+        let primary = chosen.instance.clone();
+        let action = Action::Claim { group: self.group.clone(), term, primary };
+        self.once(now, Output::Submit(action))
+    }
+
+    /// Orders the instance that has the term reserved to take it.
+    fn promote(&mut self, now: Instant, claim: &Claim) -> Vec<Output> {
         let promote = Output::Promote { instance: claim.primary.clone(), term: claim.term };
-        let repeat = if outside { OUTSIDE_REPEAT } else { REPEAT };
+        let repeat = if self.outside { OUTSIDE_REPEAT } else { REPEAT };
         self.once_in(now, promote, repeat)
     }
 
+    /// Returns what the instance says that has the term reserved, once it says that it is primary. Promoted by an
+    /// outside service it takes the next term, whichever was reserved.
+    fn promoted(&self, now: Instant, epoch: &Epoch, claim: &Claim) -> Option<&Status> {
+        let (_, status) = self.fresh(now).find(|(instance, _)| **instance == claim.primary)?;
+        let term = if self.outside { status.term > epoch.term } else { status.term == claim.term };
+        (status.role == Role::Primary && term).then_some(status)
+    }
+
+    /// Puts the epoch in force of the instance that has the term reserved, or orders it to take the term. It may have
+    /// been promoted by an earlier leader.
+    fn take_over(&mut self, now: Instant, epoch: &Epoch, claim: &Claim) -> Vec<Output> {
+        let outside = self.outside;
+        let Some(status) = self.promoted(now, epoch, claim) else {
+            return self.promote(now, claim);
+        };
+        let action = match self.promotion(&claim.primary, status) {
+            Action::Promote { group, term, primary, start } if outside => {
+                Action::Adopt { group, term, primary, start }
+            }
+            action => action,
+        };
+        self.once(now, Output::Submit(action))
+    }
+
     /// Reserves a new term for the instance that holds every acknowledged write.
     fn choose(
         &mut self,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -7,6 +7,7 @@
 mod core;
 pub mod failover;
 mod gateway;
+mod greet;
 mod journal;
 pub mod leader;
 pub mod lease;
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -31,6 +31,12 @@
 /// How long an order to an instance may take.
 const ORDER: Duration = Duration::from_millis(1_000);
 
+/// How long an instance may take to stop receiving until it is told again.
+const PAUSE: Duration = Duration::from_millis(400);
+
+/// How long to wait for an instance that is too busy to answer.
+const BUSY: Duration = Duration::from_millis(10);
+
 /// How control reaches instances.
 #[derive(Debug, Clone)]
 pub enum Reach {
@@ -86,6 +92,8 @@
     Promote(id::Term),
     Demote(id::Term),
     Follow(SocketAddr, id::Term),
+    Pause(id::Term),
+    Resume,
 }
 
 impl Shared {
@@ -159,6 +167,11 @@
             let input = match order {
                 Order::Probe => Some(line.probe().await),
                 Order::Promote(_) => self.promote(&replica, &*promoter).await,
+                Order::Pause(term) => line.pause(term).await,
+                Order::Resume => {
+                    line.order(&statement::Order::Resume).await;
+                    None
+                }
                 Order::Follow(_, term) => {
                     line.order(&statement::Order::Demote { term }).await;
                     Some(line.probe().await)
@@ -215,6 +228,8 @@
                 self.propose(Command { origin: None, action });
             }
             Output::Probe { instance } => self.order(&instance, Order::Probe),
+            Output::Pause { instance, term } => self.order(&instance, Order::Pause(term)),
+            Output::Resume { instance } => self.order(&instance, Order::Resume),
             Output::Promote { instance, term } => self.order(&instance, Order::Promote(term)),
             Output::Demote { instance, term } => self.order(&instance, Order::Demote(term)),
             Output::Follow { instance, primary, term } => {
@@ -252,6 +267,8 @@
         Order::Promote(term) => position::promote(term),
         Order::Demote(term) => position::demote(term),
         Order::Follow(primary, term) => position::follow(primary, term),
+        // Such instances are fenced by the proxies' leases alone.
+        Order::Pause(_) | Order::Resume => return None,
     };
     match probe.order(&sql).await {
         Ok(status) if demotes => Some(Input::Demoted { instance, status }),
@@ -291,6 +308,23 @@
         Input::Probed { instance, asked, seen }
     }
 
+    /// Has the instance stop receiving, and returns what it then holds.
+    async fn pause(&mut self, term: id::Term) -> Option<Input<'static>> {
+        let instance = self.replica.instance.clone();
+        let end = self.clock.now() + PAUSE;
+        while self.clock.now() < end {
+            match self.ask(&statement::Order::Pause { term }, PAUSE).await {
+                Ok(Some(status)) => return Some(Input::Paused { instance, status }),
+                Ok(None) => self.clock.sleep(BUSY).await,
+                Err(error) => {
+                    log::debug!("{instance} was not paused: {error}");
+                    return None;
+                }
+            }
+        }
+        None
+    }
+
     /// Returns the instance's status when it says it.
     async fn last(&mut self) -> Option<position::Status> {
         match self.ask(&statement::Order::Status, ORDER).await {
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -11,7 +11,7 @@
 use super::core::Core;
 use super::journal::{self, Order};
 use super::link::Link;
-use super::meeting::{Greeting, Meeting};
+use super::meeting::Meeting;
 use super::promotion::Reach;
 use super::raft::{Bootstrap, Input, Members, Message, Output, Peer, Raft};
 use super::state::{Command, State, Voter};
@@ -28,13 +28,7 @@
 const TICK: Duration = Duration::from_millis(10);
 
 /// How often a blank process asks for the others.
-const HELLO: Duration = Duration::from_millis(100);
-
-/// How long to wait for the answer to a greeting, and between two of them.
-const GREETING: Duration = Duration::from_millis(500);
-
-/// How long no leader is heard until a member greets the others: it may have been removed meanwhile.
-const LEADERLESS: Duration = Duration::from_millis(1_500);
+pub(super) const HELLO: Duration = Duration::from_millis(100);
 
 /// A running control process.
 #[derive(Debug, Clone)]
@@ -52,7 +46,7 @@
     pub(super) domain: id::Domain,
     pub(super) user: String,
     pub(super) reach: Reach,
-    address: SocketAddr,
+    pub(super) address: SocketAddr,
     voters: Vec<config::Voter>,
     core: Mutex<Core>,
     /// Where the orders to each instance go.
@@ -327,7 +321,7 @@
         Frame { sender: self.me.node.clone(), incarnation: self.me.incarnation, body }
     }
 
-    async fn datagram(&self, to: SocketAddr, body: Body) {
+    pub(super) async fn datagram(&self, to: SocketAddr, body: Body) {
         match self.guard.seal.encode(&self.frame(body)) {
             Ok(bytes) => {
                 if let Err(error) = self.udp.send_to(&bytes, to).await {
@@ -385,17 +379,6 @@
         }
     }
 
-    /// Tells a proxy where the members take frames, unless the settings name them.
-    async fn name_voters(&self, to: SocketAddr) {
-        let addresses = {
-            let core = self.core();
-            core.meeting.as_ref().map(|_| core.raft.members().addresses())
-        };
-        if let Some(addresses) = addresses {
-            self.datagram(to, Body::Voters(addresses)).await;
-        }
-    }
-
     async fn tick(self: Arc<Self>) {
         let mut pushed = (id::Term(0), 0);
         loop {
@@ -426,59 +409,6 @@
         }
     }
 
-    /// Says who this is.
-    fn greeting(&self, core: &Core) -> Greeting {
-        Greeting {
-            peer: core.raft.me().clone(),
-            address: self.address,
-            domain: self.domain.clone(),
-            first_start: core.meeting.as_ref().is_some_and(Meeting::is_first_start),
-            members: (!core.raft.is_blank()).then(|| core.raft.members().clone()),
-        }
-    }
-
-    /// Greets the seeds and the members for as long as this process has no part in the log, or hears no leader.
-    async fn meet(self: Arc<Self>) {
-        loop {
-            let (addresses, pause) = {
-                let core = self.core();
-                let blank = core.raft.is_blank();
-                let alone = core.raft.leaderless(self.clock.now()) >= LEADERLESS;
-                let meeting = core.meeting.as_ref().filter(|_| blank || alone);
-                let addresses = meeting.map(|meeting| meeting.addresses(core.raft.members()));
-                (addresses, if blank { HELLO } else { GREETING })
-            };
-            for address in addresses.unwrap_or_default() {
-                smol::spawn(Arc::clone(&self).greet(address)).detach();
-            }
-            self.clock.sleep(pause).await;
-        }
-    }
-
-    async fn greet(self: Arc<Self>, address: SocketAddr) {
-        let greeting = self.greeting(&self.core());
-        let greeted = async {
-            let mut stream = Stream::open(address).await?.sealed(&self.guard.seal);
-            stream.send(&self.frame(Body::Meet(greeting))).await?;
-            stream.receive().await
-        };
-        match self.clock.timeout(GREETING, greeted).await {
-            Some(Ok(Frame { body: Body::Meet(greeting), .. })) => self.greeted(&greeting),
-            Some(Ok(_)) => log::debug!("{address} answered a greeting with something else"),
-            Some(Err(error)) => log::debug!("{address} could not be greeted: {error}"),
-            None => log::debug!("{address} did not answer a greeting"),
-        }
-    }
-
-    fn greeted(self: &Arc<Self>, greeting: &Greeting) {
-        let now = self.clock.now();
-        let mut core = self.core();
-        if let Some(members) = core.greeted(now, greeting) {
-            log::info!("the members of control are {:?}", members.voters.keys());
-            self.step_in(&mut core, Input::Found(members));
-        }
-    }
-
     /// Asks for the others for as long as this disk is blank.
     async fn hello(self: Arc<Self>) {
         while self.core().raft.is_blank() {
--- a/src/statement/order.rs
+++ b/src/statement/order.rs
@@ -66,6 +66,13 @@
     Reset,
     /// Asks for the instance's status.
     Status,
+    /// Has a replica stop receiving until it is resumed, a promotion, or its restart.
+    Pause {
+        /// A term above the present one.
+        term: id::Term,
+    },
+    /// Has a paused replica receive again.
+    Resume,
     /// Has a primary of a lower term become a replica.
     Demote {
         /// The present term.
--- a/tests/explorer/world.rs
+++ b/tests/explorer/world.rs
@@ -407,6 +407,9 @@
             Output::Follow { instance, primary, term } => {
                 (instance, Order::Follow(number(&primary), term.0))
             }
+            Output::Pause { .. } | Output::Resume { .. } => {
+                panic!("{output:?}: these instances are promoted by a statement to them")
+            }
         };
         self.ask(leader, number(&instance), order);
     }
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -26,6 +26,8 @@
     /// The commits, oldest first: the term, the item and the data.
     log: Vec<(u64, String, String)>,
     up: bool,
+    /// Whether it has stopped receiving.
+    paused: bool,
     state: &'static str,
     sequence: u64,
     /// Every statement that it ran, with the session values that were set on the connection.
@@ -128,7 +130,12 @@
             Ok(format!("signature-{}", instances[at].id))
         };
         match words.as_slice() {
-            ["STATUS"] | ["DEMOTE", _] => {
+            ["STATUS"] | ["DEMOTE", _] | ["PAUSE", _] | ["RESUME"] => {
+                match words.as_slice() {
+                    ["PAUSE", _] => instances[at].paused = true,
+                    ["RESUME"] => instances[at].paused = false,
+                    _ => {}
+                }
                 if let ["DEMOTE", term] = words.as_slice()
                     && term.parse::<u64>().unwrap() > instances[at].term
                 {
@@ -195,7 +202,9 @@
         let term = instances[at].term;
         instances[at].log.extend(writes.into_iter().map(|(item, data)| (term, item, data)));
         let log = instances[at].log.clone();
-        for instance in instances.iter_mut().filter(|i| i.up && !i.primary && i.term <= term) {
+        for instance in
+            instances.iter_mut().filter(|i| i.up && !i.paused && !i.primary && i.term <= term)
+        {
             instance.log.clone_from(&log);
         }
     }
@@ -278,6 +287,7 @@
         let term = 1 + instances.iter().map(|instance| instance.term).max().unwrap();
         let log = instances.iter().find(|instance| instance.id == id).unwrap().log.clone();
         for instance in instances.iter_mut() {
+            instance.paused = false;
             if instance.id == id {
                 (instance.primary, instance.term) = (true, term);
             } else if !instance.primary && instance.up {
@@ -361,6 +371,7 @@
                 term,
                 log: Vec::new(),
                 up,
+                paused: false,
                 state,
                 sequence: 0,
                 ran: Vec::new(),
