--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -7,7 +7,7 @@
 //!
 //! It also answers replicas that fall behind, so that the primary alone is left for all reads: then the instance's own
 //! queue would make every answer late, and nobody would know. How many statements run on an instance follows the time
-//! that they take there ([`Seat::learn`]), so that the wait is here, where it can be foreseen.
+//! that they take there (`Seat::learn`), so that the wait is here, where it can be foreseen.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
