Try for refused connections one at a time

Cause: for up to three seconds after a loss of power an instance counts the connections of the proxies' earlier lives.

Ruled out: the budget. Shares were within the limit; what was over it were connections whose other end had gone.

Change: dispatch keeps how many connections there were at the refusal and lets one more be tried for every 100 ms; statements wait for the connections that there are, in all no longer than their patience, or are refused at once. A refusal for want of room counts as a sign of life.

--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -45,6 +45,10 @@
 /// How long an instance that was full is left alone.
 pub const FULL: Duration = Duration::from_millis(10);
 
+/// How long an instance that refused a new connection is not asked for one, and from then on until one more is tried for.
+/// An instance takes up to three seconds to drop connections whose other end is gone.
+pub const CROWDED: Duration = Duration::from_millis(100);
+
 /// How long a promotion usually takes from the freeze on: the fence, the readings, and the instance's own time.
 pub const USUAL_PROMOTION: Duration = Duration::from_millis(600);
 
@@ -120,6 +124,8 @@
     position: Option<Mark>,
     lagging: Option<Instant>,
     full: Option<Instant>,
+    /// When a new connection was refused last, and how many there were then.
+    crowded: Option<(Instant, u32)>,
     mean: Duration,
     /// What the mean is while the instance does not queue.
     baseline: Duration,
@@ -127,8 +133,17 @@
 }
 
 impl Seat {
-    fn has_room(&self) -> bool {
-        self.used < self.permits && self.running < (self.window as u32).max(1)
+    fn has_room(&self, now: Instant) -> bool {
+        self.used < self.connections(now) && self.running < (self.window as u32).max(1)
+    }
+
+    /// Returns how many connections there may be now.
+    fn connections(&self, now: Instant) -> u32 {
+        let Some((at, held)) = self.crowded else {
+            return self.permits;
+        };
+        let tried = now.since(at).as_millis() / CROWDED.as_millis();
+        self.permits.min(held.saturating_add(tried as u32))
     }
 
     /// Takes in how long a statement took. The window falls by a tenth while the instance seems to queue, and grows
@@ -174,6 +189,7 @@
             position: None,
             lagging: None,
             full: None,
+            crowded: None,
             mean: FIRST_MEAN,
             baseline: FIRST_MEAN,
             far,
@@ -230,6 +246,19 @@
         }
     }
 
+    /// Notes that an instance refused a new connection, for which a permit is still held.
+    pub fn was_crowded(&mut self, now: Instant, instance: &id::Instance) {
+        if let Some(seat) = self.seats.get_mut(instance) {
+            let held = seat.used.saturating_sub(1).min(seat.connections(now));
+            seat.crowded = Some((now, held));
+        }
+    }
+
+    /// Tells whether an instance refused a new connection so lately that not all permits may be used yet.
+    pub fn is_crowded(&self, now: Instant, instance: &id::Instance) -> bool {
+        self.seats.get(instance).is_some_and(|seat| seat.connections(now) < seat.permits)
+    }
+
     /// Returns how many connections to one instance are in use, at the most.
     pub fn used(&self) -> u32 {
         self.seats.values().map(|seat| seat.used).max().unwrap_or(0)
@@ -245,9 +274,9 @@
     }
 
     /// Takes a permit of an instance when one is free, for the system's own use.
-    pub fn take(&mut self, instance: &id::Instance) -> bool {
+    pub fn take(&mut self, now: Instant, instance: &id::Instance) -> bool {
         match self.seats.get_mut(instance) {
-            Some(seat) if seat.used < seat.permits => {
+            Some(seat) if seat.used < seat.connections(now) => {
                 seat.used += 1;
                 seat.running += 1;
                 true
@@ -352,7 +381,7 @@
     /// Returns the instance with a free permit that runs a statement soonest.
     fn place(&self, now: Instant, ask: &Ask) -> Option<id::Instance> {
         let free = |(instance, seat): &(&id::Instance, &Seat)| {
-            seat.has_room()
+            seat.has_room(now)
                 && !ask.failed.contains(instance)
                 && self.serves(now, instance, seat, ask.need)
         };
@@ -399,14 +428,16 @@
             Need::Primary => self.primary.as_ref() == Some(*instance),
             Need::Reached { .. } => seat.usable,
         };
-        let (mut permits, mut mean) = (0, FIRST_MEAN);
+        let (mut permits, mut mean, mut crowded) = (0, FIRST_MEAN, false);
         for (_, seat) in self.seats.iter().filter(able) {
-            permits += seat.permits.min((seat.window as u32).max(1));
+            permits += seat.connections(now).min((seat.window as u32).max(1));
             mean = mean.max(seat.mean);
+            crowded |= seat.crowded.is_some();
         }
-        if permits == 0 {
-            return USUAL_ABSENCE;
+        match permits {
+            0 if crowded => CROWDED * (ahead as u32 + 1),
+            0 => USUAL_ABSENCE,
+            _ => mean * (ahead as u32 / permits + 1),
         }
-        mean * (ahead as u32 / permits + 1)
     }
 }
--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -51,6 +51,10 @@
 fn begin(shared: &Arc<Shared>, replica: Replica) {
     if let Some(asking) = shared.begin_to_ask(&replica) {
         let permit = shared.permit_now(&replica);
+        if permit.is_none() && shared.is_crowded(&replica) {
+            // It refused a connection a moment ago, so it lives, and it would refuse this one.
+            return;
+        }
         smol::spawn(ask(Arc::clone(shared), replica, permit, asking)).detach();
     }
 }
@@ -65,9 +69,15 @@
         Some(lane) => Ok(lane),
         None => shared.open(instance, deadline).await,
     };
-    let Ok(mut lane) = lane else {
-        // What is wrong was noted when the connection failed.
-        return;
+    let mut lane = match lane {
+        Ok(lane) => lane,
+        Err(error) => {
+            // What is wrong with the instance was noted when the connection failed.
+            if let (true, Some(permit)) = (error.is_crowded(), &permit) {
+                shared.crowded(permit);
+            }
+            return;
+        }
     };
     let sent = shared.clock.now();
     match ping(&shared, &mut lane, deadline).await {
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -7,7 +7,6 @@
 use crate::broker::lane::Hold;
 use crate::broker::need::Need;
 use crate::id;
-use crate::upstream::channel::Error;
 
 /// On how many instances a statement may fail.
 const TRIES: usize = 3;
@@ -25,8 +24,10 @@
         attempt: &mut Attempt<'_>,
         need: Need,
     ) -> Result<Hold, Refusal> {
+        let since = self.shared.clock.now();
         loop {
-            let left = attempt.limit.since(self.shared.clock.now());
+            let now = self.shared.clock.now();
+            let (left, waited) = (attempt.limit.since(now), now.since(since));
             if left.is_zero() {
                 return Err(Refusal::busy("no instance took it in time", FULL));
             }
@@ -34,8 +35,8 @@
                 ticket: self.shared.ticket(),
                 need,
                 priority: attempt.priority,
-                patience: patience(attempt).min(left),
-                promotion_patience: promotion_patience(attempt).min(left),
+                patience: patience(attempt).saturating_sub(waited).min(left),
+                promotion_patience: promotion_patience(attempt).saturating_sub(waited).min(left),
                 failed: attempt.failed.clone(),
             };
             let permit = self.shared.permit(&attempt.database.group, ask).await;
@@ -53,8 +54,9 @@
                 Ok(lane) => return Ok(Hold { lane, permit, term, wrote: false }),
                 Err(error) => {
                     log::debug!("{instance} gave request {} no connection: {error}", attempt.id);
-                    if matches!(error, Error::Refused { .. }) {
-                        self.shared.refused_by(&permit, false);
+                    if error.is_crowded() {
+                        self.shared.crowded(&permit);
+                        continue;
                     }
                     drop(permit);
                     self.leave_out(attempt, instance)?;
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -204,9 +204,10 @@
 
     /// Takes a permit of one instance when one is free.
     pub(super) fn permit_now(self: &Arc<Self>, replica: &Replica) -> Option<Permit> {
+        let now = self.clock.now();
         let mut state = self.lock();
         let group = state.groups.get_mut(&replica.group)?;
-        let taken = group.dispatch.take(&replica.instance);
+        let taken = group.dispatch.take(now, &replica.instance);
         let (group, instance) = (replica.group.clone(), replica.instance.clone());
         taken.then(|| Permit::new(Arc::clone(self), group, instance))
     }
@@ -255,6 +256,28 @@
         }
     }
 
+    /// Notes that an instance refused a new connection, and tries again later to place what waits for it.
+    pub(super) fn crowded(self: &Arc<Self>, permit: &Permit) {
+        let now = self.clock.now();
+        if let Some(queue) = self.lock().groups.get_mut(&permit.group) {
+            queue.dispatch.was_crowded(now, &permit.instance);
+        }
+        let (shared, group) = (Arc::clone(self), permit.group.clone());
+        let later = async move {
+            shared.clock.sleep(dispatch::CROWDED).await;
+            shared.advance(&group);
+        };
+        smol::spawn(later).detach();
+    }
+
+    /// Tells whether an instance refused a new connection a moment ago.
+    pub(super) fn is_crowded(&self, replica: &Replica) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        let group = state.groups.get(&replica.group);
+        group.is_some_and(|group| group.dispatch.is_crowded(now, &replica.instance))
+    }
+
     /// Tries again to place what waits in a group.
     pub(super) fn advance(&self, group: &id::Group) {
         let now = self.clock.now();
@@ -289,7 +312,12 @@
         let (channel, position) = match opened {
             Ok(opened) => opened,
             Err(error) => {
-                self.failed(instance, &error);
+                match error.trouble() {
+                    Trouble::Fine => self.answered(instance, None),
+                    Trouble::Refused | Trouble::Silent | Trouble::Faulty => {
+                        self.failed(instance, &error);
+                    }
+                }
                 return Err(error);
             }
         };
--- a/src/upstream/channel.rs
+++ b/src/upstream/channel.rs
@@ -53,6 +53,11 @@
 }
 
 impl Error {
+    /// Tells whether the instance has no room for one more connection.
+    pub fn is_crowded(&self) -> bool {
+        matches!(self, Self::Refused { code: Code::TooManyConnections, .. })
+    }
+
     /// Tells what the failure says of the instance.
     pub fn trouble(&self) -> Trouble {
         use std::io::ErrorKind;
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -5,7 +5,7 @@
 
 use cactushatch::broker::applied::{self, Applied, Fix};
 use cactushatch::broker::dispatch::{
-    Ask, Dispatch, FULL, LAGGING, Lead, MAX_WAITING, Ticket, USUAL_ABSENCE, USUAL_LAG,
+    Ask, CROWDED, Dispatch, FULL, LAGGING, Lead, MAX_WAITING, Ticket, USUAL_ABSENCE, USUAL_LAG,
     USUAL_PROMOTION, Verdict,
 };
 use cactushatch::broker::health::{COMMIT_SILENCE, Health};
@@ -398,6 +398,43 @@
     assert_eq!(dispatch.advance(now + FULL).len(), 1);
 }
 
+/// After a loss of power an instance still counts the connections of the proxies' earlier lives, and refuses new ones for
+/// some seconds. What can't be served over the connections that there are waits for them, or is refused at once.
+#[test]
+fn connections_that_an_instance_refuses_are_tried_for_one_at_a_time() {
+    let mut dispatch = group(4);
+    let now = at(1_000);
+    let p = instance("p");
+    for ticket in 0..3 {
+        let verdict = dispatch.ask(now, ask(ticket, Need::Primary, 1, 100));
+        assert_eq!(verdict, Verdict::Start(p.clone()));
+    }
+    // Two of the three get a connection.
+    dispatch.was_crowded(now, &p);
+    dispatch.release(&p, None);
+    for ticket in 3..6 {
+        assert_eq!(dispatch.ask(now, ask(ticket, Need::Primary, 1, 100)), Verdict::Wait);
+    }
+    assert!(dispatch.advance(now).is_empty(), "no third one is tried for at once");
+    dispatch.release(&p, None);
+    assert_eq!(dispatch.advance(now).len(), 1, "the connections that there are go on serving");
+    assert_eq!(dispatch.advance(now + CROWDED).len(), 1, "then one more is tried for");
+    assert!(dispatch.advance(now + CROWDED).is_empty());
+}
+
+#[test]
+fn an_instance_without_any_connection_left_is_tried_again_soon() {
+    let mut dispatch = group(4);
+    let now = at(1_000);
+    let p = instance("p");
+    assert_eq!(dispatch.ask(now, ask(1, Need::Primary, 1, 100)), Verdict::Start(p.clone()));
+    dispatch.was_crowded(now, &p);
+    dispatch.release(&p, None);
+    assert_eq!(dispatch.ask(now, ask(2, Need::Primary, 1, 50)), Verdict::Refuse(CROWDED));
+    assert_eq!(dispatch.ask(now, ask(3, Need::Primary, 1, 150)), Verdict::Wait);
+    assert_eq!(dispatch.advance(now + CROWDED).len(), 1);
+}
+
 #[test]
 fn what_is_not_usable_or_failed_gets_nothing() {
     let mut dispatch = group(1);
