Close connections to instances that nobody uses

Cause: what a rush opened stayed open for good, up to the instance's limit. After a loss of power all of it counts there for three more seconds, and new connections are refused.

Ruled out: smaller shares, which would limit transactions under load.

Change: a connection that was unused for five seconds is closed; the newest is taken first, so that the others can age. The test fails without it.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -11,6 +11,7 @@
 pub mod dispatch;
 mod guard;
 pub mod health;
+mod idle;
 mod keeper;
 mod lane;
 mod member;
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -69,6 +69,7 @@
     pub(super) fn look_around(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
+        state.prune(now);
         let renewed = state.fence.renewed();
         if !state.stranded.step(now, renewed) {
             return;
@@ -291,12 +292,7 @@
         values: &BTreeMap<String, String>,
     ) -> Option<Lane> {
         let mut state = self.lock();
-        let idle = &mut state.instances.get_mut(instance)?.idle;
-        let fitting = idle.iter().rposition(|lane| lane.applied.matches(values));
-        match fitting {
-            Some(at) => Some(idle.swap_remove(at)),
-            None => idle.pop(),
-        }
+        state.instances.get_mut(instance)?.idle.take(values)
     }
 
     /// Opens a connection to an instance.
@@ -327,11 +323,12 @@
 
     /// Gives a connection back that is fit for the next session.
     pub(super) fn keep(&self, instance: &id::Instance, lane: Lane) {
+        let now = self.clock.now();
         let mut state = self.lock();
         let Some(known) = state.instances.get_mut(instance) else {
             return;
         };
-        known.idle.push(lane);
+        known.idle.keep(now, lane);
     }
 
     /// Notes that an instance answered, and where it stands.
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -9,7 +9,7 @@
 
 use super::dispatch::{Dispatch, Lead, Ticket};
 use super::health::Health;
-use super::lane::Lane;
+use super::idle::Idle;
 use super::need::Sight;
 use super::stranded::Stranded;
 use crate::clock::Instant;
@@ -40,7 +40,7 @@
 #[derive(Debug)]
 pub(super) struct Instance {
     pub(super) replica: Replica,
-    pub(super) idle: Vec<Lane>,
+    pub(super) idle: Idle,
     pub(super) health: Health,
     /// Whether it is being asked where it stands.
     pub(super) asked: bool,
@@ -56,7 +56,7 @@
 
 impl Instance {
     fn new(now: Instant, replica: Replica) -> Self {
-        Self { replica, idle: Vec::new(), health: Health::new(now), asked: false }
+        Self { replica, idle: Idle::default(), health: Health::new(now), asked: false }
     }
 }
 
@@ -77,7 +77,7 @@
             let usable = instance.health.is_usable() && !table.draining.contains(&replica.instance);
             let far = replica.domain != *domain;
             group.dispatch.seat(&replica.instance, permits, usable, far);
-            instance.idle.truncate(permits as usize);
+            instance.idle.prune(now, permits as usize);
         }
         for (name, group) in &mut self.groups {
             let gone = |seat: &id::Instance| !self.instances.contains_key(seat);
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Closes connections that were not used for a while.
+    pub(super) fn prune(&mut self, now: Instant) {
+        for instance in self.instances.values_mut() {
+            instance.idle.prune(now, usize::MAX);
+        }
+    }
+
     /// Returns the epoch's term when the instance is its primary and the lease is valid.
     pub(super) fn reign(
         &self,
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -30,6 +30,8 @@
     paused: bool,
     state: &'static str,
     sequence: u64,
+    /// How many connections are open.
+    connections: usize,
     /// Every statement that it ran, with the session values that were set on the connection.
     ran: Vec<(String, BTreeMap<String, String>)>,
 }
@@ -70,6 +72,11 @@
         self.lock().iter().find(|instance| instance.id == id).unwrap().ran.clone()
     }
 
+    /// Returns how many connections to an instance are open.
+    pub fn connections(&self, id: &str) -> usize {
+        self.lock().iter().find(|instance| instance.id == id).unwrap().connections
+    }
+
     /// Returns the data that the primary holds for an item, oldest first.
     pub fn held(&self, item: &str) -> Vec<String> {
         let primary = self.primary();
@@ -252,7 +259,12 @@
                 return;
             }
             let group = Arc::clone(&self);
-            std::thread::spawn(move || group.serve(at, socket));
+            std::thread::spawn(move || {
+                group.lock()[at].connections += 1;
+                let served = Arc::clone(&group).serve(at, socket);
+                group.lock()[at].connections -= 1;
+                served
+            });
         }
     }
 
@@ -374,6 +386,7 @@
                 paused: false,
                 state,
                 sequence: 0,
+                connections: 0,
                 ran: Vec::new(),
             });
             let group = Arc::clone(&fleet.group);
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -103,6 +103,25 @@
     assert!(holders.windows(2).all(|pair| pair[0].1 != pair[1].1 || pair[0].0 == pair[1].0));
 }
 
+/// An instance takes only so many connections, so what a rush opened is closed when it is over.
+#[test]
+fn connections_that_nobody_uses_are_closed() {
+    let fleet = Fleet::up(88);
+    let mut desks: Vec<_> = (0..4).map(|_| fleet.open(PROXIES[0], "desk")).collect();
+    for desk in &mut desks {
+        desk.done("BEGIN");
+        desk.done("PUT slot anna");
+    }
+    let primary = fleet.group.primary();
+    let open = |fleet: &Fleet| fleet.group.connections(&primary);
+    let rush = open(&fleet);
+    assert!(rush >= 4, "{rush} connections for four transactions");
+    desks.iter_mut().for_each(|desk| assert_eq!(desk.done("COMMIT").state, "I"));
+    // Control and each proxy go on asking the primary where it stands.
+    fleet.until("unused connections are closed", |fleet| open(fleet) <= rush - 3);
+    desks[0].done("FETCH slot");
+}
+
 #[test]
 fn a_draining_replica_gets_nothing_new() {
     let fleet = Fleet::up(84);
