Keep one copy of the ballot, the incarnation, the error and the pause

Read as a newcomer: choose and hurry of control::failover built the same ballot; broker and proxy each had the code that numbers a life and an error type of the same three kinds; a transaction had a second constant for the pause after a full instance. No change of behaviour; the tests of failover and broker pass.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -24,17 +24,3 @@
 pub mod stranded;
 
 pub use server::{Server, spawn};
-
-/// Why a broker can't run.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// The settings have no `[proxy]` table.
-    #[error("the settings have no [proxy] table")]
-    NotProxy,
-    /// A file of keys can't be used.
-    #[error("{0}")]
-    Security(#[from] crate::security::Error),
-    /// A socket failed.
-    #[error("{0}")]
-    Io(#[from] std::io::Error),
-}
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use super::{Attempt, Broken, Refusal, Reply, Runner, after, shape, success};
+use crate::broker::dispatch::FULL;
 use crate::broker::lane::Hold;
 use crate::broker::need::Need;
 use crate::broker::session::Work;
@@ -16,9 +17,6 @@
 /// How long a rollback may take until its connection is closed instead.
 const ROLLBACK: Duration = Duration::from_millis(500);
 
-/// How long a statement waits that the transaction's own instance had no room for.
-const FULL: Duration = Duration::from_millis(10);
-
 impl Runner {
     /// Runs a statement in the transaction. A failure ends the transaction; the caller of this tells the session.
     pub(in crate::broker) async fn inside(
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use event_listener::Event;
 use smol::channel::{Receiver, Sender, bounded};
@@ -12,10 +12,11 @@
 use super::closing::{Closing, Stage};
 use super::state::State;
 use super::stranded::NOTICE;
-use super::{Error, caller, keeper};
+use super::{caller, keeper};
 use crate::clock::Clock;
 use crate::config;
 use crate::id;
+use crate::proxy::Error;
 use crate::proxy::fence::Fence;
 use crate::proxy::heartbeat;
 use crate::report::Metrics;
@@ -70,7 +71,7 @@
     let admin = TcpListener::bind(proxy.admin).await?;
     let udp = UdpSocket::bind(proxy.address).await?;
     let (nudge, nudged) = bounded(1);
-    let incarnation = new_incarnation();
+    let incarnation = heartbeat::new_incarnation();
     let shared = Arc::new(Shared {
         clock,
         codec,
@@ -103,12 +104,6 @@
     named.chain(seeds).collect()
 }
 
-/// Numbers this life of the process; the wall clock goes on when the VM is started anew.
-fn new_incarnation() -> id::Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
-}
-
 impl Server {
     /// Returns the metrics of the process.
     pub fn metrics(&self) -> &Metrics {
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -397,19 +397,7 @@
             let pause = |instance| self.once(now, Output::Pause { instance, term });
             return missing.into_iter().flat_map(pause).collect();
         }
-        let readings = self.paused.iter().map(|(instance, status)| {
-            let usable = self.standing(now, instance) == Standing::Usable;
-            Reading { instance, status, usable }
-        });
-        let ballot = Ballot {
-            epoch,
-            readings: readings.collect(),
-            declared: view.instances,
-            known: self.known(epoch, view),
-            durability: view.durability,
-            draining: view.draining,
-            waited: false,
-        };
+        let ballot = self.ballot(now, epoch, view, self.paused.iter(), false);
         let Some(chosen) = ballot.choose().filter(|chosen| *chosen.instance != epoch.primary)
         else {
             return Vec::new();
@@ -459,21 +447,13 @@
         fenced: Instant,
         view: View<'_>,
     ) -> Vec<Output> {
-        let readings = self.probes.iter().filter_map(|(instance, probe)| {
+        let after_fence = self.probes.iter().filter_map(|(instance, probe)| {
             let status = probe.seen.as_ref().ok()?;
             let counts = probe.asked >= fenced && now.since(probe.at) < FRESH;
-            let usable = self.standing(now, instance) == Standing::Usable;
-            counts.then_some(Reading { instance, status, usable })
+            counts.then_some((instance, status))
         });
-        let ballot = Ballot {
-            epoch,
-            readings: readings.collect(),
-            declared: view.instances,
-            known: self.known(epoch, view),
-            durability: view.durability,
-            draining: view.draining,
-            waited: now.since(fenced) >= SETTLE,
-        };
+        let waited = now.since(fenced) >= SETTLE;
+        let ballot = self.ballot(now, epoch, view, after_fence, waited);
         let Some(chosen) = ballot.choose() else {
             return Vec::new();
         };
@@ -489,6 +469,30 @@
         self.once(now, Output::Submit(action))
     }
 
+    /// Collects what a choice is made from; `waited` tells whether instances that are missing are still waited for.
+    fn ballot<'a>(
+        &self,
+        now: Instant,
+        epoch: &'a Epoch,
+        view: View<'a>,
+        statuses: impl Iterator<Item = (&'a id::Instance, &'a Status)>,
+        waited: bool,
+    ) -> Ballot<'a> {
+        let reading = |(instance, status)| {
+            let usable = self.standing(now, instance) == Standing::Usable;
+            Reading { instance, status, usable }
+        };
+        Ballot {
+            epoch,
+            readings: statuses.map(reading).collect(),
+            declared: view.instances,
+            known: self.known(epoch, view),
+            durability: view.durability,
+            draining: view.draining,
+            waited,
+        }
+    }
+
     /// Counts the instances of the group, the primary included even when it has gone.
     fn known(&self, epoch: &Epoch, view: View<'_>) -> usize {
         let gone = usize::from(!view.known.contains(&epoch.primary));
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use smol::channel::Receiver;
 use smol::net::UdpSocket;
@@ -58,6 +58,12 @@
     fn configure(&self, revision: id::Revision, fleet: Fleet);
 }
 
+/// Numbers this life of the process; the wall clock goes on when the VM is started anew.
+pub(crate) fn new_incarnation() -> id::Incarnation {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
+}
+
 /// The voter that answered last, and when.
 type Leader = Arc<Mutex<Option<(SocketAddr, Instant)>>>;
 
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, UdpSocket};
@@ -96,7 +96,7 @@
     let admin = TcpListener::bind(proxy.admin).await?;
     let udp = UdpSocket::bind(proxy.address).await?;
     let (nudge, nudged) = bounded(1);
-    let incarnation = new_incarnation();
+    let incarnation = heartbeat::new_incarnation();
     let shared = Arc::new(Shared {
         node: settings.node.clone(),
         domain: settings.domain.clone(),
@@ -127,12 +127,6 @@
     Ok(Server { shared })
 }
 
-/// Numbers this life of the process; the wall clock goes on when the VM is started anew.
-fn new_incarnation() -> id::Incarnation {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    id::Incarnation(since.map_or(0, |since| since.as_micros() as u64))
-}
-
 impl Shared {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("nothing panics while it holds the lock")
