Tell callers of a stranded proxy when another one takes over

Cause: a proxy that was cut off refused with a fixed 2,000 ms, which is the whole deadline of most requests, though the balancer sends callers elsewhere 2.1 to 2.5 s after it was told.

Ruled out: ending sessions sooner (tried before): callers come back through the same zone until then.

Change: the time is what is left until then, spread like the ends of sessions.

--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -40,7 +40,9 @@
                 failed: attempt.failed.clone(),
             };
             let permit = self.shared.permit(&attempt.database.group, ask).await;
-            let permit = permit.map_err(|wait| Refusal::busy("no instance has room", wait))?;
+            let permit = permit.map_err(|wait| {
+                Refusal::busy("no instance has room", self.shared.relieved(wait))
+            })?;
             let instance = permit.instance.clone();
             let term = self.shared.reign(&permit.group, &instance);
             if need == Need::Primary && term.is_none() {
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -97,6 +97,12 @@
         }
     }
 
+    /// Returns when to come back that would have room here after `wait`: sooner where another proxy takes over before.
+    pub(super) fn relieved(&self, wait: Duration) -> Duration {
+        let relief = self.lock().stranded.relief(self.clock.now(), fastrand::f64());
+        relief.map_or(wait, |relief| wait.min(relief))
+    }
+
     /// Waits until a configuration is in force, for a process that has just started; tells whether one is.
     pub(super) async fn configured(&self) -> bool {
         let configured = async {
--- a/src/broker/stranded.rs
+++ b/src/broker/stranded.rs
@@ -44,6 +44,13 @@
         self.since.is_some()
     }
 
+    /// Returns after which time a caller that comes back will be sent to another proxy, while that is not the case yet;
+    /// `spread` is as for [`Stranded::ends`].
+    pub fn relief(self, now: Instant, spread: f64) -> Option<Duration> {
+        let relief = self.since? + NOTICE + SPREAD.mul_f64(spread);
+        (now < relief).then(|| relief.since(now))
+    }
+
     /// Returns when a session may be ended that was opened at `opened`; `spread` of 0 to 1 is its place among the others.
     pub fn ends(self, opened: Instant, spread: f64) -> Option<Instant> {
         let since = self.since?;
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -463,6 +463,21 @@
     assert!(stranded.step(later, later) && !stranded.is_stranded());
 }
 
+/// Callers of a proxy that was cut off can be served as soon as the balancer sends them elsewhere, which may be within
+/// their deadline; a fixed time to come back would let that pass.
+#[test]
+fn a_stranded_proxy_says_when_another_one_takes_over() {
+    let mut stranded = Stranded::default();
+    assert_eq!(stranded.relief(at(0), 0.5), None);
+    let since = at(0) + UNHEARD;
+    stranded.step(since, at(0));
+    assert_eq!(stranded.relief(since, 0.0), Some(NOTICE));
+    assert_eq!(stranded.relief(since, 1.0), Some(NOTICE + SPREAD));
+    let second = Duration::from_secs(1);
+    assert_eq!(stranded.relief(since + second, 0.0), Some(NOTICE - second));
+    assert_eq!(stranded.relief(since + NOTICE, 0.0), None);
+}
+
 /// A partition ends: what a proxy saw of the new primary while it was cut off must not have it replaced again.
 #[test]
 fn a_proxy_that_comes_back_says_what_it_sees_now() {
