Log typed events on standard output, and explain a request by them

Cause: a request line had a text of its own, without the lease, the epoch, the queue and the ages that decided; most other lines were texts too, all under one rate, and they went to standard error through a writer that may block.

Change: report::event has one type for each kind of line, docs/OPERATIONS.md names every field, and a test compares both. Each kind has a rate of its own, lines wait in a bounded queue for a thread that writes them, and what is left out is counted and said once a second. Served requests have a line when they are slow, and one in a thousand as a sample. cactushatch explain collects what a request depended on from the logs of all processes and tells the cause; report::story is plain over lines. Refusals for want of a primary say so. Metrics: waits by class, time at instances by role, elections, log syncs, announcements, calls to promote, and since when the configuration is in force; deploy/system.toml names the address.

The test of the JSON line reads standard output now, where the log goes.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -200,7 +200,7 @@
                 let text = "the database was removed".to_owned();
                 Reply::from_iter([Answer::Failed { code: Code::NoDatabase, text }])
             }
-            (step, database) => self.run_step(database.as_ref(), id, step).await,
+            (step, known) => self.run_step((name, known.as_ref()), id, step).await,
         };
         for answer in &reply {
             self.shared.codec.reply(answer, &mut self.output);
@@ -208,11 +208,16 @@
         self.ready();
     }
 
-    async fn run_step(&mut self, database: Option<&Database>, id: &Id, step: Step) -> Reply {
+    async fn run_step(
+        &mut self,
+        (name, database): (&str, Option<&Database>),
+        id: &Id,
+        step: Step,
+    ) -> Reply {
         let Some(database) = database else {
             return Reply::new();
         };
-        let attempt = self.runner.attempt(id, &self.session, database);
+        let attempt = self.runner.attempt(id, &self.session, (name, database));
         match step {
             Step::Single(work) => self.runner.single(attempt, &work).await,
             Step::Inside { work, read_only } => {
--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -110,6 +110,17 @@
     Nobody,
 }
 
+/// How busy a group is, as far as this proxy goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// How many statements wait.
+    pub waiting: usize,
+    /// How many connections are in use.
+    pub used: u32,
+    /// How many there may be.
+    pub permits: u32,
+}
+
 /// What is known of an instance.
 #[derive(Debug)]
 struct Seat {
@@ -225,6 +236,12 @@
         self.primary.as_ref()
     }
 
+    /// Returns why there is no primary that may be used, when there is none.
+    pub fn absent(&self) -> Option<Lead> {
+        let (_, promoting) = self.absent?;
+        Some(if promoting { Lead::Promoting } else { Lead::Nobody })
+    }
+
     /// Notes where an instance stands.
     pub fn stands(&mut self, instance: &id::Instance, position: Mark) {
         if let Some(seat) = self.seats.get_mut(instance) {
@@ -254,6 +271,15 @@
         }
     }
 
+    /// Returns how busy the group is.
+    pub fn load(&self) -> Load {
+        Load {
+            waiting: self.waiting.len(),
+            used: self.seats.values().map(|seat| seat.used).sum(),
+            permits: self.seats.values().map(|seat| seat.permits).sum(),
+        }
+    }
+
     /// Tells whether an instance refused a new connection so lately that not all permits may be used yet.
     pub fn is_crowded(&self, now: Instant, instance: &id::Instance) -> bool {
         self.seats.get(instance).is_some_and(|seat| seat.connections(now) < seat.permits)
--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -3,15 +3,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use log::Level;
 use smol::channel::Receiver;
 
 use super::closing::Stage;
 use super::server::Shared;
+use super::shared::unheard;
 use crate::clock::Clock;
 use crate::config::Fleet;
 use crate::id;
 use crate::proxy::heartbeat;
-use crate::report::Metrics;
+use crate::report::{Event, Metrics};
 use crate::security::Guard;
 use crate::wire::{Body, Frame, Grant, Heartbeat};
 
@@ -63,7 +65,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         if state.leased != state.fence.leased(now) {
-            log::warn!("the lease has run out");
+            let unheard_ms = unheard(now, state.fence.renewed());
+            Event::Lease { held: false, unheard_ms }.log(Level::Warn);
             state.refresh(now, &self.domain);
         }
         let sequence = state.fence.send(now);
@@ -88,7 +91,8 @@
         self.metrics.stamp(grant.stamp);
         let mut changed = state.fence.step(grant);
         if !state.leased && state.fence.leased(now) {
-            log::info!("a lease is held");
+            let unheard_ms = unheard(now, state.fence.renewed());
+            Event::Lease { held: true, unheard_ms }.log(Level::Info);
             state.instances.values_mut().for_each(|known| known.health.relearn(now));
             changed = true;
         }
@@ -116,7 +120,8 @@
         if revision <= state.revision {
             return;
         }
-        log::info!("configuration revision {revision} is in force");
+        let databases = fleet.database.len();
+        Event::Configuration { revision, databases }.log(Level::Info);
         self.metrics.revision(revision);
         state.revision = revision;
         state.fleet = Arc::new(fleet);
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -39,11 +39,16 @@
                 promotion_patience: promotion_patience(attempt).saturating_sub(waited).min(left),
                 failed: attempt.failed.clone(),
             };
+            attempt.need = Some(need);
             let permit = self.shared.permit(&attempt.database.group, ask).await;
+            attempt.waited += self.shared.clock.now().since(now);
             let permit = permit.map_err(|wait| {
-                Refusal::busy("no instance has room", self.shared.relieved(wait))
+                let reason = self.shared.shortage(&attempt.database.group, need);
+                Refusal::busy(reason, self.shared.relieved(wait))
             })?;
             let instance = permit.instance.clone();
+            attempt.tries += 1;
+            attempt.instance = Some(instance.clone());
             let term = self.shared.reign(&permit.group, &instance);
             if need == Need::Primary && term.is_none() {
                 return Err(Refusal::busy("the primary is being replaced", FULL));
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::Level;
 use smallvec::SmallVec;
 
 use super::dispatch::FULL;
@@ -23,7 +24,8 @@
 use crate::id;
 use crate::proxy::fence::Verdict;
 use crate::proxy::floor::Mark;
-use crate::report::Outcome as Counted;
+use crate::report::event::{Event, Request, Retry, millis};
+use crate::report::{Outcome as Counted, Target};
 use crate::statement::{Answer, Code, Id, Shape, State};
 use crate::upstream::channel::{Error, Outcome};
 
@@ -44,6 +46,8 @@
 pub(super) struct Attempt<'a> {
     pub(super) id: &'a Id,
     pub(super) session: &'a Session,
+    /// The name of the database.
+    name: &'a str,
     pub(super) database: &'a Database,
     priority: u8,
     /// When it was received.
@@ -52,12 +56,21 @@
     limit: Instant,
     /// The instances that failed it.
     failed: SmallVec<[id::Instance; 2]>,
+    /// What it needs of the instance that it runs on or waits for.
+    need: Option<Need>,
+    /// How long it waited for instances with room.
+    waited: Duration,
+    /// On how many instances it was tried, and the last of them.
+    tries: u32,
+    instance: Option<id::Instance>,
 }
 
 /// Why a statement ends without success.
 struct Refusal {
     code: Code,
     text: String,
+    /// When the caller may come back.
+    after: Option<Duration>,
 }
 
 /// Why an answer didn't come.
@@ -68,14 +81,23 @@
     Replaced,
 }
 
+impl Attempt<'_> {
+    /// Notes that it runs where its transaction does.
+    fn goes_on(&mut self, hold: &Hold, read_only: bool) {
+        self.need = (!read_only).then_some(Need::Primary);
+        self.instance = Some(hold.permit.instance.clone());
+        self.tries = 1;
+    }
+}
+
 impl Refusal {
     fn new(code: Code, text: impl Into<String>) -> Self {
-        Self { code, text: text.into() }
+        Self { code, text: text.into(), after: None }
     }
 
     /// Refuses for now, with a time to come back.
     fn busy(text: &str, after: Duration) -> Self {
-        Self::new(Code::Busy, format!("{text}; retry_after_ms={}", after.as_millis()))
+        Self { after: Some(after), ..Self::new(Code::Busy, text) }
     }
 }
 
@@ -118,17 +140,22 @@
         &self,
         id: &'a Id,
         session: &'a Session,
-        database: &'a Database,
+        (name, database): (&'a str, &'a Database),
     ) -> Attempt<'a> {
         let since = self.shared.clock.now();
         Attempt {
             id,
             session,
+            name,
             database,
             priority: self.shared.priority(&database.class),
             since,
             limit: since + database.timeout.0,
             failed: SmallVec::new(),
+            need: None,
+            waited: Duration::ZERO,
+            tries: 0,
+            instance: None,
         }
     }
 
@@ -136,9 +163,15 @@
     fn conclude(&self, attempt: &Attempt<'_>, result: Result<Reply, Refusal>) -> Reply {
         let elapsed = self.shared.clock.now().since(attempt.since);
         let class = &attempt.database.class;
+        self.shared.metrics.waited(class, attempt.waited);
         let refusal = match result {
             Ok(reply) => {
                 self.shared.metrics.request(class, Counted::Answered, elapsed);
+                let slow = elapsed > attempt.database.target.0;
+                if slow || self.shared.is_sample() {
+                    let reason = if slow { "slow" } else { "sample" };
+                    self.explain(attempt, elapsed, ("done", reason), None);
+                }
                 return reply;
             }
             Err(refusal) => refusal,
@@ -149,15 +182,44 @@
             _ => Counted::NotRun,
         };
         self.shared.metrics.request(class, counted, elapsed);
-        log::info!(
-            "request {} of {}: {} after {} ms: {}",
-            attempt.id,
-            attempt.database.group,
-            refusal.code,
-            elapsed.as_millis(),
-            refusal.text
-        );
-        SmallVec::from_iter([Answer::Failed { code: refusal.code, text: refusal.text }])
+        let outcome = refusal.code.to_string();
+        self.explain(attempt, elapsed, (&outcome, &refusal.text), refusal.after);
+        let text = match refusal.after {
+            Some(after) => format!("{}; retry_after_ms={}", refusal.text, after.as_millis()),
+            None => refusal.text,
+        };
+        SmallVec::from_iter([Answer::Failed { code: refusal.code, text }])
+    }
+
+    /// Logs how a statement ended, with what decided that.
+    fn explain(
+        &self,
+        attempt: &Attempt<'_>,
+        elapsed: Duration,
+        (outcome, reason): (&str, &str),
+        after: Option<Duration>,
+    ) {
+        let database = &attempt.database;
+        let request = Request {
+            request: attempt.id.as_str(),
+            group: database.group.as_str(),
+            database: attempt.name,
+            class: database.class.as_str(),
+            outcome,
+            reason,
+            retry_after_ms: after.map(millis),
+            elapsed_ms: millis(elapsed),
+            waited_ms: millis(attempt.waited),
+            tries: attempt.tries,
+            instance: attempt.instance.as_ref(),
+            need: match attempt.need {
+                Some(Need::Primary) => "primary",
+                Some(Need::Reached { .. }) => "mark",
+                None => "transaction",
+            },
+            ..Request::default()
+        };
+        self.shared.explain(&database.group, attempt.need, request);
     }
 
     /// Runs `answer` until it ends or the epoch under which it was asked for is being replaced.
@@ -182,6 +244,8 @@
     fn learn(&self, hold: &mut Hold, sent: Instant, outcome: &Outcome) {
         let now = self.shared.clock.now();
         hold.permit.took = outcome.result.is_ok().then(|| now.since(sent));
+        let target = if hold.term.is_some() { Target::Primary } else { Target::Replica };
+        self.shared.metrics.upstream_took(target, now.since(sent));
         self.shared.answered(&hold.permit.instance, outcome.position);
         // The lease that was valid when the connection was taken may have run out before the statement was sent, so
         // it must still be the same one now.
@@ -240,7 +304,10 @@
     ) -> Result<(), Refusal> {
         let instance = hold.permit.instance.clone();
         let group = hold.permit.group.clone();
-        log::debug!("{instance} refused request {}: {code} {text}", attempt.id);
+        let elapsed_ms = millis(self.shared.clock.now().since(attempt.since));
+        let (request, reason) = (attempt.id.as_str(), format!("{code} {text}"));
+        let (group, instance) = (&group, &instance);
+        Event::Retry(Retry { request, group, instance, reason, elapsed_ms }).log(Level::Info);
         match code {
             Code::Lagging => {
                 self.shared.refused_by(&hold.permit, true);
@@ -250,10 +317,11 @@
                 self.shared.refused_by(&hold.permit, false);
                 self.give_back(hold, state);
                 self.shared.clock.sleep(FULL).await;
-                self.shared.advance(&group);
+                self.shared.advance(group);
             }
             Code::NoStatement => drop(hold),
             _ => {
+                let instance = instance.clone();
                 self.give_back(hold, state);
                 self.leave_out(attempt, instance)?;
             }
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -29,6 +29,7 @@
             None => self.first(&mut attempt, work, read_only).await,
             Some(mut hold) => {
                 hold.permit.resume();
+                attempt.goes_on(&hold, read_only);
                 self.following(&mut attempt, hold, work, read_only).await
             }
         };
@@ -202,6 +203,7 @@
         let hold = match self.hold.take() {
             Some(mut hold) => {
                 hold.permit.resume();
+                attempt.goes_on(&hold, read_only);
                 Ok(hold)
             }
             None => self.begin(&mut attempt, None, read_only).await.map(|(hold, _)| hold),
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -51,6 +51,8 @@
     pub(super) nudge: Sender<()>,
     pub(super) nudged: Receiver<()>,
     pub(super) tickets: AtomicU64,
+    /// How many requests were served, for choosing samples.
+    pub(super) answers: AtomicU64,
     pub(super) changed: Event,
     pub(super) state: Mutex<State>,
 }
@@ -86,6 +88,7 @@
         nudge,
         nudged,
         tickets: AtomicU64::new(0),
+        answers: AtomicU64::new(0),
         changed: Event::new(),
         state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
     });
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::Level;
 use smol::channel::Sender;
 
 use super::dispatch::{Dispatch, Lead, Ticket};
@@ -17,6 +18,7 @@
 use crate::id;
 use crate::proxy::fence::{Fence, Verdict};
 use crate::proxy::trail::Trail;
+use crate::report::Event;
 use crate::wire::{Demand, Epoch, Phase, Replica, Sighting};
 
 /// What changes, under one lock that is never held over an `await`.
@@ -52,6 +54,8 @@
     pub(super) dispatch: Dispatch,
     pub(super) trail: Trail,
     pub(super) waiters: BTreeMap<Ticket, Sender<id::Instance>>,
+    /// The term and the phase that were last seen.
+    epoch: Option<(id::Term, Phase)>,
 }
 
 impl Instance {
@@ -79,15 +83,22 @@
             group.dispatch.seat(&replica.instance, permits, usable, far);
             instance.idle.prune(now, permits as usize);
         }
-        for (name, group) in &mut self.groups {
+        for (name, seen) in &mut self.groups {
             let gone = |seat: &id::Instance| !self.instances.contains_key(seat);
-            group.dispatch.retain(|seat| !gone(seat));
+            seen.dispatch.retain(|seat| !gone(seat));
+            let epoch = self.fence.epoch(name);
+            let known = epoch.map(|epoch| (epoch.term, epoch.phase));
+            if let Some(Epoch { group, term, phase, primary, .. }) = epoch
+                && known != std::mem::replace(&mut seen.epoch, known)
+            {
+                Event::Epoch { group, term: *term, phase: *phase, primary }.log(Level::Info);
+            }
             let lead = match self.fence.epoch(name).filter(|_| self.leased) {
                 Some(Epoch { phase: Phase::Active, primary, .. }) => Lead::Primary(primary.clone()),
                 Some(Epoch { phase: Phase::Frozen, .. }) => Lead::Promoting,
                 None => Lead::Nobody,
             };
-            group.dispatch.lead(now, lead);
+            seen.dispatch.lead(now, lead);
         }
     }
 
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -27,6 +27,7 @@
         .subcommand(undrain())
         .subcommand(peak())
         .subcommand(member())
+        .subcommand(explain())
         .subcommand(report())
         .subcommand(secret())
         .subcommand(completions())
@@ -109,6 +110,29 @@
         .help("The instance, as `status` shows it")
 }
 
+fn explain() -> Command {
+    Command::new("explain")
+        .about("Show what the logs say of one request")
+        .arg(
+            Arg::new("request")
+                .value_name("ID")
+                .required(true)
+                .help("The request's id, as its caller knows it"),
+        )
+        .arg(
+            Arg::new("logs")
+                .value_name("LOG")
+                .num_args(0..)
+                .value_parser(value_parser!(PathBuf))
+                .help("The logs of all processes, as JSON; standard input without any"),
+        )
+        .arg(Arg::new("json").long("json").action(ArgAction::SetTrue).help("Print one JSON object"))
+        .after_help(
+            "Examples:\n  cactushatch explain 5c0e7a21d94b36f8 /var/log/cactushatch/*\n  \
+             collect-logs | cactushatch explain 5c0e7a21d94b36f8 --json",
+        )
+}
+
 fn drain() -> Command {
     changing("drain", "Have an instance get no new work; a primary hands over first")
         .arg(instance())
--- a/src/cli/host.rs
+++ b/src/cli/host.rs
@@ -37,7 +37,7 @@
         let path = matches.get_one::<PathBuf>("settings").context("no settings file is given")?;
         let settings = Node::read(path)?;
         let text = super::read(path)?;
-        let log = Logging::start(&settings.log)?;
+        let log = Logging::start(&settings.node, &settings.log)?;
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
         log::info!("{} starts in {}", settings.node, settings.domain);
         Ok(Self { settings, path: path.clone(), text, log, signals })
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod command;
 mod exit;
+mod explain;
 mod generate;
 mod host;
 mod logging;
@@ -53,6 +54,7 @@
         Some(("undrain", matches)) => online::undrain(matches),
         Some(("peak", matches)) => online::peak(matches),
         Some(("member", matches)) => online::member(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("report", matches)) => report::run(matches),
         Some(("secret", matches)) => secret::run(matches),
         Some(("completions", matches)) => generate::completions(matches),
--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -21,7 +21,7 @@
 /// `cactushatch proxy`.
 pub(super) fn proxy(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
-    let log = Logging::start(&settings.log)?;
+    let log = Logging::start(&settings.node, &settings.log)?;
     // This thread only waits: driving the sockets is left to the executor's own thread.
     smol::future::block_on(async {
         let mut signals = signals()?;
@@ -45,7 +45,7 @@
 /// `cactushatch control`.
 pub(super) fn control(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let settings = settings(matches)?;
-    let log = Logging::start(&settings.log)?;
+    let log = Logging::start(&settings.node, &settings.log)?;
     smol::block_on(async {
         let mut signals = signals()?;
         let server = control::spawn(Clock::system(), &settings).await?;
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use log::Level;
 use smol::channel::Sender;
 
 use super::failover::Output as Decision;
@@ -14,6 +15,7 @@
 use crate::clock::Instant;
 use crate::config;
 use crate::id;
+use crate::report::Event;
 use crate::wire::{Announced, Answer, Frame, Grant, Heartbeat, Phase, Stamp};
 
 /// After how many entries the log is compacted; it bounds what a restart reads.
@@ -93,11 +95,11 @@
             Output::Committed(entries) => entries.iter().for_each(|entry| self.apply(now, entry)),
             Output::Restore(snapshot) => self.restore(snapshot),
             Output::BecameLeader => {
-                log::info!("this voter leads term {}", self.raft.term());
+                Event::Leader { leads: true, term: self.raft.term() }.log(Level::Info);
                 self.begin();
             }
             Output::SteppedDown => {
-                log::info!("this voter leads no more");
+                Event::Leader { leads: false, term: self.raft.term() }.log(Level::Info);
                 self.begin();
                 self.give_up();
             }
--- a/src/control/journal.rs
+++ b/src/control/journal.rs
@@ -79,7 +79,9 @@
                 }
             }
         }
+        let begun = shared.clock.now();
         store.persist(change)?;
+        shared.metrics.synced(shared.clock.now().since(begun));
         shared.step(Input::Synced { ticket });
     }
     Ok(())
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
+use log::Level;
 use smol::channel::{Receiver, Sender, unbounded};
 
 use super::failover::{Input, Output};
@@ -16,6 +17,7 @@
 use crate::clock::{Clock, Instant};
 use crate::id;
 use crate::pgsql;
+use crate::report::{Call, Event};
 use crate::statement::{self, Codec};
 use crate::upstream::channel::{self, Channel};
 use crate::upstream::position;
@@ -205,11 +207,20 @@
             holder: self.me().node.clone(),
             token,
         };
-        log::info!("asks to promote {} of {} with token {token}", replica.instance, replica.group);
+        let log = |answer, level| {
+            let (group, instance) = (&replica.group, &replica.instance);
+            Event::Promotion { group, instance, token, answer }.log(level);
+        };
+        log(None, Level::Info);
         match promoter.promote(promotion).await {
-            Ok(()) => None,
+            Ok(()) => {
+                self.metrics.promotion_called(Call::Accepted);
+                log(Some("accepted".to_owned()), Level::Info);
+                None
+            }
             Err(declined) => {
-                log::warn!("{} was not promoted: {declined}", replica.instance);
+                self.metrics.promotion_called(Call::Declined);
+                log(Some(declined.to_string()), Level::Warn);
                 let not_running = matches!(declined, Declined::NotRunning);
                 not_running.then(|| Input::Declined { instance: replica.instance.clone() })
             }
@@ -219,7 +230,7 @@
     pub(super) fn carry_out(self: &Arc<Self>, output: Output) {
         match output {
             Output::Submit(action) => {
-                log::info!("control decides {action:?}");
+                decided(&action);
                 match &action {
                     Action::Freeze { .. } => self.metrics.frozen(),
                     Action::Promote { .. } | Action::Adopt { .. } => self.metrics.promoted(),
@@ -357,3 +368,20 @@
         Ok(status)
     }
 }
+
+/// Logs what control orders about a group.
+fn decided(action: &Action) {
+    let (decision, group, term, instance, start) = match action {
+        Action::Freeze { group, term } => ("freeze", group, *term, None, None),
+        Action::Thaw { group, term } => ("thaw", group, *term, None, None),
+        Action::Claim { group, term, primary } => ("claim", group, *term, Some(primary), None),
+        Action::Promote { group, term, primary, start } => {
+            ("promote", group, *term, Some(primary), Some(*start))
+        }
+        Action::Adopt { group, term, primary, start } => {
+            ("adopt", group, *term, Some(primary), Some(*start))
+        }
+        action => return log::info!("control decides {action:?}"),
+    };
+    Event::Decision { group, decision, term, instance, start }.log(Level::Info);
+}
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -260,6 +260,7 @@
         for output in core.raft.step(now, input) {
             core.take(now, &output);
             match output {
+                Output::BecameLeader => self.metrics.elected(),
                 Output::Send { to, message } => self.send(core, &to, message),
                 Output::Persist { ticket, change } => {
                     let _ = self.orders.send(Order::Persist(ticket, change));
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -111,6 +111,11 @@
         self.renewed
     }
 
+    /// Returns how long the lease goes on.
+    pub fn left(&self, now: Instant) -> Duration {
+        self.lease.since(now)
+    }
+
     /// Tells whether the lease has not run out.
     pub fn leased(&self, now: Instant) -> bool {
         now < self.lease
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -53,6 +53,15 @@
         FloorLost = "floor_lost",
     }
 );
+label!(
+    /// What an outside service answered to a call.
+    Call {
+        /// It does what was asked.
+        Accepted = "accepted",
+        /// It does not, or did not answer.
+        Declined = "declined",
+    }
+);
 label!(
     /// Which kind of instance served a read.
     Target {
@@ -168,3 +177,8 @@
         wire::Role::Replica => Target::Replica,
     }
 }
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct Calls {
+    pub(super) answer: Call,
+}
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -1,7 +1,7 @@
 //! The metrics of one process, as `GET /metrics` shows them.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use prometheus_client::encoding::text;
 use prometheus_client::metrics::counter::Counter;
@@ -11,8 +11,8 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::label::{
-    self, Class, Connections, Failure, Lease, Leases, Outcome, Peer, Read, Refusal, Refused,
-    Request, Target, Upstream, Violation,
+    self, Call, Calls, Class, Connections, Failure, Lease, Leases, Outcome, Peer, Read, Refusal,
+    Refused, Request, Target, Upstream, Violation,
 };
 use crate::{id, wire};
 
@@ -29,6 +29,8 @@
     registry: Arc<Registry>,
     requests: Family<Request, Counter>,
     request_seconds: Family<Class, Histogram>,
+    wait_seconds: Family<Class, Histogram>,
+    upstream_seconds: Family<Read, Histogram>,
     reads: Family<Read, Counter>,
     refusals: Family<Refused, Counter>,
     retries: Counter,
@@ -42,8 +44,13 @@
     leases: Family<Leases, Counter>,
     epochs_frozen: Counter,
     epochs_promoted: Counter,
+    promotion_calls: Family<Calls, Counter>,
+    elections: Counter,
+    sync_seconds: Histogram,
+    announcements: Counter,
     failover_seconds: Histogram,
     revision: Gauge,
+    configured: Gauge,
     term: Gauge,
     index: Gauge,
     suppressed: Counter,
@@ -60,6 +67,8 @@
             registry: Arc::default(),
             requests: Family::default(),
             request_seconds: Family::new_with_constructor(request_histogram),
+            wait_seconds: Family::new_with_constructor(request_histogram),
+            upstream_seconds: Family::new_with_constructor(request_histogram),
             reads: Family::default(),
             refusals: Family::default(),
             retries: Counter::default(),
@@ -73,8 +82,13 @@
             leases: Family::default(),
             epochs_frozen: Counter::default(),
             epochs_promoted: Counter::default(),
+            promotion_calls: Family::default(),
+            elections: Counter::default(),
+            sync_seconds: request_histogram(),
+            announcements: Counter::default(),
             failover_seconds: Histogram::new(FAILOVER_SECONDS),
             revision: Gauge::default(),
+            configured: Gauge::default(),
             term: Gauge::default(),
             index: Gauge::default(),
             suppressed: Counter::default(),
@@ -101,6 +115,18 @@
             Unit::Seconds,
             self.request_seconds.clone(),
         );
+        registry.register_with_unit(
+            "wait",
+            "Time that a request waited for an instance with room",
+            Unit::Seconds,
+            self.wait_seconds.clone(),
+        );
+        registry.register_with_unit(
+            "upstream",
+            "Time from sending a statement to an instance to its answer, by the role of the instance",
+            Unit::Seconds,
+            self.upstream_seconds.clone(),
+        );
         registry.register("reads", "Reads by the role of the instance", self.reads.clone());
         registry.register(
             "admission_refusals",
@@ -141,12 +167,35 @@
         registry.register("leases", "Leases granted and refused", self.leases.clone());
         registry.register("epochs_frozen", "Epochs frozen", self.epochs_frozen.clone());
         registry.register("epochs_promoted", "Epochs put in force", self.epochs_promoted.clone());
+        registry.register(
+            "promotion_calls",
+            "Calls to an outside service that promotes, by its answer",
+            self.promotion_calls.clone(),
+        );
+        registry.register("elections", "Elections of control won here", self.elections.clone());
+        registry.register_with_unit(
+            "log_sync",
+            "Time to write entries of control's log and sync them",
+            Unit::Seconds,
+            self.sync_seconds.clone(),
+        );
+        registry.register(
+            "announcements",
+            "Announcements of instances that this process took as the leader",
+            self.announcements.clone(),
+        );
         registry.register_with_unit(
             "failover",
             "Time from the freeze of a group's epoch until the next one was put in force",
             Unit::Seconds,
             self.failover_seconds.clone(),
         );
+        registry.register_with_unit(
+            "configuration_in_force",
+            "When the configuration in force was taken over, since 1970",
+            Unit::Seconds,
+            self.configured.clone(),
+        );
         registry.register(
             "configuration_revision",
             "The revision of the configuration in force",
@@ -261,9 +310,43 @@
         self.failover_seconds.observe(gap.as_secs_f64());
     }
 
-    /// Sets the revision in force.
+    /// Sets the revision in force, and since when it is.
     pub fn revision(&self, revision: id::Revision) {
-        self.revision.set(revision.0 as i64);
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        if self.revision.set(revision.0 as i64) != revision.0 as i64 {
+            self.configured.set(now.as_secs() as i64);
+        }
+    }
+
+    /// Notes how long a request waited for an instance with room.
+    pub fn waited(&self, class: &id::Class, waited: Duration) {
+        let seconds = self.wait_seconds.get_or_create(&Class { class: class.clone() });
+        seconds.observe(waited.as_secs_f64());
+    }
+
+    /// Notes how long an instance took for a statement.
+    pub fn upstream_took(&self, target: Target, took: Duration) {
+        self.upstream_seconds.get_or_create(&Read { target }).observe(took.as_secs_f64());
+    }
+
+    /// Counts what an outside service answered to a call to promote an instance.
+    pub fn promotion_called(&self, answer: Call) {
+        self.promotion_calls.get_or_create(&Calls { answer }).inc();
+    }
+
+    /// Counts an election that this process won.
+    pub fn elected(&self) {
+        self.elections.inc();
+    }
+
+    /// Notes how long it took to write to the log and sync it.
+    pub fn synced(&self, took: Duration) {
+        self.sync_seconds.observe(took.as_secs_f64());
+    }
+
+    /// Counts an instance's announcement.
+    pub fn announced(&self) {
+        self.announcements.inc();
     }
 
     /// Sets the newest stamp of control.
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -30,6 +30,8 @@
     paused: bool,
     state: &'static str,
     sequence: u64,
+    /// Whether it takes statements and answers none.
+    mute: bool,
     /// How many connections are open.
     connections: usize,
     /// Every statement that it ran, with the session values that were set on the connection.
@@ -56,6 +58,12 @@
         let _ = TcpStream::connect(instance.address);
     }
 
+    /// Has an instance take statements from now on and answer none.
+    pub fn mute(&self, id: &str) {
+        let mut instances = self.lock();
+        instances.iter_mut().find(|instance| instance.id == id).unwrap().mute = true;
+    }
+
     pub fn drain(&self, id: &str) {
         let mut instances = self.lock();
         instances.iter_mut().find(|instance| instance.id == id).unwrap().state = "draining";
@@ -240,6 +248,9 @@
             else {
                 return Ok(());
             };
+            if self.lock()[at].mute {
+                continue;
+            }
             let (rows, result) = self.run(at, &mut session, statement);
             let rows: String = rows.iter().map(|row| format!("ROW {row}\r\n")).collect();
             let result = match result {
@@ -386,6 +397,7 @@
                 paused: false,
                 state,
                 sequence: 0,
+                mute: false,
                 connections: 0,
                 ran: Vec::new(),
             });
@@ -437,7 +449,8 @@
         };
         let settings = format!(
             "node = \"{role}-{host}\"\ndomain = \"a\"\ndata = \"{}\"\n\
-             [seeds]\nhosts = [{}]\nport = {INTERNAL}\nfirst_start = {first_start}\nlosses = 1\n{own}",
+             [seeds]\nhosts = [{}]\nport = {INTERNAL}\nfirst_start = {first_start}\nlosses = 1\n{own}\
+             [log]\nformat = \"json\"\n",
             data.display(),
             hosts.join(", ")
         );
@@ -529,6 +542,12 @@
         }
     }
 
+    /// Returns the files that the processes write to.
+    pub fn log_files(&self) -> Vec<PathBuf> {
+        let hosts = VOTERS.iter().chain(&PROXIES);
+        hosts.map(|host| self.dir.path().join(format!("{host}.log"))).collect()
+    }
+
     /// Returns what the processes wrote.
     pub fn logs(&self) -> String {
         let read = |host: &u8| std::fs::read_to_string(self.dir.path().join(format!("{host}.log")));
@@ -630,6 +649,11 @@
     pub fn ask(&mut self, text: &str) -> Option<Answer> {
         self.next += 1;
         let id = format!("id{:x}{}", std::process::id(), self.next);
+        self.ask_as(&id, text)
+    }
+
+    /// Asks under an id of the test's own.
+    pub fn ask_as(&mut self, id: &str, text: &str) -> Option<Answer> {
         self.send(&format!("QUERY {id} {text}"));
         let mut rows = Vec::new();
         let mut result = String::new();
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -1,13 +1,17 @@
 //! Logs: the bound on their rate, and one JSON object a line.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Write};
 use std::net::TcpListener;
 use std::process::{Command, Stdio};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
 
 use cactushatch::clock::Instant;
 use cactushatch::config::Rate;
-use cactushatch::report::{Limit, Verdict};
+use cactushatch::id;
+use cactushatch::report::event::{Request, Retry};
+use cactushatch::report::{Event, Limit, Queue, Verdict};
+use cactushatch::wire::{Phase, Trouble};
 
 fn at(ms: u64) -> Instant {
     Instant(1_000_000_000) + Duration::from_millis(ms)
@@ -56,11 +60,11 @@
     std::fs::write(&path, settings).unwrap();
     let mut child = Command::new(env!("CARGO_BIN_EXE_cactushatch"))
         .args(["proxy", "--settings", &path.display().to_string()])
-        .stderr(Stdio::piped())
+        .stdout(Stdio::piped())
         .spawn()
         .unwrap();
     let mut line = String::new();
-    let mut reader = BufReader::new(child.stderr.take().unwrap());
+    let mut reader = BufReader::new(child.stdout.take().unwrap());
     reader.read_line(&mut line).unwrap();
     let object: serde_json::Value = serde_json::from_str(&line).expect(&line);
     assert!(object["text"].as_str().unwrap().contains("proxy-1"), "{line}");
@@ -69,3 +73,89 @@
     assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
     assert!(child.wait().unwrap().success(), "SIGTERM is no orderly end");
 }
+
+/// Returns an example of every kind of event; the match below has to be extended with the kinds.
+fn examples() -> Vec<String> {
+    let group: id::Group = "books".parse().unwrap();
+    let (group, instance) = (&group, &"i-1".parse::<id::Instance>().unwrap());
+    let term = id::Term(3);
+    let retry = Retry { request: "r1", group, instance, reason: "no".to_owned(), elapsed_ms: 1 };
+    let examples = [
+        Event::Request(Request::default()),
+        Event::Retry(retry),
+        Event::Lease { held: true, unheard_ms: Some(1) },
+        Event::Stranded { stranded: true, unheard_ms: None },
+        Event::Epoch { group, term, phase: Phase::Active, primary: instance },
+        Event::Instance { instance, group, trouble: Trouble::Silent, silent_ms: 1, reason: None },
+        Event::Configuration { revision: id::Revision(1), databases: 1 },
+        Event::Decision { group, decision: "freeze", term, instance: None, start: None },
+        Event::Promotion { group, instance, token: term, answer: None },
+        Event::Leader { leads: true, term },
+    ];
+    let is_there = |event: &Event<'_>| match event {
+        Event::Request(_)
+        | Event::Retry(_)
+        | Event::Lease { .. }
+        | Event::Stranded { .. }
+        | Event::Epoch { .. }
+        | Event::Instance { .. }
+        | Event::Configuration { .. }
+        | Event::Decision { .. }
+        | Event::Promotion { .. }
+        | Event::Leader { .. } => true,
+    };
+    examples.iter().filter(|event| is_there(event)).map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_operators_page_names_every_field_of_every_line() {
+    let page = std::fs::read_to_string("docs/OPERATIONS.md").unwrap();
+    for example in examples() {
+        let object: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_str(&example).unwrap();
+        let event = object["event"].as_str().unwrap();
+        let start = page.find(&format!("| `{event}` |")).unwrap_or_else(|| panic!("{event}"));
+        let row = page[start..].lines().next().unwrap();
+        for field in object.keys().filter(|field| *field != "event") {
+            assert!(row.contains(&format!("`{field}`")), "{event} has {field}, the page has not");
+        }
+        let named = row.split('|').nth(3).unwrap().matches('`').count() / 2;
+        assert_eq!(named, object.len() - 1, "the page has a field of {event} that is not there");
+    }
+}
+
+/// A reader that takes nothing until it is told to.
+struct Stalled {
+    go_on: Receiver<()>,
+    written: Sender<Vec<u8>>,
+}
+
+impl Write for Stalled {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let _ = self.go_on.recv();
+        let _ = self.written.send(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn a_log_that_nobody_reads_holds_nobody_up_and_counts_what_it_drops() {
+    const LINES: u64 = 100_000;
+    let (go_on, received) = channel();
+    let (written, lines) = channel();
+    let queue = Queue::open(Stalled { go_on: received, written }).unwrap();
+    let start = std::time::Instant::now();
+    let taken = (0..LINES).filter(|_| queue.push(b"a line\n".to_vec())).count() as u64;
+    queue.flush();
+    assert!(start.elapsed() < Duration::from_secs(2), "{:?}", start.elapsed());
+    assert!(taken < LINES, "the queue has no bound");
+    assert_eq!(queue.take_dropped(), LINES - taken);
+    drop(go_on);
+    drop(queue);
+    let arrived = lines.iter().flatten().filter(|byte| *byte == b'\n').count() as u64;
+    assert_eq!(arrived, taken, "what was taken is written once somebody reads");
+}
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use cactushatch::report::{Metrics, Outcome, Refusal, Target};
+use cactushatch::id;
+use cactushatch::report::{Call, Metrics, Outcome, Refusal, Target};
 use cactushatch::wire::Role;
 
 #[test]
@@ -15,6 +16,13 @@
     metrics.read(Target::Replica);
     metrics.failed_over(Duration::from_millis(700));
     metrics.connections(Role::Primary, 5, 2);
+    metrics.waited(&class, Duration::from_millis(30));
+    metrics.upstream_took(Target::Primary, Duration::from_millis(30));
+    metrics.synced(Duration::from_millis(6));
+    metrics.elected();
+    metrics.announced();
+    metrics.promotion_called(Call::Declined);
+    metrics.revision(id::Revision(3));
     let text = metrics.encode();
     for line in [
         "cactushatch_requests_total{class=\"push\",outcome=\"answered\"} 1",
@@ -27,6 +35,14 @@
         "cactushatch_failover_seconds_count 1",
         "cactushatch_upstream_connections_open{role=\"primary\"} 5",
         "cactushatch_upstream_connections_busy{role=\"primary\"} 2",
+        "cactushatch_wait_seconds_bucket{le=\"0.02\",class=\"push\"} 0",
+        "cactushatch_wait_seconds_bucket{le=\"0.05\",class=\"push\"} 1",
+        "cactushatch_upstream_seconds_count{target=\"primary\"} 1",
+        "cactushatch_log_sync_seconds_bucket{le=\"0.01\"} 1",
+        "cactushatch_elections_total 1",
+        "cactushatch_announcements_total 1",
+        "cactushatch_promotion_calls_total{answer=\"declined\"} 1",
+        "cactushatch_configuration_revision 3",
     ] {
         assert!(text.lines().any(|found| found == line), "{line} is not in:\n{text}");
     }
