Let reads go past writes that wait for an absent primary

Dispatch has one queue, and a read that could start at once waited behind writes that could not, whose primary nobody may use; nothing was released, so nobody was started.

Ruled out: lagging replicas (no retry lines then), crowded or silent instances (no such lines).

Change: a statement starts when an instance has room and nobody with precedence could run now. The time that it would wait counts those that wait for the same instances. Two tests, one fails without this.

--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -4,6 +4,7 @@
 //! rush at a bell: all callers at once, with reads that any caught-up replica can serve and writes that only the
 //! primary can. One queue before all instances keeps each permit busy for whoever may use it, in the order of
 //! priority; what would wait longer than its patience is refused on arrival, with the time after which there is room.
+//! While there is no primary, writes wait, and reads go past them to the replicas.
 //!
 //! It also answers replicas that fall behind, so that the primary alone is left for all reads: then the instance's own
 //! queue would make every answer late, and nobody would know. How many statements run on an instance follows the time
@@ -313,14 +314,13 @@
 
     /// Places a statement, has it wait, or refuses it.
     pub fn ask(&mut self, now: Instant, ask: Ask) -> Verdict {
-        let ahead = self.waiting.iter().filter(|w| w.ask.priority <= ask.priority).count();
-        if ahead == 0
-            && let Some(instance) = self.place(now, &ask)
+        if let Some(instance) = self.place(now, &ask)
+            && !self.overtakes(now, &ask)
         {
             self.start(&instance);
             return Verdict::Start(instance);
         }
-        let wait = self.wait(now, &ask, ahead);
+        let wait = self.wait(now, &ask);
         if wait > self.patience(&ask) || self.waiting.len() >= MAX_WAITING {
             return Verdict::Refuse(wait);
         }
@@ -343,8 +343,7 @@
             return Duration::ZERO;
         };
         let Waiting { ask, .. } = self.waiting.swap_remove(at);
-        let ahead = self.waiting.iter().filter(|w| w.ask.priority <= ask.priority).count();
-        self.wait(now, &ask, ahead)
+        self.wait(now, &ask)
     }
 
     /// Takes a permit back; `took` is how long a statement ran, unless that says nothing.
@@ -437,8 +436,26 @@
         }
     }
 
-    /// Estimates how long a statement waits that has `ahead` others before it.
-    fn wait(&self, now: Instant, ask: &Ask, ahead: usize) -> Duration {
+    /// Tells whether somebody waits that has precedence over a statement and could run now. Who waits for a primary that is
+    /// absent doesn't hold up reads that replicas can serve.
+    fn overtakes(&self, now: Instant, ask: &Ask) -> bool {
+        let mut before = self.waiting.iter().filter(|w| w.ask.priority <= ask.priority);
+        before.any(|waiting| self.place(now, &waiting.ask).is_some())
+    }
+
+    /// Counts who waits for the same instances and has precedence.
+    fn ahead(&self, ask: &Ask) -> usize {
+        let for_primary = ask.need == Need::Primary;
+        let same = |waiting: &&Waiting| {
+            waiting.ask.priority <= ask.priority
+                && (waiting.ask.need == Need::Primary) == for_primary
+        };
+        self.waiting.iter().filter(same).count()
+    }
+
+    /// Estimates how long a statement waits.
+    fn wait(&self, now: Instant, ask: &Ask) -> Duration {
+        let ahead = self.ahead(ask);
         if ask.need == Need::Primary && self.primary.is_none() {
             return match self.absent {
                 Some((since, true)) => {
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -398,6 +398,40 @@
     assert_eq!(dispatch.advance(now + FULL).len(), 1);
 }
 
+/// Control is lost for a second: writes wait for a primary that nobody may use, and behind them come reads that every idle
+/// replica can serve.
+#[test]
+fn reads_do_not_wait_behind_writes_that_have_no_primary() {
+    let mut dispatch = group(2);
+    let now = at(1_000);
+    dispatch.lead(now, Lead::Nobody);
+    for ticket in 0..8 {
+        assert_eq!(dispatch.ask(now, ask(ticket, Need::Primary, 1, 2_000)), Verdict::Wait);
+    }
+    for ticket in 10..16 {
+        let verdict = dispatch.ask(now, ask(ticket, old_mark(), 2, 100));
+        assert!(matches!(verdict, Verdict::Start(_)), "{verdict:?}");
+    }
+    // All connections are in use now. The next read waits for one of them, and not for the writes.
+    assert_eq!(dispatch.ask(now, ask(20, old_mark(), 2, 40)), Verdict::Wait);
+}
+
+/// One read of a kind that others wait for doesn't overtake them.
+#[test]
+fn nobody_overtakes_what_could_run_as_well() {
+    let mut dispatch = group(1);
+    let now = at(1_000);
+    let fresh = Need::Reached { mark: mark(1, 9), since: now };
+    let write = dispatch.ask(now, ask(1, Need::Primary, 1, 100));
+    assert_eq!(write, Verdict::Start(instance("p")));
+    assert_eq!(dispatch.ask(now, ask(2, fresh, 1, 100)), Verdict::Wait);
+    // Now the replicas may have the mark, and whoever waited for that goes first.
+    let later = now + USUAL_LAG;
+    assert_eq!(dispatch.ask(later, ask(3, fresh, 1, 100)), Verdict::Wait);
+    let started: Vec<u64> = dispatch.advance(later).iter().map(|(ticket, _)| ticket.0).collect();
+    assert_eq!(started, [2, 3]);
+}
+
 /// After a loss of power an instance still counts the connections of the proxies' earlier lives, and refuses new ones for
 /// some seconds. What can't be served over the connections that there are waits for them, or is refused at once.
 #[test]
