Wait for the proof of a read, not for the primary

A read waited 60 ms for one, which a new connection to a busy primary alone takes, and then queued for the primary while replicas had room. A question that was begun before the lease came proved nothing, though it was sent after.

Ruled out: shares of connections (2.5 of 18 per instance and proxy are more than its two slots).

Change: while there is a primary, a read waits for the proof as long as its patience goes, and what it waited counts; the keeper looks at the lease when it sends the question. A test with the real binary fails without it.

--- a/src/broker/keeper.rs
+++ b/src/broker/keeper.rs
@@ -64,7 +64,6 @@
 async fn ask(shared: Arc<Shared>, replica: Replica, permit: Option<Permit>, asking: Asking) {
     let instance = &replica.instance;
     let deadline = shared.clock.now() + SILENCE;
-    let term = shared.reign(&replica.group, instance);
     let lane = match shared.idle(instance, &Default::default()) {
         Some(lane) => Ok(lane),
         None => shared.open(instance, deadline).await,
@@ -79,6 +78,8 @@
             return;
         }
     };
+    // The connection may have taken long to open, and the lease may have come meanwhile.
+    let term = shared.reign(&replica.group, instance);
     let sent = shared.clock.now();
     match ping(&shared, &mut lane, deadline).await {
         Ok(outcome) => {
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -18,16 +18,24 @@
 const PROMOTION_PATIENCE_PERCENT: u32 = 70;
 
 impl Runner {
+    /// Decides what a read needs, which may take a proof that has to be waited for.
+    pub(super) async fn need(&self, attempt: &mut Attempt<'_>) -> Need {
+        let begun = self.shared.clock.now();
+        let left = patience(attempt).saturating_sub(attempt.waited);
+        let need = self.shared.need(attempt.database, self.own, left).await;
+        attempt.waited += self.shared.clock.now().since(begun);
+        need
+    }
+
     /// Waits for a connection to an instance that the statement can run on.
     pub(super) async fn acquire(
         &self,
         attempt: &mut Attempt<'_>,
         need: Need,
     ) -> Result<Hold, Refusal> {
-        let since = self.shared.clock.now();
         loop {
             let now = self.shared.clock.now();
-            let (left, waited) = (attempt.limit.since(now), now.since(since));
+            let (left, waited) = (attempt.limit.since(now), attempt.waited);
             if left.is_zero() {
                 return Err(Refusal::busy("no instance took it in time", FULL));
             }
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -24,7 +24,7 @@
 
     async fn read(&self, attempt: &mut Attempt<'_>, work: &Work) -> Result<Reply, Refusal> {
         loop {
-            let need = self.shared.need(attempt.database, self.own).await;
+            let need = self.need(attempt).await;
             let mut hold = self.acquire(attempt, need).await?;
             let instance = hold.permit.instance.clone();
             let outcome = match self.send(attempt, &mut hold, work, need).await {
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -96,7 +96,7 @@
     ) -> Result<(Hold, Need), Refusal> {
         loop {
             let need = match read_only {
-                true => self.shared.need(attempt.database, self.own).await,
+                true => self.need(attempt).await,
                 false => Need::Primary,
             };
             let mut hold = self.acquire(attempt, need).await?;
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -30,7 +30,8 @@
 /// How long a connection to an instance may take to be made.
 const OPEN: Duration = Duration::from_millis(700);
 
-/// How long a read waits for the primary to be asked where it stands, before it goes to the primary itself.
+/// How long a read waits for the first sight of a primary while nobody is known to be one, before it queues for the
+/// primary itself.
 const PROOF: Duration = Duration::from_millis(60);
 
 /// How long a session waits for the first configuration; callers give up after two seconds.
@@ -181,8 +182,14 @@
     }
 
     /// Decides what a read of a database needs. Where a proof is all that is missing for it to run on any instance, the
-    /// primary is asked for one first: that takes none of its slots, as the read itself would.
-    pub(super) async fn need(self: &Arc<Self>, database: &Database, own: Option<Sight>) -> Need {
+    /// primary is asked for one first: that takes none of its slots, as the read itself would. It answers the moment after a
+    /// start, when no proof is known yet and every read would queue for the primary while the replicas are idle.
+    pub(super) async fn need(
+        self: &Arc<Self>,
+        database: &Database,
+        own: Option<Sight>,
+        patience: Duration,
+    ) -> Need {
         let need = self.need_now(database, own);
         if need != Need::Primary || need::max_age(database.reads).is_none() {
             return need;
@@ -198,7 +205,8 @@
                 changed.await;
             }
         };
-        let need = self.clock.timeout(PROOF, seen).await;
+        let limit = if self.primary(&database.group).is_some() { patience } else { PROOF };
+        let need = self.clock.timeout(limit, seen).await;
         need.unwrap_or_else(|| self.need_now(database, own))
     }
 
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -32,6 +32,8 @@
     sequence: u64,
     /// Whether it takes statements and answers none.
     mute: bool,
+    /// How long a new connection takes.
+    opening: Duration,
     /// How many connections are open.
     connections: usize,
     /// Every statement that it ran, with the session values that were set on the connection.
@@ -64,6 +66,11 @@
         instances.iter_mut().find(|instance| instance.id == id).unwrap().mute = true;
     }
 
+    /// Has new connections to all instances take this long.
+    pub fn open_slowly(&self, opening: Duration) {
+        self.lock().iter_mut().for_each(|instance| instance.opening = opening);
+    }
+
     pub fn drain(&self, id: &str) {
         let mut instances = self.lock();
         instances.iter_mut().find(|instance| instance.id == id).unwrap().state = "draining";
@@ -225,6 +232,7 @@
     }
 
     fn serve(self: Arc<Self>, at: usize, socket: TcpStream) -> std::io::Result<()> {
+        socket.set_nodelay(true)?;
         let mut lines = BufReader::new(socket.try_clone()?);
         let mut socket = socket;
         let mut session = Session::default();
@@ -236,6 +244,8 @@
                 return Ok(());
             }
             if let Some(rest) = text.strip_prefix("CONNECT ") {
+                let opening = self.lock()[at].opening;
+                std::thread::sleep(opening);
                 let expected = rest.split(' ').nth(2).map(str::to_owned);
                 let instances = self.lock();
                 if expected.is_some_and(|id| id != instances[at].id) {
@@ -398,6 +408,7 @@
                 state,
                 sequence: 0,
                 mute: false,
+                opening: Duration::ZERO,
                 connections: 0,
                 ran: Vec::new(),
             });
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -103,6 +103,33 @@
     assert!(holders.windows(2).all(|pair| pair[0].1 != pair[1].1 || pair[0].0 == pair[1].0));
 }
 
+/// A proxy starts under load, and connections take as long to open as on a busy instance: no read has a proof yet, and
+/// they wait for it instead of queueing for the primary.
+#[test]
+fn reads_after_a_start_wait_for_a_proof_and_not_for_the_primary() {
+    let mut fleet = Fleet::up(92);
+    fleet.group.open_slowly(Duration::from_millis(80));
+    fleet.signal(PROXIES[0], "-KILL");
+    fleet.ended(PROXIES[0]);
+    fleet.start(PROXIES[0], false);
+    fleet.until("the proxy is ready", |fleet| fleet.is_ready(PROXIES[0]));
+    std::thread::scope(|scope| {
+        for number in 0..20 {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let mut menu = fleet.open(PROXIES[0], "menu");
+                menu.ask(&format!("FETCH first{number}"))
+            });
+        }
+    });
+    // The first request that is served has a line, as a sample.
+    let logs = fleet.logs();
+    let lines = logs.lines().filter(|line| line.contains("\"class\":\"bounded-1\""));
+    let served: Vec<&str> = lines.filter(|line| line.contains("\"outcome\":\"done\"")).collect();
+    assert!(!served.is_empty(), "{logs}");
+    assert!(served.iter().all(|line| line.contains("\"need\":\"mark\"")), "{logs}");
+}
+
 /// An instance takes only so many connections, so what a rush opened is closed when it is over.
 #[test]
 fn connections_that_nobody_uses_are_closed() {
