Log every try that failed, and split what is told of requests from shared state

Read as a newcomer: broker::shared had grown past its job, so what callers and operators are told is broker::explain; a connection that failed under a statement was retried without a line; the functions that read declarations say so. The lines of PostgreSQL's edge about instances and configurations are events too.

--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -7,8 +7,8 @@
 use smol::channel::Receiver;
 
 use super::closing::Stage;
+use super::explain::unheard;
 use super::server::Shared;
-use super::shared::unheard;
 use crate::clock::Clock;
 use crate::config::Fleet;
 use crate::id;
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -9,6 +9,7 @@
 mod caller;
 mod closing;
 pub mod dispatch;
+mod explain;
 mod guard;
 pub mod health;
 mod idle;
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -304,10 +304,7 @@
     ) -> Result<(), Refusal> {
         let instance = hold.permit.instance.clone();
         let group = hold.permit.group.clone();
-        let elapsed_ms = millis(self.shared.clock.now().since(attempt.since));
-        let (request, reason) = (attempt.id.as_str(), format!("{code} {text}"));
-        let (group, instance) = (&group, &instance);
-        Event::Retry(Retry { request, group, instance, reason, elapsed_ms }).log(Level::Info);
+        self.try_again(attempt, &instance, format!("{code} {text}"));
         match code {
             Code::Lagging => {
                 self.shared.refused_by(&hold.permit, true);
@@ -317,16 +314,22 @@
                 self.shared.refused_by(&hold.permit, false);
                 self.give_back(hold, state);
                 self.shared.clock.sleep(FULL).await;
-                self.shared.advance(group);
+                self.shared.advance(&group);
             }
             Code::NoStatement => drop(hold),
             _ => {
-                let instance = instance.clone();
                 self.give_back(hold, state);
                 self.leave_out(attempt, instance)?;
             }
         }
-        self.shared.metrics.retried();
         Ok(())
     }
+
+    /// Counts and logs that an instance did not run a statement, which is tried again as long as it may be.
+    fn try_again(&self, attempt: &Attempt<'_>, instance: &id::Instance, reason: String) {
+        self.shared.metrics.retried();
+        let elapsed_ms = millis(self.shared.clock.now().since(attempt.since));
+        let (request, group) = (attempt.id.as_str(), &attempt.database.group);
+        Event::Retry(Retry { request, group, instance, reason, elapsed_ms }).log(Level::Info);
+    }
 }
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -35,8 +35,8 @@
                         return Err(Refusal::new(Code::Timeout, format!("{instance}: {broken}")));
                     }
                     drop(hold);
+                    self.try_again(attempt, &instance, broken.to_string());
                     self.leave_out(attempt, instance)?;
-                    self.shared.metrics.retried();
                     continue;
                 }
             };
@@ -67,6 +67,7 @@
             let (clock, values) = (&self.shared.clock, attempt.session.values());
             let fit = hold.lane.fit(clock, values, shape(work), true, attempt.limit).await;
             if let Err(error) = fit {
+                self.try_again(attempt, &instance, error.to_string());
                 self.lost(&instance, &Broken::Channel(error));
                 continue;
             }
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -52,6 +52,7 @@
                 Err(broken) => {
                     self.lost(&instance, &broken);
                     drop(hold);
+                    self.try_again(attempt, &instance, broken.to_string());
                     self.retry(attempt, need, instance)?;
                     continue;
                 }
@@ -79,7 +80,6 @@
         need: Need,
         instance: crate::id::Instance,
     ) -> Result<(), Refusal> {
-        self.shared.metrics.retried();
         match need {
             Need::Primary if self.shared.clock.now() < attempt.limit => Ok(()),
             Need::Primary => Err(Refusal::busy("the primary did not answer in time", FULL)),
@@ -111,6 +111,7 @@
                 Err(broken) => {
                     self.lost(&instance, &broken);
                     drop(hold);
+                    self.try_again(attempt, &instance, broken.to_string());
                     self.retry(attempt, need, instance)?;
                 }
             }
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -9,7 +9,8 @@
 use smol::channel::bounded;
 
 use super::closing::Stage;
-use super::dispatch::{self, Ask, Lead, Ticket};
+use super::dispatch::{self, Ask, Ticket};
+use super::explain::unheard;
 use super::guard::{Asking, Committing, Waiting};
 use super::keeper;
 use super::lane::{Lane, Permit};
@@ -23,7 +24,7 @@
 use crate::proxy::floor::Mark;
 use crate::proxy::heartbeat;
 use crate::report::Failure;
-use crate::report::event::{Event, Request, millis};
+use crate::report::event::{Event, millis};
 use crate::upstream::channel::{Channel, Error as ChannelError};
 use crate::wire::{Replica, Trouble};
 
@@ -40,17 +41,9 @@
 /// How much younger than allowed the proof of a read is, for the time between the caller's sending and the decision.
 const AGE_MARGIN: Duration = Duration::from_millis(50);
 
-/// Every so many served requests have a line, to compare others with.
-const SAMPLE: u64 = 1_000;
-
 /// How old the last sight of a primary may be until it is asked; bounded reads of half a second can still be proved.
 const FADED: Duration = Duration::from_millis(400);
 
-/// Returns how long ago the lease was renewed, unless it never was.
-pub(super) fn unheard(now: Instant, renewed: Instant) -> Option<u64> {
-    (renewed != Instant::default()).then(|| millis(now.since(renewed)))
-}
-
 impl Shared {
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("nothing panics while it holds the lock")
@@ -60,33 +53,6 @@
         heartbeat::Member::nudge(self);
     }
 
-    /// Tells whether this request is one of those whose line is written though nothing was wrong.
-    pub(super) fn is_sample(&self) -> bool {
-        self.answers.fetch_add(1, Ordering::Relaxed).is_multiple_of(SAMPLE)
-    }
-
-    /// Logs how a request ended, with what this proxy knows of its group.
-    pub(super) fn explain(&self, group: &id::Group, need: Option<Need>, mut request: Request<'_>) {
-        let now = self.clock.now();
-        let state = self.lock();
-        if let Some(Need::Reached { since, .. }) = need {
-            request.mark_age_ms = Some(millis(now.since(since)));
-        }
-        request.lease_left_ms = millis(state.fence.left(now));
-        if let Some(epoch) = state.fence.epoch(group) {
-            request.term = Some(epoch.term);
-            request.phase = Some(epoch.phase);
-        }
-        request.revision = state.revision;
-        if let Some(queue) = state.groups.get(group) {
-            let load = queue.dispatch.load();
-            (request.waiting, request.in_use, request.permits) =
-                (load.waiting, load.used, load.permits);
-        }
-        drop(state);
-        Event::Request(request).log(Level::Info);
-    }
-
     /// Takes what changed over and wakes whoever waited for it.
     pub(super) fn take_over(&self, now: Instant, state: &mut State) {
         state.refresh(now, &self.domain);
@@ -134,23 +100,6 @@
         }
     }
 
-    /// Says what a statement waited for in vain.
-    pub(super) fn shortage(&self, group: &id::Group, need: Need) -> &'static str {
-        let state = self.lock();
-        let lead = state.groups.get(group).map(|queue| queue.dispatch.absent());
-        match lead {
-            Some(Some(Lead::Promoting)) if need == Need::Primary => "the primary is being replaced",
-            Some(Some(_)) if need == Need::Primary => "this proxy may not use a primary",
-            _ => "no instance has room",
-        }
-    }
-
-    /// Returns when to come back that would have room here after `wait`: sooner where another proxy takes over before.
-    pub(super) fn relieved(&self, wait: Duration) -> Duration {
-        let relief = self.lock().stranded.relief(self.clock.now(), fastrand::f64());
-        relief.map_or(wait, |relief| wait.min(relief))
-    }
-
     /// Waits until a configuration is in force, for a process that has just started; tells whether one is.
     pub(super) async fn configured(&self) -> bool {
         let configured = async {
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -29,7 +29,7 @@
     /// The declarations in force, as far as this process has led with them.
     pub(super) fleet: config::Fleet,
     /// Which revision `fleet` was read from.
-    read: Option<id::Revision>,
+    read_from: Option<id::Revision>,
     pub(super) leader: Leader,
     pub(super) heard: Heard,
     pub(super) bootstrap: Bootstrap,
@@ -52,7 +52,7 @@
             raft,
             state: State::default(),
             fleet: config::Fleet::default(),
-            read: None,
+            read_from: None,
             leader: Leader::default(),
             heard: Heard::default(),
             bootstrap,
@@ -147,10 +147,10 @@
         }
         self.changing = self.changing.filter(|index| *index > entry.index);
         if self.reign.is_some() {
-            self.read();
+            self.read_declarations();
             self.leader.refresh(now, &self.state, &self.fleet);
         } else if self.raft.is_leader() && entry.term == self.raft.term() {
-            self.read();
+            self.read_declarations();
             self.leader = Leader::elected(now, &self.state, &self.fleet);
             self.reign = self.raft.led_since();
         }
@@ -158,8 +158,8 @@
 
     /// Reads the declarations in force. Only a leader needs them: whoever starts has all changes to apply that the log holds,
     /// and large declarations take long to read.
-    fn read(&mut self) {
-        if self.read.replace(self.state.revision) == Some(self.state.revision) {
+    fn read_declarations(&mut self) {
+        if self.read_from.replace(self.state.revision) == Some(self.state.revision) {
             return;
         }
         match config::Fleet::parse("declarations", &self.state.text) {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use log::Level;
 use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, UdpSocket};
 
@@ -21,6 +22,7 @@
 use crate::config::{self, Fleet};
 use crate::id;
 use crate::report::burn::{History, Minute};
+use crate::report::event::{Event, millis};
 use crate::report::{Failure, Metrics};
 use crate::security::Guard;
 use crate::upstream::announcement;
@@ -214,7 +216,8 @@
     pub(super) fn configure(&self, revision: id::Revision, fleet: Fleet) {
         let mut state = self.lock();
         if revision > state.revision {
-            log::info!("configuration revision {revision} is in force");
+            let databases = fleet.database.len();
+            Event::Configuration { revision, databases }.log(Level::Info);
             self.metrics.revision(revision);
             state.revision = revision;
             state.fleet = Arc::new(fleet);
@@ -303,6 +306,7 @@
         }
         let changed = known.trouble != trouble;
         known.trouble = trouble;
+        let silent_ms = millis(self.clock.now().since(known.good));
         let group = known.replica.group.clone();
         drop(state);
         if let Ok((at, status)) = seen {
@@ -310,7 +314,9 @@
         }
         self.traffic.notify(&group);
         if changed {
-            log::info!("{instance} is {trouble:?}");
+            let level = if trouble == Trouble::Fine { Level::Info } else { Level::Warn };
+            Event::Instance { instance, group: &group, trouble, silent_ms, reason: None }
+                .log(level);
             match trouble {
                 Trouble::Fine => {}
                 Trouble::Refused => self.metrics.upstream_failed(Failure::Refused),
