Share one machine for the end of a process between both edges

Read once more: broker::closing and the stages of proxy::shared were the same machine, written twice. The broker's woke every idle session whenever one session ended, since both notices went by one event; the proxy's two events are kept. No other change.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -7,12 +7,12 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 
-use super::closing::Stage;
 use super::run::{Reply, Runner};
 use super::server::Shared;
 use super::session::{Session, Step};
 use crate::clock::Instant;
 use crate::config::Database;
+use crate::proxy::closing::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Call, Code, Id, Malformed, State, Statement};
 
--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -6,12 +6,12 @@
 use log::Level;
 use smol::channel::Receiver;
 
-use super::closing::Stage;
 use super::explain::unheard;
 use super::server::Shared;
 use crate::clock::Clock;
 use crate::config::Fleet;
 use crate::id;
+use crate::proxy::closing::Stage;
 use crate::proxy::heartbeat;
 use crate::report::{Event, Metrics};
 use crate::security::Guard;
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -7,7 +7,6 @@
 
 pub mod applied;
 mod caller;
-mod closing;
 pub mod dispatch;
 mod explain;
 mod guard;
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -9,7 +9,6 @@
 use smol::channel::{Receiver, Sender, bounded};
 use smol::net::{TcpListener, UdpSocket};
 
-use super::closing::{Closing, Stage};
 use super::state::State;
 use super::stranded::NOTICE;
 use super::{caller, keeper};
@@ -17,6 +16,7 @@
 use crate::config;
 use crate::id;
 use crate::proxy::Error;
+use crate::proxy::closing::{Closing, Stage};
 use crate::proxy::fence::Fence;
 use crate::proxy::heartbeat;
 use crate::report::Metrics;
@@ -139,6 +139,6 @@
             let end = grace.saturating_sub(HEADROOM);
             shared.clock.timeout(left(end), shared.closing.emptied()).await;
         }
-        log::info!("{} sessions are open at the end", shared.closing.sessions());
+        log::info!("{} sessions are open at the end", shared.closing.callers());
     }
 }
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -8,7 +8,6 @@
 use log::Level;
 use smol::channel::bounded;
 
-use super::closing::Stage;
 use super::dispatch::{self, Ask, Ticket};
 use super::explain::unheard;
 use super::guard::{Asking, Committing, Waiting};
@@ -20,6 +19,7 @@
 use crate::clock::Instant;
 use crate::config::Database;
 use crate::id;
+use crate::proxy::closing::Stage;
 use crate::proxy::fence::Verdict;
 use crate::proxy::floor::Mark;
 use crate::proxy::heartbeat;
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -10,6 +10,7 @@
 mod caller;
 pub mod cancel;
 pub mod class;
+pub(crate) mod closing;
 mod door;
 pub mod fence;
 pub mod floor;
--- a/src/proxy/shared.rs
+++ b/src/proxy/shared.rs
@@ -1,13 +1,14 @@
 //! What the tasks of the request path share: positions and who waits for them, sessions, and the drain.
 
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use event_listener::{Event, EventListener};
 use smol::channel::{Receiver, Sender, bounded};
 
+use super::closing::{Closing, Stage};
 use super::fence::Verdict;
 use super::floor::Mark;
 use super::route::{self, Choice, Need};
@@ -21,22 +22,11 @@
 /// The shortest time between two questions to one instance, however many wait for the answer.
 const ASK_GAP: Duration = Duration::from_micros(500);
 
-/// How far a proxy's shutdown has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-#[repr(u8)]
-enum Stage {
-    Draining = 1,
-    Ended = 2,
-}
-
 /// What the request path shares.
 #[derive(Debug, Default)]
 pub(super) struct Traffic {
-    callers: AtomicUsize,
+    closing: Closing,
     numbers: AtomicU64,
-    stage: AtomicU8,
-    staged: Event,
-    left: Event,
     groups: Mutex<BTreeMap<id::Group, Arc<Group>>>,
 }
 
@@ -84,8 +74,7 @@
 impl Drop for Served {
     fn drop(&mut self) {
         self.shared.metrics.caller_left();
-        self.shared.traffic.callers.fetch_sub(1, Ordering::Relaxed);
-        self.shared.traffic.left.notify(usize::MAX);
+        self.shared.traffic.closing.left();
     }
 }
 
@@ -118,32 +107,13 @@
     pub(super) fn note(&self, name: &id::Group, asked: Instant, mark: Mark) {
         lock(&self.group(name).trail).note(asked, mark);
     }
-
-    fn is_past(&self, stage: Stage) -> bool {
-        self.stage.load(Ordering::SeqCst) >= stage as u8
-    }
-
-    async fn reached(&self, stage: Stage) {
-        while !self.is_past(stage) {
-            let staged = self.staged.listen();
-            if self.is_past(stage) {
-                return;
-            }
-            staged.await;
-        }
-    }
-
-    fn reach(&self, stage: Stage) {
-        self.stage.fetch_max(stage as u8, Ordering::SeqCst);
-        self.staged.notify(usize::MAX);
-    }
 }
 
 impl Shared {
     /// Counts a caller for as long as what is returned lives.
     pub(super) fn serving(self: &Arc<Self>) -> Served {
         self.metrics.caller_came();
-        self.traffic.callers.fetch_add(1, Ordering::Relaxed);
+        self.traffic.closing.came();
         Served { shared: Arc::clone(self) }
     }
 
@@ -214,37 +184,28 @@
 
     /// Tells whether the proxy is shutting down.
     pub(super) fn is_draining(&self) -> bool {
-        self.traffic.is_past(Stage::Draining)
+        self.traffic.closing.is_past(Stage::Closing)
     }
 
     /// Ends when the proxy begins to shut down.
     pub(super) async fn drained(&self) {
-        self.traffic.reached(Stage::Draining).await;
+        self.traffic.closing.reached(Stage::Closing).await;
     }
 
     /// Ends when the time to shut down in is over.
     pub(super) async fn ended(&self) {
-        self.traffic.reached(Stage::Ended).await;
+        self.traffic.closing.reached(Stage::Ending).await;
     }
 
     /// Lets callers end what they have begun, for at most `limit`; then what is left gets its true outcome.
     /// Returns once the callers are gone, or `grace` later.
     pub(super) async fn drain(&self, limit: Duration, grace: Duration) {
-        self.traffic.reach(Stage::Draining);
+        let closing = &self.traffic.closing;
+        closing.reach(Stage::Closing);
         self.nudge();
-        if self.clock.timeout(limit, self.gone()).await.is_none() {
-            self.traffic.reach(Stage::Ended);
-            self.clock.timeout(grace, self.gone()).await;
-        }
-    }
-
-    async fn gone(&self) {
-        loop {
-            let left = self.traffic.left.listen();
-            if self.traffic.callers.load(Ordering::Relaxed) == 0 {
-                return;
-            }
-            left.await;
+        if self.clock.timeout(limit, closing.emptied()).await.is_none() {
+            closing.reach(Stage::Ending);
+            self.clock.timeout(grace, closing.emptied()).await;
         }
     }
 }
