Fetch configurations and ask over a stream in one place

Read once more: both members kept a flag for a fetch under way and two methods for it, which the talk with control holds itself now; the proxy's member forwarded five calls to functions of the same names, which are its own now; and three places opened a stream, sent a frame and took the answer. No change of behaviour.

--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -102,16 +102,10 @@
         changed
     }
 
-    fn wants_configuration(&self) -> bool {
-        let mut state = self.lock();
+    fn revisions(&self) -> (id::Revision, id::Revision) {
+        let state = self.lock();
         let (_, _, newest) = state.fence.seen();
-        let wants = newest > state.revision && !state.fetching;
-        state.fetching |= wants;
-        wants
-    }
-
-    fn fetched(&self) {
-        self.lock().fetching = false;
+        (state.revision, newest)
     }
 
     fn configure(&self, revision: id::Revision, fleet: Fleet) {
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -27,7 +27,6 @@
     pub(super) fence: Fence,
     pub(super) fleet: Arc<Fleet>,
     pub(super) revision: id::Revision,
-    pub(super) fetching: bool,
     pub(super) instances: BTreeMap<id::Instance, Instance>,
     pub(super) groups: BTreeMap<id::Group, Group>,
     /// Where control processes take frames, besides the seeds.
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -102,11 +102,8 @@
     /// Asks the leader for another caller.
     async fn relay(&self, body: Body) -> Option<Body> {
         let leader = self.leader_address()?;
-        let asked = async {
-            let mut stream = Stream::open(leader).await?.sealed(&self.guard.seal);
-            stream.send(&self.frame(body)).await?;
-            stream.receive().await
-        };
+        let frame = self.frame(body);
+        let asked = Stream::ask(leader, &self.guard.seal, &frame);
         match self.clock.timeout(RELAY, asked).await {
             Some(Ok(Frame { body, .. })) => Some(body),
             Some(Err(error)) => {
--- a/src/control/greet.rs
+++ b/src/control/greet.rs
@@ -47,12 +47,8 @@
     }
 
     async fn greet(self: Arc<Self>, address: SocketAddr) {
-        let greeting = self.greeting(&self.core());
-        let greeted = async {
-            let mut stream = Stream::open(address).await?.sealed(&self.guard.seal);
-            stream.send(&self.frame(Body::Meet(greeting))).await?;
-            stream.receive().await
-        };
+        let frame = self.frame(Body::Meet(self.greeting(&self.core())));
+        let greeted = Stream::ask(address, &self.guard.seal, &frame);
         match self.clock.timeout(GREETING, greeted).await {
             Some(Ok(Frame { body: Body::Meet(greeting), .. })) => self.greeted(&greeting),
             Some(Ok(_)) => log::debug!("{address} answered a greeting with something else"),
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -1,6 +1,7 @@
 //! A process's talk with control: heartbeats out, grants in, the configuration fetched when it changed.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -23,6 +24,9 @@
 /// How long the leader may leave heartbeats unanswered until every voter is asked.
 const UNANSWERED: Duration = Duration::from_millis(200);
 
+/// How long a fetch may take: a configuration of a megabyte over a link of 4 Mbit/s.
+const FETCH: Duration = Duration::from_secs(2);
+
 /// How long to wait before a failed fetch is tried again.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -50,10 +54,8 @@
     fn heartbeat(&self) -> Heartbeat;
     /// Takes a grant; returns whether what is in force changed.
     fn granted(self: &Arc<Self>, grant: Grant) -> bool;
-    /// Tells whether a newer configuration is to be fetched, once until [`Member::fetched`].
-    fn wants_configuration(&self) -> bool;
-    /// Notes that a fetch has ended.
-    fn fetched(&self);
+    /// Returns the revision of the configuration in force, and the newest that was heard of.
+    fn revisions(&self) -> (id::Revision, id::Revision);
     /// Puts a configuration in force.
     fn configure(&self, revision: id::Revision, fleet: Fleet);
 }
@@ -104,13 +106,16 @@
 }
 
 async fn receive<M: Member>(member: Arc<M>, socket: UdpSocket, leader: Leader) {
+    let fetching = Arc::new(AtomicBool::new(false));
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let Ok((len, from)) = socket.recv_from(&mut buffer).await else {
             continue;
         };
         match member.guard().seal.decode(&buffer[..len]) {
-            Ok(Frame { body: Body::Grant(grant), .. }) => take(&member, from, &leader, grant),
+            Ok(Frame { body: Body::Grant(grant), .. }) => {
+                take(&member, from, &leader, &fetching, grant)
+            }
             Ok(Frame { body: Body::Voters(voters), .. }) => member.met(voters),
             Ok(_) => {}
             Err(error) => {
@@ -121,7 +126,13 @@
     }
 }
 
-fn take<M: Member>(member: &Arc<M>, from: SocketAddr, leader: &Leader, grant: Grant) {
+fn take<M: Member>(
+    member: &Arc<M>,
+    from: SocketAddr,
+    leader: &Leader,
+    fetching: &Arc<AtomicBool>,
+    grant: Grant,
+) {
     let unasked = grant.sequence.is_none();
     let now = member.clock().now();
     if !unasked {
@@ -130,18 +141,23 @@
     if member.granted(grant) || unasked {
         member.nudge();
     }
-    if member.wants_configuration() {
-        smol::spawn(fetch(Arc::clone(member), from)).detach();
+    let (held, newest) = member.revisions();
+    if newest > held && !fetching.swap(true, Ordering::SeqCst) {
+        let (member, fetching) = (Arc::clone(member), Arc::clone(fetching));
+        let fetched = async move {
+            fetch(&*member, from).await;
+            member.clock().sleep(PAUSE).await;
+            fetching.store(false, Ordering::SeqCst);
+        };
+        smol::spawn(fetched).detach();
     }
 }
 
-async fn fetch<M: Member>(member: Arc<M>, from: SocketAddr) {
-    let fetched = async {
-        let mut stream = Stream::open(from).await?.sealed(&member.guard().seal);
-        stream.send(&member.frame(Body::Fetch)).await?;
-        stream.receive().await
-    };
-    match member.clock().timeout(Duration::from_secs(2), fetched).await {
+/// Fetches the configuration and puts it in force.
+async fn fetch<M: Member>(member: &M, from: SocketAddr) {
+    let frame = member.frame(Body::Fetch);
+    let fetched = Stream::ask(from, &member.guard().seal, &frame);
+    match member.clock().timeout(FETCH, fetched).await {
         Some(Ok(Frame { body: Body::Configuration(configuration), .. })) => {
             match Fleet::parse("declarations", &configuration.text) {
                 Ok(fleet) => member.configure(configuration.revision, fleet),
@@ -152,6 +168,4 @@
         Some(Err(error)) => log::debug!("the configuration was not fetched: {error}"),
         None => log::debug!("the configuration did not come in time from {from}"),
     }
-    member.clock().sleep(PAUSE).await;
-    member.fetched();
 }
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -134,59 +134,11 @@
         self.state.lock().expect("nothing panics while it holds the lock")
     }
 
-    pub(super) fn frame(&self, body: Body) -> Frame {
-        Frame { sender: self.node.clone(), incarnation: self.incarnation, body }
-    }
-
     /// Has a heartbeat sent at once.
     pub(super) fn nudge(&self) {
         let _ = self.nudge.try_send(());
     }
 
-    pub(super) fn heartbeat(&self) -> Heartbeat {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        state.lapse(now);
-        let sequence = state.fence.send(now);
-        let (seen, table, _) = state.fence.seen();
-        Heartbeat {
-            sequence,
-            domain: self.domain.clone(),
-            address: self.settings.address,
-            admin: self.settings.admin,
-            seen,
-            table,
-            revision: state.revision,
-            sightings: state.sightings(now, sequence),
-            demand: state.demand(),
-            draining: self.is_draining(),
-        }
-    }
-
-    /// Takes a grant; returns whether what is in force changed.
-    pub(super) fn granted(self: &Arc<Self>, grant: Grant) -> bool {
-        let (changed, replicas, shares) = {
-            let now = self.clock.now();
-            let mut state = self.lock();
-            self.metrics.stamp(grant.stamp);
-            let mut changed = state.step(now, grant, |primary, gap| self.keep_gap(primary, gap));
-            if state.lapsed && state.fence.leased(now) {
-                state.lapsed = false;
-                changed = true;
-            }
-            let table = state.fence.table();
-            (changed, table.replicas.clone(), table.shares.clone())
-        };
-        for replica in replicas {
-            self.learn(replica, None);
-        }
-        if changed {
-            self.share(&shares);
-            self.traffic.notify_all();
-        }
-        changed
-    }
-
     fn share(&self, shares: &[(id::Group, u32)]) {
         let state = self.lock();
         if state.lapsed {
@@ -201,34 +153,6 @@
         }
     }
 
-    pub(super) fn wants_configuration(&self) -> bool {
-        let mut state = self.lock();
-        let (_, _, newest) = state.fence.seen();
-        let wants = newest > state.revision && !state.fetching;
-        state.fetching |= wants;
-        wants
-    }
-
-    pub(super) fn fetched(&self) {
-        self.lock().fetching = false;
-    }
-
-    pub(super) fn configure(&self, revision: id::Revision, fleet: Fleet) {
-        let mut state = self.lock();
-        if revision > state.revision {
-            let databases = fleet.database.len();
-            Event::Configuration { revision, databases }.log(Level::Info);
-            self.metrics.revision(revision);
-            state.revision = revision;
-            state.fleet = Arc::new(fleet);
-        }
-        let shares = state.fence.table().shares.clone();
-        drop(state);
-        self.share(&shares);
-        self.traffic.notify_all();
-        self.nudge();
-    }
-
     /// Learns of an instance, by its own announcement or from control, and starts to watch a new one.
     pub(super) fn learn(self: &Arc<Self>, replica: Replica, announced: Option<Instant>) {
         let now = self.clock.now();
@@ -463,7 +387,7 @@
     }
 
     fn frame(&self, body: Body) -> Frame {
-        Self::frame(self, body)
+        Frame { sender: self.node.clone(), incarnation: self.incarnation, body }
     }
 
     fn is_leased(&self) -> bool {
@@ -471,22 +395,67 @@
     }
 
     fn heartbeat(&self) -> Heartbeat {
-        Self::heartbeat(self)
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.lapse(now);
+        let sequence = state.fence.send(now);
+        let (seen, table, _) = state.fence.seen();
+        Heartbeat {
+            sequence,
+            domain: self.domain.clone(),
+            address: self.settings.address,
+            admin: self.settings.admin,
+            seen,
+            table,
+            revision: state.revision,
+            sightings: state.sightings(now, sequence),
+            demand: state.demand(),
+            draining: self.is_draining(),
+        }
     }
 
     fn granted(self: &Arc<Self>, grant: Grant) -> bool {
-        Self::granted(self, grant)
-    }
-
-    fn wants_configuration(&self) -> bool {
-        Self::wants_configuration(self)
+        let (changed, replicas, shares) = {
+            let now = self.clock.now();
+            let mut state = self.lock();
+            self.metrics.stamp(grant.stamp);
+            let mut changed = state.step(now, grant, |primary, gap| self.keep_gap(primary, gap));
+            if state.lapsed && state.fence.leased(now) {
+                state.lapsed = false;
+                changed = true;
+            }
+            let table = state.fence.table();
+            (changed, table.replicas.clone(), table.shares.clone())
+        };
+        for replica in replicas {
+            self.learn(replica, None);
+        }
+        if changed {
+            self.share(&shares);
+            self.traffic.notify_all();
+        }
+        changed
     }
 
-    fn fetched(&self) {
-        Self::fetched(self);
+    fn revisions(&self) -> (id::Revision, id::Revision) {
+        let state = self.lock();
+        let (_, _, newest) = state.fence.seen();
+        (state.revision, newest)
     }
 
     fn configure(&self, revision: id::Revision, fleet: Fleet) {
-        Self::configure(self, revision, fleet);
+        let mut state = self.lock();
+        if revision > state.revision {
+            let databases = fleet.database.len();
+            Event::Configuration { revision, databases }.log(Level::Info);
+            self.metrics.revision(revision);
+            state.revision = revision;
+            state.fleet = Arc::new(fleet);
+        }
+        let shares = state.fence.table().shares.clone();
+        drop(state);
+        self.share(&shares);
+        self.traffic.notify_all();
+        self.nudge();
     }
 }
--- a/src/proxy/state.rs
+++ b/src/proxy/state.rs
@@ -21,7 +21,6 @@
     pub(super) gaps: Gaps,
     pub(super) fleet: Arc<Fleet>,
     pub(super) revision: id::Revision,
-    pub(super) fetching: bool,
     pub(super) instances: BTreeMap<id::Instance, Instance>,
     /// When the next unchanged sighting is due, and of which instance it was last.
     pub(super) rotation: (Instant, Option<id::Instance>),
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -25,6 +25,17 @@
         Self::accepted(TcpStream::connect(address).await?)
     }
 
+    /// Connects to the process at `address`, sends one frame and returns the one that answers it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the connection does, or what comes is no frame.
+    pub async fn ask(address: SocketAddr, seal: &Seal, frame: &Frame) -> Result<Frame, Error> {
+        let mut stream = Self::open(address).await?.sealed(seal);
+        stream.send(frame).await?;
+        stream.receive().await
+    }
+
     /// Takes a connection that a listener accepted.
     ///
     /// # Errors
