Take answers apart instead of copying them, and build explain's JSON by its library

Read once more: each answered statement cloned its signature or its error in five places, where the answer could be taken apart; the role of an instance was told in two places; an epoch was looked up twice; a line of a story had two impl blocks. Two comments of broker::lane described values that are not there. No change of behaviour.

--- a/src/broker/lane.rs
+++ b/src/broker/lane.rs
@@ -1,16 +1,18 @@
 //! A connection that waits for its next session, and one that is in use.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
 use super::applied::{Applied, Fix};
 use super::server::Shared;
 use super::session::{What, Work};
 use crate::clock::{Clock, Instant};
 use crate::id;
 use crate::proxy::floor::Mark;
+use crate::report::Target;
 use crate::statement::{Code, Id, Order, Shape};
 use crate::upstream::channel::{Channel, Error, Outcome};
-use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::time::Duration;
 
 /// A connection with what is set on it.
 #[derive(Debug)]
@@ -69,7 +71,7 @@
 }
 
 impl Lane {
-    /// Makes the connection fit for a session with these values, and returns the name of `shape` on it.
+    /// Makes the connection fit for a session with these values, with `shape` prepared on it.
     ///
     /// # Errors
     ///
@@ -105,7 +107,12 @@
 }
 
 impl Hold {
-    /// Sends a statement and receives its answer. `sent` is set once the statement may have reached the instance.
+    /// Returns the role that the instance has as far as this proxy may rely on it.
+    pub(super) fn target(&self) -> Target {
+        if self.term.is_some() { Target::Primary } else { Target::Replica }
+    }
+
+    /// Sends a statement and receives its answer.
     pub(super) async fn run(
         &mut self,
         clock: &Clock,
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -24,8 +24,8 @@
 use crate::id;
 use crate::proxy::fence::Verdict;
 use crate::proxy::floor::Mark;
+use crate::report::Outcome as Counted;
 use crate::report::event::{Event, Request, Retry, millis};
-use crate::report::{Outcome as Counted, Target};
 use crate::statement::{Answer, Code, Id, Shape, State};
 use crate::upstream::channel::{Error, Outcome};
 
@@ -110,8 +110,8 @@
     }
 }
 
-fn success(outcome: Outcome, signature: String) -> Reply {
-    let rows = outcome.rows.into_iter().map(Answer::Row);
+fn success(rows: Vec<String>, signature: String) -> Reply {
+    let rows = rows.into_iter().map(Answer::Row);
     rows.chain([Answer::Done(signature)]).collect()
 }
 
@@ -244,8 +244,7 @@
     fn learn(&self, hold: &mut Hold, sent: Instant, outcome: &Outcome) {
         let now = self.shared.clock.now();
         hold.permit.took = outcome.result.is_ok().then(|| now.since(sent));
-        let target = if hold.term.is_some() { Target::Primary } else { Target::Replica };
-        self.shared.metrics.upstream_took(target, now.since(sent));
+        self.shared.metrics.upstream_took(hold.target(), now.since(sent));
         self.shared.answered(&hold.permit.instance, outcome.position);
         // The lease that was valid when the connection was taken may have run out before the statement was sent, so
         // it must still be the same one now.
@@ -271,13 +270,13 @@
         &mut self,
         attempt: &Attempt<'_>,
         hold: &Hold,
-        outcome: &Outcome,
+        position: Option<Mark>,
     ) -> Result<(), Refusal> {
         let term = hold.term.unwrap_or_default();
         let reason = match self.shared.judged(&hold.permit.group, term, attempt.limit).await {
             Verdict::Release => {
                 let asked = self.shared.clock.now();
-                self.own = outcome.position.map(|mark| Sight { asked, mark });
+                self.own = position.map(|mark| Sight { asked, mark });
                 return Ok(());
             }
             Verdict::NoLease => "this proxy's lease has run out",
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -4,7 +4,6 @@
 use crate::broker::lane::Hold;
 use crate::broker::need::Need;
 use crate::broker::session::Work;
-use crate::report::Target;
 use crate::statement::{Access, Code};
 use crate::upstream::channel::Outcome;
 
@@ -40,14 +39,12 @@
                     continue;
                 }
             };
-            let state = outcome.state;
-            match outcome.result.clone() {
+            let Outcome { rows, result, state, .. } = outcome;
+            match result {
                 Ok(signature) => {
-                    let target =
-                        if hold.term.is_some() { Target::Primary } else { Target::Replica };
-                    self.shared.metrics.read(target);
+                    self.shared.metrics.read(hold.target());
                     self.give_back(hold, state);
-                    return Ok(success(outcome, signature));
+                    return Ok(success(rows, signature));
                 }
                 Err((code, text)) if code.is_not_run() || attempt.failed.is_empty() => {
                     self.refused(attempt, hold, state, (code, text)).await?;
@@ -85,12 +82,12 @@
                 }
             };
             self.learn(&mut hold, sent, &outcome);
-            let state = outcome.state;
-            match outcome.result.clone() {
+            let Outcome { rows, result, state, position } = outcome;
+            match result {
                 Ok(signature) => {
-                    let released = self.release(attempt, &hold, &outcome).await;
+                    let released = self.release(attempt, &hold, position).await;
                     self.give_back(hold, state);
-                    return released.map(|()| success(outcome, signature));
+                    return released.map(|()| success(rows, signature));
                 }
                 Err((code, text)) if code.is_not_run() => {
                     self.refused(attempt, hold, state, (code, text)).await?;
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -57,12 +57,13 @@
                     continue;
                 }
             };
-            match outcome.result.clone() {
-                Ok(signature) if outcome.state == State::Open => {
+            let Outcome { rows, result, state, .. } = outcome;
+            match result {
+                Ok(signature) if state == State::Open => {
                     hold.wrote |= work.access == Access::Write;
                     hold.permit.rest();
                     self.hold = Some(hold);
-                    return Ok(success(outcome, signature));
+                    return Ok(success(rows, signature));
                 }
                 Ok(_) => return Err(Refusal::new(Code::Aborted, "the transaction was lost")),
                 Err((code, text)) if code.is_not_run() => {
@@ -180,12 +181,13 @@
                 return Err(Refusal::new(Code::Aborted, format!("{instance}: {broken}")));
             }
         };
-        match outcome.result.clone() {
-            Ok(signature) if outcome.state == State::Open => {
+        let Outcome { rows, result, state, .. } = outcome;
+        match result {
+            Ok(signature) if state == State::Open => {
                 hold.wrote |= work.access == Access::Write;
                 hold.permit.rest();
                 self.hold = Some(hold);
-                Ok(success(outcome, signature))
+                Ok(success(rows, signature))
             }
             Ok(_) => Err(Refusal::new(Code::Aborted, "the transaction was lost")),
             Err((code, text)) => {
@@ -236,15 +238,15 @@
                 }
             };
             self.learn(&mut hold, sent, &outcome);
-            let state = outcome.state;
-            match outcome.result.clone() {
+            let Outcome { rows, result, state, position } = outcome;
+            match result {
                 Ok(signature) => {
                     let released = match wrote {
-                        true => self.release(attempt, &hold, &outcome).await,
+                        true => self.release(attempt, &hold, position).await,
                         false => Ok(()),
                     };
                     self.give_back(hold, state);
-                    return released.map(|()| success(outcome, signature));
+                    return released.map(|()| success(rows, signature));
                 }
                 Err((Code::Busy, _))
                     if state == State::Open && clock.now() + FULL < attempt.limit =>
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -92,7 +92,7 @@
             {
                 Event::Epoch { group, term: *term, phase: *phase, primary }.log(Level::Info);
             }
-            let lead = match self.fence.epoch(name).filter(|_| self.leased) {
+            let lead = match epoch.filter(|_| self.leased) {
                 Some(Epoch { phase: Phase::Active, primary, .. }) => Lead::Primary(primary.clone()),
                 Some(Epoch { phase: Phase::Frozen, .. }) => Lead::Promoting,
                 None => Lead::Nobody,
--- a/src/cli/explain.rs
+++ b/src/cli/explain.rs
@@ -5,6 +5,7 @@
 
 use anyhow::Context;
 use clap::ArgMatches;
+use serde_json::{Value, json};
 
 use super::Exit;
 use crate::report::story::{Line, Story};
@@ -32,13 +33,9 @@
         );
     };
     if matches.get_flag("json") {
-        let lines: Vec<String> = story.lines().iter().map(Line::json).collect();
-        let cause = serde_json::Value::from(story.cause().to_string());
-        println!(
-            "{{\"request\":{},\"cause\":{cause},\"lines\":[{}]}}",
-            serde_json::Value::from(request.as_str()),
-            lines.join(",")
-        );
+        let lines: Vec<Value> = story.lines().iter().map(Line::json).collect();
+        let cause = story.cause().to_string();
+        println!("{}", json!({ "request": request, "cause": cause, "lines": lines }));
     } else {
         story.lines().iter().for_each(|line| println!("{line}"));
         println!("request {request}: {}", story.cause());
--- a/src/report/story.rs
+++ b/src/report/story.rs
@@ -90,9 +90,22 @@
         self.fields.get(key).and_then(Value::as_str) == Some(value)
     }
 
+    /// Tells whether this request may have depended on what another line says.
+    fn depends_on(&self, other: &Line) -> bool {
+        let same = |key: &str| other.is_about(key, self.text(key));
+        match other.text("event") {
+            "lease" | "stranded" | "configuration" => same("node"),
+            "instance" | "epoch" => same("node") && same("group"),
+            "decision" | "promotion" => same("group"),
+            "leader" => true,
+            "note" => same("node") && !other.is_about("level", "INFO"),
+            _ => false,
+        }
+    }
+
     /// Returns the line as it was read.
-    pub fn json(&self) -> String {
-        Value::Object(self.fields.clone()).to_string()
+    pub fn json(&self) -> Value {
+        Value::Object(self.fields.clone())
     }
 }
 
@@ -174,21 +187,6 @@
     }
 }
 
-impl Line {
-    /// Tells whether this request may have depended on what another line says.
-    fn depends_on(&self, other: &Line) -> bool {
-        let same = |key: &str| other.is_about(key, self.text(key));
-        match other.text("event") {
-            "lease" | "stranded" | "configuration" => same("node"),
-            "instance" | "epoch" => same("node") && same("group"),
-            "decision" | "promotion" => same("group"),
-            "leader" => true,
-            "note" => same("node") && !other.is_about("level", "INFO"),
-            _ => false,
-        }
-    }
-}
-
 /// Reads a time such as `2026-12-04T02:00:37.123456Z`, in microseconds since 1970.
 fn micros(time: &str) -> Option<u64> {
     let (date, clock) = time.strip_suffix('Z')?.split_once('T')?;
