Watch instances in one loop, whichever way they are reached

Read once more: control::promotion had the loop that probes an instance and carries out orders twice, with small variations; what differs is how an order is carried out, and how long the pause is once a group is settled. No change of behaviour.

--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -111,16 +111,7 @@
             if !probes.contains_key(&replica.instance) {
                 let (orders, ordered) = unbounded();
                 probes.insert(replica.instance.clone(), orders);
-                match self.reach.clone() {
-                    Reach::Pgsql => {
-                        smol::spawn(Arc::clone(self).watch(replica, ordered)).detach();
-                    }
-                    Reach::Outside { codec, promoter } => {
-                        let shared = Arc::clone(self);
-                        let watch = shared.watch_outside(replica, ordered, codec, promoter);
-                        smol::spawn(watch).detach();
-                    }
-                }
+                smol::spawn(Arc::clone(self).watch(replica, ordered)).detach();
             }
         }
     }
@@ -137,65 +128,72 @@
     /// Probes an instance, and carries out the orders to it, for as long as this process leads and the instance
     /// announces itself.
     async fn watch(self: Arc<Self>, replica: Replica, ordered: Receiver<Order>) {
-        let application = format!("cactushatch/{}/{}", self.me().node, self.domain);
-        let user = self.user.clone();
-        let mut probe = Probe::new(self.clock.clone(), user, application, replica.clone())
-            .with(self.guard.upstream.clone());
+        let mut way = self.way(&replica);
         let mut order = Order::Probe;
         while self.is_watched(&replica) {
             let asked = self.clock.now();
-            if let Some(input) = run(&mut probe, &replica.instance, asked, order).await {
-                self.saw(&replica, input);
-            }
-            let waited = self.clock.timeout(INTERVAL, ordered.recv()).await;
-            order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
-        }
-        self.probes().remove(&replica.instance);
-    }
-
-    /// The same over a [`Codec`], where an outside service promotes.
-    async fn watch_outside(
-        self: Arc<Self>,
-        replica: Replica,
-        ordered: Receiver<Order>,
-        codec: &'static dyn Codec,
-        promoter: Arc<dyn Promoter>,
-    ) {
-        let mut line =
-            Line { clock: self.clock.clone(), codec, replica: replica.clone(), open: None };
-        let mut order = Order::Probe;
-        while self.is_watched(&replica) {
-            let instance = replica.instance.clone();
-            let input = match order {
-                Order::Probe => Some(line.probe().await),
-                Order::Promote(_) => self.promote(&replica, &*promoter).await,
-                Order::Pause(term) => line.pause(term).await,
-                Order::Resume => {
-                    line.order(&statement::Order::Resume).await;
-                    None
-                }
-                Order::Follow(_, term) => {
-                    line.order(&statement::Order::Demote { term }).await;
-                    Some(line.probe().await)
+            let input = match &mut way {
+                Way::Pgsql(probe) => run(probe, &replica.instance, asked, order).await,
+                Way::Outside(line, promoter) => {
+                    self.run_outside(line, &**promoter, &replica, order).await
                 }
-                // Such a primary can't be told to stop writes by itself. What it has now is what a replica must
-                // have received before the freeze, and the freeze stops the writes.
-                Order::Demote(_) => line.last().await.map_or_else(
-                    || Some(Input::Refused { instance: instance.clone() }),
-                    |status| Some(Input::Demoted { instance: instance.clone(), status }),
-                ),
             };
             if let Some(input) = input {
                 self.saw(&replica, input);
             }
-            let settled = self.core().is_settled(&replica.group);
-            let interval = if settled { SETTLED_INTERVAL } else { INTERVAL };
+            let rests = matches!(way, Way::Outside(..)) && self.core().is_settled(&replica.group);
+            let interval = if rests { SETTLED_INTERVAL } else { INTERVAL };
             let waited = self.clock.timeout(interval, ordered.recv()).await;
             order = waited.and_then(Result::ok).unwrap_or(Order::Probe);
         }
         self.probes().remove(&replica.instance);
     }
 
+    fn way(&self, replica: &Replica) -> Way {
+        match self.reach.clone() {
+            Reach::Pgsql => {
+                let application = format!("cactushatch/{}/{}", self.me().node, self.domain);
+                let (clock, user) = (self.clock.clone(), self.user.clone());
+                let probe = Probe::new(clock, user, application, replica.clone());
+                Way::Pgsql(probe.with(self.guard.upstream.clone()))
+            }
+            Reach::Outside { codec, promoter } => {
+                let (clock, replica) = (self.clock.clone(), replica.clone());
+                Way::Outside(Line { clock, codec, replica, open: None }, promoter)
+            }
+        }
+    }
+
+    /// Carries out an order over a [`Codec`], where an outside service promotes.
+    async fn run_outside(
+        &self,
+        line: &mut Line,
+        promoter: &dyn Promoter,
+        replica: &Replica,
+        order: Order,
+    ) -> Option<Input<'static>> {
+        let instance = replica.instance.clone();
+        match order {
+            Order::Probe => Some(line.probe().await),
+            Order::Promote(_) => self.promote(replica, promoter).await,
+            Order::Pause(term) => line.pause(term).await,
+            Order::Resume => {
+                line.order(&statement::Order::Resume).await;
+                None
+            }
+            Order::Follow(_, term) => {
+                line.order(&statement::Order::Demote { term }).await;
+                Some(line.probe().await)
+            }
+            // Such a primary can't be told to stop writes by itself. What it has now is what a replica must
+            // have received before the freeze, and the freeze stops the writes.
+            Order::Demote(_) => Some(match line.last().await {
+                Some(status) => Input::Demoted { instance, status },
+                None => Input::Refused { instance },
+            }),
+        }
+    }
+
     async fn promote(&self, replica: &Replica, promoter: &dyn Promoter) -> Option<Input<'static>> {
         let token = {
             let core = self.core();
@@ -292,6 +290,14 @@
     }
 }
 
+/// How one instance is reached.
+enum Way {
+    /// By SQL.
+    Pgsql(Probe),
+    /// Over a [`Codec`], and promoted by an outside service.
+    Outside(Line, Arc<dyn Promoter>),
+}
+
 /// A connection to one instance over a [`Codec`] that is made again when it fails.
 struct Line {
     clock: Clock,
