--- a/bench/src/measure/heartbeats.rs
+++ b/bench/src/measure/heartbeats.rs
@@ -100,6 +100,7 @@
             sightings: Vec::new(),
             demand: Vec::new(),
             draining: false,
+            forwards: false,
         };
         let node = format!("simulated-{number}").parse()?;
         Ok(Self { node, socket, heartbeat, bytes: Arc::clone(bytes), grants: Arc::clone(grants) })
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -14,7 +14,7 @@
 use cactushatch::id;
 use cactushatch::wire::{
     Body, Delta, Demand, Epoch, Frame, Grant, Health, Heartbeat, Observation, Phase, Replica,
-    Route, Seal, Stamp,
+    Route, Seal, Serving, Stamp,
 };
 
 /// How long each case is repeated.
@@ -64,6 +64,7 @@
         demand: groups.clone().map(demand).collect(),
         sightings: groups.flat_map(|g| (1..=3).map(move |n| (g, n))).map(observation).collect(),
         draining: false,
+        forwards: true,
     }
 }
 
@@ -80,6 +81,7 @@
         replicas: (1..=3).map(|n| replica(group, n)).collect(),
         draining: Vec::new(),
         share: 2,
+        serving: Serving::Every,
         peaks: Vec::new(),
     };
     Grant {
--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -7,6 +7,7 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
 
+use super::forward::Forwarder;
 use super::run::{Reply, Runner};
 use super::server::Shared;
 use super::session::{Action, Session};
@@ -15,6 +16,7 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Code, DecodeError, Id, Request, State, Statement};
+use crate::wire::Step;
 
 /// How long a caller may take to open its session.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
@@ -77,6 +79,7 @@
         opened: shared.clock.now(),
         spread: fastrand::f64(),
         runner: Runner::new(Arc::clone(&shared)),
+        forwarder: Forwarder::new(Arc::clone(&shared)),
         shared: Arc::clone(&shared),
     };
     if let Err(error) = caller.run().await {
@@ -101,6 +104,7 @@
     /// The position of this session, from 0 to 1, among sessions that are ended together.
     spread: f64,
     runner: Runner,
+    forwarder: Forwarder,
 }
 
 impl Caller {
@@ -135,7 +139,7 @@
                     log::info!(
                         "rolling back a transaction on {database}: idle for too long, or the process is shutting down"
                     );
-                    self.runner.roll_back();
+                    self.roll_back();
                     self.session.fail();
                 }
             }
@@ -149,7 +153,7 @@
         let (opened, spread) = (self.opened, self.spread);
         let shared = Arc::clone(&self.shared);
         let stage = if open { Stage::Aborting } else { Stage::Draining };
-        let max_idle = shared.idle_transaction().filter(|_| self.runner.has_connection());
+        let max_idle = shared.idle_transaction().filter(|_| self.has_connection());
         let request = async {
             Ok(match self.receive().await? {
                 Some(request) => Event::Request(request),
@@ -195,14 +199,14 @@
         let reply = match (action, self.shared.database(name)) {
             (Action::Complete, _) => Reply::from_iter([Answer::Done("-".to_owned())]),
             (Action::Refuse(code, text), _) => {
-                self.runner.roll_back();
+                self.roll_back();
                 Reply::from_iter([Answer::Failed { code, text: text.to_owned() }])
             }
             (Action::Rollback, _) => {
-                self.runner.roll_back();
+                self.roll_back();
                 Reply::from_iter([Answer::Done("-".to_owned())])
             }
-            (_, None) if !self.runner.has_connection() => {
+            (_, None) if !self.has_connection() => {
                 self.session.fail();
                 let text = "the database was removed".to_owned();
                 Reply::from_iter([Answer::Failed { code: Code::NoDatabase, text }])
@@ -224,7 +228,24 @@
         let Some(database) = database else {
             return Reply::new();
         };
-        let execution = self.runner.start_execution(id, &self.session, (name, database));
+        let execution = self.runner.start_execution(id, self.session.values(), (name, database));
+        let is_served_here = self.runner.has_connection() || self.shared.serves(&database.group);
+        if self.forwarder.has_transaction() || !is_served_here {
+            let step = match action {
+                Action::Single(operation) => Step::Single(operation),
+                Action::InTransaction { operation, read_only } => {
+                    Step::InTransaction { operation, read_only }
+                }
+                Action::Commit { read_only } => Step::Commit { read_only },
+                Action::Complete | Action::Refuse(..) | Action::Rollback => return Reply::new(),
+            };
+            let is_in_transaction = matches!(step, Step::InTransaction { .. });
+            let ran = self.forwarder.run(&mut self.runner, execution, step).await;
+            if is_in_transaction && !ran.is_open {
+                self.session.fail();
+            }
+            return ran.reply;
+        }
         match action {
             Action::Single(operation) => self.runner.run_single(execution, &operation).await,
             Action::InTransaction { operation, read_only } => {
@@ -240,6 +261,16 @@
         }
     }
 
+    /// Returns whether the transaction has a connection, here or on another proxy.
+    fn has_connection(&self) -> bool {
+        self.runner.has_connection() || self.forwarder.has_transaction()
+    }
+
+    fn roll_back(&mut self) {
+        self.runner.roll_back();
+        self.forwarder.roll_back();
+    }
+
     fn queue_ready(&mut self) {
         let ready = Answer::Ready { state: self.session.state(), position: None };
         self.shared.codec.encode_reply(&ready, &mut self.output);
--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch.rs
@@ -304,6 +304,11 @@
             .is_some_and(|candidate| candidate.allowed_connections(now) < candidate.permits)
     }
 
+    /// Returns the number of connections to an instance in use.
+    pub fn used(&self, instance: &id::Instance) -> u32 {
+        self.candidates.get(instance).map_or(0, |candidate| candidate.used)
+    }
+
     /// Returns the number of connections in use on the instance that has the most.
     pub fn max_used(&self) -> u32 {
         self.candidates.values().map(|candidate| candidate.used).max().unwrap_or(0)
--- /dev/null
+++ b/src/broker/forward.rs
@@ -0,0 +1,391 @@
+//! Forwards the statements of a session to proxies that serve its group.
+//!
+//! The outcome follows from what was sent, as it does for statements that this proxy runs itself: a serving proxy rolls
+//! back the transaction of a stream that ends, so nothing can be kept until a commit or a single write was forwarded.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::need::PositionSample;
+use super::peer::{AVOID_PERIOD, NOT_SERVING_PERIOD};
+use super::run::{Execution, Refusal, Reply, Runner};
+use super::server::Shared;
+use crate::clock::Instant;
+use crate::id;
+use crate::proxy::heartbeat::Member;
+use crate::report::ForwardResult;
+use crate::report::event::{Event, millis};
+use crate::statement::{Access, Code, Id};
+use crate::wire::{Body, Forward, Forwarded, LastWrite, Server, Serving, Step, Stream};
+
+/// The number of proxies that a statement is forwarded to at most.
+const MAX_SERVERS: usize = 3;
+
+/// How long a proxy may leave everything unanswered until it is pinged. A statement that waits for capacity takes
+/// longer, a proxy that is alive answers the ping at once.
+const MAX_SILENCE: Duration = Duration::from_millis(150);
+
+/// How long a proxy may take to answer a ping or to accept a stream. This covers many round trips.
+const PING_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// How much longer than the serving proxy this one waits, so that the answer that the serving proxy gives at its
+/// deadline still arrives.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(50);
+
+/// The delay after which a caller may retry when no proxy serves the group: the usual time until the control plane has
+/// chosen another one.
+const NO_SERVER_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Timeout for a rollback, after which the stream is closed instead.
+const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The request id of statements that this process sends by itself.
+const OWN_REQUEST: &str = "-";
+
+/// Forwards the statements of one session.
+#[derive(Debug)]
+pub(super) struct Forwarder {
+    shared: Arc<Shared>,
+    transaction: Option<Transaction>,
+}
+
+/// A transaction that is open on a serving proxy.
+#[derive(Debug)]
+struct Transaction {
+    peer: Peer,
+    /// Whether the transaction may have written.
+    wrote: bool,
+}
+
+/// A stream to a serving proxy. Streams that are fit for other statements return to the pool.
+#[derive(Debug)]
+struct Peer {
+    shared: Arc<Shared>,
+    server: Server,
+    stream: Option<Stream>,
+    /// Whether nothing is pending on the stream.
+    reusable: bool,
+}
+
+/// The reason why no answer to a forwarded statement arrived.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("{0}")]
+    Stream(#[from] crate::wire::Error),
+    #[error("the proxy does not answer")]
+    Silent,
+    #[error("no answer in time")]
+    Timeout,
+}
+
+/// The result of a forwarded statement.
+pub(super) struct Ran {
+    pub(super) reply: Reply,
+    /// Whether the transaction is still open.
+    pub(super) is_open: bool,
+}
+
+/// How a forwarded statement continues after a failure.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Recovery {
+    /// Nothing of it can be kept, so it may be forwarded to another proxy.
+    Retry,
+    /// It ends with this code.
+    End(Code),
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        let stream = self.stream.take().filter(|_| self.reusable);
+        self.shared.lock().peers.end(&self.server, stream);
+    }
+}
+
+impl Peer {
+    /// Returns the stream to the pool on drop, since nothing is pending on it.
+    fn keep_stream(&mut self) {
+        self.reusable = true;
+    }
+
+    /// Sends a frame and returns the answer. `sent` is set once the frame may have reached the serving proxy.
+    async fn exchange(
+        &mut self,
+        body: Body,
+        deadline: Instant,
+        sent: &mut bool,
+    ) -> Result<Body, Failure> {
+        let clock = self.shared.clock.clone();
+        self.reusable = false;
+        let frame = self.shared.frame(body);
+        let mut stream = match self.stream.take() {
+            Some(stream) if !stream.is_closed().await => stream,
+            _ => {
+                let left = PING_TIMEOUT.min(deadline.since(clock.now()));
+                let connecting = Stream::connect(self.server.address);
+                let stream = clock.timeout(left, connecting).await.ok_or(Failure::Silent)??;
+                stream.with_seal(&self.shared.credentials.seal)
+            }
+        };
+        *sent = true;
+        let answer = async {
+            stream.send(&frame).await?;
+            Ok(stream.receive().await?.body)
+        };
+        let watched = smol::future::or(answer, self.watch());
+        let body = clock.timeout(deadline.since(clock.now()), watched).await;
+        let body = body.ok_or(Failure::Timeout)??;
+        self.shared.lock().peers.record_answer(clock.now(), &self.server.node);
+        self.stream = Some(stream);
+        Ok(body)
+    }
+
+    /// Returns once the proxy answers nothing any more, not even a ping.
+    async fn watch<T>(&self) -> Result<T, Failure> {
+        let (clock, node) = (&self.shared.clock, &self.server.node);
+        loop {
+            clock.sleep(MAX_SILENCE).await;
+            let silence = self.shared.lock().peers.silence(clock.now(), node);
+            if silence.is_some_and(|silence| silence < MAX_SILENCE) {
+                continue;
+            }
+            let ping = async {
+                let stream = Stream::connect(self.server.address).await?;
+                let mut stream = stream.with_seal(&self.shared.credentials.seal);
+                stream.send(&self.shared.frame(Body::Ping)).await?;
+                stream.receive().await
+            };
+            clock.timeout(PING_TIMEOUT, ping).await.ok_or(Failure::Silent)??;
+            self.shared.lock().peers.record_answer(clock.now(), node);
+        }
+    }
+}
+
+impl Forwarder {
+    pub(super) fn new(shared: Arc<Shared>) -> Self {
+        Self { shared, transaction: None }
+    }
+
+    /// Returns whether a transaction is open on a serving proxy.
+    pub(super) fn has_transaction(&self) -> bool {
+        self.transaction.is_some()
+    }
+
+    /// Forwards a statement and returns the answer for the caller.
+    pub(super) async fn run(
+        &mut self,
+        runner: &mut Runner,
+        mut execution: Execution<'_>,
+        step: Step,
+    ) -> Ran {
+        execution.forwarded = true;
+        match self.run_on_any(runner, &mut execution, &step).await {
+            Ok(ran) => ran,
+            Err(refusal) => {
+                Ran { reply: runner.conclude(&execution, Err(refusal)), is_open: false }
+            }
+        }
+    }
+
+    async fn run_on_any(
+        &mut self,
+        runner: &mut Runner,
+        execution: &mut Execution<'_>,
+        step: &Step,
+    ) -> Result<Ran, Refusal> {
+        // This proxy may be listed already while its share has not grown yet.
+        let mut excluded: SmallVec<[id::Node; 4]> = SmallVec::from_iter([self.shared.node.clone()]);
+        let mut failed = 0;
+        loop {
+            let (mut peer, continues, wrote) = match self.transaction.take() {
+                Some(transaction) => (transaction.peer, true, transaction.wrote),
+                None => (self.choose(execution, &excluded).await?, false, false),
+            };
+            execution.tries += 1;
+            let forward = self.forward(runner, execution, step, continues);
+            let deadline = execution.deadline + DEADLINE_MARGIN;
+            let mut sent = false;
+            let (recovery, result, reason) =
+                match peer.exchange(Body::Forward(forward), deadline, &mut sent).await {
+                    Ok(Body::Forwarded(Forwarded::Handled { reply, is_open, written })) => {
+                        self.shared.metrics.record_forward(ForwardResult::Handled);
+                        let requested_at = self.shared.clock.now();
+                        if let Some(mark) = written {
+                            runner.set_last_write(Some(PositionSample { requested_at, mark }));
+                        }
+                        if is_open {
+                            let wrote = wrote || writes(step);
+                            self.transaction = Some(Transaction { peer, wrote });
+                        } else {
+                            peer.keep_stream();
+                        }
+                        return Ok(Ran { reply: reply.into_iter().collect(), is_open });
+                    }
+                    Ok(Body::Forwarded(Forwarded::NotServing)) => {
+                        self.avoid(&peer, NOT_SERVING_PERIOD);
+                        peer.keep_stream();
+                        let reason = "the proxy does not serve the group".to_owned();
+                        (recovery(step, continues, wrote, false), ForwardResult::NotServing, reason)
+                    }
+                    Ok(_) => {
+                        self.avoid(&peer, AVOID_PERIOD);
+                        let reason = "an answer of an unexpected kind".to_owned();
+                        (recovery(step, continues, wrote, sent), ForwardResult::Failed, reason)
+                    }
+                    Err(failure) => {
+                        if !matches!(failure, Failure::Timeout) {
+                            self.avoid(&peer, AVOID_PERIOD);
+                        }
+                        let reason = failure.to_string();
+                        (recovery(step, continues, wrote, sent), ForwardResult::Failed, reason)
+                    }
+                };
+            self.log_failure(execution, &peer.server.node, result, &reason);
+            excluded.push(peer.server.node.clone());
+            failed += 1;
+            match recovery {
+                Recovery::End(code) => {
+                    return Err(Refusal::new(code, format!("{}: {reason}", peer.server.node)));
+                }
+                Recovery::Retry
+                    if failed >= MAX_SERVERS || self.shared.clock.now() >= execution.deadline =>
+                {
+                    let reason = "the proxies that serve the group failed";
+                    return Err(Refusal::busy(reason, NO_SERVER_RETRY_DELAY));
+                }
+                Recovery::Retry => {}
+            }
+        }
+    }
+
+    fn forward(
+        &self,
+        runner: &Runner,
+        execution: &Execution<'_>,
+        step: &Step,
+        continues: bool,
+    ) -> Forward {
+        let now = self.shared.clock.now();
+        let last_write = runner.last_write().map(|sample| LastWrite {
+            mark: sample.mark,
+            age_ms: u32::try_from(millis(now.since(sample.requested_at))).unwrap_or(u32::MAX),
+        });
+        Forward {
+            request: execution.id.clone(),
+            database: execution.database_name.to_owned(),
+            values: execution.values.clone(),
+            last_write,
+            step: step.clone(),
+            continues,
+        }
+    }
+
+    /// Chooses the proxy to forward to. Waits for one, as statements wait for capacity, while none serves the group.
+    async fn choose(
+        &self,
+        execution: &mut Execution<'_>,
+        excluded: &[id::Node],
+    ) -> Result<Peer, Refusal> {
+        let shared = &self.shared;
+        let started = shared.clock.now();
+        let choose_now = || {
+            let now = shared.clock.now();
+            let mut state = shared.lock();
+            let state = &mut *state;
+            let Serving::Listed(servers) = state.fence.table().serving(&execution.database.group)
+            else {
+                return None;
+            };
+            let server = state.peers.choose(now, &shared.domain, servers, excluded)?.clone();
+            let stream = state.peers.begin(&server);
+            Some(Peer { shared: Arc::clone(shared), server, stream, reusable: false })
+        };
+        let choosing = async {
+            loop {
+                let changed = shared.changed.listen();
+                if let Some(peer) = choose_now() {
+                    return peer;
+                }
+                changed.await;
+            }
+        };
+        let left = execution.max_wait().saturating_sub(execution.waited);
+        let chosen = shared.clock.timeout(left, choosing).await;
+        execution.waited += shared.clock.now().since(started);
+        chosen.ok_or_else(|| {
+            Refusal::busy("no proxy serves the group", shared.retry_after(NO_SERVER_RETRY_DELAY))
+        })
+    }
+
+    fn avoid(&self, peer: &Peer, period: Duration) {
+        self.shared.lock().peers.avoid(self.shared.clock.now(), &peer.server.node, period);
+    }
+
+    fn log_failure(
+        &self,
+        execution: &Execution<'_>,
+        server: &id::Node,
+        result: ForwardResult,
+        reason: &str,
+    ) {
+        self.shared.metrics.record_forward(result);
+        let (request, group) = (execution.id.as_str(), &execution.database.group);
+        let elapsed_ms = millis(self.shared.clock.now().since(execution.received_at));
+        Event::Forward { request, group, server, reason, elapsed_ms }.log(log::Level::Info);
+    }
+
+    /// Rolls back the open transaction, if there is one, in the background.
+    pub(super) fn roll_back(&mut self) {
+        let Some(Transaction { mut peer, .. }) = self.transaction.take() else {
+            return;
+        };
+        let forward = Forward {
+            request: Id::new(OWN_REQUEST),
+            database: String::new(),
+            values: BTreeMap::new(),
+            last_write: None,
+            step: Step::Rollback,
+            continues: true,
+        };
+        smol::spawn(async move {
+            let deadline = peer.shared.clock.now() + ROLLBACK_TIMEOUT;
+            let answer = peer.exchange(Body::Forward(forward), deadline, &mut false).await;
+            if let Ok(Body::Forwarded(Forwarded::Handled { is_open: false, .. })) = answer {
+                peer.keep_stream();
+            }
+        })
+        .detach();
+    }
+}
+
+fn writes(step: &Step) -> bool {
+    match step {
+        Step::Single(operation) | Step::InTransaction { operation, .. } => {
+            operation.access == Access::Write
+        }
+        Step::Commit { .. } | Step::Rollback => false,
+    }
+}
+
+/// Decides how a statement continues that a serving proxy has not answered. `sent` is whether it may have arrived there,
+/// and `wrote` whether its transaction may have written.
+fn recovery(step: &Step, continues: bool, wrote: bool, sent: bool) -> Recovery {
+    match step {
+        Step::Single(_) if writes(step) && sent => Recovery::End(Code::Unknown),
+        Step::Commit { .. } if wrote && sent => Recovery::End(Code::Unknown),
+        Step::InTransaction { .. } | Step::Commit { .. } | Step::Rollback if continues => {
+            Recovery::End(Code::Aborted)
+        }
+        Step::Single(_) | Step::InTransaction { .. } | Step::Commit { .. } | Step::Rollback => {
+            Recovery::Retry
+        }
+    }
+}
+
+impl Drop for Forwarder {
+    fn drop(&mut self) {
+        self.roll_back();
+    }
+}
--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -65,12 +65,15 @@
     fn heartbeat(&self) -> Heartbeat {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.leased != state.fence.is_leased(now) {
-            let unheard_ms = ms_since_renewal(now, state.fence.last_renewal());
-            Event::Lease { held: false, unheard_ms }.log(Level::Warn);
-            state.refresh(now, &self.domain);
-        }
         let sequence = state.fence.record_heartbeat(now);
+        if !state.fence.is_leased(now) {
+            if state.leased {
+                let unheard_ms = ms_since_renewal(now, state.fence.last_renewal());
+                Event::Lease { held: false, unheard_ms }.log(Level::Warn);
+            }
+            // Without a lease this proxy may hold ever fewer connections.
+            state.refresh(now, &self.node, &self.domain);
+        }
         let (seen, table, _) = state.fence.newest();
         Heartbeat {
             sequence,
@@ -83,6 +86,7 @@
             sightings: state.observations(now, sequence),
             demand: state.demand(),
             draining: self.shutdown.has_reached(Stage::Leaving),
+            forwards: true,
         }
     }
 
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -3,20 +3,24 @@
 //!
 //! A session checks out a connection for a statement or a transaction and returns it afterwards. Its session variables
 //! and prepared statements are set up on each connection that it uses. Decisions are made by state machines without I/O
-//! ([`session`], [`setup`], [`dispatch`], [`health`], [`need`], [`stranded`]); the other modules do the I/O. See
-//! `docs/PLATFORM.md`, "The broker".
+//! ([`session`], [`setup`], [`dispatch`], [`health`], [`need`], [`peer`], [`stranded`]); the other modules do the I/O.
+//! Statements of groups that other proxies serve are forwarded to these. See `docs/PLATFORM.md`, "The broker" and
+//! "Forwarding".
 
 mod caller;
 mod connection;
 pub mod dispatch;
 mod explain;
+mod forward;
 mod guard;
 pub mod health;
 mod member;
 mod monitor;
 pub mod need;
+pub mod peer;
 mod pool;
 mod run;
+mod serve;
 mod server;
 pub mod session;
 pub mod setup;
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -21,7 +21,7 @@
     /// Returns what a read requires, after waiting for a position sample if necessary.
     pub(super) async fn need(&self, execution: &mut Execution<'_>) -> Need {
         let started = self.shared.clock.now();
-        let left = max_wait(execution).saturating_sub(execution.waited);
+        let left = execution.max_wait().saturating_sub(execution.waited);
         let need = self.shared.need(execution.database, self.last_write, left).await;
         execution.waited += self.shared.clock.now().since(started);
         need
@@ -43,8 +43,8 @@
                 ticket: self.shared.ticket(),
                 need,
                 priority: execution.priority,
-                max_wait: max_wait(execution).saturating_sub(waited).min(left),
-                max_promotion_wait: max_promotion_wait(execution).saturating_sub(waited).min(left),
+                max_wait: execution.max_wait().saturating_sub(waited).min(left),
+                max_promotion_wait: execution.max_promotion_wait().saturating_sub(waited).min(left),
                 excluded: execution.excluded.clone(),
             };
             execution.need = Some(need);
@@ -61,11 +61,10 @@
             if need == Need::Primary && term.is_none() {
                 return Err(Refusal::busy("the primary is being replaced", FULL_DELAY));
             }
-            let connection =
-                match self.shared.idle_connection(&instance, execution.session.values()) {
-                    Some(connection) => Ok(connection),
-                    None => self.shared.open_connection(&instance, execution.deadline).await,
-                };
+            let connection = match self.shared.idle_connection(&instance, execution.values) {
+                Some(connection) => Ok(connection),
+                None => self.shared.open_connection(&instance, execution.deadline).await,
+            };
             match connection {
                 Ok(connection) => return Ok(Checkout { connection, permit, term, wrote: false }),
                 Err(error) => {
@@ -98,14 +97,16 @@
     }
 }
 
-/// Returns how long a statement may wait for capacity: a part of its target latency, so that a statement that starts
-/// also ends in time.
-fn max_wait(execution: &Execution<'_>) -> Duration {
-    execution.database.target.0 * MAX_WAIT_PERCENT / 100
-}
+impl Execution<'_> {
+    /// Returns how long the statement may wait for capacity: a part of its target latency, so that a statement that
+    /// starts also ends in time.
+    pub(in crate::broker) fn max_wait(&self) -> Duration {
+        self.database.target.0 * MAX_WAIT_PERCENT / 100
+    }
 
-/// Returns how long a statement may wait for a primary that is being promoted. This is longer than the wait for
-/// capacity, since no other instance can run it.
-fn max_promotion_wait(execution: &Execution<'_>) -> Duration {
-    execution.database.timeout.0 * MAX_PROMOTION_WAIT_PERCENT / 100
+    /// Returns how long the statement may wait for a primary that is being promoted. This is longer than the wait for
+    /// capacity, since no other instance can run it.
+    fn max_promotion_wait(&self) -> Duration {
+        self.database.timeout.0 * MAX_PROMOTION_WAIT_PERCENT / 100
+    }
 }
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -8,6 +8,7 @@
 mod single;
 mod transaction;
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use super::dispatch::FULL_DELAY;
 use super::need::{Need, PositionSample};
 use super::server::Shared;
-use super::session::{Body, Operation, Session};
+use super::session::{Body, Operation};
 use crate::clock::Instant;
 use crate::config::Database;
 use crate::id;
@@ -44,29 +45,32 @@
 
 /// A statement that is being run, over all its attempts.
 pub(super) struct Execution<'a> {
-    pub(super) id: &'a Id,
-    pub(super) session: &'a Session,
+    pub(in crate::broker) id: &'a Id,
+    /// The session variables.
+    pub(in crate::broker) values: &'a BTreeMap<String, String>,
     /// The name of the database.
-    database_name: &'a str,
-    pub(super) database: &'a Database,
+    pub(in crate::broker) database_name: &'a str,
+    pub(in crate::broker) database: &'a Database,
     priority: u8,
     /// When the statement was received.
-    received_at: Instant,
+    pub(in crate::broker) received_at: Instant,
     /// When the statement must be answered.
-    deadline: Instant,
+    pub(in crate::broker) deadline: Instant,
     /// The instances on which the statement failed.
     excluded: SmallVec<[id::Instance; 2]>,
     /// What the statement requires of the instance that it runs on or waits for.
     need: Option<Need>,
+    /// Whether the statement is forwarded to another proxy.
+    pub(in crate::broker) forwarded: bool,
     /// How long the statement waited for capacity.
-    waited: Duration,
+    pub(in crate::broker) waited: Duration,
     /// The number of instances tried, and the last of them.
-    tries: u32,
+    pub(in crate::broker) tries: u32,
     instance: Option<id::Instance>,
 }
 
 /// The reason why a statement ends without success.
-struct Refusal {
+pub(super) struct Refusal {
     code: Code,
     text: String,
     /// When the caller may retry.
@@ -91,12 +95,12 @@
 }
 
 impl Refusal {
-    fn new(code: Code, text: impl Into<String>) -> Self {
+    pub(in crate::broker) fn new(code: Code, text: impl Into<String>) -> Self {
         Self { code, text: text.into(), after: None }
     }
 
     /// Creates a temporary refusal that says when to retry.
-    fn busy(text: &str, after: Duration) -> Self {
+    pub(in crate::broker) fn busy(text: &str, after: Duration) -> Self {
         Self { after: Some(after), ..Self::new(Code::Busy, text) }
     }
 }
@@ -135,17 +139,27 @@
         Self { shared, checkout: None, last_write: None }
     }
 
+    /// Returns the position of the primary after the session's last write.
+    pub(super) fn last_write(&self) -> Option<PositionSample> {
+        self.last_write
+    }
+
+    /// Replaces the position of the primary after the session's last write, when another proxy ran it.
+    pub(super) fn set_last_write(&mut self, last_write: Option<PositionSample>) {
+        self.last_write = last_write;
+    }
+
     /// Starts a statement of the session.
     pub(super) fn start_execution<'a>(
         &self,
         id: &'a Id,
-        session: &'a Session,
+        values: &'a BTreeMap<String, String>,
         (database_name, database): (&'a str, &'a Database),
     ) -> Execution<'a> {
         let received_at = self.shared.clock.now();
         Execution {
             id,
-            session,
+            values,
             database_name,
             database,
             priority: self.shared.priority(&database.class),
@@ -153,6 +167,7 @@
             deadline: received_at + database.timeout.0,
             excluded: SmallVec::new(),
             need: None,
+            forwarded: false,
             waited: Duration::ZERO,
             tries: 0,
             instance: None,
@@ -160,7 +175,11 @@
     }
 
     /// Counts and logs the result of a statement and returns the caller's answer.
-    fn conclude(&self, execution: &Execution<'_>, result: Result<Reply, Refusal>) -> Reply {
+    pub(super) fn conclude(
+        &self,
+        execution: &Execution<'_>,
+        result: Result<Reply, Refusal>,
+    ) -> Reply {
         let elapsed = self.shared.clock.now().since(execution.received_at);
         let class = &execution.database.class;
         self.shared.metrics.observe_wait(class, execution.waited);
@@ -215,6 +234,7 @@
             need: match execution.need {
                 Some(Need::Primary) => "primary",
                 Some(Need::AtLeast { .. }) => "mark",
+                None if execution.forwarded => "server",
                 None => "transaction",
             },
             ..Request::default()
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -69,7 +69,7 @@
         loop {
             let mut checkout = self.acquire(execution, Need::Primary).await?;
             let instance = checkout.permit.instance.clone();
-            let (clock, values) = (&self.shared.clock, execution.session.values());
+            let (clock, values) = (&self.shared.clock, execution.values);
             let applied = checkout
                 .connection
                 .apply(clock, values, template(operation), true, execution.deadline)
@@ -119,7 +119,7 @@
         operation: &Operation,
         need: Need,
     ) -> Result<Outcome, Failure> {
-        let (clock, values) = (&self.shared.clock, execution.session.values());
+        let (clock, values) = (&self.shared.clock, execution.values);
         let (group, term) = (checkout.permit.group.clone(), checkout.term);
         let applied = checkout
             .connection
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -130,7 +130,7 @@
         read_only: bool,
         need: Need,
     ) -> Result<Outcome, Failure> {
-        let (clock, values) = (&self.shared.clock, execution.session.values());
+        let (clock, values) = (&self.shared.clock, execution.values);
         let (group, term) = (checkout.permit.group.clone(), checkout.term);
         let applied = checkout
             .connection
@@ -154,7 +154,7 @@
         operation: &Operation,
         read_only: bool,
     ) -> Result<Outcome, Failure> {
-        let (clock, values) = (&self.shared.clock, execution.session.values());
+        let (clock, values) = (&self.shared.clock, execution.values);
         let (group, term) = (checkout.permit.group.clone(), checkout.term);
         let term = term.filter(|_| !read_only);
         let applied = checkout
--- /dev/null
+++ b/src/broker/serve.rs
@@ -0,0 +1,178 @@
+//! Runs the statements that other proxies forward to this one.
+//!
+//! A stream carries one statement at a time, and belongs to a transaction from its first statement to its end. When the
+//! stream ends, the transaction is rolled back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::net::{TcpListener, TcpStream};
+
+use super::need::PositionSample;
+use super::run::{Reply, Runner};
+use super::server::Shared;
+use crate::config::Database;
+use crate::proxy::heartbeat::Member;
+use crate::proxy::shutdown::Stage;
+use crate::report::Peer;
+use crate::statement::{Answer, Code};
+use crate::wire::{Body, Error, Forward, Forwarded, Frame, Step, Stream};
+
+/// The delay before the next accept after a failed one.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// How much longer than the forwarding proxy this one waits for the next statement of an idle transaction, since that
+/// proxy ends it with an answer for the caller.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Accepts streams of other proxies until the process ends.
+pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                smol::spawn(serve(Arc::clone(&shared), socket)).detach();
+            }
+            Err(error) => {
+                log::warn!(
+                    "stream of a proxy could not be accepted: {error}; retrying in {ACCEPT_RETRY_DELAY:?}"
+                );
+                shared.clock.sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve(shared: Arc<Shared>, socket: TcpStream) {
+    let mut handler = Handler {
+        runner: Runner::new(Arc::clone(&shared)),
+        shared: Arc::clone(&shared),
+        database: None,
+        open_session: None,
+    };
+    if let Err(error) = handler.run(socket).await {
+        if !matches!(error, Error::Io(_)) {
+            shared.metrics.record_protocol_error(Peer::Process, error.kind());
+        }
+        log::debug!("stream of a proxy ended: {error}");
+    }
+}
+
+/// Counts as an open session, for which a shutdown waits, until dropped.
+#[derive(Debug)]
+struct OpenSession(Arc<Shared>);
+
+impl OpenSession {
+    fn new(shared: &Arc<Shared>) -> Self {
+        shared.shutdown.session_opened();
+        Self(Arc::clone(shared))
+    }
+}
+
+impl Drop for OpenSession {
+    fn drop(&mut self) {
+        self.0.shutdown.session_closed();
+    }
+}
+
+/// Handles the statements of one stream.
+struct Handler {
+    shared: Arc<Shared>,
+    runner: Runner,
+    /// The database of the open transaction.
+    database: Option<Database>,
+    /// Held while a statement runs or a transaction is open.
+    open_session: Option<OpenSession>,
+}
+
+impl Handler {
+    async fn run(&mut self, socket: TcpStream) -> Result<(), Error> {
+        let mut stream = Stream::from_accepted(socket)?.with_seal(&self.shared.credentials.seal);
+        while let Some(frame) = self.receive(&mut stream).await? {
+            let answer = match frame.body {
+                Body::Forward(forward) => Body::Forwarded(self.handle(forward).await),
+                Body::Ping => Body::Ping,
+                _ => return Ok(()),
+            };
+            stream.send(&self.shared.frame(answer)).await?;
+        }
+        Ok(())
+    }
+
+    /// Receives the next frame. Returns `None` if the open transaction must end instead.
+    async fn receive(&self, stream: &mut Stream) -> Result<Option<Frame>, Error> {
+        let receiving = async { stream.receive().await.map(Some) };
+        if !self.runner.has_connection() {
+            return receiving.await;
+        }
+        let aborting = async {
+            self.shared.shutdown.wait_for(Stage::Aborting).await;
+            Ok(None)
+        };
+        let waiting = smol::future::or(receiving, aborting);
+        match self.shared.idle_transaction() {
+            Some(idle) => {
+                let received = self.shared.clock.timeout(idle + IDLE_MARGIN, waiting).await;
+                received.unwrap_or(Ok(None))
+            }
+            None => waiting.await,
+        }
+    }
+
+    async fn handle(&mut self, forward: Forward) -> Forwarded {
+        if forward.continues && !self.runner.has_connection() {
+            let text = "the transaction was lost".to_owned();
+            let reply = vec![Answer::Failed { code: Code::Aborted, text }];
+            return Forwarded::Handled { reply, is_open: false, written: None };
+        }
+        if !forward.continues {
+            self.runner.roll_back();
+            self.database = self.shared.database(&forward.database);
+            let leaves = self.shared.shutdown.has_reached(Stage::Draining);
+            if leaves || !self.database.as_ref().is_some_and(|db| self.shared.serves(&db.group)) {
+                return Forwarded::NotServing;
+            }
+        }
+        let Some(database) = self.database.clone() else {
+            return Forwarded::NotServing;
+        };
+        if self.open_session.is_none() {
+            self.open_session = Some(OpenSession::new(&self.shared));
+        }
+        let now = self.shared.clock.now();
+        self.runner.set_last_write(forward.last_write.map(|write| PositionSample {
+            requested_at: now - Duration::from_millis(u64::from(write.age_ms)),
+            mark: write.mark,
+        }));
+        let before = self.runner.last_write();
+        let (reply, is_open) = self.run_step(&forward, &database).await;
+        if !is_open {
+            self.open_session = None;
+        }
+        let written = self.runner.last_write().filter(|_| self.runner.last_write() != before);
+        Forwarded::Handled {
+            reply: reply.into_vec(),
+            is_open,
+            written: written.map(|sample| sample.mark),
+        }
+    }
+
+    /// Runs a statement. Returns the answer and whether a transaction is open.
+    async fn run_step(&mut self, forward: &Forward, database: &Database) -> (Reply, bool) {
+        let execution = self.runner.start_execution(
+            &forward.request,
+            &forward.values,
+            (&forward.database, database),
+        );
+        match &forward.step {
+            Step::Single(operation) => (self.runner.run_single(execution, operation).await, false),
+            Step::InTransaction { operation, read_only } => {
+                self.runner.run_in_transaction(execution, operation, *read_only).await
+            }
+            Step::Commit { read_only } => (self.runner.commit(execution, *read_only).await, false),
+            Step::Rollback => {
+                self.runner.roll_back();
+                (Reply::from_iter([Answer::Done("-".to_owned())]), false)
+            }
+        }
+    }
+}
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -11,7 +11,7 @@
 
 use super::state::State;
 use super::stranded::BALANCER_NOTICE;
-use super::{caller, monitor};
+use super::{caller, monitor, serve};
 use crate::clock::Clock;
 use crate::config;
 use crate::id;
@@ -72,6 +72,7 @@
     let listener = TcpListener::bind(proxy.listen).await?;
     let admin = TcpListener::bind(proxy.admin).await?;
     let udp = UdpSocket::bind(proxy.address).await?;
+    let peers = TcpListener::bind(proxy.address).await?;
     let (heartbeat_trigger, heartbeat_requests) = bounded(1);
     let incarnation = heartbeat::new_incarnation();
     let shared = Arc::new(Shared {
@@ -95,6 +96,7 @@
     smol::spawn(shared.credentials.clone().watch(shared.clock.clone())).detach();
     heartbeat::spawn(&shared, udp);
     smol::spawn(caller::accept(Arc::clone(&shared), listener)).detach();
+    smol::spawn(serve::accept(Arc::clone(&shared), peers)).detach();
     smol::spawn(monitor::run(Arc::clone(&shared))).detach();
     smol::spawn(crate::admin::serve_metrics(shared.metrics.clone(), admin)).detach();
     Ok(Server { shared })
--- a/src/broker/session.rs
+++ b/src/broker/session.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::statement::{Access, Code, State, Statement, Template};
 
 /// The maximum number of session variables.
@@ -56,7 +58,7 @@
 }
 
 /// A statement to run on an instance.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Operation {
     /// Whether the statement reads or writes.
     pub access: Access,
@@ -65,7 +67,7 @@
 }
 
 /// The content of a statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// The text from the caller.
     Text(String),
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -57,7 +57,9 @@
 
     /// Applies changes from the control plane or the health checks, and wakes the tasks that wait for them.
     pub(super) fn apply_changes(&self, now: Instant, state: &mut State) {
-        state.refresh(now, &self.domain);
+        state.refresh(now, &self.node, &self.domain);
+        let served = state.groups.values().filter(|group| group.permits > 0).count();
+        self.metrics.set_groups_served(served);
         let names: Vec<id::Group> = state.groups.keys().cloned().collect();
         for name in names {
             state.advance(now, &name);
@@ -117,6 +119,11 @@
         self.clock.timeout(CONFIGURATION_TIMEOUT, configured).await.is_some()
     }
 
+    /// Returns whether this proxy serves a group by itself.
+    pub(super) fn serves(&self, group: &id::Group) -> bool {
+        self.lock().serves(group)
+    }
+
     /// Returns the declaration of a database.
     pub(super) fn database(&self, name: &str) -> Option<Database> {
         let name: id::Database = name.parse().ok()?;
@@ -284,8 +291,12 @@
     /// Records that an instance refused a new connection, and schedules a retry for the statements that wait for it.
     pub(super) fn record_refused_connection(self: &Arc<Self>, permit: &Permit) {
         let now = self.clock.now();
+        self.metrics.record_refused_connection();
         if let Some(queue) = self.lock().groups.get_mut(&permit.group) {
             queue.dispatcher.record_refused_connection(now, &permit.instance);
+            let (instance, group) = (&permit.instance, &permit.group);
+            let (in_use, permits) = (queue.dispatcher.used(instance), queue.permits);
+            Event::ConnectionLimit { instance, group, in_use, permits }.log(Level::Info);
         }
         let (shared, group) = (Arc::clone(self), permit.group.clone());
         let later = async move {
@@ -349,10 +360,17 @@
     pub(super) fn return_connection(&self, instance: &id::Instance, connection: SharedConnection) {
         let now = self.clock.now();
         let mut state = self.lock();
-        let Some(entry) = state.instances.get_mut(instance) else {
+        let State { instances, groups, .. } = &mut *state;
+        let Some(entry) = instances.get_mut(instance) else {
             return;
         };
-        entry.idle.put(now, connection);
+        // The share may have shrunk while the connection was in use. `used` includes this connection.
+        let is_within_share = groups.get(&entry.replica.group).is_some_and(|group| {
+            group.dispatcher.used(instance) + entry.idle.len() as u32 <= group.permits
+        });
+        if is_within_share {
+            entry.idle.put(now, connection);
+        }
     }
 
     /// Records that an instance answered, and its position.
@@ -488,9 +506,11 @@
         Some(PingGuard { shared: Arc::clone(self), instance })
     }
 
-    /// Maps each instance to a value.
+    /// Maps each instance of the groups that this proxy serves to a value.
     pub(super) fn map_instances<T>(&self, map: impl Fn(&Instance) -> T) -> Vec<T> {
-        self.lock().instances.values().map(map).collect()
+        let state = self.lock();
+        let served = state.instances.values().filter(|entry| state.serves(&entry.replica.group));
+        served.map(map).collect()
     }
 
     /// Returns the primaries whose last position sample is older than [`MAX_POSITION_SAMPLE_AGE`].
@@ -503,7 +523,7 @@
                 .newest_requested_at()
                 .is_none_or(|at| now.since(at) > MAX_POSITION_SAMPLE_AGE)
         };
-        let groups = state.groups.values().filter(stale);
+        let groups = state.groups.values().filter(|group| group.permits > 0).filter(stale);
         groups.filter_map(|group| group.dispatcher.primary().cloned()).collect()
     }
 }
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -11,6 +11,7 @@
 use super::dispatch::{Dispatcher, Primary, Ticket};
 use super::health::Health;
 use super::need::PositionSample;
+use super::peer::Peers;
 use super::pool::Pool;
 use super::stranded::Stranded;
 use crate::clock::Instant;
@@ -19,7 +20,7 @@
 use crate::proxy::fence::{Fence, Verdict};
 use crate::proxy::position_history::PositionHistory;
 use crate::report::Event;
-use crate::wire::{Demand, Epoch, Observation, Phase, Replica};
+use crate::wire::{Demand, Epoch, Observation, Phase, Replica, Serving};
 
 /// The mutable state. Its lock is never held over an `await`.
 #[derive(Debug, Default)]
@@ -29,6 +30,8 @@
     pub(super) revision: id::Revision,
     pub(super) instances: BTreeMap<id::Instance, Instance>,
     pub(super) groups: BTreeMap<id::Group, Group>,
+    /// The proxies to which statements are forwarded.
+    pub(super) peers: Peers,
     /// Addresses of control processes, in addition to the seeds.
     pub(super) voters: Vec<SocketAddr>,
     /// Whether the lease was valid when it was last checked.
@@ -53,6 +56,8 @@
     pub(super) dispatcher: Dispatcher,
     pub(super) positions: PositionHistory,
     pub(super) waiters: BTreeMap<Ticket, Sender<id::Instance>>,
+    /// The maximum number of connections to each instance. It is 0 if other proxies serve the group.
+    pub(super) permits: u32,
     /// The term and the phase that were seen last.
     epoch: Option<(id::Term, Phase)>,
 }
@@ -65,22 +70,40 @@
 
 impl State {
     /// Applies the latest decisions of the control plane.
-    pub(super) fn refresh(&mut self, now: Instant, domain: &id::Domain) {
+    pub(super) fn refresh(&mut self, now: Instant, node: &id::Node, domain: &id::Domain) {
         self.leased = self.fence.is_leased(now);
         let table = self.fence.table();
+        let servers = table.serving.iter().filter_map(|(_, serving)| match serving {
+            Serving::Listed(servers) => Some(servers),
+            Serving::Undecided | Serving::Every => None,
+        });
+        self.peers.retain(servers.flatten());
         let listed = |instance: &Instance| table.replicas.contains(&instance.replica);
         self.instances.retain(|_, instance| listed(instance));
         for replica in &table.replicas {
             let known = self.instances.entry(replica.instance.clone());
             let instance = known.or_insert_with(|| Instance::new(now, replica.clone()));
             let group = self.groups.entry(replica.group.clone()).or_default();
-            let share = table.shares.iter().find(|(name, _)| *name == replica.group);
-            let share = share.map_or(1, |(_, share)| *share);
-            let permits = if self.leased { share.max(1) } else { 1 };
+            let permits = self.fence.permits(now, node, &replica.group);
+            if group.permits == 0 && permits > 0 {
+                // Nothing was known of the instance while other proxies served the group.
+                instance.health.reset(now);
+            }
             let usable = instance.health.is_usable() && !table.draining.contains(&replica.instance);
             let remote = replica.domain != *domain;
             group.dispatcher.set_instance(&replica.instance, permits, usable, remote);
-            instance.idle.prune(now, permits as usize);
+            let used = group.dispatcher.used(&replica.instance);
+            instance.idle.prune(now, permits.saturating_sub(used) as usize);
+        }
+        for (name, group) in &mut self.groups {
+            let permits = self.fence.permits(now, node, name);
+            if std::mem::replace(&mut group.permits, permits) != permits {
+                let servers = match table.serving(name) {
+                    Serving::Listed(servers) => Some(servers.len()),
+                    Serving::Undecided | Serving::Every => None,
+                };
+                Event::Share { group: name, permits, servers }.log(Level::Info);
+            }
         }
         for (name, queue) in &mut self.groups {
             let gone = |instance: &id::Instance| !self.instances.contains_key(instance);
@@ -103,6 +126,11 @@
         }
     }
 
+    /// Returns whether this proxy serves a group by itself.
+    pub(super) fn serves(&self, group: &id::Group) -> bool {
+        self.groups.get(group).is_some_and(|group| group.permits > 0)
+    }
+
     /// Closes connections that stayed idle for too long.
     pub(super) fn prune(&mut self, now: Instant) {
         for instance in self.instances.values_mut() {
@@ -156,6 +184,10 @@
     ) -> Vec<Observation> {
         let mut observations = Vec::new();
         for instance in self.instances.values_mut() {
+            let group = self.groups.get(&instance.replica.group);
+            if group.is_none_or(|group| group.permits == 0) {
+                continue;
+            }
             let acknowledged = |reported| self.fence.is_acknowledged(reported);
             let Some(health) = instance.health.report(now, sequence, acknowledged) else {
                 continue;
@@ -172,19 +204,17 @@
 
     /// Returns how many connections each group uses and needs.
     pub(super) fn demand(&self) -> Vec<Demand> {
-        let table = self.fence.table();
         let demand = |(name, group): (&id::Group, &Group)| {
-            let share = table.shares.iter().find(|(known, _)| known == name);
-            let share = share.map_or(0, |(_, share)| *share);
             let instances = self.instances.values().filter(|i| i.replica.group == *name);
-            let idle = instances.map(|instance| instance.idle.len()).max().unwrap_or(0) as u32;
-            let wanted = group.dispatcher.max_wanted().max(1);
-            Demand {
-                group: name.clone(),
-                wanted,
-                open: idle.max(group.dispatcher.max_used()),
-                share,
-            }
+            let open = |instance: &Instance| {
+                instance.idle.len() as u32 + group.dispatcher.used(&instance.replica.instance)
+            };
+            let open = instances.map(open).max().unwrap_or(0);
+            let wanted = match group.permits {
+                0 => 0,
+                _ => group.dispatcher.max_wanted().max(1),
+            };
+            Demand { group: name.clone(), wanted, open, share: group.permits }
         };
         self.groups.iter().map(demand).collect()
     }
--- a/src/control/budget.rs
+++ b/src/control/budget.rs
@@ -41,6 +41,10 @@
     pub node: id::Node,
     /// Whether the proxy may hold a lease.
     pub live: bool,
+    /// Whether the proxy serves the group. One that doesn't gets no share, but may still have connections open.
+    pub serves: bool,
+    /// Whether the proxy may still keep a connection without a lease; see [`super::lease::UNLEASED_RETENTION`].
+    pub retains: bool,
 }
 
 impl Budget {
@@ -72,7 +76,7 @@
             .any(|participant| !self.allocations.contains_key(&participant.node));
         let mut changed = false;
         for participant in participants.iter().filter(|participant| !participant.live) {
-            changed |= self.reclaim(&participant.node, version);
+            changed |= self.reclaim(participant, version);
         }
         let reserved = CONTROL_CONNECTIONS + WATCH_CONNECTIONS * participants.len() as u32;
         let available = connections.saturating_sub(reserved);
@@ -89,28 +93,50 @@
         self.allocations.get(node).map_or(0, |allocation| allocation.share)
     }
 
+    /// Returns whether a proxy holds a share of the connections.
+    pub fn holds_share(&self, node: &id::Node) -> bool {
+        self.share(node) > 0
+    }
+
+    /// Returns whether a proxy has reported its demand.
+    pub fn has_reported(&self, node: &id::Node) -> bool {
+        self.allocations.contains_key(node)
+    }
+
     /// Returns the most connections that all proxies may have open together.
     pub fn max_open(&self) -> u32 {
         self.allocations.values().map(|allocation| allocation.max_open).sum()
     }
 
-    /// Reclaims the share of a proxy whose lease has expired, except for one connection.
-    fn reclaim(&mut self, node: &id::Node, version: u64) -> bool {
-        let allocation = self.allocations.entry(node.clone()).or_default();
-        let changed = allocation.share != 1;
+    /// Reclaims the share of a proxy whose lease has expired, except for the connection that it keeps without a lease.
+    fn reclaim(&mut self, participant: &Participant, version: u64) -> bool {
+        let unreported = Allocation { max_open: 1, ..Allocation::default() };
+        let allocation = self.allocations.entry(participant.node.clone()).or_insert(unreported);
+        let share = u32::from(participant.serves);
+        let max_open = match participant {
+            Participant { serves: true, .. } => 1,
+            Participant { retains: true, .. } => allocation.max_open.min(1),
+            Participant { .. } => 0,
+        };
+        let changed = allocation.share != share;
         let version = if changed { version } else { allocation.version };
-        *allocation = Allocation { wanted: 1, share: 1, max_open: 1, version };
+        *allocation = Allocation { wanted: 1, share, max_open, version };
         changed
     }
 
-    /// Returns the target share of each proxy: one connection for every proxy, then one at a time for the live proxy
-    /// that has the smallest part of what it wants.
+    /// Returns the target share of each proxy: one connection for every proxy that serves the group, then one at a time
+    /// for the live one that has the smallest part of what it wants.
     fn targets(&self, participants: &[Participant], available: u32) -> BTreeMap<id::Node, u32> {
-        let mut targets: BTreeMap<id::Node, u32> =
-            participants.iter().map(|participant| (participant.node.clone(), 1)).collect();
-        let live: Vec<&Participant> =
-            participants.iter().filter(|participant| participant.live).collect();
-        for _ in participants.len() as u32..available {
+        let mut targets: BTreeMap<id::Node, u32> = participants
+            .iter()
+            .map(|participant| (participant.node.clone(), u32::from(participant.serves)))
+            .collect();
+        let live: Vec<&Participant> = participants
+            .iter()
+            .filter(|participant| participant.live && participant.serves)
+            .collect();
+        let serving = participants.iter().filter(|participant| participant.serves).count();
+        for _ in serving as u32..available {
             let need = |participant: &&&Participant| {
                 let wanted = self
                     .allocations
@@ -132,7 +158,7 @@
     fn shrink(&mut self, targets: &BTreeMap<id::Node, u32>, version: u64) -> bool {
         let mut changed = false;
         for (node, allocation) in &mut self.allocations {
-            let target = targets.get(node).copied().unwrap_or(1);
+            let target = targets.get(node).copied().unwrap_or(0);
             if target < allocation.share {
                 allocation.share = target;
                 allocation.version = version;
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -5,16 +5,23 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::budget::{Budget, Participant, WATCH_CONNECTIONS};
+use super::budget::{
+    Budget, CONTROL_CONNECTIONS, Participant, SPARE_CONNECTIONS, WATCH_CONNECTIONS,
+};
 use super::failover::{Group, Input, Output, View};
-use super::lease::{CONFIRMATION_VALIDITY, Holder, LEASE_DURATION, Leases};
+use super::lease::{
+    CONFIRMATION_VALIDITY, Holder, LEASE_DURATION, Leases, UNLEASED_RETENTION_WAIT,
+};
 use super::registry::{Registry, Verdict};
+use super::serving::{Candidate, Choice};
 use super::state::{Action, State};
 use crate::clock::Instant;
 use crate::config::Fleet;
 use crate::id;
 use crate::upstream::announcement;
-use crate::wire::{Announcement, Delta, Demand, Grant, Heartbeat, Phase, Replica, Route, Stamp};
+use crate::wire::{
+    Announcement, Delta, Demand, Grant, Heartbeat, Phase, Replica, Route, Server, Serving, Stamp,
+};
 
 /// The interval at which connection shares are updated.
 const RESHARE_INTERVAL: Duration = Duration::from_millis(200);
@@ -38,6 +45,8 @@
     proxies: BTreeMap<id::Node, Proxy>,
     routes: BTreeMap<id::Group, TableEntry>,
     budgets: BTreeMap<id::Group, Budget>,
+    /// The proxies that serve each group.
+    serving: BTreeMap<id::Group, Choice>,
     reshared_at: Option<Instant>,
     /// The proxies whose removal was proposed, and when.
     proposed_removals: BTreeMap<id::Node, Instant>,
@@ -57,6 +66,8 @@
     address: SocketAddr,
     /// The version of the table that the proxy has in force.
     table: u64,
+    draining: bool,
+    forwards: bool,
 }
 
 /// A group's entry in the table.
@@ -142,6 +153,7 @@
             draining: replicas.iter().filter(drains).map(|r| r.instance.clone()).collect(),
             replicas,
             share: 0,
+            serving: self.serving(&group, state),
             peaks: state.peaks.iter().filter(|peak| peak.group == group).cloned().collect(),
             group: group.clone(),
         };
@@ -238,7 +250,9 @@
             return false;
         }
         let (sequence, address) = (heartbeat.sequence, heartbeat.address);
-        let proxy = Proxy { incarnation, sequence, received_at: now, address, table };
+        let (draining, forwards) = (heartbeat.draining, heartbeat.forwards);
+        let proxy =
+            Proxy { incarnation, sequence, received_at: now, address, table, draining, forwards };
         self.proxies.insert(node.clone(), proxy);
         true
     }
@@ -314,6 +328,13 @@
             };
             let known = self.replicas().filter(|replica| replica.group == name);
             let known: Vec<id::Instance> = known.map(|r| r.instance.clone()).collect();
+            // The other proxies don't watch the instances, so their last reports are outdated.
+            let choice = self.serving.get(&name);
+            let observers: BTreeSet<id::Node> = live
+                .iter()
+                .filter(|node| choice.is_none_or(|choice| choice.includes(node)))
+                .cloned()
+                .collect();
             let view = View {
                 epoch: state.epochs.get(&name),
                 claim: state.claims.get(&name),
@@ -321,7 +342,7 @@
                 declared_instances: declared.instances as usize,
                 known_instances: &known,
                 durability: declared.durability,
-                live_proxies: &live,
+                live_proxies: &observers,
                 draining: &state.draining,
             };
             if let Some(group) = self.groups.get_mut(&name) {
@@ -351,25 +372,94 @@
             return;
         }
         self.reshared_at = Some(now);
-        let participant =
-            |(node, (incarnation, _)): (&id::Node, &(id::Incarnation, id::Domain))| Participant {
-                node: node.clone(),
-                live: self.leases.may_hold(now, &(node.clone(), *incarnation)),
-            };
-        let participants: Vec<Participant> = state.nodes.iter().map(participant).collect();
         let inherited = self.leases.has_inherited(now);
         for (name, group) in &fleet.group {
-            let budget = self.budgets.entry(name.clone()).or_default();
             // If an outside service promotes instances, proxies watch them over their shared connections, so that no
             // connections are reserved for it.
-            let unreserved = if group.promoted_outside {
-                WATCH_CONNECTIONS * participants.len() as u32
-            } else {
-                0
+            let watching = WATCH_CONNECTIONS * state.nodes.len() as u32;
+            let reserved = if group.promoted_outside { 0 } else { watching };
+            let available = group.connections.saturating_sub(reserved);
+            let decided = self.choose_servers(now, name, available, state);
+            let Some(choice) = self.serving.get(name).filter(|_| decided) else {
+                continue;
+            };
+            let participant = |(node, (incarnation, _)): (&id::Node, &(id::Incarnation, _))| {
+                let live = self.leases.may_hold(now, &(node.clone(), *incarnation));
+                let unleased = now - UNLEASED_RETENTION_WAIT;
+                let retains = self.leases.may_hold(unleased, &(node.clone(), *incarnation));
+                Participant { node: node.clone(), live, serves: choice.includes(node), retains }
             };
-            let connections = group.connections + unreserved;
-            if budget.reshare(connections, &participants, inherited, self.version + 1) {
-                self.refresh_group(name.clone(), state);
+            let participants: Vec<Participant> = state.nodes.iter().map(participant).collect();
+            let budget = self.budgets.entry(name.clone()).or_default();
+            let connections = group.connections + watching - reserved;
+            budget.reshare(connections, &participants, inherited, self.version + 1);
+            self.refresh_group(name.clone(), state);
+        }
+    }
+
+    /// Updates which proxies serve a group. Returns false as long as that can't be decided: while proxies that have not
+    /// reported may hold connections that an earlier leader gave them, a new choice could give these away twice.
+    fn choose_servers(
+        &mut self,
+        now: Instant,
+        name: &id::Group,
+        connections: u32,
+        state: &State,
+    ) -> bool {
+        let budget = self.budgets.entry(name.clone()).or_default();
+        let available = connections.saturating_sub(CONTROL_CONNECTIONS + SPARE_CONNECTIONS);
+        let can_forward = |node| self.proxies.get(node).is_none_or(|proxy: &Proxy| proxy.forwards);
+        let unreported = state.nodes.keys().any(|node| !budget.has_reported(node));
+        let choice = self.serving.entry(name.clone()).or_default();
+        if !state.nodes.keys().all(can_forward) {
+            *choice = Choice::Every;
+            return true;
+        }
+        if state.nodes.len() as u32 > available
+            && *choice == Choice::Undecided
+            && self.leases.has_inherited(now)
+            && unreported
+        {
+            return false;
+        }
+        let mut other_groups: BTreeMap<&id::Node, usize> = BTreeMap::new();
+        let others = self.serving.iter().filter(|(group, _)| *group != name);
+        for (_, choice) in others {
+            if let Choice::Listed(listed) = choice {
+                listed.iter().for_each(|node| *other_groups.entry(node).or_default() += 1);
+            }
+        }
+        let candidate = |(node, (incarnation, domain)): (&id::Node, &(_, id::Domain))| {
+            let reported = self.proxies.get(node).filter(|proxy| proxy.incarnation == *incarnation);
+            let live = self.leases.may_hold(now, &(node.clone(), *incarnation));
+            Candidate {
+                node: node.clone(),
+                domain: domain.clone(),
+                live: live && reported.is_some_and(|proxy| !proxy.draining),
+                holds_share: budget.holds_share(node),
+                other_groups: other_groups.get(node).copied().unwrap_or(0),
+            }
+        };
+        let candidates: Vec<Candidate> = state.nodes.iter().map(candidate).collect();
+        let mut choice = self.serving.get(name).cloned().unwrap_or_default();
+        choice.update(name, &candidates, available);
+        let decided = choice != Choice::Undecided;
+        self.serving.insert(name.clone(), choice);
+        decided
+    }
+
+    /// Returns the proxies that serve a group, with their addresses.
+    fn serving(&self, group: &id::Group, state: &State) -> Serving {
+        match self.serving.get(group) {
+            None | Some(Choice::Undecided) => Serving::Undecided,
+            Some(Choice::Every) => Serving::Every,
+            Some(Choice::Listed(listed)) => {
+                let server = |node: &id::Node| {
+                    let address = self.proxies.get(node)?.address;
+                    let (_, domain) = state.nodes.get(node)?;
+                    Some(Server { node: node.clone(), address, domain: domain.clone() })
+                };
+                Serving::Listed(listed.iter().filter_map(server).collect())
             }
         }
     }
--- a/src/control/lease.rs
+++ b/src/control/lease.rs
@@ -30,6 +30,14 @@
         as u64,
 );
 
+/// How long a proxy whose lease has expired keeps one connection to each instance of a group that other proxies serve
+/// too. Until then its newest position sample may still be young enough for reads.
+pub const UNLEASED_RETENTION: Duration = Duration::from_millis(2_000);
+
+/// How long the control plane assumes that such a connection is kept: its clock may be a tenth faster.
+pub const UNLEASED_RETENTION_WAIT: Duration =
+    Duration::from_millis(UNLEASED_RETENTION.as_millis() as u64 * 11 / 10);
+
 /// A proxy process: the name of the proxy and the incarnation. Each incarnation has its own lease, so that a failover
 /// also waits for an old process that still runs beside its successor.
 pub type Holder = (id::Node, id::Incarnation);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -19,6 +19,7 @@
 pub mod raft;
 pub mod registry;
 mod server;
+pub mod serving;
 pub mod state;
 pub mod store;
 mod submit;
--- /dev/null
+++ b/src/control/serving.rs
@@ -0,0 +1,123 @@
+//! Chooses the proxies that serve a group. While there are connections for all proxies, each serves every group by
+//! itself. When there are fewer connections than proxies, a few proxies hold them, and the others forward statements to
+//! these. See `docs/DESIGN.md`, "Serving proxies".
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::id;
+
+/// The connections to each instance that a serving proxy gets on average. Statements of transactions are pinned to a
+/// connection, so a smaller pool is often blocked by transactions while the pool of another proxy is idle.
+pub const POOL_CONNECTIONS: u32 = 5;
+
+/// The least number of serving proxies, so that the loss of one leaves another.
+pub const MIN_SERVERS: u32 = 2;
+
+/// A proxy that may serve a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Candidate {
+    /// The proxy.
+    pub node: id::Node,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Whether the proxy may hold a lease and isn't shutting down.
+    pub live: bool,
+    /// Whether the proxy holds a share of the connections.
+    pub holds_share: bool,
+    /// The number of other groups that the proxy serves.
+    pub other_groups: usize,
+}
+
+/// The proxies that serve one group.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum Choice {
+    /// Not chosen yet.
+    #[default]
+    Undecided,
+    /// Every proxy.
+    Every,
+    /// These proxies.
+    Listed(BTreeSet<id::Node>),
+}
+
+impl Choice {
+    /// Returns whether a proxy is chosen.
+    pub fn includes(&self, node: &id::Node) -> bool {
+        match self {
+            Self::Undecided => false,
+            Self::Every => true,
+            Self::Listed(listed) => listed.contains(node),
+        }
+    }
+
+    /// Updates the choice. `connections` is the number of connections to each instance that proxies may hold together.
+    /// Serving proxies are kept as long as they are live, and are spread evenly over the failure domains. At most one
+    /// proxy moves from one domain to another per call, so that a group never changes all its proxies at once.
+    pub fn update(&mut self, group: &id::Group, candidates: &[Candidate], connections: u32) {
+        if candidates.len() as u32 <= connections {
+            *self = Self::Every;
+            return;
+        }
+        let live: BTreeMap<&id::Node, &Candidate> =
+            candidates.iter().filter(|c| c.live).map(|c| (&c.node, c)).collect();
+        if live.is_empty() {
+            return;
+        }
+        let mut listed: BTreeMap<&id::Node, &Candidate> = match self {
+            Self::Listed(listed) => {
+                live.iter().filter(|(n, _)| listed.contains(**n)).map(|(n, c)| (*n, *c)).collect()
+            }
+            Self::Undecided | Self::Every => {
+                live.iter().filter(|(_, c)| c.holds_share).map(|(n, c)| (*n, *c)).collect()
+            }
+        };
+        let seats = (connections / POOL_CONNECTIONS).max(MIN_SERVERS).min(live.len() as u32);
+        while listed.len() > seats as usize {
+            let Some(node) = most_expendable(&listed) else { break };
+            listed.remove(node);
+        }
+        if listed.len() == seats as usize
+            && let (Some(next), Some(last)) =
+                (best_addition(group, &live, &listed), most_expendable(&listed))
+            && count_in_domain(&listed, &next.domain) + 1
+                < count_in_domain(&listed, &listed[last].domain)
+        {
+            listed.remove(last);
+        }
+        while listed.len() < seats as usize {
+            let Some(next) = best_addition(group, &live, &listed) else { break };
+            listed.insert(&next.node, next);
+        }
+        *self = Self::Listed(listed.into_keys().cloned().collect());
+    }
+}
+
+fn count_in_domain(listed: &BTreeMap<&id::Node, &Candidate>, domain: &id::Domain) -> usize {
+    listed.values().filter(|candidate| candidate.domain == *domain).count()
+}
+
+/// Returns the proxy to remove first: one of the domain with the most, which serves the most other groups.
+fn most_expendable<'a>(listed: &BTreeMap<&'a id::Node, &'a Candidate>) -> Option<&'a id::Node> {
+    let rank = |candidate: &&&Candidate| {
+        (count_in_domain(listed, &candidate.domain), candidate.other_groups)
+    };
+    listed.values().max_by_key(rank).map(|candidate| &candidate.node)
+}
+
+/// Returns the proxy to add next: one of the domain with the fewest, which serves the fewest other groups. Groups differ
+/// in which of several equal proxies they prefer.
+fn best_addition<'a>(
+    group: &id::Group,
+    live: &BTreeMap<&'a id::Node, &'a Candidate>,
+    listed: &BTreeMap<&'a id::Node, &'a Candidate>,
+) -> Option<&'a Candidate> {
+    let rank = |candidate: &&Candidate| {
+        let mut hasher = crc32fast::Hasher::new();
+        hasher.update(group.as_str().as_bytes());
+        hasher.update(candidate.node.as_str().as_bytes());
+        let in_domain = count_in_domain(listed, &candidate.domain);
+        (in_domain, candidate.other_groups, hasher.finalize())
+    };
+    let free = live.values().copied().filter(|candidate| !listed.contains_key(&candidate.node));
+    free.min_by_key(rank)
+}
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use crate::clock::Instant;
+use crate::control::lease::UNLEASED_RETENTION;
 use crate::id;
-use crate::wire::{Epoch, Grant, Phase, Stamp, Table};
+use crate::wire::{Epoch, Grant, Phase, Serving, Stamp, Table};
 
 /// The maximum number of sent heartbeats whose send times are kept.
 const MAX_SENT_HEARTBEATS: usize = 64;
@@ -35,6 +36,9 @@
     table_version: u64,
     table: Table,
     lease_end: Instant,
+    /// Whether a heartbeat was sent since the lease expired. The leader that received it may have given the share to
+    /// others.
+    is_lapsed: bool,
     /// When the heartbeat was sent that last renewed the lease.
     last_renewal: Instant,
     newest_revision: id::Revision,
@@ -49,6 +53,7 @@
     /// Records that a heartbeat is sent now, and returns its sequence number.
     pub fn record_heartbeat(&mut self, now: Instant) -> id::Sequence {
         self.last_sent = self.last_sent.next();
+        self.is_lapsed |= !self.is_leased(now);
         if self.sent.len() == MAX_SENT_HEARTBEATS {
             self.sent.pop_front();
         }
@@ -75,12 +80,14 @@
             && newer
             && delta.since <= self.table_version
         {
-            self.table.apply(delta);
+            let max_kept_share = if self.is_lapsed { 1 } else { u32::MAX };
+            self.table.apply(delta, max_kept_share);
             self.table_version = grant.version;
         }
         if let Some(sent) = grant.sequence.and_then(|sequence| self.sent_at(sequence))
             && self.table_version >= grant.version
         {
+            self.is_lapsed = false;
             self.last_renewal = self.last_renewal.max(sent);
             self.lease_end =
                 self.lease_end.max(sent + Duration::from_millis(u64::from(grant.lease_ms)));
@@ -124,6 +131,22 @@
         now < self.lease_end
     }
 
+    /// Returns the maximum number of connections that `node`, the owner of this fence, may hold to each instance of a
+    /// group. Without a lease the leader gives the share to other proxies, except for one connection, and that one too
+    /// after [`UNLEASED_RETENTION`] if other proxies serve the group.
+    pub fn permits(&self, now: Instant, node: &id::Node, group: &id::Group) -> u32 {
+        let share = self.table.share(group);
+        match self.table.serving(group) {
+            Serving::Every if self.is_leased(now) => share.max(1),
+            Serving::Every => 1,
+            Serving::Undecided => 0,
+            Serving::Listed(servers) if servers.iter().all(|server| server.node != *node) => 0,
+            Serving::Listed(_) if self.is_leased(now) => share,
+            Serving::Listed(_) if now.since(self.lease_end) < UNLEASED_RETENTION => share.min(1),
+            Serving::Listed(_) => 0,
+        }
+    }
+
     /// Returns the epoch of the group in the last received table.
     pub fn epoch(&self, group: &id::Group) -> Option<&Epoch> {
         self.table.epochs.iter().find(|epoch| epoch.group == *group)
--- a/src/proxy/floor.rs
+++ b/src/proxy/floor.rs
@@ -4,13 +4,14 @@
 use std::fmt;
 use std::str::FromStr;
 
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::id;
 use crate::wire::Epoch;
 
 /// A point in the history of a group, ordered by term and then by position.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Serialize, Deserialize)]
 pub struct Mark {
     /// The term that the position was read in.
     pub term: id::Term,
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -420,6 +420,7 @@
             sightings: state.observations(now, sequence),
             demand: state.demand(),
             draining: self.is_draining(),
+            forwards: false,
         }
     }
 
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -25,6 +25,39 @@
     Request(Request<'a>),
     /// A request is retried.
     Retry(Retry<'a>),
+    /// A proxy that serves a group has not run a statement that was forwarded to it.
+    Forward {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The group.
+        group: &'a id::Group,
+        /// The proxy that it was forwarded to.
+        server: &'a id::Node,
+        /// Why it did not run there, or why no answer came.
+        reason: &'a str,
+        /// Time since the arrival of the request.
+        elapsed_ms: u64,
+    },
+    /// An instance refused a new connection because it has as many as it accepts.
+    ConnectionLimit {
+        /// The instance.
+        instance: &'a id::Instance,
+        /// Its group.
+        group: &'a id::Group,
+        /// Number of connections to it that this proxy uses.
+        in_use: u32,
+        /// Maximum number of connections to it that this proxy may hold.
+        permits: u32,
+    },
+    /// The connections to each instance of a group that this proxy may hold changed. With none, it forwards.
+    Share {
+        /// The group.
+        group: &'a id::Group,
+        /// Maximum number of connections to each instance.
+        permits: u32,
+        /// Number of proxies that serve the group; absent if all do or none is chosen yet.
+        servers: Option<usize>,
+    },
     /// The proxy's lease started or expired.
     Lease {
         /// Whether the lease is held.
@@ -130,8 +163,8 @@
     pub tries: u32,
     /// The last instance that the request was tried on.
     pub instance: Option<&'a id::Instance>,
-    /// What the request required: the primary, an instance that has received a mark, or the one of its read-only
-    /// transaction.
+    /// What the request required: the primary, an instance that has received a mark, the one of its read-only
+    /// transaction, or a proxy that serves the group.
     pub need: &'static str,
     /// Time since the primary was observed at that mark.
     pub mark_age_ms: Option<u64>,
@@ -176,6 +209,9 @@
         match self {
             Self::Request(_) => "event.request",
             Self::Retry(_) => "event.retry",
+            Self::Forward { .. } => "event.forward",
+            Self::ConnectionLimit { .. } => "event.connection_limit",
+            Self::Share { .. } => "event.share",
             Self::Lease { .. } => "event.lease",
             Self::Stranded { .. } => "event.stranded",
             Self::Epoch { .. } => "event.epoch",
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -53,6 +53,17 @@
         FloorLost = "floor_lost",
     }
 );
+label!(
+    /// The result of forwarding a statement to a proxy that serves its group.
+    ForwardResult {
+        /// The serving proxy answered.
+        Handled = "handled",
+        /// The proxy didn't serve the group.
+        NotServing = "not_serving",
+        /// No answer arrived.
+        Failed = "failed",
+    }
+);
 label!(
     /// The result of a call to an external promotion service.
     PromotionAnswer {
@@ -178,6 +189,11 @@
     }
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ForwardLabels {
+    pub(super) result: ForwardResult,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct PromotionLabels {
     pub(super) answer: PromotionAnswer,
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -11,9 +11,9 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::label::{
-    self, ClassLabels, Failure, FailureLabels, LeaseAnswer, LeaseLabels, Outcome, Peer,
-    PromotionAnswer, PromotionLabels, ProtocolErrorLabels, Refusal, RefusalLabels, RequestLabels,
-    RoleLabels, Target, TargetLabels,
+    self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
+    LeaseLabels, Outcome, Peer, PromotionAnswer, PromotionLabels, ProtocolErrorLabels, Refusal,
+    RefusalLabels, RequestLabels, RoleLabels, Target, TargetLabels,
 };
 use crate::{id, wire};
 
@@ -41,6 +41,9 @@
     connections_open: Family<RoleLabels, Gauge>,
     connections_busy: Family<RoleLabels, Gauge>,
     callers: Gauge,
+    connections_refused: Counter,
+    forwards: Family<ForwardLabels, Counter>,
+    groups_served: Gauge,
     heartbeats_sent: Counter,
     heartbeats_received: Counter,
     leases: Family<LeaseLabels, Counter>,
@@ -79,6 +82,9 @@
             connections_open: Family::default(),
             connections_busy: Family::default(),
             callers: Gauge::default(),
+            connections_refused: Counter::default(),
+            forwards: Family::default(),
+            groups_served: Gauge::default(),
             heartbeats_sent: Counter::default(),
             heartbeats_received: Counter::default(),
             leases: Family::default(),
@@ -157,6 +163,21 @@
             self.connections_busy.clone(),
         );
         registry.register("callers", "Connections of callers", self.callers.clone());
+        registry.register(
+            "upstream_connections_refused",
+            "New connections that an instance refused because it had as many as it accepts",
+            self.connections_refused.clone(),
+        );
+        registry.register(
+            "forwards",
+            "Statements forwarded to proxies that serve their group, by result",
+            self.forwards.clone(),
+        );
+        registry.register(
+            "groups_served",
+            "Groups whose instances this proxy may hold connections to",
+            self.groups_served.clone(),
+        );
     }
 
     fn register_processes(&self, registry: &mut Registry) {
@@ -267,6 +288,21 @@
         self.connections_busy.get_or_create(&role).set(i64::from(busy));
     }
 
+    /// Counts a connection that an instance refused because it had as many as it accepts.
+    pub fn record_refused_connection(&self) {
+        self.connections_refused.inc();
+    }
+
+    /// Counts a statement that was forwarded to a proxy.
+    pub fn record_forward(&self, result: ForwardResult) {
+        self.forwards.get_or_create(&ForwardLabels { result }).inc();
+    }
+
+    /// Sets the number of groups that this proxy serves by itself.
+    pub fn set_groups_served(&self, groups: usize) {
+        self.groups_served.set(groups as i64);
+    }
+
     /// Counts a caller that connected.
     pub fn caller_connected(&self) {
         self.callers.inc();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -11,7 +11,9 @@
 pub mod timeline;
 
 pub use event::Event;
-pub use label::{Failure, LeaseAnswer, Outcome, Peer, PromotionAnswer, Refusal, Target};
+pub use label::{
+    Failure, ForwardResult, LeaseAnswer, Outcome, Peer, PromotionAnswer, Refusal, Target,
+};
 pub use metrics::Metrics;
 pub use queue::Queue;
 pub use rate_limiter::{RateLimiter, Verdict};
--- a/src/report/timeline.rs
+++ b/src/report/timeline.rs
@@ -34,6 +34,10 @@
     Promotion,
     /// An instance failed while the request ran on it.
     InstanceFailed,
+    /// The proxies that serve the group failed, or none served it.
+    NoServer,
+    /// An instance accepted no more connections, so the proxy had none to it.
+    ConnectionLimit,
     /// There were more requests than the instances could serve, or fewer instances than usual.
     Overload,
     /// The request waited for an instance with capacity.
@@ -53,6 +57,8 @@
             }
             Self::Promotion => "the primary of its group was being replaced",
             Self::InstanceFailed => "an instance failed while it ran there",
+            Self::NoServer => "the proxies that serve its group failed, or none served it",
+            Self::ConnectionLimit => "an instance accepted no more connections",
             Self::Overload => "more came than the instances could take",
             Self::CapacityWait => "it waited for an instance with room",
             Self::SlowInstance => "an instance took long to answer",
@@ -96,7 +102,7 @@
         let same = |key: &str| other.has_value(key, self.text(key));
         match other.text("event") {
             "lease" | "stranded" | "configuration" => same("node"),
-            "instance" | "epoch" => same("node") && same("group"),
+            "instance" | "epoch" | "connection_limit" | "share" => same("node") && same("group"),
             "decision" | "promotion" => same("group"),
             "leader" => true,
             "note" => same("node") && !other.has_value("level", "INFO"),
@@ -174,6 +180,8 @@
                 && !line.has_value("trouble", "Fine")
                 && line.has_value("instance", self.last.text("instance"))
         });
+        let is_connection_limited =
+            self.lines.iter().any(|line| line.has_value("event", "connection_limit"));
         let needs_primary = self.last.has_value("need", "primary");
         if needs_primary && self.last.number("lease_left_ms") == 0 {
             Cause::NoLease
@@ -181,6 +189,10 @@
             Cause::Promotion
         } else if instance_failed || matches!(outcome, "unknown" | "timeout" | "aborted") {
             Cause::InstanceFailed
+        } else if outcome == "busy" && self.last.has_value("need", "server") {
+            Cause::NoServer
+        } else if outcome == "busy" && is_connection_limited {
+            Cause::ConnectionLimit
         } else if outcome == "busy" {
             Cause::Overload
         } else {
--- a/src/statement/answer.rs
+++ b/src/statement/answer.rs
@@ -2,11 +2,13 @@
 
 use std::fmt;
 
+use serde::{Deserialize, Serialize};
+
 use crate::proxy::floor::Mark;
 
 /// One part of an answer. An answer is zero or more rows, then [`Answer::Done`] or [`Answer::Failed`], then
 /// [`Answer::Ready`].
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// A row.
     Row(String),
@@ -29,7 +31,7 @@
 }
 
 /// The state of a connection's transaction.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
     /// No transaction is open.
     Idle,
@@ -40,7 +42,7 @@
 }
 
 /// The reason why a statement failed.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Code {
     /// No capacity right now. Nothing of the attempt is kept.
     Busy,
--- a/src/statement/request.rs
+++ b/src/statement/request.rs
@@ -3,8 +3,10 @@
 use std::fmt;
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
+
 /// The id that a caller gives a statement. It is passed on unchanged.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Id(Arc<str>);
 
 impl Id {
@@ -45,7 +47,7 @@
 }
 
 /// Whether a statement reads or writes data.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Access {
     /// Reads only.
     Read,
@@ -54,7 +56,7 @@
 }
 
 /// The text of a prepared statement and its kind of access.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Template {
     /// Whether the statement reads or writes.
     pub access: Access,
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::forward::{Forward, Forwarded};
 use crate::{control, id};
 
 /// The term and index of the control log at which a decision was made. Receivers reject anything with an older
@@ -54,6 +55,12 @@
     Declarations,
     /// Leader to voter, over TCP: the newest declarations as the operator wrote them, if there are any.
     Declared(Option<control::state::Declaration>),
+    /// Proxy to a proxy that serves a group, over TCP: runs a statement. [`Body::Forwarded`] answers it.
+    Forward(Forward),
+    /// Proxy to the proxy that sent [`Body::Forward`], over TCP.
+    Forwarded(Forwarded),
+    /// Proxy to proxy, over TCP: asks whether the receiver is alive. The receiver sends the same back.
+    Ping,
 }
 
 /// A proxy's periodic report to the control plane, which requests a lease.
@@ -80,6 +87,9 @@
     pub demand: Vec<Demand>,
     /// Whether the proxy is shutting down and needs no share of the connections.
     pub draining: bool,
+    /// Whether the proxy forwards the statements of groups that it doesn't serve, and accepts those that other proxies
+    /// forward. It accepts them over TCP at `address`.
+    pub forwards: bool,
 }
 
 /// The connections to each instance of a group that a proxy holds and needs.
@@ -211,10 +221,36 @@
     pub draining: Vec<id::Instance>,
     /// The maximum number of connections that the receiving proxy may hold to each instance.
     pub share: u32,
+    /// The proxies that hold connections to the instances.
+    pub serving: Serving,
     /// The confirmed peaks of the group that have not ended.
     pub peaks: Vec<Peak>,
 }
 
+/// The proxies that hold connections to the instances of a group and run its statements. See `docs/DESIGN.md`,
+/// "Serving proxies".
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Serving {
+    /// The leader has not decided yet. The decision of the previous leader stays in force.
+    #[default]
+    Undecided,
+    /// Every proxy.
+    Every,
+    /// Only these proxies. The others forward their statements to them.
+    Listed(Vec<Server>),
+}
+
+/// A proxy that serves a group.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Server {
+    /// The proxy.
+    pub node: id::Node,
+    /// The address at which it accepts forwarded statements.
+    pub address: SocketAddr,
+    /// The proxy's failure domain.
+    pub domain: id::Domain,
+}
+
 /// The routing table, which the leader of the control plane sends to every proxy.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Table {
@@ -226,17 +262,36 @@
     pub draining: Vec<id::Instance>,
     /// The maximum number of connections that this proxy may hold to each instance of a group.
     pub shares: Vec<(id::Group, u32)>,
+    /// The proxies that serve each group.
+    pub serving: Vec<(id::Group, Serving)>,
     /// The peaks that operators have confirmed and that have not ended.
     pub peaks: Vec<Peak>,
 }
 
 impl Table {
-    /// Applies a delta. A delta since version 0 replaces the whole table.
-    pub fn apply(&mut self, delta: Delta) {
-        if delta.since == 0 {
-            *self = Self::default();
-        }
-        for route in delta.routes {
+    /// Returns the proxies that serve a group.
+    pub fn serving(&self, group: &id::Group) -> &Serving {
+        let found = self.serving.iter().find(|(name, _)| name == group);
+        found.map_or(&Serving::Undecided, |(_, serving)| serving)
+    }
+
+    /// Returns the receiver's share of the connections to each instance of a group.
+    pub fn share(&self, group: &id::Group) -> u32 {
+        let found = self.shares.iter().find(|(name, _)| name == group);
+        found.map_or(0, |(_, share)| *share)
+    }
+
+    /// Applies a delta. A delta since version 0 replaces the whole table, except that a group for which it has no
+    /// decision on the serving proxies keeps the earlier one, and up to `max_kept_share` of the share that belongs to
+    /// it.
+    pub fn apply(&mut self, delta: Delta, max_kept_share: u32) {
+        let replaced = if delta.since == 0 { std::mem::take(self) } else { Self::default() };
+        for mut route in delta.routes {
+            if route.serving == Serving::Undecided {
+                let known = if delta.since == 0 { &replaced } else { &*self };
+                route.serving = known.serving(&route.group).clone();
+                route.share = known.share(&route.group).min(max_kept_share);
+            }
             self.replace_route(route);
         }
     }
@@ -250,11 +305,13 @@
         self.epochs.retain(|epoch| epoch.group != *group);
         self.replicas.retain(|replica| replica.group != *group);
         self.shares.retain(|(name, _)| name != group);
+        self.serving.retain(|(name, _)| name != group);
         self.peaks.retain(|peak| peak.group != *group);
         self.epochs.extend(route.epoch);
         self.replicas.extend(route.replicas);
         self.draining.extend(route.draining);
-        self.shares.push((route.group, route.share));
+        self.shares.push((route.group.clone(), route.share));
+        self.serving.push((route.group, route.serving));
         self.peaks.extend(route.peaks);
     }
 }
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -5,15 +5,17 @@
 //! invalid frame closes its own connection with a typed error and affects no other; see `docs/DESIGN.md`,
 //! "Frames".
 
+mod forward;
 mod frame;
 mod message;
 mod seal;
 mod stream;
 
+pub use forward::{Forward, Forwarded, LastWrite, Step};
 pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
 pub use message::{
     Announcement, Answer, Availability, Body, Configuration, Delta, Demand, Epoch, Grant, Health,
-    Heartbeat, Observation, Peak, Phase, Replica, Role, Route, Stamp, Table,
+    Heartbeat, Observation, Peak, Phase, Replica, Role, Route, Server, Serving, Stamp, Table,
 };
 pub use seal::{SEAL_BYTES, Seal};
 pub use stream::Stream;
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -52,6 +52,12 @@
         Self { seal: seal.clone(), ..self }
     }
 
+    /// Returns whether the peer has closed the connection, or has sent something that nobody asked for.
+    pub async fn is_closed(&self) -> bool {
+        let mut buffer = [0; 1];
+        smol::future::poll_once(self.socket.peek(&mut buffer)).await.is_some()
+    }
+
     /// Sends a frame.
     ///
     /// # Errors
--- a/tests/failover_budget.rs
+++ b/tests/failover_budget.rs
@@ -19,7 +19,7 @@
 }
 
 fn participant(node: &str, live: bool) -> Participant {
-    Participant { node: name(node), live }
+    Participant { node: name(node), live, serves: true, retains: true }
 }
 
 fn shareable(connections: u32, participants: u32) -> u32 {
@@ -126,7 +126,7 @@
         let mut proxies: BTreeMap<id::Node, Proxy> = BTreeMap::new();
         let names: [id::Node; 3] = ["a", "b", "c"].map(name);
         let participants: Vec<Participant> =
-            names.iter().map(|node| Participant { node: node.clone(), live: true }).collect();
+            names.iter().map(|node| Participant { node: node.clone(), live: true, serves: true, retains: true }).collect();
         let mut tables = vec![BTreeMap::new()];
         for (index, wanted, event) in steps {
             let node = &names[index];
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -36,6 +36,8 @@
     connect_delay: Duration,
     /// Number of open connections.
     connections: usize,
+    /// Number of connections that were refused because there were too many.
+    refused_connections: usize,
     /// Executed statements, oldest first, with the session values that were set on the connection.
     executed: Vec<(String, BTreeMap<String, String>)>,
 }
@@ -43,6 +45,8 @@
 /// A group of instances, and the service that promotes them.
 pub struct Group {
     instances: Mutex<Vec<Instance>>,
+    /// Number of connections that each instance accepts.
+    max_connections: usize,
     /// Promotion requests, oldest first: the instance, the holder and the token.
     pub promotions: Mutex<Vec<(String, String, u64)>>,
 }
@@ -92,6 +96,11 @@
         self.lock().iter().find(|instance| instance.id == id).unwrap().connections
     }
 
+    /// Returns the number of connections that instances refused because there were too many.
+    pub fn refused_connections(&self) -> usize {
+        self.lock().iter().map(|instance| instance.refused_connections).sum()
+    }
+
     /// Returns all data that the primary has committed for an item, oldest first.
     pub fn values_of(&self, item: &str) -> Vec<String> {
         let primary = self.primary();
@@ -283,7 +292,16 @@
             }
             let group = Arc::clone(&self);
             std::thread::spawn(move || {
-                group.lock()[index].connections += 1;
+                {
+                    let mut instances = group.lock();
+                    if instances[index].connections >= group.max_connections {
+                        instances[index].refused_connections += 1;
+                        drop(instances);
+                        BufReader::new(&socket).read_line(&mut String::new())?;
+                        return (&socket).write_all(b"ERR TOOMANY connections\r\n");
+                    }
+                    instances[index].connections += 1;
+                }
                 let served = Arc::clone(&group).serve_connection(index, socket);
                 group.lock()[index].connections -= 1;
                 served
@@ -369,6 +387,7 @@
 pub struct Fleet {
     subnet: u8,
     dir: tempfile::TempDir,
+    pub proxies: Vec<u8>,
     processes: BTreeMap<u8, Child>,
     pub group: Arc<Group>,
 }
@@ -388,12 +407,25 @@
 const INSTANCES: [u8; 3] = [21, 22, 23];
 const PLATFORM_VM: u8 = 31;
 
+/// The connections that an instance accepts unless a test says otherwise.
+pub const MAX_CONNECTIONS: usize = 28;
+
 impl Fleet {
     /// Starts the fleet on the addresses 127.`subnet`.0.x and declares a database of each consistency.
     pub fn up(subnet: u8) -> Self {
-        let group = Arc::new(Group { instances: Mutex::default(), promotions: Mutex::default() });
+        Self::up_with(subnet, &PROXIES, MAX_CONNECTIONS)
+    }
+
+    /// Starts a fleet with these proxies, whose instances accept `max_connections` connections each.
+    pub fn up_with(subnet: u8, proxies: &[u8], max_connections: usize) -> Self {
+        let group = Arc::new(Group {
+            instances: Mutex::default(),
+            max_connections,
+            promotions: Mutex::default(),
+        });
         let dir = tempfile::tempdir().unwrap();
-        let mut fleet = Self { subnet, dir, processes: BTreeMap::new(), group };
+        let proxies = proxies.to_vec();
+        let mut fleet = Self { subnet, dir, proxies, processes: BTreeMap::new(), group };
         for (index, vm) in INSTANCES.into_iter().enumerate() {
             let address = fleet.address(vm, INSTANCE_PORT);
             let listener = TcpListener::bind(address).expect("the instance's address");
@@ -412,6 +444,7 @@
                 unresponsive: false,
                 connect_delay: Duration::ZERO,
                 connections: 0,
+                refused_connections: 0,
                 executed: Vec::new(),
             });
             let group = Arc::clone(&fleet.group);
@@ -421,16 +454,18 @@
         let group = Arc::clone(&fleet.group);
         std::thread::spawn(move || group.serve_promotions(listener));
         VOTERS.into_iter().for_each(|vm| fleet.start_process(vm, true));
-        PROXIES.into_iter().for_each(|vm| fleet.start_process(vm, true));
+        for vm in fleet.proxies.clone() {
+            fleet.start_process(vm, true);
+        }
         fleet.send_heartbeats();
         fleet.put_configuration(1, 800);
         fleet.wait_until("the proxies are ready", |fleet| {
-            PROXIES.into_iter().all(|vm| fleet.is_ready(vm))
+            fleet.proxies.iter().all(|vm| fleet.is_ready(*vm))
         });
         // The control plane adopts the group's first primary only after it has queried all instances.
-        PROXIES.into_iter().for_each(|vm| {
-            fleet.connect(vm, "desk").query_until_done("FETCH nothing");
-        });
+        for vm in &fleet.proxies {
+            fleet.connect(*vm, "desk").query_until_done("FETCH nothing");
+        }
         fleet
     }
 
@@ -531,7 +566,7 @@
     /// Sends a configuration with this timeout for all databases until a control process answers, and returns the
     /// status.
     pub fn put_configuration(&self, version: u64, timeout_ms: u64) -> u16 {
-        let body = configuration(version, timeout_ms);
+        let body = configuration(version, timeout_ms, self.group.max_connections);
         let start = Instant::now();
         loop {
             let status = VOTERS.iter().find_map(|vm| {
@@ -564,14 +599,14 @@
 
     /// Returns the paths of the logs of all processes.
     pub fn log_files(&self) -> Vec<PathBuf> {
-        let vms = VOTERS.iter().chain(&PROXIES);
+        let vms = VOTERS.iter().chain(&self.proxies);
         vms.map(|vm| self.dir.path().join(format!("{vm}.log"))).collect()
     }
 
     /// Returns the logs of all processes.
     pub fn logs(&self) -> String {
         let read_log = |vm: &u8| std::fs::read_to_string(self.dir.path().join(format!("{vm}.log")));
-        let vms = VOTERS.iter().chain(&PROXIES);
+        let vms = VOTERS.iter().chain(&self.proxies);
         vms.map(|vm| format!("== {vm}\n{}", read_log(vm).unwrap_or_default())).collect()
     }
 
@@ -601,7 +636,7 @@
 }
 
 /// Returns a configuration with a database of each consistency.
-pub fn configuration(version: u64, timeout_ms: u64) -> String {
+pub fn configuration(version: u64, timeout_ms: u64, max_connections: usize) -> String {
     let route = |host: &str, consistency: &str, age: &str| {
         format!(
             "{{\"Name\":\"r-{host}\",\"Host\":\"{host}\",\"PathPrefix\":\"/\",\"Type\":\"{consistency}\",\
@@ -617,7 +652,7 @@
     ];
     format!(
         "{{\"Version\":{version},\"Routes\":[{}],\"Services\":[{{\"Name\":\"books\",\"HealthPath\":\"/healthz\",\
-         \"MaxConns\":28,\"Protocol\":\"h1\",\"Tls\":false,\"SyncCount\":1}}],\"Limits\":{{\"TxIdleMs\":3000}}}}",
+         \"MaxConns\":{max_connections},\"Protocol\":\"h1\",\"Tls\":false,\"SyncCount\":1}}],\"Limits\":{{\"TxIdleMs\":3000}}}}",
         routes.join(",")
     )
 }
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -79,10 +79,14 @@
     let group: id::Group = "books".parse().unwrap();
     let (group, instance) = (&group, &"i-1".parse::<id::Instance>().unwrap());
     let term = id::Term(3);
+    let server = &"proxy-1".parse::<id::Node>().unwrap();
     let retry = Retry { request: "r1", group, instance, reason: "no".to_owned(), elapsed_ms: 1 };
     let examples = [
         Event::Request(Request::default()),
         Event::Retry(retry),
+        Event::Forward { request: "r1", group, server, reason: "no", elapsed_ms: 1 },
+        Event::ConnectionLimit { instance, group, in_use: 1, permits: 2 },
+        Event::Share { group, permits: 2, servers: Some(3) },
         Event::Lease { held: true, unheard_ms: Some(1) },
         Event::Stranded { stranded: true, unheard_ms: None },
         Event::Epoch { group, term, phase: Phase::Active, primary: instance },
@@ -95,6 +99,9 @@
     let is_covered = |event: &Event<'_>| match event {
         Event::Request(_)
         | Event::Retry(_)
+        | Event::Forward { .. }
+        | Event::ConnectionLimit { .. }
+        | Event::Share { .. }
         | Event::Lease { .. }
         | Event::Stranded { .. }
         | Event::Epoch { .. }
--- a/tests/machine/mod.rs
+++ b/tests/machine/mod.rs
@@ -171,6 +171,7 @@
             sightings: self.observations.clone(),
             demand: self.demand.clone(),
             draining: false,
+            forwards: true,
         }
     }
 
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -215,7 +215,7 @@
             .filter_map(|vm| lines::send_http(fleet.address(vm, 17_303), "GET /config", ""))
             .collect::<Vec<_>>()
     };
-    let sent = lines::configuration(9, 900);
+    let sent = lines::configuration(9, 900, lines::MAX_CONNECTIONS);
     fleet.wait_until("every control process returns the configuration", |fleet| {
         let shown = shown(fleet);
         shown.len() == 3 && shown.iter().all(|(status, body)| *status == 200 && *body == sent)
--- /dev/null
+++ b/tests/serving.rs
@@ -0,0 +1,237 @@
+//! Tests which proxies serve a group, and that all proxies together never open more connections than its instances
+//! accept, however many proxies there are.
+
+mod machine;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use cactushatch::clock::Instant;
+use cactushatch::config::Fleet;
+use cactushatch::control::budget::{CONTROL_CONNECTIONS, SPARE_CONNECTIONS};
+use cactushatch::control::serving::{Candidate, Choice, MIN_SERVERS, POOL_CONNECTIONS};
+use cactushatch::control::state::State;
+use cactushatch::id;
+use cactushatch::wire::{Demand, Serving};
+use machine::{Control, Proxy, at, group, name};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const DOMAINS: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Returns live proxies, spread over the failure domains.
+fn candidates(count: usize) -> Vec<Candidate> {
+    let candidate = |number: usize| Candidate {
+        node: name(&format!("p{number:02}")),
+        domain: name(DOMAINS[number % DOMAINS.len()]),
+        live: true,
+        holds_share: false,
+        other_groups: 0,
+    };
+    (0..count).map(candidate).collect()
+}
+
+fn listed(choice: &Choice) -> BTreeSet<id::Node> {
+    match choice {
+        Choice::Listed(listed) => listed.clone(),
+        Choice::Undecided | Choice::Every => panic!("{choice:?}"),
+    }
+}
+
+fn count_by_domain(choice: &Choice, candidates: &[Candidate]) -> BTreeMap<id::Domain, usize> {
+    let mut counts = BTreeMap::new();
+    for candidate in candidates.iter().filter(|candidate| choice.includes(&candidate.node)) {
+        *counts.entry(candidate.domain.clone()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn every_proxy_serves_a_group_that_has_a_connection_for_each() {
+    let mut choice = Choice::default();
+    choice.update(&group(), &candidates(12), 12);
+    assert_eq!(choice, Choice::Every);
+    choice.update(&group(), &candidates(13), 12);
+    assert_eq!(listed(&choice).len() as u32, 12 / POOL_CONNECTIONS);
+}
+
+#[test]
+fn serving_proxies_are_spread_over_failure_domains_and_groups() {
+    let mut candidates = candidates(69);
+    let mut chosen: BTreeMap<id::Node, usize> = BTreeMap::new();
+    for number in 0..8 {
+        for candidate in &mut candidates {
+            candidate.other_groups = chosen.get(&candidate.node).copied().unwrap_or(0);
+        }
+        let mut choice = Choice::default();
+        choice.update(&name(&format!("g{number}")), &candidates, 31);
+        let counts = count_by_domain(&choice, &candidates);
+        assert!(counts.len() == DOMAINS.len() && counts.values().all(|count| *count <= 2));
+        listed(&choice).into_iter().for_each(|node| *chosen.entry(node).or_default() += 1);
+    }
+    assert!(chosen.values().all(|groups| *groups == 1), "{chosen:?}");
+}
+
+#[test]
+fn serving_proxies_are_kept_until_they_fail_and_come_from_all_domains_again_after_a_zone_returns() {
+    let mut candidates = candidates(40);
+    let mut choice = Choice::default();
+    choice.update(&group(), &candidates, 31);
+    let first = listed(&choice);
+    choice.update(&group(), &candidates, 31);
+    assert_eq!(listed(&choice), first);
+    let in_cut_domain = |candidate: &Candidate| candidate.domain == name("a");
+    candidates.iter_mut().filter(|c| in_cut_domain(c)).for_each(|c| c.live = false);
+    choice.update(&group(), &candidates, 31);
+    assert_eq!(listed(&choice).len(), first.len());
+    let kept = candidates.iter().filter(|c| c.live && first.contains(&c.node));
+    assert!(kept.into_iter().all(|candidate| choice.includes(&candidate.node)));
+    candidates.iter_mut().for_each(|candidate| candidate.live = true);
+    for _ in 0..4 {
+        let before = listed(&choice);
+        choice.update(&group(), &candidates, 31);
+        assert!(before.difference(&listed(&choice)).count() <= 1, "at most one moves at a time");
+    }
+    assert_eq!(count_by_domain(&choice, &candidates).len(), DOMAINS.len());
+}
+
+#[test]
+fn the_choice_stands_while_no_proxy_is_live() {
+    let mut candidates = candidates(40);
+    let mut choice = Choice::default();
+    choice.update(&group(), &candidates, 31);
+    let first = choice.clone();
+    candidates.iter_mut().for_each(|candidate| candidate.live = false);
+    choice.update(&group(), &candidates, 31);
+    assert_eq!(choice, first);
+}
+
+/// A leader of a group whose instances accept `connections` connections, and proxies that use and report all that they
+/// may hold.
+struct Cluster {
+    control: Control,
+    connections: u32,
+    proxies: Vec<(Proxy, u32)>,
+    term: u64,
+}
+
+fn declarations(connections: u32) -> Fleet {
+    let text = format!(
+        "[class.c]\npriority = 0\ndeadline = \"1s\"\n[group.g]\ninstances = 3\nslots = 3\n\
+         connections = {connections}\nconnect_time = \"10ms\"\ndurability = \"majority\"\n\
+         promoted_outside = true\ndefault_class = \"c\"\n"
+    );
+    Fleet::parse("fleet", &text).expect("valid declarations")
+}
+
+impl Cluster {
+    fn new(connections: u32, count: usize) -> Self {
+        let mut control = Control::elected(at(0), State::default(), 1);
+        control.fleet = declarations(connections);
+        let proxies: Vec<_> =
+            (0..count).map(|number| (Proxy::new(&format!("p{number:02}"), 1), 0)).collect();
+        for (proxy, _) in &proxies {
+            control.register(at(0), &proxy.holder);
+        }
+        Self { control, connections, proxies, term: 1 }
+    }
+
+    /// Replaces the leader by one that knows only what is in the log.
+    fn elect(&mut self, now: Instant) {
+        self.term += 1;
+        self.control = Control::elected(now, self.control.state.clone(), self.term);
+        self.control.fleet = declarations(self.connections);
+    }
+
+    /// Lets a proxy send a heartbeat, apply the answer, and open or close connections as its table says. A proxy that
+    /// keeps its connections busy closes none.
+    fn exchange(&mut self, now: Instant, index: usize, busy: bool) {
+        let (proxy, open) = &mut self.proxies[index];
+        let share = proxy.fence.permits(now, &proxy.holder.0, &group());
+        proxy.demand = vec![Demand { group: group(), wanted: 8, open: *open, share }];
+        proxy.exchange_heartbeat(now, &mut self.control);
+        let permits = self.permits(now, index);
+        let (_, open) = &mut self.proxies[index];
+        *open = if busy { (*open).max(permits) } else { permits };
+    }
+
+    fn permits(&self, now: Instant, index: usize) -> u32 {
+        let (proxy, _) = &self.proxies[index];
+        proxy.fence.permits(now, &proxy.holder.0, &group())
+    }
+
+    fn open(&self) -> u32 {
+        self.proxies.iter().map(|(_, open)| open).sum()
+    }
+}
+
+/// Guards against proxies that each open a connection although instances accept fewer.
+#[test]
+fn many_proxies_open_no_more_connections_than_instances_accept_and_some_serve_the_group() {
+    let (connections, count) = (34, 69);
+    let mut cluster = Cluster::new(connections, count);
+    for step in 0..60 {
+        let now = at(step * 100);
+        for index in 0..count {
+            cluster.exchange(now, index, false);
+        }
+        cluster.control.tick(now);
+        assert!(cluster.open() + CONTROL_CONNECTIONS <= connections, "{} open", cluster.open());
+    }
+    let now = at(6_000);
+    let serving: Vec<u32> =
+        (0..count).map(|i| cluster.permits(now, i)).filter(|n| *n > 0).collect();
+    assert!(serving.len() as u32 >= MIN_SERVERS, "{serving:?}");
+    let used = connections - CONTROL_CONNECTIONS - SPARE_CONNECTIONS;
+    assert_eq!(serving.iter().sum::<u32>(), used, "the connections are used: {serving:?}");
+    for (proxy, _) in &cluster.proxies {
+        let Serving::Listed(servers) = proxy.fence.table().serving(&group()) else {
+            panic!("every proxy knows where to forward");
+        };
+        assert_eq!(servers.len(), serving.len());
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 40,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Proxies are cut off from control and return, keep connections busy, and leaders change, in any order.
+    #[test]
+    fn open_connections_never_exceed_the_limit_with_more_proxies_than_connections(
+        connections in 6_u32..20,
+        steps in prop::collection::vec((0_usize..30, any::<u8>()), 1..150),
+    ) {
+        let count = 30;
+        let mut cluster = Cluster::new(connections, count);
+        let mut cut = vec![false; count];
+        let mut busy = vec![false; count];
+        for (step, (index, event)) in steps.into_iter().enumerate() {
+            let now = at(step as u64 * 100);
+            match event % 8 {
+                0 | 1 => cut[index] = !cut[index],
+                2 | 3 => busy[index] = !busy[index],
+                4 if event / 8 == 0 => cluster.elect(now),
+                _ => {}
+            }
+            for index in 0..count {
+                if cut[index] {
+                    // Without a lease a proxy keeps one connection at most, as soon as it isn't busy.
+                    let permits = cluster.permits(now, index);
+                    let (_, open) = &mut cluster.proxies[index];
+                    *open = (*open).min(permits);
+                } else {
+                    cluster.exchange(now, index, busy[index]);
+                }
+            }
+            cluster.control.tick(now);
+            prop_assert!(
+                cluster.open() + CONTROL_CONNECTIONS <= connections,
+                "step {step}: {} of {connections}", cluster.open()
+            );
+        }
+    }
+}
--- /dev/null
+++ b/tests/serving_process.rs
@@ -0,0 +1,144 @@
+//! Tests on separate processes that callers are served when instances accept fewer connections than there are proxies.
+
+mod lines;
+
+use std::time::{Duration, Instant};
+
+use lines::{Caller, Fleet, TIMEOUT};
+
+const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
+
+/// Fewer than one for each of [`MANY_PROXIES`], besides those that are kept for control and for new proxies.
+const FEW_CONNECTIONS: usize = 8;
+
+const ROUNDS: usize = 20;
+
+/// Runs a statement and returns whether it was refused.
+fn is_refused(session: &mut Caller, text: &str) -> bool {
+    let answer = session.query(text).expect("the session goes on");
+    let refused = answer.result.starts_with("ERR BUSY");
+    assert!(refused || answer.result.starts_with("DONE"), "{text}: {answer:?}");
+    refused
+}
+
+/// Guards against proxies that each open a connection although instances accept fewer: callers of the proxies that found
+/// none were refused all day.
+#[test]
+fn callers_of_all_proxies_are_served_when_connections_are_fewer_than_proxies() {
+    let fleet = Fleet::up_with(101, &MANY_PROXIES, FEW_CONNECTIONS);
+    let refused_before = fleet.group.refused_connections();
+    let refused: Vec<(u8, usize)> = std::thread::scope(|scope| {
+        let callers = MANY_PROXIES.map(|vm| {
+            let fleet = &fleet;
+            scope.spawn(move || {
+                let mut writer = fleet.connect(vm, "shift");
+                let mut reader = fleet.connect(vm, "menu");
+                let mut refused = 0;
+                for round in 0..ROUNDS {
+                    refused += usize::from(is_refused(&mut writer, &format!("PUT i{vm} v{round}")));
+                    refused += usize::from(is_refused(&mut reader, &format!("FETCH i{vm}")));
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                (vm, refused)
+            })
+        });
+        callers.into_iter().map(|caller| caller.join().expect("a caller")).collect()
+    });
+    assert!(refused.iter().all(|(_, refused)| *refused == 0), "{refused:?}\n{}", fleet.logs());
+    assert_eq!(fleet.group.refused_connections(), refused_before, "{}", fleet.logs());
+}
+
+#[test]
+fn a_forwarded_session_reads_its_own_writes_and_keeps_its_transactions() {
+    let fleet = Fleet::up_with(102, &MANY_PROXIES, FEW_CONNECTIONS);
+    for vm in MANY_PROXIES {
+        let mut session = fleet.connect(vm, "shift");
+        session.query_until_done("SET zone north");
+        session.query_until_done("PREPARE s1 PUT q");
+        session.query_until_done(&format!("EXEC s1 own{vm} mine"));
+        assert_eq!(session.query_until_done(&format!("FETCH own{vm}")).rows, ["mine"]);
+        session.query_until_done("BEGIN");
+        session.query_until_done(&format!("PUT kept{vm} a"));
+        session.query_until_done(&format!("PUT kept{vm} b"));
+        assert_eq!(session.query_until_done("COMMIT").state, "I");
+        assert_eq!(fleet.group.values_of(&format!("kept{vm}")), ["a", "b"]);
+        session.query_until_done("BEGIN");
+        session.query_until_done(&format!("PUT dropped{vm} a"));
+        assert_eq!(session.query_until_done("ROLLBACK").state, "I");
+        // A transaction is rolled back if its caller disconnects.
+        session.query_until_done("BEGIN");
+        session.query_until_done(&format!("PUT dropped{vm} a"));
+        drop(session);
+        assert!(fleet.group.values_of(&format!("dropped{vm}")).is_empty());
+    }
+    let executed = ["i-21", "i-22", "i-23"].iter().flat_map(|id| fleet.group.executed(id));
+    let own = executed.filter(|(text, _)| text.contains(" own"));
+    assert!(own.clone().count() > MANY_PROXIES.len(), "{}", fleet.logs());
+    assert!(own.into_iter().all(|(_, values)| values["zone"] == "north"));
+}
+
+/// The proxies that serve the group are killed one after the other. Writes through the others go on, and no acknowledged
+/// write is lost or doubled.
+#[test]
+fn writes_go_on_when_serving_proxies_are_killed() {
+    let mut fleet = Fleet::up_with(103, &MANY_PROXIES, FEW_CONNECTIONS);
+    let serving = |fleet: &Fleet| -> Vec<u8> {
+        let serves = |vm: &&u8| {
+            let log = std::fs::read_to_string(&fleet.log_files()[3 + usize::from(**vm - 11)]);
+            let log = log.unwrap_or_default();
+            let last = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
+            last.is_some_and(|line| !line.contains("\"permits\":0"))
+        };
+        fleet.proxies.iter().filter(serves).copied().collect()
+    };
+    fleet.wait_until("some proxies serve the group", |fleet| !serving(fleet).is_empty());
+    let first = serving(&fleet);
+    assert!(first.len() < MANY_PROXIES.len(), "{first:?}\n{}", fleet.logs());
+    let survivor = *MANY_PROXIES.iter().find(|vm| !first.contains(vm)).expect("one that forwards");
+    let mut session = fleet.connect(survivor, "desk");
+    let mut acknowledged = Vec::new();
+    let start = Instant::now();
+    for number in 0_usize.. {
+        if number.is_multiple_of(20)
+            && let Some(vm) = first.get(number / 20)
+        {
+            fleet.signal(*vm, "-KILL");
+            fleet.wait_for_exit(*vm);
+        }
+        let data = format!("w{number}");
+        let answer = session.query(&format!("PUT book {data}")).expect("the session stays open");
+        match answer.result.split(' ').nth(1) {
+            _ if answer.result.starts_with("DONE") => acknowledged.push(data),
+            Some("BUSY" | "ABORTED" | "UNKNOWN" | "TIMEOUT") => {}
+            _ => panic!("{answer:?}"),
+        }
+        if acknowledged.len() >= 20 * (first.len() + 2) {
+            break;
+        }
+        assert!(start.elapsed() < TIMEOUT, "{} writes\n{}", acknowledged.len(), fleet.logs());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let values = fleet.group.values_of("book");
+    for data in &acknowledged {
+        let count = values.iter().filter(|value| *value == data).count();
+        assert_eq!(count, 1, "{data}\n{}", fleet.logs());
+    }
+}
+
+/// A serving proxy is asked to end. The statements that other proxies forward to it move to others, and none is lost.
+#[test]
+fn a_serving_proxy_that_shuts_down_loses_no_forwarded_statement() {
+    let mut fleet = Fleet::up_with(104, &MANY_PROXIES, FEW_CONNECTIONS);
+    for vm in &MANY_PROXIES[..4] {
+        fleet.signal(*vm, "-TERM");
+        let start = Instant::now();
+        let mut session = fleet.connect(MANY_PROXIES[7], "shift");
+        while start.elapsed() < Duration::from_millis(3_500) {
+            let answer = session.query("PUT last w").expect("the session stays open");
+            let is_certain = ["DONE", "ERR BUSY"].iter().any(|p| answer.result.starts_with(p));
+            assert!(is_certain, "{answer:?}\n{}", fleet.logs());
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        assert!(fleet.wait_for_exit(*vm));
+    }
+}
