Give first shares when the last proxy has reported, and wait for them

Cause, by `share` lines of the new log: a proxy has one permit from the leader's first decision on, and its share of 13 comes with the next resharing, 110 to 190 ms later. A burst in between waits for up to 120 ms.

Change: when the last registered proxy has reported on a group, the leader updates the shares with its next tick. A statement that arrives before the group is served waits for either this proxy or another one to serve it; it waited for another one only, and was refused.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -228,37 +228,27 @@
         let Some(database) = database else {
             return Reply::new();
         };
-        let execution = self.runner.start_execution(id, self.session.values(), (name, database));
-        let is_served_here = self.runner.has_connection() || self.shared.serves(&database.group);
-        if self.forwarder.has_transaction() || !is_served_here {
-            let step = match action {
-                Action::Single(operation) => Step::Single(operation),
-                Action::InTransaction { operation, read_only } => {
-                    Step::InTransaction { operation, read_only }
-                }
-                Action::Commit { read_only } => Step::Commit { read_only },
-                Action::Complete | Action::Refuse(..) | Action::Rollback => return Reply::new(),
-            };
-            let is_in_transaction = matches!(step, Step::InTransaction { .. });
-            let ran = self.forwarder.run(&mut self.runner, execution, step).await;
-            if is_in_transaction && !ran.is_open {
-                self.session.fail();
-            }
-            return ran.reply;
-        }
-        match action {
-            Action::Single(operation) => self.runner.run_single(execution, &operation).await,
+        let step = match action {
+            Action::Single(operation) => Step::Single(operation),
             Action::InTransaction { operation, read_only } => {
-                let (reply, is_open) =
-                    self.runner.run_in_transaction(execution, &operation, read_only).await;
-                if !is_open {
-                    self.session.fail();
-                }
-                reply
+                Step::InTransaction { operation, read_only }
             }
-            Action::Commit { read_only } => self.runner.commit(execution, read_only).await,
-            Action::Complete | Action::Refuse(..) | Action::Rollback => Reply::new(),
+            Action::Commit { read_only } => Step::Commit { read_only },
+            Action::Complete | Action::Refuse(..) | Action::Rollback => return Reply::new(),
+        };
+        let values = self.session.values();
+        let mut execution = self.runner.start_execution(id, values, (name, database));
+        let is_served_here = !self.forwarder.has_transaction()
+            && (self.runner.has_connection() || execution.wait_until_served(&self.shared).await);
+        let (reply, is_open) = if is_served_here {
+            self.runner.run_step(execution, &step).await
+        } else {
+            self.forwarder.run(&mut self.runner, execution, &step).await
+        };
+        if matches!(step, Step::InTransaction { .. }) && !is_open {
+            self.session.fail();
         }
+        reply
     }
 
     /// Returns whether the transaction has a connection, here or on another proxy.
--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -81,13 +81,6 @@
     Timeout,
 }
 
-/// The result of a forwarded statement.
-pub(super) struct Ran {
-    pub(super) reply: Reply,
-    /// Whether the transaction is still open.
-    pub(super) is_open: bool,
-}
-
 /// How a forwarded statement continues after a failure.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Recovery {
@@ -173,19 +166,17 @@
         self.transaction.is_some()
     }
 
-    /// Forwards a statement and returns the answer for the caller.
+    /// Forwards a statement. Returns the answer for the caller and whether a transaction is open.
     pub(super) async fn run(
         &mut self,
         runner: &mut Runner,
         mut execution: Execution<'_>,
-        step: Step,
-    ) -> Ran {
+        step: &Step,
+    ) -> (Reply, bool) {
         execution.forwarded = true;
-        match self.run_on_any(runner, &mut execution, &step).await {
-            Ok(ran) => ran,
-            Err(refusal) => {
-                Ran { reply: runner.conclude(&execution, Err(refusal)), is_open: false }
-            }
+        match self.run_on_any(runner, &mut execution, step).await {
+            Ok(answer) => answer,
+            Err(refusal) => (runner.conclude(&execution, Err(refusal)), false),
         }
     }
 
@@ -194,7 +185,7 @@
         runner: &mut Runner,
         execution: &mut Execution<'_>,
         step: &Step,
-    ) -> Result<Ran, Refusal> {
+    ) -> Result<(Reply, bool), Refusal> {
         // This proxy may be listed already while its share has not grown yet.
         let mut excluded: SmallVec<[id::Node; 4]> = SmallVec::from_iter([self.shared.node.clone()]);
         let mut failed = 0;
@@ -221,7 +212,7 @@
                         } else {
                             peer.keep_stream();
                         }
-                        return Ok(Ran { reply: reply.into_iter().collect(), is_open });
+                        return Ok((reply.into_iter().collect(), is_open));
                     }
                     Ok(Body::Forwarded(Forwarded::NotServing)) => {
                         self.avoid(&peer, NOT_SERVING_PERIOD);
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -6,6 +6,7 @@
 use crate::broker::connection::Checkout;
 use crate::broker::dispatch::{FULL_DELAY, Request};
 use crate::broker::need::Need;
+use crate::broker::server::Shared;
 use crate::id;
 
 /// The number of instances on which a statement may fail.
@@ -98,6 +99,15 @@
 }
 
 impl Execution<'_> {
+    /// Waits, as for capacity, until the group is served. Returns whether this proxy serves it by itself.
+    pub(in crate::broker) async fn wait_until_served(&mut self, shared: &Shared) -> bool {
+        let started = shared.clock.now();
+        let left = self.max_wait().saturating_sub(self.waited);
+        let is_served_here = shared.wait_until_served(&self.database.group, left).await;
+        self.waited += shared.clock.now().since(started);
+        is_served_here
+    }
+
     /// Returns how long the statement may wait for capacity: a part of its target latency, so that a statement that
     /// starts also ends in time.
     pub(in crate::broker) fn max_wait(&self) -> Duration {
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -29,6 +29,7 @@
 use crate::report::event::{Event, Request, Retry, millis};
 use crate::statement::{Answer, Code, Id, State, Template};
 use crate::upstream::connection::{Error, Outcome};
+use crate::wire::Step;
 
 /// The answer to a statement, without the final [`Answer::Ready`].
 pub(super) type Reply = SmallVec<[Answer; 2]>;
@@ -174,6 +175,25 @@
         }
     }
 
+    /// Runs a statement on an instance. Returns the answer and whether a transaction is open.
+    pub(super) async fn run_step(
+        &mut self,
+        execution: Execution<'_>,
+        step: &Step,
+    ) -> (Reply, bool) {
+        match step {
+            Step::Single(operation) => (self.run_single(execution, operation).await, false),
+            Step::InTransaction { operation, read_only } => {
+                self.run_in_transaction(execution, operation, *read_only).await
+            }
+            Step::Commit { read_only } => (self.commit(execution, *read_only).await, false),
+            Step::Rollback => {
+                self.roll_back();
+                (Reply::from_iter([Answer::Done("-".to_owned())]), false)
+            }
+        }
+    }
+
     /// Counts and logs the result of a statement and returns the caller's answer.
     pub(super) fn conclude(
         &self,
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -9,14 +9,14 @@
 use smol::net::{TcpListener, TcpStream};
 
 use super::need::PositionSample;
-use super::run::{Reply, Runner};
+use super::run::Runner;
 use super::server::Shared;
 use crate::config::Database;
 use crate::proxy::heartbeat::Member;
 use crate::proxy::shutdown::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Code};
-use crate::wire::{Body, Error, Forward, Forwarded, Frame, Step, Stream};
+use crate::wire::{Body, Error, Forward, Forwarded, Frame, Stream};
 
 /// The delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -144,7 +144,12 @@
             mark: write.mark,
         }));
         let before = self.runner.last_write();
-        let (reply, is_open) = self.run_step(&forward, &database).await;
+        let execution = self.runner.start_execution(
+            &forward.request,
+            &forward.values,
+            (&forward.database, &database),
+        );
+        let (reply, is_open) = self.runner.run_step(execution, &forward.step).await;
         if !is_open {
             self.open_session = None;
         }
@@ -155,24 +160,4 @@
             written: written.map(|sample| sample.mark),
         }
     }
-
-    /// Runs a statement. Returns the answer and whether a transaction is open.
-    async fn run_step(&mut self, forward: &Forward, database: &Database) -> (Reply, bool) {
-        let execution = self.runner.start_execution(
-            &forward.request,
-            &forward.values,
-            (&forward.database, database),
-        );
-        match &forward.step {
-            Step::Single(operation) => (self.runner.run_single(execution, operation).await, false),
-            Step::InTransaction { operation, read_only } => {
-                self.runner.run_in_transaction(execution, operation, *read_only).await
-            }
-            Step::Commit { read_only } => (self.runner.commit(execution, *read_only).await, false),
-            Step::Rollback => {
-                self.runner.roll_back();
-                (Reply::from_iter([Answer::Done("-".to_owned())]), false)
-            }
-        }
-    }
 }
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -124,6 +124,24 @@
         self.lock().serves(group)
     }
 
+    /// Waits until a proxy serves a group, and returns whether it is this one.
+    pub(super) async fn wait_until_served(&self, group: &id::Group, timeout: Duration) -> bool {
+        let served = async {
+            loop {
+                let changed = self.changed.listen();
+                let (here, elsewhere) = {
+                    let state = self.lock();
+                    (state.serves(group), state.is_served_elsewhere(group, &self.node))
+                };
+                if here || elsewhere {
+                    return here;
+                }
+                changed.await;
+            }
+        };
+        self.clock.timeout(timeout, served).await.unwrap_or(false)
+    }
+
     /// Returns the declaration of a database.
     pub(super) fn database(&self, name: &str) -> Option<Database> {
         let name: id::Database = name.parse().ok()?;
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -131,6 +131,14 @@
         self.groups.get(group).is_some_and(|group| group.permits > 0)
     }
 
+    /// Returns whether a proxy other than `node` is known to serve a group.
+    pub(super) fn is_served_elsewhere(&self, group: &id::Group, node: &id::Node) -> bool {
+        match self.fence.table().serving(group) {
+            Serving::Listed(servers) => servers.iter().any(|server| server.node != *node),
+            Serving::Undecided | Serving::Every => false,
+        }
+    }
+
     /// Closes connections that stayed idle for too long.
     pub(super) fn prune(&mut self, now: Instant) {
         for instance in self.instances.values_mut() {
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -190,7 +190,7 @@
         let table = if heartbeat.seen.term == stamp.term { heartbeat.table } else { 0 };
         if self.record_heartbeat(now, (&sender, incarnation), heartbeat, table) {
             self.record_observations(now, &sender, heartbeat);
-            self.record_demands(&sender, &heartbeat.demand, table);
+            self.record_demands(&sender, &heartbeat.demand, table, state);
         }
         self.leases.grant(now, (sender.clone(), incarnation), table);
         Some(Grant {
@@ -295,10 +295,16 @@
         }
     }
 
-    fn record_demands(&mut self, node: &id::Node, demands: &[Demand], table: u64) {
+    /// Records what connections a proxy holds and needs. The last proxy to report on a group makes its shares known, so
+    /// they are updated without waiting for the interval.
+    fn record_demands(&mut self, node: &id::Node, demands: &[Demand], table: u64, state: &State) {
         for demand in demands {
             let budget = self.budgets.entry(demand.group.clone()).or_default();
+            let is_first_report = !budget.has_reported(node);
             budget.record_demand(node, demand, table);
+            if is_first_report && state.nodes.keys().all(|node| budget.has_reported(node)) {
+                self.reshared_at = None;
+            }
         }
     }
 
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -191,6 +191,24 @@
     }
 }
 
+/// Guards against a burst right after a start that finds one connection for each proxy, because the shares were only
+/// updated with the next interval.
+#[test]
+fn shares_are_given_as_soon_as_all_proxies_have_reported() {
+    let mut cluster = Cluster::new(28, 2);
+    cluster.control.tick(at(0));
+    for ms in [10, 20] {
+        for index in 0..2 {
+            cluster.exchange(at(ms), index, false);
+        }
+        cluster.control.tick(at(ms));
+    }
+    for index in 0..2 {
+        cluster.exchange(at(30), index, false);
+        assert!(cluster.permits(at(30), index) > 1);
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 40,
