Notice silent streams and serving proxies without contact to control

What callers would see: a request that is forwarded to a proxy that froze, or on a connection that went silent without a reset, waited for its whole timeout; a proxy that was cut off from control refused forwarded writes that another one could run.

Cause: the watch of a forwarded statement pinged the proxy over a new connection, which says nothing of the stream that the statement is on, and a refusal for want of a lease was passed on as final.

Change: a serving proxy says every 100 ms on the stream that it still works on a statement. After 400 ms without a word, what may be sent again goes to another proxy; what may not goes on waiting, and a stream that was unused for half a second is pinged before it. A serving proxy without contact to control runs only statements of proxies that have none either. What a failure means for a statement is a function of its own, with a table of cases as its test.

Tests: reads_go_on_while_serving_proxies_are_frozen (every answer within 1 s), a_forwarded_statement_without_an_answer_ends_by_what_was_sent, a_statement_goes_to_the_least_busy_proxy_of_its_domain_that_has_not_failed.

--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -11,6 +11,7 @@
 
 use super::need::PositionSample;
 use super::peer::{AVOID_PERIOD, NOT_SERVING_PERIOD};
+use super::recovery::{self, Recovery};
 use super::run::{Execution, Refusal, Reply, Runner};
 use super::server::Shared;
 use crate::clock::Instant;
@@ -18,18 +19,21 @@
 use crate::proxy::heartbeat::Member;
 use crate::report::ForwardResult;
 use crate::report::event::{Event, millis};
-use crate::statement::{Access, Code, Id};
+use crate::statement::Id;
 use crate::wire::{Body, Forward, Forwarded, LastWrite, Server, Serving, Step, Stream};
 
 /// The number of proxies that a statement is forwarded to at most.
 const MAX_SERVERS: usize = 3;
 
-/// How long a proxy may leave everything unanswered until it is pinged. A statement that waits for capacity takes
-/// longer, a proxy that is alive answers the ping at once.
-const MAX_SILENCE: Duration = Duration::from_millis(150);
+/// How long a serving proxy may send nothing, not even that it still works on a statement, until the statement is
+/// forwarded to another one: a few times [`super::serve::PROGRESS_INTERVAL`].
+const MAX_SILENCE: Duration = Duration::from_millis(400);
 
-/// How long a proxy may take to answer a ping or to accept a stream. This covers many round trips.
-const PING_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long a stream may have been unused when a statement that can't be sent twice is sent on it without a check.
+const MAX_UNCHECKED: Duration = Duration::from_millis(500);
+
+/// How long a proxy may take to accept a stream or to answer a ping. This covers many round trips.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How much longer than the serving proxy this one waits, so that the answer that the serving proxy gives at its
 /// deadline still arrives.
@@ -65,7 +69,8 @@
 struct Peer {
     shared: Arc<Shared>,
     server: Server,
-    stream: Option<Stream>,
+    /// The stream, and when it was last used.
+    stream: Option<(Instant, Stream)>,
     /// Whether nothing is pending on the stream.
     reusable: bool,
 }
@@ -79,15 +84,8 @@
     Silent,
     #[error("no answer in time")]
     Timeout,
-}
-
-/// How a forwarded statement continues after a failure.
-#[derive(Debug, Clone, PartialEq, Eq)]
-enum Recovery {
-    /// Nothing of it can be kept, so it may be forwarded to another proxy.
-    Retry,
-    /// It ends with this code.
-    End(Code),
+    #[error("an answer of an unexpected kind")]
+    Unexpected,
 }
 
 impl Drop for Peer {
@@ -103,56 +101,68 @@
         self.reusable = true;
     }
 
-    /// Sends a frame and returns the answer. `sent` is set once the frame may have reached the serving proxy.
+    /// Sends a statement and returns the answer. `is_unsafe` is whether the statement can't be forwarded again once it
+    /// was sent, and `sent` is set then.
     async fn exchange(
         &mut self,
-        body: Body,
+        forward: Forward,
         deadline: Instant,
+        is_unsafe: bool,
         sent: &mut bool,
-    ) -> Result<Body, Failure> {
+    ) -> Result<Forwarded, Failure> {
         let clock = self.shared.clock.clone();
         self.reusable = false;
-        let frame = self.shared.frame(body);
-        let mut stream = match self.stream.take() {
-            Some(stream) if !stream.is_closed().await => stream,
-            _ => {
-                let left = PING_TIMEOUT.min(deadline.since(clock.now()));
-                let connecting = Stream::connect(self.server.address);
-                let stream = clock.timeout(left, connecting).await.ok_or(Failure::Silent)??;
-                stream.with_seal(&self.shared.credentials.seal)
-            }
-        };
+        let mut stream = self.take_stream(deadline, is_unsafe).await?;
         *sent = true;
-        let answer = async {
-            stream.send(&frame).await?;
-            Ok(stream.receive().await?.body)
-        };
-        let watched = smol::future::or(answer, self.watch());
-        let body = clock.timeout(deadline.since(clock.now()), watched).await;
-        let body = body.ok_or(Failure::Timeout)??;
-        self.shared.lock().peers.record_answer(clock.now(), &self.server.node);
-        self.stream = Some(stream);
-        Ok(body)
+        let frame = self.shared.frame(Body::Forward(forward));
+        let sending = stream.send(&frame);
+        let left = deadline.since(clock.now());
+        clock.timeout(left, sending).await.ok_or(Failure::Timeout)??;
+        let mut heard = clock.now();
+        loop {
+            let left = deadline.since(clock.now());
+            let patience = if is_unsafe { left } else { left.min(MAX_SILENCE) };
+            let Some(frame) = clock.timeout(patience, stream.receive()).await else {
+                let is_silent = clock.now().since(heard) >= MAX_SILENCE;
+                return Err(if is_silent { Failure::Silent } else { Failure::Timeout });
+            };
+            let body = frame?.body;
+            heard = clock.now();
+            self.shared.lock().peers.record_answer(&self.server.node);
+            match body {
+                Body::Ping => {}
+                Body::Forwarded(forwarded) => {
+                    self.stream = Some((heard, stream));
+                    return Ok(forwarded);
+                }
+                _ => return Err(Failure::Unexpected),
+            }
+        }
     }
 
-    /// Returns once the proxy answers nothing any more, not even a ping.
-    async fn watch<T>(&self) -> Result<T, Failure> {
-        let (clock, node) = (&self.shared.clock, &self.server.node);
-        loop {
-            clock.sleep(MAX_SILENCE).await;
-            let silence = self.shared.lock().peers.silence(clock.now(), node);
-            if silence.is_some_and(|silence| silence < MAX_SILENCE) {
-                continue;
+    /// Returns the stream, or connects a new one if it was closed. A connection can also go silent without being closed,
+    /// so before an unsafe statement a stream that was not used for a while is pinged.
+    async fn take_stream(&mut self, deadline: Instant, is_unsafe: bool) -> Result<Stream, Failure> {
+        let clock = self.shared.clock.clone();
+        if let Some((used_at, mut stream)) = self.stream.take()
+            && !stream.is_closed().await
+        {
+            if !is_unsafe || clock.now().since(used_at) < MAX_UNCHECKED {
+                return Ok(stream);
             }
-            let ping = async {
-                let stream = Stream::connect(self.server.address).await?;
-                let mut stream = stream.with_seal(&self.shared.credentials.seal);
-                stream.send(&self.shared.frame(Body::Ping)).await?;
+            let ping = self.shared.frame(Body::Ping);
+            let checking = async {
+                stream.send(&ping).await?;
                 stream.receive().await
             };
-            clock.timeout(PING_TIMEOUT, ping).await.ok_or(Failure::Silent)??;
-            self.shared.lock().peers.record_answer(clock.now(), node);
+            if let Some(Ok(_)) = clock.timeout(CONNECT_TIMEOUT, checking).await {
+                return Ok(stream);
+            }
         }
+        let left = CONNECT_TIMEOUT.min(deadline.since(clock.now()));
+        let connecting = Stream::connect(self.server.address);
+        let stream = clock.timeout(left, connecting).await.ok_or(Failure::Silent)??;
+        Ok(stream.with_seal(&self.shared.credentials.seal))
     }
 }
 
@@ -197,40 +207,45 @@
             execution.tries += 1;
             let forward = self.forward(runner, execution, step, continues);
             let deadline = execution.deadline + DEADLINE_MARGIN;
+            let is_unsafe =
+                recovery::after_failure(step, continues, wrote, true) != Recovery::Retry;
             let mut sent = false;
             let (recovery, result, reason) =
-                match peer.exchange(Body::Forward(forward), deadline, &mut sent).await {
-                    Ok(Body::Forwarded(Forwarded::Handled { reply, is_open, written })) => {
+                match peer.exchange(forward, deadline, is_unsafe, &mut sent).await {
+                    Ok(Forwarded::Handled { reply, is_open, written }) => {
                         self.shared.metrics.record_forward(ForwardResult::Handled);
                         let requested_at = self.shared.clock.now();
                         if let Some(mark) = written {
                             runner.set_last_write(Some(PositionSample { requested_at, mark }));
                         }
                         if is_open {
-                            let wrote = wrote || writes(step);
+                            let wrote = wrote || step.writes();
                             self.transaction = Some(Transaction { peer, wrote });
                         } else {
                             peer.keep_stream();
                         }
                         return Ok((reply.into_iter().collect(), is_open));
                     }
-                    Ok(Body::Forwarded(Forwarded::NotServing)) => {
+                    Ok(Forwarded::NotServing) => {
                         self.avoid(&peer, NOT_SERVING_PERIOD);
                         peer.keep_stream();
                         let reason = "the proxy does not serve the group".to_owned();
-                        (recovery(step, continues, wrote, false), ForwardResult::NotServing, reason)
-                    }
-                    Ok(_) => {
-                        self.avoid(&peer, AVOID_PERIOD);
-                        let reason = "an answer of an unexpected kind".to_owned();
-                        (recovery(step, continues, wrote, sent), ForwardResult::Failed, reason)
+                        (
+                            recovery::after_failure(step, continues, wrote, false),
+                            ForwardResult::NotServing,
+                            reason,
+                        )
                     }
                     Err(failure) => {
                         if !matches!(failure, Failure::Timeout) {
                             self.avoid(&peer, AVOID_PERIOD);
                         }
                         let reason = failure.to_string();
-                        (recovery(step, continues, wrote, sent), ForwardResult::Failed, reason)
+                        (
+                            recovery::after_failure(step, continues, wrote, sent),
+                            ForwardResult::Failed,
+                            reason,
+                        )
                     }
                 };
             self.log_failure(execution, &peer.server.node, result, &reason);
@@ -270,6 +285,7 @@
             last_write,
             step: step.clone(),
             continues,
+            is_stranded: self.shared.lock().stranded.is_stranded(),
         }
     }
 
@@ -339,11 +355,12 @@
             last_write: None,
             step: Step::Rollback,
             continues: true,
+            is_stranded: false,
         };
         smol::spawn(async move {
             let deadline = peer.shared.clock.now() + ROLLBACK_TIMEOUT;
-            let answer = peer.exchange(Body::Forward(forward), deadline, &mut false).await;
-            if let Ok(Body::Forwarded(Forwarded::Handled { is_open: false, .. })) = answer {
+            let answer = peer.exchange(forward, deadline, false, &mut false).await;
+            if let Ok(Forwarded::Handled { is_open: false, .. }) = answer {
                 peer.keep_stream();
             }
         })
@@ -351,30 +368,6 @@
     }
 }
 
-fn writes(step: &Step) -> bool {
-    match step {
-        Step::Single(operation) | Step::InTransaction { operation, .. } => {
-            operation.access == Access::Write
-        }
-        Step::Commit { .. } | Step::Rollback => false,
-    }
-}
-
-/// Decides how a statement continues that a serving proxy has not answered. `sent` is whether it may have arrived there,
-/// and `wrote` whether its transaction may have written.
-fn recovery(step: &Step, continues: bool, wrote: bool, sent: bool) -> Recovery {
-    match step {
-        Step::Single(_) if writes(step) && sent => Recovery::End(Code::Unknown),
-        Step::Commit { .. } if wrote && sent => Recovery::End(Code::Unknown),
-        Step::InTransaction { .. } | Step::Commit { .. } | Step::Rollback if continues => {
-            Recovery::End(Code::Aborted)
-        }
-        Step::Single(_) | Step::InTransaction { .. } | Step::Commit { .. } | Step::Rollback => {
-            Recovery::Retry
-        }
-    }
-}
-
 impl Drop for Forwarder {
     fn drop(&mut self) {
         self.roll_back();
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! A session checks out a connection for a statement or a transaction and returns it afterwards. Its session variables
 //! and prepared statements are set up on each connection that it uses. Decisions are made by state machines without I/O
-//! ([`session`], [`setup`], [`dispatch`], [`health`], [`need`], [`peer`], [`stranded`]); the other modules do the I/O.
+//! ([`session`], [`setup`], [`dispatch`], [`health`], [`need`], [`peer`],
+//! [`recovery`], [`stranded`]); the other modules do the I/O.
 //! Statements of groups that other proxies serve are forwarded to these. See `docs/PLATFORM.md`, "The broker" and
 //! "Forwarding".
 
@@ -19,6 +20,7 @@
 pub mod need;
 pub mod peer;
 mod pool;
+pub mod recovery;
 mod run;
 mod serve;
 mod server;
--- a/src/broker/peer.rs
+++ b/src/broker/peer.rs
@@ -32,11 +32,11 @@
 #[derive(Debug)]
 struct Peer {
     address: SocketAddr,
-    idle: Vec<Stream>,
+    /// The idle streams, and when each was last used.
+    idle: Vec<(Instant, Stream)>,
     /// The number of statements and transactions that are forwarded to it now.
     active: u32,
     avoided_until: Option<Instant>,
-    last_answer: Option<Instant>,
 }
 
 impl Peers {
@@ -76,13 +76,12 @@
     }
 
     /// Records that a statement is forwarded to a proxy, and returns an idle stream to it if there is one.
-    pub fn begin(&mut self, server: &Server) -> Option<Stream> {
+    pub fn begin(&mut self, server: &Server) -> Option<(Instant, Stream)> {
         let peer = self.peers.entry(server.node.clone()).or_insert_with(|| Peer {
             address: server.address,
             idle: Vec::new(),
             active: 0,
             avoided_until: None,
-            last_answer: None,
         });
         peer.active += 1;
         if peer.address != server.address {
@@ -93,7 +92,7 @@
     }
 
     /// Records that a forwarded statement has ended. Its stream is kept if it can be used again.
-    pub fn end(&mut self, server: &Server, stream: Option<Stream>) {
+    pub fn end(&mut self, server: &Server, stream: Option<(Instant, Stream)>) {
         let Some(peer) = self.peers.get_mut(&server.node) else {
             return;
         };
@@ -107,9 +106,8 @@
     }
 
     /// Records that a proxy answered.
-    pub fn record_answer(&mut self, now: Instant, node: &id::Node) {
+    pub fn record_answer(&mut self, node: &id::Node) {
         if let Some(peer) = self.peers.get_mut(node) {
-            peer.last_answer = Some(now);
             peer.avoided_until = None;
         }
     }
@@ -124,9 +122,4 @@
             }
         }
     }
-
-    /// Returns the time since a proxy last answered anything, or `None` if it never did.
-    pub fn silence(&self, now: Instant, node: &id::Node) -> Option<Duration> {
-        Some(now.since(self.peers.get(node)?.last_answer?))
-    }
 }
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -21,6 +21,9 @@
 /// The delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// How often a proxy tells that it still works on a forwarded statement.
+pub(super) const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
+
 /// How much longer than the forwarding proxy this one waits for the next statement of an idle transaction, since that
 /// proxy ends it with an answer for the caller.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
@@ -89,7 +92,9 @@
         let mut stream = Stream::from_accepted(socket)?.with_seal(&self.shared.credentials.seal);
         while let Some(frame) = self.receive(&mut stream).await? {
             let answer = match frame.body {
-                Body::Forward(forward) => Body::Forwarded(self.handle(forward).await),
+                Body::Forward(forward) => {
+                    Body::Forwarded(self.handle_with_progress(&mut stream, forward).await)
+                }
                 Body::Ping => Body::Ping,
                 _ => return Ok(()),
             };
@@ -98,6 +103,24 @@
         Ok(())
     }
 
+    /// Handles a statement, and meanwhile tells the forwarding proxy from time to time that it is being handled.
+    async fn handle_with_progress(&mut self, stream: &mut Stream, forward: Forward) -> Forwarded {
+        let shared = Arc::clone(&self.shared);
+        let progress = shared.frame(Body::Ping);
+        let mut handling = std::pin::pin!(self.handle(forward));
+        loop {
+            let answer = shared.clock.timeout(PROGRESS_INTERVAL, handling.as_mut()).await;
+            if let Some(answer) = answer {
+                return answer;
+            }
+            // A statement that was begun runs to its end even if nobody waits for it any more.
+            if let Err(error) = stream.send(&progress).await {
+                log::debug!("progress of a statement could not be sent: {error}");
+                return handling.await;
+            }
+        }
+    }
+
     /// Receives the next frame. Returns `None` if the open transaction must end instead.
     async fn receive(&self, stream: &mut Stream) -> Result<Option<Frame>, Error> {
         let receiving = async { stream.receive().await.map(Some) };
@@ -128,7 +151,11 @@
             self.runner.roll_back();
             self.database = self.shared.database(&forward.database);
             let leaves = self.shared.shutdown.has_reached(Stage::Draining);
-            if leaves || !self.database.as_ref().is_some_and(|db| self.shared.serves(&db.group)) {
+            let is_stranded = self.shared.lock().stranded.is_stranded();
+            if leaves
+                || (is_stranded && !forward.is_stranded)
+                || !self.database.as_ref().is_some_and(|db| self.shared.serves(&db.group))
+            {
                 return Forwarded::NotServing;
             }
         }
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -7,7 +7,7 @@
 
 use crate::broker::session::Operation;
 use crate::proxy::floor::Mark;
-use crate::statement::{Answer, Id};
+use crate::statement::{Access, Answer, Id};
 
 /// A statement of a session. The forwarding proxy keeps the session; the serving proxy keeps no state of it, except for
 /// the connection of an open transaction, which belongs to the stream that the statement arrives on.
@@ -26,6 +26,9 @@
     /// Whether the statement belongs to the transaction that is open on this stream. If that transaction is gone, the
     /// statement must not begin another one.
     pub continues: bool,
+    /// Whether the forwarding proxy has no contact with the control plane. A serving proxy without contact runs only
+    /// statements of such proxies, since others can reach a better one.
+    pub is_stranded: bool,
 }
 
 /// The position of a primary after a session's last write.
@@ -58,6 +61,18 @@
     Rollback,
 }
 
+impl Step {
+    /// Returns whether the statement itself writes. A commit only keeps what earlier statements wrote.
+    pub fn writes(&self) -> bool {
+        match self {
+            Self::Single(operation) | Self::InTransaction { operation, .. } => {
+                operation.access == Access::Write
+            }
+            Self::Commit { .. } | Self::Rollback => false,
+        }
+    }
+}
+
 /// The answer to [`Forward`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Forwarded {
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -59,7 +59,8 @@
     Forward(Forward),
     /// Proxy to the proxy that sent [`Body::Forward`], over TCP.
     Forwarded(Forwarded),
-    /// Proxy to proxy, over TCP: asks whether the receiver is alive. The receiver sends the same back.
+    /// Proxy to a proxy that serves a group, over TCP: asks whether the stream works. The receiver sends the same back,
+    /// and also sends it from time to time while it runs a statement.
     Ping,
 }
 
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -597,15 +597,20 @@
         }
     }
 
+    /// Returns the path of the log of the process on a VM.
+    pub fn log_file(&self, vm: u8) -> PathBuf {
+        self.dir.path().join(format!("{vm}.log"))
+    }
+
     /// Returns the paths of the logs of all processes.
     pub fn log_files(&self) -> Vec<PathBuf> {
         let vms = VOTERS.iter().chain(&self.proxies);
-        vms.map(|vm| self.dir.path().join(format!("{vm}.log"))).collect()
+        vms.map(|vm| self.log_file(*vm)).collect()
     }
 
     /// Returns the logs of all processes.
     pub fn logs(&self) -> String {
-        let read_log = |vm: &u8| std::fs::read_to_string(self.dir.path().join(format!("{vm}.log")));
+        let read_log = |vm: &u8| std::fs::read_to_string(self.log_file(*vm));
         let vms = VOTERS.iter().chain(&self.proxies);
         vms.map(|vm| format!("== {vm}\n{}", read_log(vm).unwrap_or_default())).collect()
     }
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -5,13 +5,17 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use cactushatch::broker::peer::{AVOID_PERIOD, Peers};
+use cactushatch::broker::recovery::{self, Recovery};
+use cactushatch::broker::session::{Body, Operation};
 use cactushatch::clock::Instant;
 use cactushatch::config::Fleet;
 use cactushatch::control::budget::{CONTROL_CONNECTIONS, SPARE_CONNECTIONS};
 use cactushatch::control::serving::{Candidate, Choice, MIN_SERVERS, POOL_CONNECTIONS};
 use cactushatch::control::state::State;
 use cactushatch::id;
-use cactushatch::wire::{Demand, Serving};
+use cactushatch::statement::{Access, Code};
+use cactushatch::wire::{Demand, Server, Serving, Step};
 use machine::{Control, Proxy, at, group, name};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -105,6 +109,62 @@
     assert_eq!(choice, first);
 }
 
+fn server(node: &str, domain: &str) -> Server {
+    Server { node: name(node), address: ([127, 0, 0, 1], 1).into(), domain: name(domain) }
+}
+
+#[test]
+fn a_statement_goes_to_the_least_busy_proxy_of_its_domain_that_has_not_failed() {
+    let servers = [server("a1", "a"), server("a2", "a"), server("b1", "b")];
+    let mut peers = Peers::default();
+    let choose = |peers: &Peers, ms: u64, excluded: &[id::Node]| {
+        let chosen = peers.choose(at(ms), &name("a"), &servers, excluded);
+        chosen.map(|server| server.node.to_string())
+    };
+    assert!(peers.begin(&servers[0]).is_none());
+    assert_eq!(choose(&peers, 0, &[]).as_deref(), Some("a2"));
+    peers.end(&servers[0], None);
+    peers.begin(&servers[1]);
+    assert_eq!(choose(&peers, 0, &[]).as_deref(), Some("a1"));
+    peers.avoid(at(0), &name("a1"), AVOID_PERIOD);
+    assert_eq!(choose(&peers, 1, &[]).as_deref(), Some("a2"));
+    peers.avoid(at(0), &name("a2"), AVOID_PERIOD);
+    assert_eq!(choose(&peers, 1, &[]).as_deref(), Some("b1"));
+    assert_eq!(choose(&peers, 1, &[name("b1")]).as_deref(), Some("a1"), "all others have failed");
+    peers.record_answer(&name("a2"));
+    assert_eq!(choose(&peers, 1, &[]).as_deref(), Some("a2"));
+    let over = 1 + AVOID_PERIOD.as_millis() as u64;
+    assert_eq!(choose(&peers, over, &[]).as_deref(), Some("a1"));
+    assert_eq!(choose(&peers, over, &[name("a1"), name("a2"), name("b1")]), None);
+}
+
+/// Nothing is forwarded twice that may have taken effect, and nothing is called unknown that can't have.
+#[test]
+fn a_forwarded_statement_without_an_answer_ends_by_what_was_sent() {
+    let operation = |access| Operation { access, body: Body::Text("x".to_owned()) };
+    let single = |access| Step::Single(operation(access));
+    let in_transaction =
+        Step::InTransaction { operation: operation(Access::Write), read_only: false };
+    let commit = Step::Commit { read_only: false };
+    let (unknown, aborted) = (Recovery::End(Code::Unknown), Recovery::End(Code::Aborted));
+    let cases = [
+        (single(Access::Read), (false, false, true), Recovery::Retry),
+        (single(Access::Write), (false, false, true), unknown.clone()),
+        (single(Access::Write), (false, false, false), Recovery::Retry),
+        (in_transaction.clone(), (false, false, true), Recovery::Retry),
+        (in_transaction.clone(), (true, true, true), aborted.clone()),
+        (in_transaction, (true, false, false), aborted.clone()),
+        (commit.clone(), (true, true, true), unknown),
+        (commit.clone(), (true, true, false), aborted.clone()),
+        (commit.clone(), (true, false, true), aborted),
+        (commit, (false, false, true), Recovery::Retry),
+    ];
+    for (step, (continues, wrote, sent), expected) in cases {
+        let recovery = recovery::after_failure(&step, continues, wrote, sent);
+        assert_eq!(recovery, expected, "{step:?} {continues} {wrote} {sent}");
+    }
+}
+
 /// A leader of a group whose instances accept `connections` connections, and proxies that use and report all that they
 /// may hold.
 struct Cluster {
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -77,25 +77,34 @@
     assert!(own.into_iter().all(|(_, values)| values["zone"] == "north"));
 }
 
+/// Waits until proxies serve the group, and returns them, by the newest line that each has on its share.
+fn serving(fleet: &Fleet) -> Vec<u8> {
+    let read = |fleet: &Fleet| -> Vec<u8> {
+        let serves = |vm: &&u8| {
+            let log = std::fs::read_to_string(fleet.log_file(**vm)).unwrap_or_default();
+            let newest = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
+            newest.is_some_and(|line| !line.contains("\"permits\":0"))
+        };
+        fleet.proxies.iter().filter(serves).copied().collect()
+    };
+    fleet.wait_until("some proxies serve the group", |fleet| !read(fleet).is_empty());
+    let serving = read(fleet);
+    assert!(serving.len() < fleet.proxies.len(), "{serving:?}\n{}", fleet.logs());
+    serving
+}
+
+fn a_forwarding_proxy(fleet: &Fleet) -> u8 {
+    let serving = serving(fleet);
+    *fleet.proxies.iter().find(|vm| !serving.contains(vm)).expect("one that forwards")
+}
+
 /// The proxies that serve the group are killed one after the other. Writes through the others go on, and no acknowledged
 /// write is lost or doubled.
 #[test]
 fn writes_go_on_when_serving_proxies_are_killed() {
     let mut fleet = Fleet::up_with(103, &MANY_PROXIES, FEW_CONNECTIONS);
-    let serving = |fleet: &Fleet| -> Vec<u8> {
-        let serves = |vm: &&u8| {
-            let log = std::fs::read_to_string(&fleet.log_files()[3 + usize::from(**vm - 11)]);
-            let log = log.unwrap_or_default();
-            let last = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
-            last.is_some_and(|line| !line.contains("\"permits\":0"))
-        };
-        fleet.proxies.iter().filter(serves).copied().collect()
-    };
-    fleet.wait_until("some proxies serve the group", |fleet| !serving(fleet).is_empty());
     let first = serving(&fleet);
-    assert!(first.len() < MANY_PROXIES.len(), "{first:?}\n{}", fleet.logs());
-    let survivor = *MANY_PROXIES.iter().find(|vm| !first.contains(vm)).expect("one that forwards");
-    let mut session = fleet.connect(survivor, "desk");
+    let mut session = fleet.connect(a_forwarding_proxy(&fleet), "desk");
     let mut acknowledged = Vec::new();
     let start = Instant::now();
     for number in 0_usize.. {
@@ -142,3 +151,36 @@
         assert!(fleet.wait_for_exit(*vm));
     }
 }
+
+/// The proxies that serve the group stop without closing their connections. Reads go on, and each is answered by its
+/// timeout of 800 ms.
+#[test]
+fn reads_go_on_while_serving_proxies_are_frozen() {
+    let mut fleet = Fleet::up_with(105, &MANY_PROXIES, FEW_CONNECTIONS);
+    let frozen = serving(&fleet);
+    let mut session = fleet.connect(a_forwarding_proxy(&fleet), "menu");
+    session.query_until_done("FETCH a");
+    for vm in &frozen {
+        fleet.signal(*vm, "-STOP");
+    }
+    let start = Instant::now();
+    let mut served_at = None;
+    while served_at.is_none() || start.elapsed() < Duration::from_secs(3) {
+        let asked = Instant::now();
+        let answer = session.query("FETCH a").expect("the session stays open");
+        assert!(asked.elapsed() < Duration::from_millis(1_000), "{answer:?} {:?}", asked.elapsed());
+        if answer.result.starts_with("DONE") {
+            served_at.get_or_insert(start.elapsed());
+        }
+        assert!(start.elapsed() < TIMEOUT, "{}", fleet.logs());
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    for vm in &frozen {
+        fleet.signal(*vm, "-CONT");
+    }
+    session.query_until_done("FETCH a");
+    for vm in frozen {
+        fleet.signal(vm, "-TERM");
+        assert!(fleet.wait_for_exit(vm));
+    }
+}
