Let at most twelve proxies serve a group

Instances rejected 72,213 of 166,383 statements as too many, and reset 543 connections over their cap.

Change: with more than twelve proxies, twelve serve a group at most, whatever the connections.

few_proxies_serve_a_group_however_many_connections_it_has fails without the limit, since then all serve.

--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -17,6 +17,9 @@
     Route, Seal, Serving, Stamp,
 };
 
+/// The interval at which the leader updates the shares of connections.
+const RESHARE_PERIOD: Duration = Duration::from_millis(200);
+
 /// How long each case is repeated.
 const CASE_DURATION: Duration = Duration::from_millis(300);
 
@@ -206,8 +209,26 @@
     });
     let tick_us = shortest_run_us(|| drop(black_box(leader.tick(now, &state, &fleet))));
     let refresh_us = shortest_run_us(|| leader.refresh_table(now, &state, &fleet));
+    let mut reshares: Vec<Duration> = Vec::new();
+    let mut later = now;
+    let case_start = Started::now();
+    while case_start.elapsed() < CASE_DURATION {
+        later = later + RESHARE_PERIOD;
+        leader.confirm_leadership(later);
+        for n in 0..proxies {
+            sequence += 1;
+            heartbeat.sequence = id::Sequence(sequence);
+            heartbeat.table = leader.version();
+            leader.handle_heartbeat(later, (node(n), incarnation), &heartbeat, (&state, stamp));
+        }
+        let start = Started::now();
+        drop(black_box(leader.tick(later, &state, &fleet)));
+        reshares.push(start.elapsed());
+    }
+    reshares.sort();
+    let reshare_us = reshares[reshares.len() / 2].as_secs_f64() * 1e6;
     println!(
-        "| {proxies} | {groups} | {heartbeat_us:.2} | {tick_us:.0} | {refresh_us:.0} | {} |",
+        "| {proxies} | {groups} | {heartbeat_us:.2} | {tick_us:.0} | {refresh_us:.0} | {reshare_us:.0} | {} |",
         bytes / 1024
     );
 }
@@ -223,8 +244,8 @@
     print_frame_sizes();
     print_seal_times();
     println!(
-        "\n| Proxies | Groups | Heartbeat, us | Tick, us | Refresh, us | Memory, KiB |\n\
-         |---|---|---|---|---|---|"
+        "\n| Proxies | Groups | Heartbeat, us | Tick, us | Refresh, us | Tick with shares, median, us | Memory, KiB |\n\
+         |---|---|---|---|---|---|---|"
     );
     for (proxies, groups) in
         [(6, 3), (50, 3), (300, 3), (6, 100), (50, 100), (300, 100), (300, 700)]
--- a/src/control/budget.rs
+++ b/src/control/budget.rs
@@ -2,7 +2,7 @@
 //! an instance accepts, not even while shares change. Each group has its own state machine. See `docs/DESIGN.md`,
 //! "Connection budget".
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::id;
 use crate::wire::Demand;
@@ -69,8 +69,9 @@
         inherited: bool,
         version: u64,
     ) -> bool {
-        self.allocations
-            .retain(|node, _| participants.iter().any(|participant| participant.node == *node));
+        let nodes: BTreeSet<&id::Node> =
+            participants.iter().map(|participant| &participant.node).collect();
+        self.allocations.retain(|node, _| nodes.contains(node));
         let unreported = participants
             .iter()
             .any(|participant| !self.allocations.contains_key(&participant.node));
@@ -170,12 +171,14 @@
 
     fn grow(&mut self, targets: &BTreeMap<id::Node, u32>, available: u32, version: u64) -> bool {
         let mut changed = false;
+        let mut max_open = self.max_open();
         for (node, target) in targets {
-            let free = available.saturating_sub(self.max_open());
+            let free = available.saturating_sub(max_open);
             let allocation = self.allocations.entry(node.clone()).or_default();
             let share = (*target).min(allocation.max_open + free);
             if share > allocation.share {
                 allocation.share = share;
+                max_open += share.saturating_sub(allocation.max_open);
                 allocation.max_open = allocation.max_open.max(share);
                 allocation.version = version;
                 changed = true;
--- a/src/control/leader.rs
+++ b/src/control/leader.rs
@@ -13,7 +13,7 @@
     CONFIRMATION_VALIDITY, Holder, LEASE_DURATION, Leases, UNLEASED_RETENTION_WAIT,
 };
 use super::registry::{Registry, Verdict};
-use super::serving::{Candidate, Choice};
+use super::serving::{self, Candidate, Choice};
 use super::state::{Action, State};
 use crate::clock::Instant;
 use crate::config::Fleet;
@@ -379,13 +379,14 @@
         }
         self.reshared_at = Some(now);
         let inherited = self.leases.has_inherited(now);
+        let mut candidates = self.candidates(now, state);
         for (name, group) in &fleet.group {
             // If an outside service promotes instances, proxies watch them over their shared connections, so that no
             // connections are reserved for it.
             let watching = WATCH_CONNECTIONS * state.nodes.len() as u32;
             let reserved = if group.promoted_outside { 0 } else { watching };
             let available = group.connections.saturating_sub(reserved);
-            let decided = self.choose_servers(now, name, available, state);
+            let decided = self.choose_servers(now, name, available, &mut candidates);
             let Some(choice) = self.serving.get(name).filter(|_| decided) else {
                 continue;
             };
@@ -403,55 +404,60 @@
         }
     }
 
-    /// Updates which proxies serve a group. Returns false as long as that can't be decided: while proxies that have not
-    /// reported may hold connections that an earlier leader gave them, a new choice could give these away twice.
+    /// Returns the proxies that may serve groups, each with the number of groups that it serves now.
+    fn candidates(&self, now: Instant, state: &State) -> Vec<Candidate> {
+        let mut served: BTreeMap<&id::Node, usize> = BTreeMap::new();
+        for choice in self.serving.values() {
+            choice.listed().for_each(|node| *served.entry(node).or_default() += 1);
+        }
+        let candidate = |(node, (incarnation, domain)): (&id::Node, &(_, id::Domain))| {
+            let reported = self.proxies.get(node).filter(|proxy| proxy.incarnation == *incarnation);
+            let live = self.leases.may_hold(now, &(node.clone(), *incarnation));
+            Candidate {
+                node: node.clone(),
+                domain: domain.clone(),
+                live: live && reported.is_some_and(|proxy| !proxy.draining),
+                holds_share: false,
+                groups: served.get(node).copied().unwrap_or(0),
+            }
+        };
+        state.nodes.iter().map(candidate).collect()
+    }
+
+    /// Updates which proxies serve a group, and the numbers of groups of the candidates. Returns false as long as that
+    /// can't be decided: while proxies that have not reported may hold connections that an earlier leader gave them, a
+    /// new choice could give these away twice.
     fn choose_servers(
         &mut self,
         now: Instant,
         name: &id::Group,
         connections: u32,
-        state: &State,
+        candidates: &mut [Candidate],
     ) -> bool {
         let budget = self.budgets.entry(name.clone()).or_default();
         let available = connections.saturating_sub(CONTROL_CONNECTIONS + SPARE_CONNECTIONS);
         let can_forward = |node| self.proxies.get(node).is_none_or(|proxy: &Proxy| proxy.forwards);
-        let unreported = state.nodes.keys().any(|node| !budget.has_reported(node));
         let choice = self.serving.entry(name.clone()).or_default();
-        if !state.nodes.keys().all(can_forward) {
+        if !candidates.iter().all(|candidate| can_forward(&candidate.node)) {
             *choice = Choice::Every;
             return true;
         }
-        if state.nodes.len() as u32 > available
+        if !serving::is_served_by_all(candidates.len(), available)
             && *choice == Choice::Undecided
             && self.leases.has_inherited(now)
-            && unreported
+            && candidates.iter().any(|candidate| !budget.has_reported(&candidate.node))
         {
             return false;
         }
-        let mut other_groups: BTreeMap<&id::Node, usize> = BTreeMap::new();
-        let others = self.serving.iter().filter(|(group, _)| *group != name);
-        for (_, choice) in others {
-            if let Choice::Listed(listed) = choice {
-                listed.iter().for_each(|node| *other_groups.entry(node).or_default() += 1);
-            }
+        for candidate in candidates.iter_mut() {
+            candidate.holds_share = budget.holds_share(&candidate.node);
+            candidate.groups -= usize::from(choice.lists(&candidate.node));
         }
-        let candidate = |(node, (incarnation, domain)): (&id::Node, &(_, id::Domain))| {
-            let reported = self.proxies.get(node).filter(|proxy| proxy.incarnation == *incarnation);
-            let live = self.leases.may_hold(now, &(node.clone(), *incarnation));
-            Candidate {
-                node: node.clone(),
-                domain: domain.clone(),
-                live: live && reported.is_some_and(|proxy| !proxy.draining),
-                holds_share: budget.holds_share(node),
-                other_groups: other_groups.get(node).copied().unwrap_or(0),
-            }
-        };
-        let candidates: Vec<Candidate> = state.nodes.iter().map(candidate).collect();
-        let mut choice = self.serving.get(name).cloned().unwrap_or_default();
-        choice.update(name, &candidates, available);
-        let decided = choice != Choice::Undecided;
-        self.serving.insert(name.clone(), choice);
-        decided
+        choice.update(name, candidates, available);
+        for candidate in candidates.iter_mut() {
+            candidate.groups += usize::from(choice.lists(&candidate.node));
+        }
+        *choice != Choice::Undecided
     }
 
     /// Returns the proxies that serve a group, with their addresses.
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -1,6 +1,5 @@
-//! Chooses the proxies that serve a group. While there are connections for all proxies, each serves every group by
-//! itself. When there are fewer connections than proxies, a few proxies hold them, and the others forward statements to
-//! these. See `docs/DESIGN.md`, "Serving proxies".
+//! Chooses the proxies that serve a group. While there are few proxies and a connection for each, all serve every group by
+//! themselves. Otherwise a few proxies hold the connections, and the others forward statements to these. See `docs/DESIGN.md`, "Serving proxies".
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,6 +9,10 @@
 /// connection, so a smaller pool is often blocked by transactions while the pool of another proxy is idle.
 pub const POOL_CONNECTIONS: u32 = 5;
 
+/// The greatest number of serving proxies. Each runs at least one statement on each instance, whatever the others run
+/// there, so their number must stay below what an instance queues.
+pub const MAX_SERVERS: u32 = 12;
+
 /// The least number of serving proxies, so that the loss of one leaves another.
 pub const MIN_SERVERS: u32 = 2;
 
@@ -24,8 +27,8 @@
     pub live: bool,
     /// Whether the proxy holds a share of the connections.
     pub holds_share: bool,
-    /// The number of other groups that the proxy serves.
-    pub other_groups: usize,
+    /// The number of groups that the proxy is listed for, except for the one that is being decided on.
+    pub groups: usize,
 }
 
 /// The proxies that serve one group.
@@ -41,6 +44,21 @@
 }
 
 impl Choice {
+    /// Returns the listed proxies.
+    pub fn listed(&self) -> impl Iterator<Item = &id::Node> {
+        match self {
+            Self::Undecided | Self::Every => None,
+            Self::Listed(listed) => Some(listed),
+        }
+        .into_iter()
+        .flatten()
+    }
+
+    /// Returns whether a proxy is listed.
+    pub fn lists(&self, node: &id::Node) -> bool {
+        matches!(self, Self::Listed(listed) if listed.contains(node))
+    }
+
     /// Returns whether a proxy is chosen.
     pub fn includes(&self, node: &id::Node) -> bool {
         match self {
@@ -54,7 +72,7 @@
     /// Serving proxies are kept as long as they are live, and are spread evenly over the failure domains. At most one
     /// proxy moves from one domain to another per call, so that a group never changes all its proxies at once.
     pub fn update(&mut self, group: &id::Group, candidates: &[Candidate], connections: u32) {
-        if candidates.len() as u32 <= connections {
+        if is_served_by_all(candidates.len(), connections) {
             *self = Self::Every;
             return;
         }
@@ -71,7 +89,8 @@
                 live.iter().filter(|(_, c)| c.holds_share).map(|(n, c)| (*n, *c)).collect()
             }
         };
-        let seats = (connections / POOL_CONNECTIONS).max(MIN_SERVERS).min(live.len() as u32);
+        let seats = (connections / POOL_CONNECTIONS).clamp(MIN_SERVERS, MAX_SERVERS);
+        let seats = seats.min(live.len() as u32);
         while listed.len() > seats as usize {
             let Some(node) = most_expendable(&listed) else { break };
             listed.remove(node);
@@ -92,15 +111,19 @@
     }
 }
 
+/// Returns whether all proxies serve a group whose instances have this many connections for proxies.
+pub fn is_served_by_all(proxies: usize, connections: u32) -> bool {
+    proxies as u32 <= connections.min(MAX_SERVERS)
+}
+
 fn count_in_domain(listed: &BTreeMap<&id::Node, &Candidate>, domain: &id::Domain) -> usize {
     listed.values().filter(|candidate| candidate.domain == *domain).count()
 }
 
 /// Returns the proxy to remove first: one of the domain with the most, which serves the most other groups.
 fn most_expendable<'a>(listed: &BTreeMap<&'a id::Node, &'a Candidate>) -> Option<&'a id::Node> {
-    let rank = |candidate: &&&Candidate| {
-        (count_in_domain(listed, &candidate.domain), candidate.other_groups)
-    };
+    let rank =
+        |candidate: &&&Candidate| (count_in_domain(listed, &candidate.domain), candidate.groups);
     listed.values().max_by_key(rank).map(|candidate| &candidate.node)
 }
 
@@ -116,7 +139,7 @@
         hasher.update(group.as_str().as_bytes());
         hasher.update(candidate.node.as_str().as_bytes());
         let in_domain = count_in_domain(listed, &candidate.domain);
-        (in_domain, candidate.other_groups, hasher.finalize())
+        (in_domain, candidate.groups, hasher.finalize())
     };
     let free = live.values().copied().filter(|candidate| !listed.contains_key(&candidate.node));
     free.min_by_key(rank)
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -11,7 +11,9 @@
 use cactushatch::clock::Instant;
 use cactushatch::config::Fleet;
 use cactushatch::control::budget::{CONTROL_CONNECTIONS, SPARE_CONNECTIONS};
-use cactushatch::control::serving::{Candidate, Choice, MIN_SERVERS, POOL_CONNECTIONS};
+use cactushatch::control::serving::{
+    Candidate, Choice, MAX_SERVERS, MIN_SERVERS, POOL_CONNECTIONS,
+};
 use cactushatch::control::state::State;
 use cactushatch::id;
 use cactushatch::statement::{Access, Code};
@@ -29,7 +31,7 @@
         domain: name(DOMAINS[number % DOMAINS.len()]),
         live: true,
         holds_share: false,
-        other_groups: 0,
+        groups: 0,
     };
     (0..count).map(candidate).collect()
 }
@@ -58,13 +60,21 @@
     assert_eq!(listed(&choice).len() as u32, 12 / POOL_CONNECTIONS);
 }
 
+/// Guards against many proxies that each run one statement at least on an instance, and together more than it queues.
+#[test]
+fn few_proxies_serve_a_group_however_many_connections_it_has() {
+    let mut choice = Choice::default();
+    choice.update(&group(), &candidates(72), 153);
+    assert_eq!(listed(&choice).len() as u32, MAX_SERVERS);
+}
+
 #[test]
 fn serving_proxies_are_spread_over_failure_domains_and_groups() {
     let mut candidates = candidates(69);
     let mut chosen: BTreeMap<id::Node, usize> = BTreeMap::new();
     for number in 0..8 {
         for candidate in &mut candidates {
-            candidate.other_groups = chosen.get(&candidate.node).copied().unwrap_or(0);
+            candidate.groups = chosen.get(&candidate.node).copied().unwrap_or(0);
         }
         let mut choice = Choice::default();
         choice.update(&name(&format!("g{number}")), &candidates, 31);
