Shorten the forwarding of a statement, and show the log of a restarted voter

Reading only: the answer of a serving proxy is handled in one match, and names say what they are. The message of control_fleet's tests has the log of restarted processes, since the entry in KNOWN-RED could not be traced for want of it.

--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -23,7 +23,7 @@
 use crate::wire::{Body, Forward, Forwarded, LastWrite, Server, Serving, Step, Stream};
 
 /// The number of proxies that a statement is forwarded to at most.
-const MAX_SERVERS: usize = 3;
+const MAX_ATTEMPTS: usize = 3;
 
 /// How long a serving proxy may send nothing, not even that it still works on a statement, until the statement is
 /// forwarded to another one: a few times [`super::serve::PROGRESS_INTERVAL`].
@@ -190,6 +190,7 @@
         }
     }
 
+    /// Forwards a statement to one proxy after the other until one handles it, as long as nothing of it can be kept.
     async fn run_on_any(
         &mut self,
         runner: &mut Runner,
@@ -205,58 +206,49 @@
                 None => (self.choose(execution, &excluded).await?, false, false),
             };
             execution.tries += 1;
-            let forward = self.forward(runner, execution, step, continues);
+            let forward = self.message(runner, execution, step, continues);
             let deadline = execution.deadline + DEADLINE_MARGIN;
             let is_unsafe =
                 recovery::after_failure(step, continues, wrote, true) != Recovery::Retry;
             let mut sent = false;
-            let (recovery, result, reason) =
-                match peer.exchange(forward, deadline, is_unsafe, &mut sent).await {
-                    Ok(Forwarded::Handled { reply, is_open, written }) => {
-                        self.shared.metrics.record_forward(ForwardResult::Handled);
-                        let requested_at = self.shared.clock.now();
-                        if let Some(mark) = written {
-                            runner.set_last_write(Some(PositionSample { requested_at, mark }));
-                        }
-                        if is_open {
-                            let wrote = wrote || step.writes();
-                            self.transaction = Some(Transaction { peer, wrote });
-                        } else {
-                            peer.keep_stream();
-                        }
-                        return Ok((reply.into_iter().collect(), is_open));
+            let answer = peer.exchange(forward, deadline, is_unsafe, &mut sent).await;
+            let (result, reason, may_have_run) = match answer {
+                Ok(Forwarded::Handled { reply, is_open, written }) => {
+                    self.shared.metrics.record_forward(ForwardResult::Handled);
+                    let requested_at = self.shared.clock.now();
+                    if let Some(mark) = written {
+                        runner.set_last_write(Some(PositionSample { requested_at, mark }));
                     }
-                    Ok(Forwarded::NotServing) => {
-                        self.avoid(&peer, NOT_SERVING_PERIOD);
+                    if is_open {
+                        let wrote = wrote || step.writes();
+                        self.transaction = Some(Transaction { peer, wrote });
+                    } else {
                         peer.keep_stream();
-                        let reason = "the proxy does not serve the group".to_owned();
-                        (
-                            recovery::after_failure(step, continues, wrote, false),
-                            ForwardResult::NotServing,
-                            reason,
-                        )
                     }
-                    Err(failure) => {
-                        if !matches!(failure, Failure::Timeout) {
-                            self.avoid(&peer, AVOID_PERIOD);
-                        }
-                        let reason = failure.to_string();
-                        (
-                            recovery::after_failure(step, continues, wrote, sent),
-                            ForwardResult::Failed,
-                            reason,
-                        )
+                    return Ok((reply.into_iter().collect(), is_open));
+                }
+                Ok(Forwarded::NotServing) => {
+                    self.avoid(&peer, NOT_SERVING_PERIOD);
+                    peer.keep_stream();
+                    let reason = "the proxy does not serve the group".to_owned();
+                    (ForwardResult::NotServing, reason, false)
+                }
+                Err(failure) => {
+                    if !matches!(failure, Failure::Timeout) {
+                        self.avoid(&peer, AVOID_PERIOD);
                     }
-                };
+                    (ForwardResult::Failed, failure.to_string(), sent)
+                }
+            };
             self.log_failure(execution, &peer.server.node, result, &reason);
             excluded.push(peer.server.node.clone());
             failed += 1;
-            match recovery {
+            match recovery::after_failure(step, continues, wrote, may_have_run) {
                 Recovery::End(code) => {
                     return Err(Refusal::new(code, format!("{}: {reason}", peer.server.node)));
                 }
                 Recovery::Retry
-                    if failed >= MAX_SERVERS || self.shared.clock.now() >= execution.deadline =>
+                    if failed >= MAX_ATTEMPTS || self.shared.clock.now() >= execution.deadline =>
                 {
                     let reason = "the proxies that serve the group failed";
                     return Err(Refusal::busy(reason, NO_SERVER_RETRY_DELAY));
@@ -266,7 +258,8 @@
         }
     }
 
-    fn forward(
+    /// Returns the message for a statement.
+    fn message(
         &self,
         runner: &Runner,
         execution: &Execution<'_>,
--- a/tests/control_fleet.rs
+++ b/tests/control_fleet.rs
@@ -28,7 +28,7 @@
         }
         std::thread::sleep(Duration::from_millis(50));
     }
-    panic!("no voter reached the expected state: {:?}", voters(fleet));
+    panic!("no voter reached the expected state: {:?}\n{}", voters(fleet), fleet.restart_logs());
 }
 
 fn leader(fleet: &Fleet) -> String {
--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -122,6 +122,15 @@
         self.restarted.lock().expect("nothing panics while it holds the lock").push(process);
     }
 
+    /// Returns the logs of the processes that were restarted.
+    pub fn restart_logs(&self) -> String {
+        let entries = std::fs::read_dir(self.path().join("log")).expect("the logs are readable");
+        let paths = entries.map(|entry| entry.expect("the logs are readable").path());
+        let restarted = paths.filter(|path| path.display().to_string().ends_with("-again"));
+        let read = |path: PathBuf| std::fs::read_to_string(path).unwrap_or_default();
+        restarted.map(read).collect()
+    }
+
     /// Returns the status of the control plane through any voter, or `None` if the command fails.
     pub fn status(&self) -> Option<serde_json::Value> {
         let admins = std::fs::read_to_string(self.path().join("admin"))
