Keep a forwarded statement's session open until its answer is sent

A proxy that shuts down waits for open sessions. The session of a forwarded statement ended before its answer was written, so the process could have ended in between. Found by reading; a test would have to stop the process between two lines. Also tests the two new causes of explain.

--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -99,6 +99,10 @@
                 _ => return Ok(()),
             };
             stream.send(&self.shared.frame(answer)).await?;
+            // A shutdown waits until the answer has been sent.
+            if !self.runner.has_connection() {
+                self.open_session = None;
+            }
         }
         Ok(())
     }
@@ -141,6 +145,7 @@
         }
     }
 
+    /// Runs a statement, unless this proxy should not run it.
     async fn handle(&mut self, forward: Forward) -> Forwarded {
         if forward.continues && !self.runner.has_connection() {
             let text = "the transaction was lost".to_owned();
@@ -177,9 +182,6 @@
             (&forward.database, &database),
         );
         let (reply, is_open) = self.runner.run_step(execution, &forward.step).await;
-        if !is_open {
-            self.open_session = None;
-        }
         let written = self.runner.last_write().filter(|_| self.runner.last_write() != before);
         Forwarded::Handled {
             reply: reply.into_vec(),
--- a/tests/timeline.rs
+++ b/tests/timeline.rs
@@ -75,6 +75,15 @@
     assert_eq!(cause(&[request_line("busy", "x", 0, "mark", 700), silent]), Cause::InstanceFailed);
     assert_eq!(cause(&[request_line("timeout", "x", 0, "mark", 700)]), Cause::InstanceFailed);
     assert_eq!(cause(&[request_line("busy", "x", 0, "primary", 700)]), Cause::Overload);
+    assert_eq!(cause(&[request_line("busy", "x", 0, "server", 700)]), Cause::NoServer);
+    let limit = |node, group: &str| {
+        let rest = format!(r#""event":"connection_limit","group":"{group}","instance":"i-1""#);
+        line("06:00:02.100000", node, &rest)
+    };
+    let refused = request_line("busy", "x", 0, "mark", 700);
+    assert_eq!(cause(&[refused.clone(), limit("proxy-1", "books")]), Cause::ConnectionLimit);
+    assert_eq!(cause(&[refused.clone(), limit("proxy-2", "books")]), Cause::Overload);
+    assert_eq!(cause(&[refused, limit("proxy-1", "films")]), Cause::Overload);
     assert_eq!(cause(&[request_line("no_such_database", "x", 0, "mark", 700)]), Cause::Unknown);
 }
 
