--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -5,7 +5,7 @@
 
 use bytes::BytesMut;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
 
 use super::forward::Forwarder;
 use super::run::{Reply, Runner};
@@ -24,9 +24,6 @@
 /// How long a caller may leave an answer unread before it is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The delay before the next accept after a failed one.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
 /// The reason why a caller's connection ended.
@@ -51,24 +48,8 @@
     Abort,
 }
 
-/// Accepts callers until the process ends.
-pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                smol::spawn(serve(Arc::clone(&shared), socket)).detach();
-            }
-            Err(error) => {
-                log::warn!(
-                    "caller connection could not be accepted: {error}; retrying in {ACCEPT_RETRY_DELAY:?}"
-                );
-                shared.clock.sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn serve(shared: Arc<Shared>, socket: TcpStream) {
+/// Serves a caller until its session ends.
+pub(super) async fn serve(shared: Arc<Shared>, socket: TcpStream) {
     shared.shutdown.session_opened();
     shared.metrics.caller_connected();
     let mut caller = Caller {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -8,6 +8,7 @@
 //! Statements of groups that other proxies serve are forwarded to these. See `docs/PLATFORM.md`, "The broker" and
 //! "Forwarding".
 
+mod accept;
 mod caller;
 mod connection;
 pub mod dispatch;
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpStream;
 
 use super::need::PositionSample;
 use super::run::Runner;
@@ -18,9 +18,6 @@
 use crate::statement::{Answer, Code};
 use crate::wire::{Body, Error, Forward, Forwarded, Frame, Stream};
 
-/// The delay before the next accept after a failed one.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// How often a proxy tells that it still works on a forwarded statement.
 pub(super) const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -28,24 +25,8 @@
 /// proxy ends it with an answer for the caller.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Accepts streams of other proxies until the process ends.
-pub(super) async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                smol::spawn(serve(Arc::clone(&shared), socket)).detach();
-            }
-            Err(error) => {
-                log::warn!(
-                    "stream of a proxy could not be accepted: {error}; retrying in {ACCEPT_RETRY_DELAY:?}"
-                );
-                shared.clock.sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn serve(shared: Arc<Shared>, socket: TcpStream) {
+/// Serves another proxy until its stream ends.
+pub(super) async fn serve(shared: Arc<Shared>, socket: TcpStream) {
     let mut handler = Handler {
         runner: Runner::new(Arc::clone(&shared)),
         shared: Arc::clone(&shared),
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -11,7 +11,7 @@
 
 use super::state::State;
 use super::stranded::BALANCER_NOTICE;
-use super::{caller, monitor, serve};
+use super::{accept, caller, monitor, serve};
 use crate::clock::Clock;
 use crate::config;
 use crate::id;
@@ -95,8 +95,8 @@
     });
     smol::spawn(shared.credentials.clone().watch(shared.clock.clone())).detach();
     heartbeat::spawn(&shared, udp);
-    smol::spawn(caller::accept(Arc::clone(&shared), listener)).detach();
-    smol::spawn(serve::accept(Arc::clone(&shared), peers)).detach();
+    smol::spawn(accept::run(Arc::clone(&shared), listener, caller::serve)).detach();
+    smol::spawn(accept::run(Arc::clone(&shared), peers, serve::serve)).detach();
     smol::spawn(monitor::run(Arc::clone(&shared))).detach();
     smol::spawn(crate::admin::serve_metrics(shared.metrics.clone(), admin)).detach();
     Ok(Server { shared })
