Wait for the lease of the proxy that the test asks

The test waited until any of the two proxies had logged that its lease is over, and asked the first one; if that one still had its lease, the write ran, and its answer could not be released. Both answers are right. The test now waits for the proxy that it asks, which is stricter: what it asserts is unchanged.

--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -54,7 +54,11 @@
         fleet.signal(vm, "-KILL");
         fleet.wait_for_exit(vm);
     }
-    fleet.wait_until("the lease has run out", |fleet| fleet.logs().contains("\"held\":false"));
+    // The leases of the two proxies may end at different times.
+    fleet.wait_until("the lease has run out", |fleet| {
+        let log = std::fs::read_to_string(fleet.log_file(PROXIES[0])).expect("a log");
+        log.contains("\"held\":false")
+    });
     let answer = session.query_with_id("refused1", "PUT slot ben").expect("the proxy answers");
     assert!(answer.result.starts_with("ERR BUSY"), "{answer:?}");
     let (timeline, outcome) = timeline(&fleet, "refused1");
