Report an instance again after a lease was regained

What callers would see: after a partition, two proxies with a bad path are taken for most of the observers, and a sound primary is replaced.

Cause: control drops the reports of a proxy whose lease has expired. The proxy reports an instance again only when its health differs from the last acknowledged report, so a healthy one was never reported again, and only those that fail counted. Proxies that begin to serve a group are in the same place. Found by reading the new choice of observers.

health_is_reset_when_the_proxy_regains_its_lease has two more assertions, which fail on the code before.

--- a/src/broker/health.rs
+++ b/src/broker/health.rs
@@ -54,10 +54,12 @@
         new
     }
 
-    /// Discards what was observed before this proxy was cut off.
+    /// Discards what was observed before this proxy was cut off, or before it watched the instance. The control plane has
+    /// dropped the reports of that time, so the instance is reported again.
     pub fn reset(&mut self, now: Instant) {
         self.last_answer = now;
         self.current = wire::Health::Fine;
+        self.reported = None;
     }
 
     /// Returns whether statements may be sent to the instance.
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -586,6 +586,12 @@
     );
     assert!(health.record_failure(wire::Health::Silent));
     assert_eq!(health.report(at(5_700), sequence(11), |_| true), Some(wire::Health::Silent));
+    // The control plane drops the reports of proxies without a lease, so the instance is reported again.
+    for reset in [at(6_000), at(7_000)] {
+        health.reset(reset);
+        assert_eq!(health.report(reset, sequence(12), |_| true), Some(wire::Health::Fine));
+        assert_eq!(health.report(reset, sequence(13), |_| true), None);
+    }
 }
 
 /// A primary that lost its replicas answers everything except commits, and must be reported as silent.
