Count reports to a leader that has not chosen the serving proxies yet

What callers would see: after a change of control's leader, writes to a group whose primary fails at the same time stay refused, since proxies report a failure once, and the new leader dropped it while it had no choice of serving proxies.

Cause: only serving proxies count as observers, and before the choice none was one. Found by reading.

reports_to_a_new_leader_count_before_it_has_chosen_the_serving_proxies fails on the code before: the primary stays in place for three seconds.

--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -331,7 +331,7 @@
             let choice = self.serving.get(&name);
             let observers: BTreeSet<id::Node> = live
                 .iter()
-                .filter(|node| choice.is_none_or(|choice| choice.includes(node)))
+                .filter(|node| choice.is_none_or(|choice| choice.may_include(node)))
                 .cloned()
                 .collect();
             let view = View {
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns whether a proxy is chosen, or may have been chosen by an earlier leader.
+    pub fn may_include(&self, node: &id::Node) -> bool {
+        *self == Self::Undecided || self.includes(node)
+    }
+
     /// Updates the choice. `connections` is the number of connections to each instance that proxies may hold together.
     /// Serving proxies are kept as long as they are live, and are spread evenly over the failure domains. At most one
     /// proxy moves from one domain to another per call, so that a group never changes all its proxies at once.
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -11,13 +11,14 @@
 use cactushatch::clock::Instant;
 use cactushatch::config::Fleet;
 use cactushatch::control::budget::{CONTROL_CONNECTIONS, SPARE_CONNECTIONS};
+use cactushatch::control::failover::Output;
 use cactushatch::control::serving::{
     Candidate, Choice, MAX_SERVERS, MIN_SERVERS, POOL_CONNECTIONS,
 };
-use cactushatch::control::state::State;
+use cactushatch::control::state::{Action, State};
 use cactushatch::id;
 use cactushatch::statement::{Access, Code};
-use cactushatch::wire::{Demand, Server, Serving, Step};
+use cactushatch::wire::{Demand, Health, Server, Serving, Step};
 use machine::{Control, Proxy, at, group, name};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -279,6 +280,45 @@
     }
 }
 
+/// Guards against a primary that stays in place because a new leader, which has not chosen the serving proxies yet,
+/// dropped what they reported once.
+#[test]
+fn reports_to_a_new_leader_count_before_it_has_chosen_the_serving_proxies() {
+    let count = 30;
+    let mut cluster = Cluster::new(17, count);
+    cluster.control.promote_first(at(0), "i1");
+    let run = |cluster: &mut Cluster, steps: std::ops::Range<u64>, without: Option<usize>| {
+        let mut frozen = false;
+        for step in steps {
+            let now = at(step * 100);
+            for index in (0..count).filter(|index| Some(*index) != without) {
+                cluster.exchange(now, index, false);
+                cluster.proxies[index].0.observations.clear();
+            }
+            let freezes = |output: &Output| matches!(output, Output::Submit(Action::Freeze { .. }));
+            frozen |= cluster.control.tick(now).iter().any(freezes);
+        }
+        frozen
+    };
+    let observe = |cluster: &mut Cluster, health: Health| {
+        for index in 0..count {
+            if cluster.permits(at(2_000), index) > 0 {
+                (1..4).for_each(|n| {
+                    let health = if n == 1 { health } else { Health::Fine };
+                    cluster.proxies[index].0.observe(&format!("i{n}"), n, health, 0);
+                });
+            }
+        }
+    };
+    assert!(!run(&mut cluster, 0..20, None));
+    observe(&mut cluster, Health::Fine);
+    assert!(!run(&mut cluster, 20..30, None));
+    cluster.elect(at(3_000));
+    observe(&mut cluster, Health::Refused);
+    // One proxy is gone, so the new leader doesn't choose before inherited leases have expired.
+    assert!(run(&mut cluster, 30..60, Some(0)), "the primary is replaced");
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         cases: 40,
