--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -197,7 +197,7 @@
         execution: &mut Execution<'_>,
         step: &Step,
     ) -> Result<(Reply, bool), Refusal> {
-        // This proxy may be listed already while its share has not grown yet.
+        // This proxy may be listed already while its share is still 0.
         let mut excluded: SmallVec<[id::Node; 4]> = SmallVec::from_iter([self.shared.node.clone()]);
         let mut failed = 0;
         loop {
