Spread the groups over all proxies again after a partition

Cause: while a partition leaves control with a few proxies, these take over every group, and the choice kept them for as long as they were live; only domains were evened out. Refused by the trace: windows that stay shrunk (waited_ms is 0 on slow requests, in_use is far below permits) and instances that turn work away.

Change: a serving proxy is exchanged for one that serves at least two groups fewer, one proxy of a group per update.

--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -74,8 +74,12 @@
     }
 
     /// Updates the choice. `connections` is the number of connections to each instance that proxies may hold together.
-    /// Serving proxies are kept as long as they are live, and are spread evenly over the failure domains. At most one
-    /// proxy moves from one domain to another per call, so that a group never changes all its proxies at once.
+    /// Serving proxies are kept as long as they are live, and are spread evenly over the failure domains and over the
+    /// groups. At most one proxy is exchanged for a better one per call, so that a group never changes all its proxies at
+    /// once.
+    ///
+    /// The load that this answers is a partition that leaves control with a few proxies. These take over every group, and
+    /// without an exchange they would keep all of them when the others are back.
     pub fn update(&mut self, group: &id::Group, candidates: &[Candidate], connections: u32) {
         if is_served_by_all(candidates.len(), connections) {
             *self = Self::Every;
@@ -101,12 +105,9 @@
             listed.remove(node);
         }
         if listed.len() == seats as usize
-            && let (Some(next), Some(last)) =
-                (best_addition(group, &live, &listed), most_expendable(&listed))
-            && count_in_domain(&listed, &next.domain) + 1
-                < count_in_domain(&listed, &listed[last].domain)
+            && let Some(leaving) = exchange(group, &live, &listed)
         {
-            listed.remove(last);
+            listed.remove(leaving);
         }
         while listed.len() < seats as usize {
             let Some(next) = best_addition(group, &live, &listed) else { break };
@@ -125,6 +126,27 @@
     listed.values().filter(|candidate| candidate.domain == *domain).count()
 }
 
+/// Returns the proxy that is to be exchanged for a better one, if there is one: for one of a domain that has fewer, or for
+/// one that serves at least two groups fewer. The difference of two keeps proxies from changing back and forth.
+fn exchange<'a>(
+    group: &id::Group,
+    live: &BTreeMap<&'a id::Node, &'a Candidate>,
+    listed: &BTreeMap<&'a id::Node, &'a Candidate>,
+) -> Option<&'a id::Node> {
+    let next = best_addition(group, live, listed)?;
+    let expendable = most_expendable(listed)?;
+    let after_addition = count_in_domain(listed, &next.domain) + 1;
+    if after_addition < count_in_domain(listed, &listed[expendable].domain) {
+        return Some(expendable);
+    }
+    let mut remaining = listed.clone();
+    let busiest = *listed.values().max_by_key(|candidate| candidate.groups)?;
+    remaining.remove(&busiest.node);
+    // The groups of a listed proxy don't count this one, so with equal numbers the newcomer would serve one more.
+    let next = best_addition(group, live, &remaining)?;
+    (next.groups < busiest.groups).then_some(&busiest.node)
+}
+
 /// Returns the proxy to remove first: one of the domain with the most, which serves the most other groups.
 fn most_expendable<'a>(listed: &BTreeMap<&'a id::Node, &'a Candidate>) -> Option<&'a id::Node> {
     let rank =
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -109,6 +109,61 @@
     assert_eq!(count_by_domain(&choice, &candidates).len(), DOMAINS.len());
 }
 
+/// The number of calls of [`Choice::update`] in five seconds, one per `RESHARE_INTERVAL` of 200 ms.
+const UPDATES_IN_FIVE_SECONDS: usize = 25;
+
+/// Updates the choices of all groups once, as the leader does, and returns the number of proxies that each group changed.
+fn update_all(
+    choices: &mut BTreeMap<id::Group, Choice>,
+    candidates: &mut [Candidate],
+) -> Vec<usize> {
+    let mut moved = Vec::new();
+    for name in choices.keys().cloned().collect::<Vec<_>>() {
+        for candidate in candidates.iter_mut() {
+            let others = choices.iter().filter(|(other, _)| **other != name);
+            candidate.groups = others.filter(|(_, choice)| choice.lists(&candidate.node)).count();
+        }
+        let choice = choices.get_mut(&name).expect("a group of the map");
+        let before = choice.clone();
+        choice.update(&name, candidates, 23);
+        moved.push(before.listed().filter(|node| !choice.lists(node)).count());
+    }
+    moved
+}
+
+/// Replays a cut that leaves control with two proxies per domain, its end, and the same load as before. The few proxies
+/// that took all groups over meanwhile must hand them back, or their links and processors stay overloaded for good.
+#[test]
+fn groups_that_piled_up_on_few_proxies_are_spread_again_when_the_others_return() {
+    let mut candidates = candidates(85);
+    let names = (0..8).map(|number| name(&format!("g{number}")));
+    let mut choices: BTreeMap<id::Group, Choice> =
+        names.map(|name| (name, Choice::default())).collect();
+    update_all(&mut choices, &mut candidates);
+    let max_groups = |choices: &BTreeMap<id::Group, Choice>, candidates: &[Candidate]| {
+        let served = |candidate: &Candidate| {
+            choices.values().filter(|choice| choice.lists(&candidate.node)).count()
+        };
+        candidates.iter().map(served).max()
+    };
+    assert_eq!(max_groups(&choices, &candidates), Some(1));
+
+    candidates.iter_mut().skip(8).for_each(|candidate| candidate.live = false);
+    update_all(&mut choices, &mut candidates);
+    assert_eq!(max_groups(&choices, &candidates), Some(4));
+
+    candidates.iter_mut().for_each(|candidate| candidate.live = true);
+    for _ in 0..UPDATES_IN_FIVE_SECONDS {
+        let moved = update_all(&mut choices, &mut candidates);
+        assert!(moved.iter().all(|moved| *moved <= 1), "one proxy of a group moves at a time");
+    }
+    assert_eq!(max_groups(&choices, &candidates), Some(1));
+    for choice in choices.values() {
+        assert_eq!(count_by_domain(choice, &candidates).len(), DOMAINS.len());
+    }
+    assert_eq!(update_all(&mut choices, &mut candidates), vec![0; 8], "it comes to rest");
+}
+
 #[test]
 fn the_choice_stands_while_no_proxy_is_live() {
     let mut candidates = candidates(40);
