Let more proxies serve each group while others would serve none

Cause: a group's statements go over the links of the proxies that serve it, 2 Mbit/s each here. With one serving proxy for each five connections, four of 85 proxies carried 270 requests a second, and 53 proxies served nothing. In the busiest domain one serving proxy had 30 % of a group: it measured 40 to 80 ms for statements on instances that answered others in 15 to 25 ms at the same time (a trial that logged each instance's mean, window and running statements), so its link was full, not the instance.

Change: as many serving proxies as leave each proxy one group, down to three connections for each.

Tried and left out: sending statements to other domains when the load that a serving proxy reports is higher there.

--- a/src/control/leader/reshare.rs
+++ b/src/control/leader/reshare.rs
@@ -33,7 +33,8 @@
             let watching = WATCH_CONNECTIONS * state.nodes.len() as u32;
             let reserved = if group.promoted_outside { 0 } else { watching };
             let available = group.connections.saturating_sub(reserved);
-            let decided = self.choose_servers(now, name, available, &mut candidates);
+            let groups = fleet.group.len();
+            let decided = self.choose_servers(now, name, (available, groups), &mut candidates);
             let Some(choice) = self.serving.get(name).filter(|_| decided) else {
                 continue;
             };
@@ -78,7 +79,7 @@
         &mut self,
         now: Instant,
         name: &id::Group,
-        connections: u32,
+        (connections, groups): (u32, usize),
         candidates: &mut [Candidate],
     ) -> bool {
         let budget = self.budgets.entry(name.clone()).or_default();
@@ -100,7 +101,7 @@
             candidate.holds_share = budget.holds_share(&candidate.node);
             candidate.groups -= usize::from(choice.lists(&candidate.node));
         }
-        choice.update(name, candidates, available);
+        choice.update(name, candidates, available, groups);
         for candidate in candidates.iter_mut() {
             candidate.groups += usize::from(choice.lists(&candidate.node));
         }
--- a/src/control/serving.rs
+++ b/src/control/serving.rs
@@ -5,10 +5,14 @@
 
 use crate::id;
 
-/// The connections to each instance that a serving proxy gets on average. Statements of transactions are pinned to a
-/// connection, so a smaller pool is often blocked by transactions while the pool of another proxy is idle.
+/// The connections to each instance that a serving proxy gets on average, unless proxies would stay without a group.
+/// Statements of transactions are pinned to a connection, so a smaller pool is often blocked by transactions while the
+/// pool of another proxy is idle.
 pub const POOL_CONNECTIONS: u32 = 5;
 
+/// The least connections to each instance that a serving proxy gets on average.
+pub const MIN_POOL_CONNECTIONS: u32 = 3;
+
 /// The greatest number of serving proxies. Each runs at least one statement on each instance, whatever the others run
 /// there, so their number must stay below what an instance queues.
 pub const MAX_SERVERS: u32 = 12;
@@ -73,14 +77,22 @@
         *self == Self::Undecided || self.includes(node)
     }
 
-    /// Updates the choice. `connections` is the number of connections to each instance that proxies may hold together.
+    /// Updates the choice for one of `groups` groups. `connections` is the number of connections to each instance that
+    /// proxies may hold together.
+    ///
     /// Serving proxies are kept as long as they are live, and are spread evenly over the failure domains and over the
     /// groups. At most one proxy is exchanged for a better one per call, so that a group never changes all its proxies at
     /// once.
     ///
     /// The load that this answers is a partition that leaves control with a few proxies. These take over every group, and
     /// without an exchange they would keep all of them when the others are back.
-    pub fn update(&mut self, group: &id::Group, candidates: &[Candidate], connections: u32) {
+    pub fn update(
+        &mut self,
+        group: &id::Group,
+        candidates: &[Candidate],
+        connections: u32,
+        groups: usize,
+    ) {
         if is_served_by_all(candidates.len(), connections) {
             *self = Self::Every;
             return;
@@ -98,8 +110,7 @@
                 live.iter().filter(|(_, c)| c.holds_share).map(|(n, c)| (*n, *c)).collect()
             }
         };
-        let seats = (connections / POOL_CONNECTIONS).clamp(MIN_SERVERS, MAX_SERVERS);
-        let seats = seats.min(live.len() as u32);
+        let seats = count_seats(candidates.len(), connections, groups).min(live.len() as u32);
         while listed.len() > seats as usize {
             let Some(node) = most_expendable(&listed) else { break };
             listed.remove(node);
@@ -122,6 +133,15 @@
     proxies as u32 <= connections.min(MAX_SERVERS)
 }
 
+/// Returns the number of proxies that serve a group, if that many are live. All statements of a group go over the links of
+/// these proxies. So while there are more proxies than groups need, each group gets more of them, with smaller pools.
+fn count_seats(proxies: usize, connections: u32, groups: usize) -> u32 {
+    let one_group_each = (proxies / groups.max(1)) as u32;
+    let seats =
+        one_group_each.min(connections / MIN_POOL_CONNECTIONS).max(connections / POOL_CONNECTIONS);
+    seats.clamp(MIN_SERVERS, MAX_SERVERS)
+}
+
 fn count_in_domain(listed: &BTreeMap<&id::Node, &Candidate>, domain: &id::Domain) -> usize {
     listed.values().filter(|candidate| candidate.domain == *domain).count()
 }
