--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -186,6 +186,19 @@
     assert_eq!(class.priority, 1);
 }
 
+/// A number of copies at the limit of its type must neither end the process nor turn into a smaller one, with which a
+/// commit would count as durable on the primary alone.
+#[test]
+fn a_huge_number_of_synchronous_copies_stays_a_huge_number() {
+    for copies in [1 << 31, u32::MAX] {
+        let body = CONFIGURATION.replace("\"SyncCount\":1", &format!("\"SyncCount\":{copies}"));
+        let declaration = declaration::decode(body.as_bytes()).unwrap();
+        let fleet = Fleet::parse("declarations", &declaration.text).unwrap();
+        let group = &fleet.group[&"huvo11a".parse::<id::Group>().unwrap()];
+        assert_eq!((group.instances, group.durability), (15, Durability::Majority));
+    }
+}
+
 #[test]
 fn an_invalid_configuration_is_refused() {
     for (from, to) in [
