Test malformed frames at the listener for forwarded statements

The listener had no test against strangers. Lengths over the limit, noise, half frames, another version, a frame for control, an unknown database and the continuation of a lost transaction each end their own stream or are refused; nothing runs, and the process goes on serving. Replayed frames of a forwarded statement stay open (docs/operators/security.md).

--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -396,8 +396,8 @@
 const FRONT_PORT: u16 = 17_301;
 const READY_PORT: u16 = 17_302;
 const CONTROL_PORT: u16 = 17_303;
-const INTERNAL_PORT: u16 = 17_304;
-const METRICS_PORT: u16 = 17_305;
+pub const INTERNAL_PORT: u16 = 17_304;
+pub const METRICS_PORT: u16 = 17_305;
 const INSTANCE_PORT: u16 = 17_306;
 const PROMOTE_PORT: u16 = 17_307;
 
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -2,9 +2,16 @@
 
 mod lines;
 
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-use lines::{Caller, Fleet, TIMEOUT};
+use cactushatch::broker::session::{self, Operation};
+use cactushatch::id;
+use cactushatch::statement::{Access, Answer, Code, Id};
+use cactushatch::wire::{Body, Forward, Forwarded, Frame, Seal, Step, Stream};
+use lines::{Caller, Fleet, INTERNAL_PORT, METRICS_PORT, TIMEOUT, send_http};
 
 const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
 
@@ -184,3 +191,95 @@
         assert!(fleet.wait_for_exit(vm));
     }
 }
+
+fn frame(body: Body) -> Frame {
+    Frame { sender: "stranger".parse().unwrap(), incarnation: id::Incarnation(1), body }
+}
+
+/// Returns a frame with a write of the item `stranger`.
+fn forwarded_write(database: &str, continues: bool) -> Frame {
+    let body = session::Body::Text("PUT stranger x".to_owned());
+    frame(Body::Forward(Forward {
+        request: Id::new("stranger"),
+        database: database.to_owned(),
+        values: BTreeMap::new(),
+        last_write: None,
+        step: Step::InTransaction {
+            operation: Operation { access: Access::Write, body },
+            read_only: false,
+        },
+        continues,
+        is_stranded: false,
+    }))
+}
+
+/// Sends what can't be read, or what no proxy sends, to the listener for forwarded statements. Each may end its own stream
+/// only: nothing runs, the process goes on, and so do the statements that other proxies forward.
+#[test]
+fn malformed_frames_end_their_own_stream_only() {
+    let fleet = Fleet::up_with(106, &MANY_PROXIES, FEW_CONNECTIONS);
+    let mut session = fleet.connect(a_forwarding_proxy(&fleet), "shift");
+    session.query_until_done("PUT own before");
+    let vm = serving(&fleet)[0];
+    let address = fleet.address(vm, INTERNAL_PORT);
+
+    let with_length = |body: &[u8]| [&(body.len() as u32).to_be_bytes(), body].concat();
+    let ping = frame(Body::Ping).encode().unwrap();
+    let mut another_version = ping.clone();
+    another_version[0] = another_version[0].wrapping_add(1);
+    let fetch = frame(Body::Fetch { revision: id::Revision(0) }).encode().unwrap();
+    let malformed = [
+        ("part of a length", vec![0]),
+        ("a length over the limit", u32::MAX.to_be_bytes().to_vec()),
+        ("an empty frame", with_length(&[])),
+        ("another version", with_length(&another_version)),
+        ("half a frame", with_length(&ping[..ping.len() - 1])),
+        ("noise", with_length(&[0xff; 64])),
+        ("a frame for control", with_length(&fetch)),
+    ];
+    for (what, bytes) in &malformed {
+        let mut stream = TcpStream::connect(address).expect("the proxy listens");
+        stream.set_read_timeout(Some(TIMEOUT)).unwrap();
+        stream.write_all(bytes).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
+        let mut answer = Vec::new();
+        match stream.read_to_end(&mut answer) {
+            Ok(_) => assert!(answer.is_empty(), "{what}: {answer:?}"),
+            Err(error) => {
+                assert_eq!(error.kind(), std::io::ErrorKind::ConnectionReset, "{what}");
+            }
+        }
+    }
+
+    let request = |frame: Frame| {
+        smol::block_on(Stream::request(address, &Seal::default(), &frame)).expect("an answer").body
+    };
+    assert_eq!(request(frame(Body::Ping)), Body::Ping);
+    assert_eq!(
+        request(forwarded_write("no-such-database", false)),
+        Body::Forwarded(Forwarded::NotServing)
+    );
+    let Body::Forwarded(Forwarded::Handled { reply, is_open, written }) =
+        request(forwarded_write("shift", true))
+    else {
+        panic!("a statement that continues a lost transaction is not handled");
+    };
+    assert!(matches!(&reply[..], [Answer::Failed { code: Code::Aborted, .. }]), "{reply:?}");
+    assert_eq!((is_open, written), (false, None));
+
+    session.query_until_done("PUT own after");
+    assert_eq!(fleet.group.values_of("own"), ["before", "after"]);
+    assert!(fleet.group.values_of("stranger").is_empty(), "{}", fleet.logs());
+    assert!(serving(&fleet).contains(&vm), "the proxy goes on serving\n{}", fleet.logs());
+    let metrics =
+        send_http(fleet.address(vm, METRICS_PORT), "GET /metrics", "").expect("metrics").1;
+    let counted = |line: &&str| {
+        line.starts_with("cactushatch_protocol_errors_total") && line.contains("peer=\"process\"")
+    };
+    let count: u32 = metrics
+        .lines()
+        .filter(counted)
+        .map(|line| line.rsplit(' ').next().unwrap().parse::<u32>().unwrap())
+        .sum();
+    assert_eq!(count, 5, "those that can't be read: {metrics}");
+}
