Don't acknowledge a commit of the stand-in that its log has not got

Change: the record is written before the commit becomes visible; when either fails, the other is taken back.

a_record_that_cannot_be_written_is_not_acknowledged failed before: (Ok(true), visible) on a disk that refuses every write.

--- a/bench/src/standin/journal.rs
+++ b/bench/src/standin/journal.rs
@@ -179,8 +179,8 @@
         self.changed.notify_all();
     }
 
-    /// Commits a transaction on the primary: calls `commit`, which makes it visible, and appends it to the log.
-    /// Returns `false`, without calling `commit`, if the instance is not the primary.
+    /// Commits a transaction on the primary: appends it to the log and calls `commit`, which makes it visible.
+    /// Returns `false`, without calling `commit`, if the instance is not the primary or can't write its log.
     pub fn commit<E>(
         &self,
         statements: Vec<String>,
@@ -190,21 +190,30 @@
         if log.role != Role::Primary {
             return Ok(false);
         }
-        commit()?;
         let record = Record { term: log.term, position: log.records.len() as u64 + 1, statements };
+        let Some(end) = log.write(&record) else {
+            return Ok(false);
+        };
+        if let Err(error) = commit() {
+            log.discard_after(end);
+            return Err(error);
+        }
         log.push(record);
         log.applied = log.records.len() as u64;
         self.changed.notify_all();
         Ok(true)
     }
 
-    /// Appends a record received from the primary. Returns `false` if it is not the next one, or if this
-    /// instance is the primary.
+    /// Appends a record received from the primary. Returns `false` if it is not the next one, if this instance is the
+    /// primary, or if it can't write its log.
     pub fn receive(&self, record: Record) -> bool {
         let mut log = self.log.lock().unwrap();
         if log.role == Role::Primary || record.position != log.records.len() as u64 + 1 {
             return false;
         }
+        if log.write(&record).is_none() {
+            return false;
+        }
         log.push(record);
         self.changed.notify_all();
         true
@@ -251,26 +260,53 @@
         self.max_durable_position
     }
 
-    fn push(&mut self, record: Record) {
-        if let Ok(bytes) = postcard::to_stdvec(&record) {
-            let _ = self.file.write_all(&(bytes.len() as u32).to_be_bytes());
-            let _ = self.file.write_all(&bytes);
+    /// Writes a record to the file. Returns the length of the file before, or `None` if the record can't be written.
+    fn write(&mut self, record: &Record) -> Option<u64> {
+        let end = match self.file.metadata() {
+            Ok(metadata) => metadata.len(),
+            Err(error) => {
+                log::error!("the length of the log can't be read: {error}");
+                return None;
+            }
+        };
+        let written = encode(record).and_then(|bytes| Ok(self.file.write_all(&bytes)?));
+        if let Err(error) = written {
+            log::error!("a record can't be written to the log: {error}");
+            self.discard_after(end);
+            return None;
         }
+        Some(end)
+    }
+
+    /// Removes a record from the file that was written in vain, or in part.
+    fn discard_after(&mut self, end: u64) {
+        if let Err(error) = self.file.set_len(end) {
+            log::error!("the end of the log can't be removed: {error}");
+        }
+    }
+
+    /// Appends a record that the file has already.
+    fn push(&mut self, record: Record) {
         self.records.push(record);
         self.received_at.push(Instant::now());
     }
 
     fn rewrite_file(&mut self, path: &Path) -> anyhow::Result<()> {
-        self.file = OpenOptions::new().create(true).write(true).truncate(true).open(path)?;
+        File::create(path)?;
+        self.file = OpenOptions::new().append(true).open(path)?;
         for record in &self.records {
-            let bytes = postcard::to_stdvec(record)?;
-            self.file.write_all(&(bytes.len() as u32).to_be_bytes())?;
-            self.file.write_all(&bytes)?;
+            self.file.write_all(&encode(record)?)?;
         }
         Ok(())
     }
 }
 
+/// Encodes a record for the file, with its length in front.
+fn encode(record: &Record) -> anyhow::Result<Vec<u8>> {
+    let body = postcard::to_stdvec(record)?;
+    Ok([&(body.len() as u32).to_be_bytes(), &body[..]].concat())
+}
+
 fn execute_all(connection: &Connection, statements: &[String]) {
     for statement in statements {
         if let Err(error) = connection.execute_batch(statement) {
--- a/bench/tests/journal.rs
+++ b/bench/tests/journal.rs
@@ -61,3 +61,33 @@
     });
     assert_eq!(journal.log.lock().unwrap().position(), KEPT_RECORDS);
 }
+
+/// The checkers take what a stand-in acknowledges for kept. A record that its disk refuses must not be acknowledged, nor
+/// become visible, or the system would be blamed for the loss after a restart.
+#[test]
+fn a_record_that_cannot_be_written_is_not_acknowledged() {
+    for follow in [None, Some("127.0.0.1:1".parse().unwrap())] {
+        let data_dir = tempfile::tempdir().unwrap();
+        let settings = Settings { follow, ..settings(data_dir.path()) };
+        let journal = Journal::open(&settings).unwrap();
+        // The rewind opens the file again, which refuses all writes from then on.
+        let log_path = data_dir.path().join("g-1.log");
+        std::fs::remove_file(&log_path).unwrap();
+        std::os::unix::fs::symlink("/dev/full", &log_path).unwrap();
+        journal.log.lock().unwrap().records.push(record(1));
+        journal.rewind(0, 1, vec![(1, 0)]).unwrap();
+
+        if follow.is_some() {
+            assert!(!journal.receive(record(1)));
+        } else {
+            let mut is_visible = false;
+            let committed = journal.commit(record(1).statements, || {
+                is_visible = true;
+                Ok::<(), ()>(())
+            });
+            assert_eq!((committed, is_visible), (Ok(false), false));
+        }
+        let log = journal.log.lock().unwrap();
+        assert_eq!((log.position(), log.received_position()), (0, 0));
+    }
+}
