Give fleets that start together ports of their own

Cause: 'bench ports' looked for free ports, and a port is free until its process has bound it. Two tests that start fleets at once could get overlapping ports; a process of one then found its port taken.

--- a/bench/src/cli.rs
+++ b/bench/src/cli.rs
@@ -288,28 +288,15 @@
 
 fn ports_command() -> Command {
     Command::new("ports")
-        .about("Prints the first of COUNT consecutive free ports on loopback")
+        .about("Claims COUNT consecutive free ports on loopback and prints the first")
         .arg(Arg::new("count").required(true).value_parser(clap::value_parser!(u16)))
 }
 
-/// Unprivileged ports below the range that the system assigns to outgoing connections.
-const PORT_RANGE: std::ops::Range<u16> = 10_000..32_000;
-
 fn ports(matches: &ArgMatches) -> anyhow::Result<()> {
     let count = *matches.get_one::<u16>("count").context("no count given")?;
-    for _ in 0..1_000 {
-        let base = fastrand::u16(PORT_RANGE.start..PORT_RANGE.end - count);
-        let free = |port| {
-            let address = SocketAddr::from(([127, 0, 0, 1], port));
-            std::net::TcpListener::bind(address).is_ok()
-                && std::net::UdpSocket::bind(address).is_ok()
-        };
-        if (base..base + count).all(free) {
-            println!("{base}");
-            return Ok(());
-        }
-    }
-    anyhow::bail!("found no {count} consecutive free ports")
+    let claims = std::env::temp_dir().join(crate::ports::CLAIMS);
+    println!("{}", crate::ports::claim(&claims, count)?);
+    Ok(())
 }
 
 fn standin_command() -> Command {
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -8,6 +8,7 @@
 mod link;
 mod load;
 mod measure;
+mod ports;
 mod ready;
 mod router;
 pub mod standin;
