Plumb accounts, quota totals and load through statements, frames and declarations

Client accounts, quotas over the fleet and placement by published load need common types first: id::Account (until now Customer), config::Account, wire::Identity, wire::quota and wire::Load. They are carried and not used yet. The dispatcher is split into the queue and the instances, so that scheduling and placement can change apart.

--- a/bench/src/measure/heartbeats.rs
+++ b/bench/src/measure/heartbeats.rs
@@ -101,6 +101,7 @@
             demand: Vec::new(),
             draining: false,
             forwards: false,
+            quota: Vec::new(),
         };
         let node = format!("simulated-{number}").parse()?;
         Ok(Self { node, socket, heartbeat, bytes: Arc::clone(bytes), grants: Arc::clone(grants) })
--- a/examples/capacity.rs
+++ b/examples/capacity.rs
@@ -64,6 +64,7 @@
         seen: Stamp { term: id::Term(100), index: id::Index(100_000) },
         table: 100_000,
         revision: id::Revision(10_000),
+        quota: Vec::new(),
         demand: groups.clone().map(demand).collect(),
         sightings: groups.flat_map(|g| (1..=3).map(move |n| (g, n))).map(observation).collect(),
         draining: false,
@@ -96,6 +97,7 @@
         delta: (groups > 0)
             .then(|| Delta { since: 100_000, routes: (0..groups).map(route).collect() }),
         revision: id::Revision(10_000),
+        quota: Vec::new(),
     }
 }
 
--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -16,7 +16,7 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Code, DecodeError, Id, Request, State, Statement};
-use crate::wire::Step;
+use crate::wire::{Identity, Step};
 
 /// How long a caller may take to open its session.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
@@ -57,6 +57,7 @@
         input: BytesMut::new(),
         output: BytesMut::new(),
         session: Session::default(),
+        identity: None,
         opened: shared.clock.now(),
         spread: fastrand::f64(),
         runner: Runner::new(Arc::clone(&shared)),
@@ -81,6 +82,8 @@
     input: BytesMut,
     output: BytesMut,
     session: Session,
+    /// Who asks, if the deployment has accounts.
+    identity: Option<Identity>,
     opened: Instant,
     /// The position of this session, from 0 to 1, among sessions that are ended together.
     spread: f64,
@@ -93,7 +96,7 @@
         self.socket.set_nodelay(true)?;
         let clock = self.shared.clock.clone();
         let opened = clock.timeout(OPEN_TIMEOUT, self.receive()).await.ok_or(Error::TooSlow)??;
-        let Some(Request::Open { database }) = opened else {
+        let Some(Request::Open { database, key: _ }) = opened else {
             return Ok(());
         };
         if !self.shared.wait_for_configuration().await {
@@ -218,7 +221,8 @@
             Action::Complete | Action::Refuse(..) | Action::Rollback => return Reply::new(),
         };
         let values = self.session.values();
-        let mut execution = self.runner.start_execution(id, values, (name, database));
+        let mut execution =
+            self.runner.start_execution(id, values, (name, database), self.identity.as_ref());
         let is_served_here = !self.forwarder.has_transaction()
             && (self.runner.has_connection() || execution.wait_until_served(&self.shared).await);
         let (reply, is_open) = if is_served_here {
--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -19,6 +19,9 @@
 pub(super) struct SharedConnection {
     pub(super) upstream: Connection,
     pub(super) setup: Setup,
+    /// The account for which the connection was opened.
+    #[expect(dead_code, reason = "the pool does not choose by account yet")]
+    pub(super) account: Option<id::Account>,
 }
 
 /// The right to use one connection to an instance. Released on drop.
--- a/src/broker/dispatch.rs
+++ b/src/broker/dispatch/mod.rs
@@ -13,11 +13,19 @@
 //! follows the time that they take there (`Candidate::record_duration`), which moves the wait into this queue, where it
 //! can be estimated.
 
+mod candidate;
+mod queue;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use smallvec::SmallVec;
 
+use candidate::Candidate;
+pub use candidate::{CONNECTION_RETRY_DELAY, FULL_DELAY, LAGGING_PERIOD, TYPICAL_LAG};
+use queue::Waiter;
+pub use queue::{DEFAULT_RETRY_AFTER, TYPICAL_ELECTION, TYPICAL_PROMOTION};
+
 use super::need::Need;
 use crate::clock::Instant;
 use crate::id;
@@ -26,54 +34,6 @@
 /// The maximum number of statements that wait in one group. More are refused.
 pub const MAX_WAITING: usize = 512;
 
-/// The weight of a new sample in the mean duration is one part in this many.
-const MEAN_WEIGHT_DIVISOR: u32 = 8;
-
-/// An instance counts as queueing when the mean duration exceeds this many tenths of the duration without a queue.
-const QUEUEING_THRESHOLD_TENTHS: u32 = 25;
-
-/// With each statement the baseline rises by at most one part in this many: slowly, so that a lasting change becomes
-/// the new baseline and a burst doesn't.
-const BASELINE_RISE_DIVISOR: u32 = 512;
-
-/// The mean duration assumed for an instance on which nothing has run yet.
-const INITIAL_MEAN: Duration = Duration::from_millis(15);
-
-/// How long after the primary was at a mark a replica is assumed to have received it: a few times the usual replication
-/// lag. A replica that hasn't received it refuses the statement, and then gets only statements whose mark it is known
-/// to have.
-pub const TYPICAL_LAG: Duration = Duration::from_millis(50);
-
-/// How long a replica that lacked a mark gets only statements whose mark it is known to have.
-pub const LAGGING_PERIOD: Duration = Duration::from_millis(300);
-
-/// How long an instance that was full gets no statements.
-pub const FULL_DELAY: Duration = Duration::from_millis(10);
-
-/// How long no new connection is attempted after an instance refused one; after that, one more is allowed per period.
-/// An instance takes up to three seconds to drop connections whose peer is gone.
-pub const CONNECTION_RETRY_DELAY: Duration = Duration::from_millis(100);
-
-/// The usual time from the freeze of an epoch to the end of a promotion: fencing, reading the positions, and the
-/// promotion of the instance itself.
-pub const TYPICAL_PROMOTION: Duration = Duration::from_millis(600);
-
-/// The estimated remaining time of a promotion that exceeds its usual time.
-const PROMOTION_OVERRUN: Duration = Duration::from_millis(200);
-
-/// How long a proxy usually has no lease when the control plane elects a new leader and the lease doesn't last until
-/// then.
-pub const TYPICAL_ELECTION: Duration = Duration::from_millis(500);
-
-/// The estimated time until there is a primary when no promotion is known to be under way.
-pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(2_000);
-
-/// One in this many starts goes to the statement that has waited longest, so that no priority starves.
-const FAIR_START_INTERVAL: u64 = 8;
-
-/// For a read that both can serve, the primary's load counts this many times that of a replica.
-const PRIMARY_COST_FACTOR: u32 = 3;
-
 /// The number of a statement within its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Ticket(pub u64);
@@ -93,6 +53,12 @@
     pub max_promotion_wait: Duration,
     /// The instances on which the statement failed already.
     pub excluded: SmallVec<[id::Instance; 2]>,
+    /// The account whose statement it is, if the deployment has accounts.
+    pub account: Option<id::Account>,
+    /// The target latency of its class.
+    pub target: Duration,
+    /// The instances with an idle connection of the account.
+    pub warm: SmallVec<[id::Instance; 3]>,
 }
 
 /// The decision on a request.
@@ -128,63 +94,6 @@
     pub permits: u32,
 }
 
-/// An instance that may run statements.
-#[derive(Debug)]
-struct Candidate {
-    permits: u32,
-    /// The number of connections in use.
-    used: u32,
-    /// The number of connections on which a statement runs. The others are idle in a transaction.
-    running: u32,
-    /// The number of statements that may run at once.
-    window: f64,
-    usable: bool,
-    position: Option<Mark>,
-    lagging_until: Option<Instant>,
-    full_until: Option<Instant>,
-    /// When a new connection was last refused, and the number of connections at that time.
-    refused_connection: Option<(Instant, u32)>,
-    mean_duration: Duration,
-    /// The mean duration while the instance doesn't queue.
-    baseline: Duration,
-    remote: bool,
-}
-
-impl Candidate {
-    fn has_capacity(&self, now: Instant) -> bool {
-        self.used < self.allowed_connections(now) && self.running < (self.window as u32).max(1)
-    }
-
-    /// Returns the number of connections allowed now.
-    fn allowed_connections(&self, now: Instant) -> u32 {
-        let Some((at, established)) = self.refused_connection else {
-            return self.permits;
-        };
-        let extra = now.since(at).as_millis() / CONNECTION_RETRY_DELAY.as_millis();
-        self.permits.min(established.saturating_add(extra as u32))
-    }
-
-    /// Records how long a statement took. While the instance appears to queue, the window shrinks by a tenth with each
-    /// statement; otherwise it grows by one per window of statements.
-    fn record_duration(&mut self, duration: Duration) {
-        self.mean_duration =
-            (self.mean_duration * (MEAN_WEIGHT_DIVISOR - 1) + duration) / MEAN_WEIGHT_DIVISOR;
-        self.baseline =
-            self.mean_duration.min(self.baseline + self.baseline / BASELINE_RISE_DIVISOR);
-        if self.mean_duration * 10 > self.baseline * QUEUEING_THRESHOLD_TENTHS {
-            self.window = (self.window * 0.9).max(1.0);
-        } else {
-            self.window = (self.window + 1.0 / self.window).min(f64::from(self.permits.max(1)));
-        }
-    }
-}
-
-#[derive(Debug)]
-struct Waiter {
-    request: Request,
-    queued: Instant,
-}
-
 /// The instances of one group and the statements that wait for them.
 #[derive(Debug, Default)]
 pub struct Dispatcher {
@@ -207,20 +116,10 @@
         usable: bool,
         remote: bool,
     ) {
-        let candidate = self.candidates.entry(instance.clone()).or_insert_with(|| Candidate {
-            permits,
-            used: 0,
-            running: 0,
-            window: f64::from(permits.max(1)),
-            usable,
-            position: None,
-            lagging_until: None,
-            full_until: None,
-            refused_connection: None,
-            mean_duration: INITIAL_MEAN,
-            baseline: INITIAL_MEAN,
-            remote,
-        });
+        let candidate = self
+            .candidates
+            .entry(instance.clone())
+            .or_insert_with(|| Candidate::new(permits, usable, remote));
         candidate.permits = permits;
         candidate.usable = usable;
         candidate.remote = remote;
@@ -411,107 +310,4 @@
             candidate.running += 1;
         }
     }
-
-    /// Returns the index of the statement to start next, and its instance.
-    fn next_start(&self, now: Instant) -> Option<(usize, id::Instance)> {
-        let fair = self.started % FAIR_START_INTERVAL == FAIR_START_INTERVAL - 1;
-        let mut order: SmallVec<[usize; 16]> = (0..self.waiting.len()).collect();
-        order.sort_by_key(|at| {
-            let waiter = &self.waiting[*at];
-            let priority = if fair { 0 } else { waiter.request.priority };
-            (priority, waiter.queued, waiter.request.ticket)
-        });
-        order.into_iter().find_map(|at| {
-            let instance = self.place(now, &self.waiting[at].request)?;
-            Some((at, instance))
-        })
-    }
-
-    /// Returns the instance with a free permit that is expected to run a statement soonest.
-    fn place(&self, now: Instant, request: &Request) -> Option<id::Instance> {
-        let free = |(instance, candidate): &(&id::Instance, &Candidate)| {
-            candidate.has_capacity(now)
-                && !request.excluded.contains(instance)
-                && self.can_serve(now, instance, candidate, request.need)
-        };
-        let cost = |(instance, candidate): &(&id::Instance, &Candidate)| {
-            let load = candidate.mean_duration * (candidate.running + 1)
-                + Duration::from_millis(u64::from(candidate.remote));
-            let is_primary = self.primary.as_ref() == Some(*instance);
-            if is_primary { load * PRIMARY_COST_FACTOR } else { load }
-        };
-        let best = self.candidates.iter().filter(free).min_by_key(cost);
-        best.map(|(instance, _)| instance.clone())
-    }
-
-    /// Returns whether an instance can run a statement with this requirement.
-    fn can_serve(
-        &self,
-        now: Instant,
-        instance: &id::Instance,
-        candidate: &Candidate,
-        need: Need,
-    ) -> bool {
-        if !candidate.usable || candidate.full_until.is_some_and(|until| now < until) {
-            return false;
-        }
-        let is_primary = self.primary.as_ref() == Some(instance);
-        match need {
-            Need::Primary => is_primary,
-            Need::AtLeast { .. } if is_primary => true,
-            Need::AtLeast { mark, since } => {
-                let has_mark = candidate.position.is_some_and(|position| position >= mark);
-                let lagging = candidate.lagging_until.is_some_and(|until| now < until);
-                has_mark || (!lagging && now.since(since) >= TYPICAL_LAG)
-            }
-        }
-    }
-
-    /// Returns whether a waiting statement that could run now has precedence. Statements that wait for an unavailable
-    /// primary don't hold up reads that replicas can serve.
-    fn is_preceded(&self, now: Instant, request: &Request) -> bool {
-        let mut before = self.waiting.iter().filter(|w| w.request.priority <= request.priority);
-        before.any(|waiter| self.place(now, &waiter.request).is_some())
-    }
-
-    /// Counts the waiting statements that have precedence and wait for the same instances.
-    fn count_ahead(&self, request: &Request) -> usize {
-        let for_primary = request.need == Need::Primary;
-        let same = |waiter: &&Waiter| {
-            waiter.request.priority <= request.priority
-                && (waiter.request.need == Need::Primary) == for_primary
-        };
-        self.waiting.iter().filter(same).count()
-    }
-
-    /// Estimates how long a statement waits.
-    fn estimate_wait(&self, now: Instant, request: &Request) -> Duration {
-        let ahead = self.count_ahead(request);
-        if request.need == Need::Primary && self.primary.is_none() {
-            return match self.missing_since {
-                Some((since, true)) => {
-                    TYPICAL_PROMOTION.saturating_sub(now.since(since)).max(PROMOTION_OVERRUN)
-                }
-                Some((since, false)) if now.since(since) < TYPICAL_ELECTION => {
-                    TYPICAL_ELECTION.saturating_sub(now.since(since))
-                }
-                _ => DEFAULT_RETRY_AFTER,
-            };
-        }
-        let eligible = |(instance, candidate): &(&id::Instance, &Candidate)| match request.need {
-            Need::Primary => self.primary.as_ref() == Some(*instance),
-            Need::AtLeast { .. } => candidate.usable,
-        };
-        let (mut permits, mut mean, mut limited) = (0, INITIAL_MEAN, false);
-        for (_, candidate) in self.candidates.iter().filter(eligible) {
-            permits += candidate.allowed_connections(now).min((candidate.window as u32).max(1));
-            mean = mean.max(candidate.mean_duration);
-            limited |= candidate.refused_connection.is_some();
-        }
-        match permits {
-            0 if limited => CONNECTION_RETRY_DELAY * (ahead as u32 + 1),
-            0 => DEFAULT_RETRY_AFTER,
-            _ => mean * (ahead as u32 / permits + 1),
-        }
-    }
 }
--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -213,7 +213,7 @@
             let mut sent = false;
             let answer = peer.exchange(forward, deadline, is_unsafe, &mut sent).await;
             let (result, reason, may_have_run) = match answer {
-                Ok(Forwarded::Handled { reply, is_open, written }) => {
+                Ok(Forwarded::Handled { reply, is_open, written, .. }) => {
                     self.shared.metrics.record_forward(ForwardResult::Handled);
                     let requested_at = self.shared.clock.now();
                     if let Some(mark) = written {
@@ -274,6 +274,7 @@
         Forward {
             request: execution.id.clone(),
             database: execution.database_name.to_owned(),
+            identity: execution.identity.cloned(),
             values: execution.values.clone(),
             last_write,
             step: step.clone(),
@@ -344,6 +345,7 @@
         let forward = Forward {
             request: Id::new(OWN_REQUEST),
             database: String::new(),
+            identity: None,
             values: BTreeMap::new(),
             last_write: None,
             step: Step::Rollback,
--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -85,6 +85,7 @@
             revision: state.revision,
             sightings: state.observations(now, sequence),
             demand: state.demand(),
+            quota: Vec::new(),
             draining: self.shutdown.has_reached(Stage::Leaving),
             forwards: true,
         }
--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -71,7 +71,7 @@
     let deadline = shared.clock.now() + PING_TIMEOUT;
     let connection = match shared.idle_connection(instance, &Default::default()) {
         Some(connection) => Ok(connection),
-        None => shared.open_connection(instance, deadline).await,
+        None => shared.open_connection(instance, None, deadline).await,
     };
     let mut connection = match connection {
         Ok(connection) => connection,
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -47,6 +47,9 @@
                 max_wait: execution.max_wait().saturating_sub(waited).min(left),
                 max_promotion_wait: execution.max_promotion_wait().saturating_sub(waited).min(left),
                 excluded: execution.excluded.clone(),
+                account: execution.identity.map(|identity| identity.account.clone()),
+                target: execution.database.target.0,
+                warm: Default::default(),
             };
             execution.need = Some(need);
             let permit = self.shared.acquire_permit(&execution.database.group, request).await;
@@ -62,9 +65,10 @@
             if need == Need::Primary && term.is_none() {
                 return Err(Refusal::busy("the primary is being replaced", FULL_DELAY));
             }
+            let account = execution.identity.map(|identity| &identity.account);
             let connection = match self.shared.idle_connection(&instance, execution.values) {
                 Some(connection) => Ok(connection),
-                None => self.shared.open_connection(&instance, execution.deadline).await,
+                None => self.shared.open_connection(&instance, account, execution.deadline).await,
             };
             match connection {
                 Ok(connection) => return Ok(Checkout { connection, permit, term, wrote: false }),
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -29,7 +29,7 @@
 use crate::report::event::{Event, Request, Retry, millis};
 use crate::statement::{Answer, Code, Id, State, Template};
 use crate::upstream::connection::{Error, Outcome};
-use crate::wire::Step;
+use crate::wire::{Identity, Step};
 
 /// The answer to a statement, without the final [`Answer::Ready`].
 pub(super) type Reply = SmallVec<[Answer; 2]>;
@@ -52,6 +52,8 @@
     /// The name of the database.
     pub(in crate::broker) database_name: &'a str,
     pub(in crate::broker) database: &'a Database,
+    /// The account of the session, if the deployment has accounts.
+    pub(in crate::broker) identity: Option<&'a Identity>,
     priority: u8,
     /// When the statement was received.
     pub(in crate::broker) received_at: Instant,
@@ -156,6 +158,7 @@
         id: &'a Id,
         values: &'a BTreeMap<String, String>,
         (database_name, database): (&'a str, &'a Database),
+        identity: Option<&'a Identity>,
     ) -> Execution<'a> {
         let received_at = self.shared.clock.now();
         Execution {
@@ -163,6 +166,7 @@
             values,
             database_name,
             database,
+            identity,
             priority: self.shared.priority(&database.class),
             received_at,
             deadline: received_at + database.timeout.0,
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -16,7 +16,7 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Code};
-use crate::wire::{Body, Error, Forward, Forwarded, Frame, Stream};
+use crate::wire::{Body, Error, Forward, Forwarded, Frame, Load, Stream};
 
 /// How often a proxy tells that it still works on a forwarded statement.
 pub(super) const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
@@ -131,7 +131,12 @@
         if forward.continues && !self.runner.has_connection() {
             let text = "the transaction was lost".to_owned();
             let reply = vec![Answer::Failed { code: Code::Aborted, text }];
-            return Forwarded::Handled { reply, is_open: false, written: None };
+            return Forwarded::Handled {
+                reply,
+                is_open: false,
+                written: None,
+                load: Load::default(),
+            };
         }
         if !forward.continues {
             self.runner.roll_back();
@@ -161,6 +166,7 @@
             &forward.request,
             &forward.values,
             (&forward.database, &database),
+            forward.identity.as_ref(),
         );
         let (reply, is_open) = self.runner.run_step(execution, &forward.step).await;
         let written = self.runner.last_write().filter(|_| self.runner.last_write() != before);
@@ -168,6 +174,7 @@
             reply: reply.into_vec(),
             is_open,
             written: written.map(|sample| sample.mark),
+            load: Load::default(),
         }
     }
 }
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -352,12 +352,14 @@
     pub(super) async fn open_connection(
         &self,
         instance: &id::Instance,
+        account: Option<&id::Account>,
         limit: Instant,
     ) -> Result<SharedConnection, ConnectionError> {
         let replica = self.lock().instances.get(instance).map(|entry| entry.replica.clone());
         let replica = replica.ok_or(ConnectionError::Closed)?;
         let deadline = limit.min(self.clock.now() + CONNECT_TIMEOUT);
-        let opened = Connection::connect(&self.clock, self.codec, &replica, deadline).await;
+        let opened =
+            Connection::connect(&self.clock, self.codec, &replica, account, deadline).await;
         let (upstream, position) = match opened {
             Ok(opened) => opened,
             Err(error) => {
@@ -371,7 +373,7 @@
             }
         };
         self.record_answer(instance, position);
-        Ok(SharedConnection { upstream, setup: Default::default() })
+        Ok(SharedConnection { upstream, setup: Default::default(), account: account.cloned() })
     }
 
     /// Returns a connection that is fit for the next session to the pool.
--- a/src/config/change.rs
+++ b/src/config/change.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Class, Database, Fleet, Group, Span};
+use super::{Account, Class, Database, Fleet, Group, Span};
 use crate::id;
 
 /// What changed from one revision of the declarations to a later one.
@@ -14,6 +14,8 @@
     group: Entries<id::Group, Group>,
     database: Entries<id::Database, Database>,
     idle_transaction: Option<Span>,
+    account: Entries<id::Account, Account>,
+    require_account: bool,
 }
 
 /// The changed entries of one table: the new declaration of each, or `None` if it was removed.
@@ -27,6 +29,8 @@
             group: changed_entries(&old.group, &new.group),
             database: changed_entries(&old.database, &new.database),
             idle_transaction: new.idle_transaction,
+            account: changed_entries(&old.account, &new.account),
+            require_account: new.require_account,
         }
     }
 
@@ -36,6 +40,8 @@
         apply_entries(self.group, &mut fleet.group);
         apply_entries(self.database, &mut fleet.database);
         fleet.idle_transaction = self.idle_transaction;
+        apply_entries(self.account, &mut fleet.account);
+        fleet.require_account = self.require_account;
     }
 }
 
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Error, Share, Span, TimeOfDay, read};
+use super::{Account, Error, Share, Span, TimeOfDay, read};
 use crate::id;
 
 /// The checked declarations of a fleet.
@@ -18,6 +18,10 @@
     pub database: BTreeMap<id::Database, Database>,
     /// How long a transaction may be idle between two statements before it is rolled back.
     pub idle_transaction: Option<Span>,
+    /// The client accounts.
+    pub account: BTreeMap<id::Account, Account>,
+    /// Whether callers need the key of an account, except for open databases.
+    pub require_account: bool,
 }
 
 /// A database name by which callers address a group, and the guarantees of its sessions.
@@ -33,6 +37,8 @@
     pub timeout: Span,
     /// Target latency of a request in normal operation.
     pub target: Span,
+    /// Whether callers need no key of an account.
+    pub open: bool,
 }
 
 /// Consistency of reads: which writes a read must see.
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -3,6 +3,7 @@
 //! Both are TOML files. A file is checked as a whole before any socket is bound, and all faults are reported at once,
 //! each with its line, key, given value and valid range. See `docs/operators/settings.md`.
 
+mod account;
 mod change;
 mod fault;
 mod fleet;
@@ -11,6 +12,7 @@
 mod settings;
 mod unit;
 
+pub use account::{Account, KeyDigest, OperationRate, Quota};
 pub use change::Change;
 pub use fault::{Fault, Faults};
 pub use fleet::{Class, Consistency, Database, Durability, Fleet, Group, Objective, Peak, Request};
--- a/src/config/read/fleet.rs
+++ b/src/config/read/fleet.rs
@@ -7,7 +7,8 @@
 use super::table::Table;
 use crate::config::Span;
 use crate::config::{
-    Class, Consistency, Database, Durability, Fleet, Group, Objective, Peak, Request,
+    Account, Class, Consistency, Database, Durability, Fleet, Group, Objective, Peak, Quota,
+    Request,
 };
 use crate::id;
 
@@ -40,6 +41,8 @@
 const PROBE_CONNECTIONS: u32 = 2;
 /// The highest number of connections of an instance.
 const MAX_CONNECTIONS: u32 = 100_000;
+/// Valid numbers of operations that an account may run at once.
+const BURST: std::ops::RangeInclusive<u32> = 1..=1_000_000;
 /// Valid characters of a name.
 const VALID_NAME: &str = "letters, digits and -_.:";
 
@@ -51,7 +54,11 @@
     let group: BTreeMap<id::Group, Group> = group.into_iter().collect();
     let database = root.named_tables("database", |table| read_database(table, &names, &group));
     let idle_transaction = root.span("idle_transaction", IDLE_TRANSACTION);
-    Some(Fleet { class, group, database: database.into_iter().collect(), idle_transaction })
+    let account = root.named_tables("account", read_account);
+    let account: BTreeMap<id::Account, Account> = account.into_iter().collect();
+    let require_account = root.flag("require_account") || !account.is_empty();
+    let database = database.into_iter().collect();
+    Some(Fleet { class, group, database, idle_transaction, account, require_account })
 }
 
 fn read_database(
@@ -80,7 +87,16 @@
     };
     let timeout = table.required_span("timeout", TIMEOUT);
     let target = table.required_span("target", TIMEOUT);
-    Some(Database { group: group?, class: class?, reads, timeout: timeout?, target: target? })
+    let open = table.flag("open");
+    Some(Database { group: group?, class: class?, reads, timeout: timeout?, target: target?, open })
+}
+
+fn read_account(table: &Table<'_>) -> Option<Account> {
+    let keys = table.list("keys", "digests of keys");
+    let rate = table.optional("rate", "a rate such as 50/s");
+    let burst = table.optional_number("burst", BURST);
+    let quota = rate.zip(burst).map(|(rate, burst)| Quota { rate, burst });
+    Some(Account { keys, quota })
 }
 
 /// Consistency level of a database's reads: [`Consistency`] without the maximum age.
--- a/src/config/read/table.rs
+++ b/src/config/read/table.rs
@@ -142,6 +142,19 @@
         number
     }
 
+    /// Reads an optional integer.
+    pub(super) fn optional_number(
+        &self,
+        key: &'static str,
+        range: RangeInclusive<u32>,
+    ) -> Option<u32> {
+        if self.table.get(key).is_none() {
+            self.known.borrow_mut().push(key);
+            return None;
+        }
+        self.required_number(key, range)
+    }
+
     /// Reads an optional boolean, which defaults to `false`.
     pub(super) fn flag(&self, key: &'static str) -> bool {
         let Some(value) = self.find(key) else {
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -194,6 +194,7 @@
             version: self.version,
             delta: self.delta(&sender, table),
             revision: state.revision,
+            quota: Vec::new(),
         })
     }
 
@@ -209,6 +210,7 @@
                 version: self.version,
                 delta: self.delta(node, proxy.table),
                 revision,
+                quota: Vec::new(),
             };
             (proxy.address, grant)
         };
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -375,7 +375,9 @@
         let deadline = self.clock.now() + limit;
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => Connection::connect(&self.clock, self.codec, &self.replica, deadline).await?.0,
+            None => {
+                Connection::connect(&self.clock, self.codec, &self.replica, None, deadline).await?.0
+            }
         };
         let status = connection.status(&self.clock, command, deadline).await?;
         self.connection = Some(connection);
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -5,8 +5,8 @@
 mod number;
 
 pub use name::{
-    Class, Command, Customer, Database, Domain, Group, Instance, Key, Node, Operator, Plan,
-    Request, Session,
+    Account, Class, Command, Database, Domain, Group, Instance, Key, Node, Operator, Plan, Request,
+    Session,
 };
 pub use number::{Edition, Incarnation, Index, Position, Revision, Sequence, Term};
 
--- a/src/id/name.rs
+++ b/src/id/name.rs
@@ -81,8 +81,8 @@
     /// A kind of request that the declarations name.
     Request, "request");
 name!(
-    /// A customer of a fleet. Capacity is shared fairly between customers.
-    Customer, "customer");
+    /// A client account: who the callers of a session belong to. Capacity is shared fairly between accounts.
+    Account, "account");
 name!(
     /// A plan that awaits confirmation by an operator.
     Plan, "plan");
--- a/src/proxy/admission.rs
+++ b/src/proxy/admission.rs
@@ -45,8 +45,8 @@
     pub priority: u8,
     /// The time by which the request must be answered.
     pub deadline: Instant,
-    /// The customer that sends the request.
-    pub customer: id::Customer,
+    /// The account that sends the request.
+    pub account: id::Account,
     /// The number of the caller connection that the request arrives on.
     pub caller: u64,
 }
@@ -101,8 +101,8 @@
     queue: Vec<Request>,
     /// When the queue was last empty.
     last_empty: Instant,
-    /// How many requests of each customer were started since the queue was last empty.
-    starts_by_customer: BTreeMap<id::Customer, u64>,
+    /// How many requests of each account were started since the queue was last empty.
+    starts_by_account: BTreeMap<id::Account, u64>,
     /// How many requests of each caller were started since the queue was last empty.
     starts_by_caller: BTreeMap<u64, u64>,
     starts: u64,
@@ -122,7 +122,7 @@
             held: 0,
             queue: Vec::new(),
             last_empty: Instant::default(),
-            starts_by_customer: BTreeMap::new(),
+            starts_by_account: BTreeMap::new(),
             starts_by_caller: BTreeMap::new(),
             starts: 0,
             mean_service_time: Duration::ZERO,
@@ -267,11 +267,11 @@
     /// Counts a start for the fair share, as long as other requests are waiting.
     fn count_start(&mut self, arrival: Arrival) {
         if self.queue.is_empty() {
-            self.starts_by_customer.clear();
+            self.starts_by_account.clear();
             self.starts_by_caller.clear();
             return;
         }
-        *self.starts_by_customer.entry(arrival.customer).or_default() += 1;
+        *self.starts_by_account.entry(arrival.account).or_default() += 1;
         *self.starts_by_caller.entry(arrival.caller).or_default() += 1;
     }
 
@@ -285,9 +285,9 @@
         }
         let key = |request: &Request| {
             let arrival = &request.arrival;
-            let customer = self.starts_by_customer.get(&arrival.customer).copied().unwrap_or(0);
+            let account = self.starts_by_account.get(&arrival.account).copied().unwrap_or(0);
             let caller = self.starts_by_caller.get(&arrival.caller).copied().unwrap_or(0);
-            (arrival.priority, customer, caller, arrival.deadline, request.ticket)
+            (arrival.priority, account, caller, arrival.deadline, request.ticket)
         };
         requests.min_by_key(|(_, request)| key(request)).map(|(index, _)| index)
     }
--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -125,7 +125,7 @@
     writer: Writer,
     cancel_entry: Entry,
     caller_number: u64,
-    customer: id::Customer,
+    account: id::Account,
     group: id::Group,
     connected_at: Instant,
     /// Whether the floor is known to cover all writes of the session from before this connection.
@@ -411,7 +411,7 @@
         Arrival {
             priority: request.priority,
             deadline: request.deadline,
-            customer: self.customer.clone(),
+            account: self.account.clone(),
             caller: self.caller_number,
         }
     }
--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -77,7 +77,7 @@
         let digest = digest.map_err(|_| Outcome::Unsupported("a batch that can't be read"))?;
         let expires = record::expiry(request.key_retention);
         let tag = request.query.guess_tag();
-        Ok(Record { customer: self.customer.clone(), key, digest, tag, expires })
+        Ok(Record { account: self.account.clone(), key, digest, tag, expires })
     }
 
     fn may_be_committed(&self) -> bool {
--- a/src/proxy/caller/start.rs
+++ b/src/proxy/caller/start.rs
@@ -40,7 +40,7 @@
 
 /// The start-up parameters of a session that the proxy uses.
 struct Parameters {
-    customer: id::Customer,
+    account: id::Account,
     group: id::Group,
     session: Option<id::Session>,
     floor: Option<Floor>,
@@ -97,7 +97,7 @@
         return Ok(writer.flush().await?);
     };
     let session = match &parameters.session {
-        Some(name) => shared.sessions.open(&parameters.customer, name),
+        Some(name) => shared.sessions.open(&parameters.account, name),
         None => Arc::new(Session::default()),
     };
     let is_floor_known = parameters.floor.is_some();
@@ -109,7 +109,7 @@
         writer,
         cancel_entry,
         caller_number: shared.next_caller_number(),
-        customer: parameters.customer,
+        account: parameters.account,
         group: parameters.group,
         is_floor_known,
         is_named: parameters.session.is_some(),
@@ -181,10 +181,10 @@
     let find = |name: &str| pairs.iter().find(|(known, _)| known == name).map(|(_, v)| v);
     let invalid = |text: &str| ("28000", text.to_owned());
     let user = find("user").ok_or_else(|| invalid("a start-up without a user"))?;
-    let customer = user.parse().map_err(|error: id::Error| invalid(&error.to_string()))?;
+    let account = user.parse().map_err(|error: id::Error| invalid(&error.to_string()))?;
     let group = find("database").unwrap_or(user).parse();
     let group = group.map_err(|error: id::Error| ("3D000", error.to_string()))?;
-    let mut parameters = Parameters { customer, group, session: None, floor: None };
+    let mut parameters = Parameters { account, group, session: None, floor: None };
     for (name, value) in pairs {
         match name.as_str() {
             "user" | "database" => {}
--- a/src/proxy/record.rs
+++ b/src/proxy/record.rs
@@ -13,15 +13,15 @@
 /// The SQLSTATE of an insert whose key exists already.
 pub const UNIQUE_VIOLATION: &str = "23505";
 
-/// The key under which a proxy claims the removal of expired keys. The customer of its row is empty, which the customer
+/// The key under which a proxy claims the removal of expired keys. The account of its row is empty, which the account
 /// of a caller never is.
 const SWEEP_KEY: &str = "sweep";
 
 /// A row of the table.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
-    /// The customer that the key belongs to.
-    pub customer: id::Customer,
+    /// The account that the key belongs to. Its column is called `customer` in the databases.
+    pub account: id::Account,
     /// The key that the caller chose.
     pub key: id::Key,
     /// The digest of the request.
@@ -35,10 +35,10 @@
 impl Record {
     /// Returns the statement that inserts the row and fails if the key exists.
     pub fn insert(&self) -> String {
-        let Self { customer, key, digest, tag, expires } = self;
+        let Self { account, key, digest, tag, expires } = self;
         format!(
             "INSERT INTO cactushatch_once (customer, key, digest, tag, expires) \
-             VALUES ('{customer}', '{key}', '{digest}', '{tag}', {expires})"
+             VALUES ('{account}', '{key}', '{digest}', '{tag}', {expires})"
         )
     }
 
@@ -59,7 +59,7 @@
     }
 
     fn where_clause(&self) -> String {
-        format!("customer = '{}' AND key = '{}'", self.customer, self.key)
+        format!("customer = '{}' AND key = '{}'", self.account, self.key)
     }
 }
 
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -421,6 +421,7 @@
             demand: state.demand(),
             draining: self.is_draining(),
             forwards: false,
+            quota: Vec::new(),
         }
     }
 
--- a/src/proxy/session.rs
+++ b/src/proxy/session.rs
@@ -46,20 +46,20 @@
     }
 }
 
-/// The named sessions with a connection to this proxy, by customer and name.
+/// The named sessions with a connection to this proxy, by account and name.
 #[derive(Debug, Default)]
 pub struct Directory {
-    sessions: Mutex<HashMap<(id::Customer, id::Session), Weak<Session>>>,
+    sessions: Mutex<HashMap<(id::Account, id::Session), Weak<Session>>>,
 }
 
 impl Directory {
     /// Returns the session of that name, or creates it if no connection uses it.
-    pub fn open(&self, customer: &id::Customer, name: &id::Session) -> Arc<Session> {
+    pub fn open(&self, account: &id::Account, name: &id::Session) -> Arc<Session> {
         let mut sessions = self.sessions.lock().expect("no thread panics while holding this lock");
         if sessions.len() >= PRUNE_THRESHOLD && sessions.len().is_power_of_two() {
             sessions.retain(|_, session| session.strong_count() > 0);
         }
-        let key = (customer.clone(), name.clone());
+        let key = (account.clone(), name.clone());
         if let Some(session) = sessions.get(&key).and_then(Weak::upgrade) {
             return session;
         }
--- a/src/proxy/sweep.rs
+++ b/src/proxy/sweep.rs
@@ -54,9 +54,9 @@
     let Some(pool) = shared.pool(&epoch.primary) else {
         return Ok(());
     };
-    let customer = "cactushatch".parse().expect("a valid name");
+    let account = "cactushatch".parse().expect("a valid name");
     let deadline = shared.clock.now() + REMOVAL_TIMEOUT;
-    let arrival = Arrival { priority: LOWEST_PRIORITY, deadline, customer, caller: 0 };
+    let arrival = Arrival { priority: LOWEST_PRIORITY, deadline, account, caller: 0 };
     let Ok(mut pooled) = pool.acquire(arrival).await else {
         return Ok(());
     };
--- a/src/statement/answer.rs
+++ b/src/statement/answer.rs
@@ -62,6 +62,8 @@
     Timeout,
     /// The statement ran and failed.
     Failed,
+    /// The caller's key is not known, or was withdrawn.
+    NotAuthenticated,
     /// The database does not exist.
     NoDatabase,
     /// The prepared statement does not exist.
@@ -82,6 +84,7 @@
             | Self::ReadOnly
             | Self::Misrouted
             | Self::TooManyConnections
+            | Self::NotAuthenticated
             | Self::NoStatement => true,
             Self::Unknown
             | Self::Timeout
@@ -102,6 +105,7 @@
             Self::ReadOnly => "read_only",
             Self::Misrouted => "misrouted",
             Self::TooManyConnections => "too_many_connections",
+            Self::NotAuthenticated => "not_authenticated",
             Self::Unknown => "unknown",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
--- a/src/statement/command.rs
+++ b/src/statement/command.rs
@@ -13,6 +13,8 @@
         group: &'a id::Group,
         /// The instance.
         instance: &'a id::Instance,
+        /// The account whose statements run on the connection, if the deployment has accounts.
+        account: Option<&'a id::Account>,
     },
     /// Begins a transaction.
     Begin {
--- a/src/statement/request.rs
+++ b/src/statement/request.rs
@@ -34,6 +34,8 @@
     Open {
         /// The name of the database.
         database: String,
+        /// What the caller names as its key; empty if it names none.
+        key: String,
     },
     /// Runs a statement.
     Query {
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -9,6 +9,7 @@
 use socket2::SockRef;
 
 use crate::clock::{Clock, Instant};
+use crate::id;
 use crate::proxy::floor::Mark;
 use crate::statement::{Answer, Code, Codec, Command, DecodeError, State};
 use crate::upstream::status::Status;
@@ -113,13 +114,14 @@
         clock: &Clock,
         codec: &'static dyn Codec,
         replica: &Replica,
+        account: Option<&id::Account>,
         deadline: Instant,
     ) -> Result<(Self, Option<Mark>), Error> {
         let connected = clock.timeout(remaining(clock, deadline), connect(replica.address)).await;
         let socket = connected.ok_or(Error::Timeout)??;
         let mut connection =
             Self { socket, codec, input: BytesMut::new(), output: BytesMut::new() };
-        let command = Command::Open { group: &replica.group, instance: &replica.instance };
+        let command = Command::Open { group: &replica.group, instance: &replica.instance, account };
         connection.queue(&command);
         connection.flush(clock, deadline).await?;
         match connection.receive(clock, deadline).await? {
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::broker::session::Operation;
+use crate::config::KeyDigest;
+use crate::id;
 use crate::proxy::floor::Mark;
 use crate::statement::{Access, Answer, Id};
 
@@ -17,6 +19,8 @@
     pub request: Id,
     /// The name of the database.
     pub database: String,
+    /// Who asks, if the deployment has accounts.
+    pub identity: Option<Identity>,
     /// The session variables that must be set while the statement runs.
     pub values: BTreeMap<String, String>,
     /// The position of the primary after the session's last write.
@@ -31,6 +35,24 @@
     pub is_stranded: bool,
 }
 
+/// The account of a session and what it was judged by, so that a proxy with newer declarations can judge it again.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Identity {
+    /// The account.
+    pub account: id::Account,
+    /// The digest of the caller's key; `None` on an open database without a known key.
+    pub key: Option<KeyDigest>,
+    /// The revision of the declarations by which the key was judged.
+    pub revision: id::Revision,
+}
+
+/// How long statements wait at a serving proxy, as told with its answers.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Load {
+    /// The estimated wait of a new statement of each priority that the proxy runs, in milliseconds.
+    pub waits_ms: Vec<(u8, u32)>,
+}
+
 /// The position of a primary after a session's last write.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LastWrite {
@@ -86,5 +108,7 @@
         is_open: bool,
         /// The position of the primary after a write that this statement completed.
         written: Option<Mark>,
+        /// The load of the serving proxy for the group.
+        load: Load,
     },
 }
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::forward::{Forward, Forwarded};
+use super::quota;
 use crate::config::Change;
 use crate::{control, id};
 
@@ -90,6 +91,8 @@
     pub sightings: Vec<Observation>,
     /// The connections to each group that the proxy holds and needs, from which the leader shares out the budget.
     pub demand: Vec<Demand>,
+    /// The tokens of accounts that the proxy spent and needs.
+    pub quota: Vec<quota::Report>,
     /// Whether the proxy is shutting down and needs no share of the connections.
     pub draining: bool,
     /// Whether the proxy forwards the statements of groups that it doesn't serve, and accepts those that other proxies
@@ -202,6 +205,9 @@
     pub delta: Option<Delta>,
     /// The revision of the newest accepted configuration.
     pub revision: id::Revision,
+    /// The tokens of accounts that are lent to the proxy.
+    #[serde(default)]
+    pub quota: Vec<quota::Allowance>,
 }
 
 /// The changes to the table since a given version.
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -8,10 +8,11 @@
 mod forward;
 mod frame;
 mod message;
+pub mod quota;
 mod seal;
 mod stream;
 
-pub use forward::{Forward, Forwarded, LastWrite, Step};
+pub use forward::{Forward, Forwarded, Identity, LastWrite, Load, Step};
 pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
 pub use message::{
     Announcement, Answer, Availability, Body, Configuration, Delta, Demand, Epoch, Grant, Health,
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -218,7 +218,17 @@
     let max_wait = Duration::from_millis(max_wait_ms);
     let max_promotion_wait = max_wait;
     let excluded = SmallVec::new();
-    Request { ticket: Ticket(ticket), need, priority, max_wait, max_promotion_wait, excluded }
+    Request {
+        ticket: Ticket(ticket),
+        need,
+        priority,
+        max_wait,
+        max_promotion_wait,
+        excluded,
+        account: None,
+        target: max_wait,
+        warm: SmallVec::new(),
+    }
 }
 
 fn old_mark() -> Need {
--- a/tests/machine/mod.rs
+++ b/tests/machine/mod.rs
@@ -172,6 +172,7 @@
             demand: self.demand.clone(),
             draining: false,
             forwards: true,
+            quota: Vec::new(),
         }
     }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -41,7 +41,7 @@
 
 #[test]
 fn lines_of_callers_are_decoded() {
-    let opened = Request::Open { database: "lepu270".to_owned() };
+    let opened = Request::Open { database: "lepu270".to_owned(), key: "u3f1".to_owned() };
     assert_eq!(decode_request("CONNECT lepu270 u3f1"), Ok(Some(opened)));
     let query = |statement| Ok(Some(Request::Query { id: Id::new("5c0e"), statement }));
     let text = "PUT 1a4 two  words".to_owned();
@@ -105,7 +105,7 @@
     let execute = Command::Execute { id: &id, after: None, name: "c1", arguments: "1a4 x" };
     assert_eq!(encode_command(&execute), "QUERY 5c0e EXEC c1 1a4 x\r\n");
     let (group, instance) = ("huvo11a".parse().unwrap(), "i-7f".parse().unwrap());
-    let open = Command::Open { group: &group, instance: &instance };
+    let open = Command::Open { group: &group, instance: &instance, account: None };
     assert_eq!(encode_command(&open), "CONNECT huvo11a cactushatch i-7f\r\n");
 }
 
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -31,7 +31,7 @@
 }
 
 fn arrival(priority: u8, deadline: Instant, customer: &str, caller: u64) -> Arrival {
-    Arrival { priority, deadline, customer: customer.parse().unwrap(), caller }
+    Arrival { priority, deadline, account: customer.parse().unwrap(), caller }
 }
 
 /// Returns a limiter with two slots that has measured a service time of one millisecond.
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -202,6 +202,7 @@
     frame(Body::Forward(Forward {
         request: Id::new("stranger"),
         database: database.to_owned(),
+        identity: None,
         values: BTreeMap::new(),
         last_write: None,
         step: Step::InTransaction {
@@ -259,7 +260,7 @@
         request(forwarded_write("no-such-database", false)),
         Body::Forwarded(Forwarded::NotServing)
     );
-    let Body::Forwarded(Forwarded::Handled { reply, is_open, written }) =
+    let Body::Forwarded(Forwarded::Handled { reply, is_open, written, .. }) =
         request(forwarded_write("shift", true))
     else {
         panic!("a statement that continues a lost transaction is not handled");
