Authenticate sessions by the keys of accounts, and run their statements for them

Hundreds of VMs of one deployment now serve the callers of 82 accounts, and instances accept a statement only on a connection of the account that holds the caller's key. Until now keys were not read at all.

Declarations: [account.NAME] is read with its faults (shared keys, half a quota) and without printing keys; the platform's Tenants and Public are translated. A session keeps the digest of its key; broker::identity judges it when the session opens and at the start of an operation after a change, ends idle sessions of a withdrawn key, and bounds open transactions to 1 s. A serving proxy with newer declarations judges a forwarded statement again; Forward carries the revision for it, since a session without an account has no identity. The pool gives a connection only to its account.

tests/platform.rs expected NOAUTH as an example of an unknown code, which failed since NOAUTH has a code of its own. It now checks that code, and another word as the unknown one.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -4,19 +4,21 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use log::Level;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
 use super::forward::Forwarder;
+use super::identity::Credential;
 use super::run::{Reply, Runner};
 use super::server::Shared;
 use super::session::{Action, Session};
 use crate::clock::Instant;
-use crate::config::Database;
+use crate::config::{Database, KeyDigest};
 use crate::proxy::shutdown::Stage;
-use crate::report::Peer;
+use crate::report::{Event as LogEvent, Peer};
 use crate::statement::{Answer, Code, DecodeError, Id, Request, State, Statement};
-use crate::wire::{Identity, Step};
+use crate::wire::Step;
 
 /// How long a caller may take to open its session.
 const OPEN_TIMEOUT: Duration = Duration::from_secs(5);
@@ -24,6 +26,9 @@
 /// How long a caller may leave an answer unread before it is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The text for a caller whose key has no account.
+const NO_ACCOUNT: &str = "the key is not known";
+
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
 /// The reason why a caller's connection ended.
@@ -44,7 +49,10 @@
     Disconnected,
     /// The session ends, because the process is shutting down or the proxy is stranded.
     End,
-    /// The transaction is rolled back, because it was idle for too long or the process is shutting down.
+    /// The session ends, because its key has no account any more.
+    Reject,
+    /// The transaction is rolled back, because it was idle for too long, its account has changed, or the process is
+    /// shutting down.
     Abort,
 }
 
@@ -57,7 +65,7 @@
         input: BytesMut::new(),
         output: BytesMut::new(),
         session: Session::default(),
-        identity: None,
+        credential: Credential::default(),
         opened: shared.clock.now(),
         spread: fastrand::f64(),
         runner: Runner::new(Arc::clone(&shared)),
@@ -82,8 +90,8 @@
     input: BytesMut,
     output: BytesMut,
     session: Session,
-    /// Who asks, if the deployment has accounts.
-    identity: Option<Identity>,
+    /// The caller's key, and the account whose statements the session runs if the deployment has accounts.
+    credential: Credential,
     opened: Instant,
     /// The position of this session, from 0 to 1, among sessions that are ended together.
     spread: f64,
@@ -96,7 +104,7 @@
         self.socket.set_nodelay(true)?;
         let clock = self.shared.clock.clone();
         let opened = clock.timeout(OPEN_TIMEOUT, self.receive()).await.ok_or(Error::TooSlow)??;
-        let Some(Request::Open { database, key: _ }) = opened else {
+        let Some(Request::Open { database, key }) = opened else {
             return Ok(());
         };
         if !self.shared.wait_for_configuration().await {
@@ -105,13 +113,23 @@
         if self.shared.database(&database).is_none() {
             return self.refuse(Code::NoDatabase, "there is no such database").await;
         }
+        self.credential = Credential::new(KeyDigest::of(&key));
+        self.shared.update_credential(&mut self.credential, &database);
+        if self.credential.is_rejected() {
+            self.record_rejection(&database, false);
+            return self.refuse(Code::NotAuthenticated, NO_ACCOUNT).await;
+        }
         self.queue_ready();
         self.flush().await?;
         loop {
-            match self.next_event().await? {
+            match self.next_event(&database).await? {
                 Event::Request(Request::Query { id, statement }) => {
-                    self.run_query(&database, &id, statement).await;
+                    let is_rejected = self.run_query(&database, &id, statement).await;
                     self.flush().await?;
+                    if is_rejected {
+                        self.record_rejection(&database, true);
+                        return Ok(());
+                    }
                 }
                 Event::Request(Request::Open { .. }) => {
                     return self.refuse(Code::Malformed, "the session is open already").await;
@@ -119,9 +137,14 @@
                 Event::Request(Request::Close) | Event::Disconnected | Event::End => {
                     return Ok(());
                 }
+                Event::Reject => {
+                    self.record_rejection(&database, true);
+                    return Ok(());
+                }
                 Event::Abort => {
                     log::info!(
-                        "rolling back a transaction on {database}: idle for too long, or the process is shutting down"
+                        "rolling back a transaction on {database}: idle for too long, its account has changed, or the \
+                         process is shutting down"
                     );
                     self.roll_back();
                     self.session.fail();
@@ -131,11 +154,12 @@
     }
 
     /// Waits for the next event of the session.
-    async fn next_event(&mut self) -> Result<Event, Error> {
-        let open = self.session.state() == State::Open;
-        let idle = self.session.state() == State::Idle;
+    async fn next_event(&mut self, database: &str) -> Result<Event, Error> {
+        let state = self.session.state();
+        let (open, idle) = (state == State::Open, state == State::Idle);
         let (opened, spread) = (self.opened, self.spread);
         let shared = Arc::clone(&self.shared);
+        let mut credential = self.credential.clone();
         let stage = if open { Stage::Aborting } else { Stage::Draining };
         let max_idle = shared.idle_transaction().filter(|_| self.has_connection());
         let request = async {
@@ -155,7 +179,16 @@
             shared.wait_until_stranded(opened, spread).await;
             Ok(Event::End)
         };
-        let waiting = smol::future::or(request, smol::future::or(shutting_down, stranded));
+        let rejected = async {
+            match state {
+                State::Idle => shared.wait_until_rejected(&mut credential, database).await,
+                State::Open => shared.wait_until_aborted(&mut credential, database).await,
+                State::Failed => std::future::pending().await,
+            }
+            Ok(if open { Event::Abort } else { Event::Reject })
+        };
+        let ending = smol::future::or(shutting_down, smol::future::or(stranded, rejected));
+        let waiting = smol::future::or(request, ending);
         match max_idle {
             Some(max_idle) => {
                 shared.clock.timeout(max_idle, waiting).await.unwrap_or(Ok(Event::Abort))
@@ -178,7 +211,19 @@
         }
     }
 
-    async fn run_query(&mut self, name: &str, id: &Id, statement: Statement) {
+    /// Runs a statement and queues the answer. Returns whether the session must end because its key has no account.
+    async fn run_query(&mut self, name: &str, id: &Id, statement: Statement) -> bool {
+        self.shared.update_credential(&mut self.credential, name);
+        if !self.authenticate() {
+            self.roll_back();
+            self.session.fail();
+            let text = NO_ACCOUNT.to_owned();
+            self.queue_reply(&Reply::from_iter([Answer::Failed {
+                code: Code::NotAuthenticated,
+                text,
+            }]));
+            return true;
+        }
         let action = self.session.handle(statement);
         let reply = match (action, self.shared.database(name)) {
             (Action::Complete, _) => Reply::from_iter([Answer::Done("-".to_owned())]),
@@ -197,10 +242,33 @@
             }
             (action, database) => self.run_action((name, database.as_ref()), id, action).await,
         };
-        for answer in &reply {
-            self.shared.codec.encode_reply(answer, &mut self.output);
+        self.queue_reply(&reply);
+        let is_rejection =
+            |answer: &Answer| matches!(answer, Answer::Failed { code: Code::NotAuthenticated, .. });
+        // A serving proxy may have newer declarations than this one.
+        reply.iter().any(is_rejection)
+    }
+
+    /// Begins an operation, unless one has begun already. An open transaction whose account has changed is rolled back
+    /// when its time is over. Returns `false` if the session may run nothing.
+    fn authenticate(&mut self) -> bool {
+        let now = || self.shared.clock.now();
+        if self.session.state() == State::Open
+            && self.credential.transaction_limit().is_some_and(|limit| limit <= now())
+        {
+            self.roll_back();
+            self.session.fail();
         }
-        self.queue_ready();
+        let begins = !self.has_connection() && self.session.state() != State::Failed;
+        !begins || self.credential.begin().is_ok()
+    }
+
+    /// Counts and logs that the session is not opened or ends because its key has no account.
+    fn record_rejection(&self, database: &str, was_open: bool) {
+        let reason = self.credential.reason();
+        self.shared.metrics.record_rejection(was_open, reason);
+        let reason = reason.to_string();
+        LogEvent::Session { database, was_open, reason }.log(Level::Info);
     }
 
     async fn run_action(
@@ -222,7 +290,8 @@
         };
         let values = self.session.values();
         let mut execution =
-            self.runner.start_execution(id, values, (name, database), self.identity.as_ref());
+            self.runner.start_execution(id, values, (name, database), self.credential.identity());
+        execution.revision = self.credential.revision();
         let is_served_here = !self.forwarder.has_transaction()
             && (self.runner.has_connection() || execution.wait_until_served(&self.shared).await);
         let (reply, is_open) = if is_served_here {
@@ -246,6 +315,14 @@
         self.forwarder.roll_back();
     }
 
+    /// Queues an answer and the final [`Answer::Ready`].
+    fn queue_reply(&mut self, reply: &Reply) {
+        for answer in reply {
+            self.shared.codec.encode_reply(answer, &mut self.output);
+        }
+        self.queue_ready();
+    }
+
     fn queue_ready(&mut self) {
         let ready = Answer::Ready { state: self.session.state(), position: None };
         self.shared.codec.encode_reply(&ready, &mut self.output);
--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -20,7 +20,6 @@
     pub(super) upstream: Connection,
     pub(super) setup: Setup,
     /// The account for which the connection was opened.
-    #[expect(dead_code, reason = "the pool does not choose by account yet")]
     pub(super) account: Option<id::Account>,
 }
 
--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -8,6 +8,7 @@
 use smol::channel::Receiver;
 
 use super::explain::ms_since_renewal;
+use super::identity::Keys;
 use super::server::Shared;
 use crate::clock::Clock;
 use crate::config::Fleet;
@@ -125,13 +126,16 @@
         if revision <= state.revision {
             return;
         }
-        let databases = fleet.database.len();
-        Event::Configuration { revision, databases }.log(Level::Info);
+        let (databases, accounts) = (fleet.database.len(), fleet.account.len());
+        let require_account = fleet.require_account;
+        Event::Configuration { revision, databases, accounts, require_account }.log(Level::Info);
         self.metrics.set_revision(revision);
         state.revision = revision;
+        state.keys = Arc::new(Keys::new(revision, &fleet, now));
         state.fleet = Arc::new(fleet);
         self.apply_changes(now, &mut state);
         drop(state);
+        self.configured.notify(usize::MAX);
         self.request_heartbeat();
     }
 }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A session checks out a connection for a statement or a transaction and returns it afterwards. Its session variables
 //! and prepared statements are set up on each connection that it uses. Decisions are made by state machines without I/O
-//! ([`session`], [`setup`], [`dispatch`], [`health`], [`need`], [`peer`],
+//! ([`session`], [`setup`], [`dispatch`], [`health`], [`identity`], [`need`], [`peer`],
 //! [`recovery`], [`stranded`]); the other modules do the I/O.
 //! Statements of groups that other proxies serve are forwarded to these. See `docs/PLATFORM.md`, "The broker" and
 //! "Forwarding".
@@ -16,6 +16,7 @@
 mod forward;
 mod guard;
 pub mod health;
+pub mod identity;
 mod member;
 mod monitor;
 pub mod need;
--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -69,7 +69,7 @@
 ) {
     let instance = &replica.instance;
     let deadline = shared.clock.now() + PING_TIMEOUT;
-    let connection = match shared.idle_connection(instance, &Default::default()) {
+    let connection = match shared.any_idle_connection(instance) {
         Some(connection) => Ok(connection),
         None => shared.open_connection(instance, None, deadline).await,
     };
--- a/src/broker/pool.rs
+++ b/src/broker/pool.rs
@@ -8,6 +8,7 @@
 
 use super::connection::SharedConnection;
 use crate::clock::Instant;
+use crate::id;
 
 /// How long a connection may stay idle: longer than the pauses between bursts in one wave of callers (a school bell, a
 /// full hour), and shorter than the time after which instances close idle connections.
@@ -25,16 +26,27 @@
         self.connections.push((now, connection));
     }
 
-    /// Removes and returns a connection, preferring one that has these session variables.
-    pub(super) fn pop(&mut self, values: &BTreeMap<String, String>) -> Option<SharedConnection> {
+    /// Removes and returns a connection of the account, preferring one that has these session variables.
+    pub(super) fn pop(
+        &mut self,
+        account: Option<&id::Account>,
+        values: &BTreeMap<String, String>,
+    ) -> Option<SharedConnection> {
+        let fits = |connection: &SharedConnection| connection.account.as_ref() == account;
         let matching = self
             .connections
             .iter()
-            .rposition(|(_, connection)| connection.setup.has_values(values));
-        let at = matching.or(self.connections.len().checked_sub(1))?;
+            .rposition(|(_, connection)| fits(connection) && connection.setup.has_values(values));
+        let at = matching
+            .or_else(|| self.connections.iter().rposition(|(_, connection)| fits(connection)))?;
         Some(self.connections.remove(at).1)
     }
 
+    /// Removes and returns the connection that was used last, whatever its account.
+    pub(super) fn pop_any(&mut self) -> Option<SharedConnection> {
+        self.connections.pop().map(|(_, connection)| connection)
+    }
+
     /// Closes the connections that were idle for [`MAX_IDLE`], and those above `limit`.
     pub(super) fn prune(&mut self, now: Instant, limit: usize) {
         self.connections.retain(|(since, _)| now.since(*since) < MAX_IDLE);
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -66,7 +66,8 @@
                 return Err(Refusal::busy("the primary is being replaced", FULL_DELAY));
             }
             let account = execution.identity.map(|identity| &identity.account);
-            let connection = match self.shared.idle_connection(&instance, execution.values) {
+            let connection = match self.shared.idle_connection(&instance, account, execution.values)
+            {
                 Some(connection) => Ok(connection),
                 None => self.shared.open_connection(&instance, account, execution.deadline).await,
             };
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -54,6 +54,8 @@
     pub(in crate::broker) database: &'a Database,
     /// The account of the session, if the deployment has accounts.
     pub(in crate::broker) identity: Option<&'a Identity>,
+    /// The revision of the declarations by which the session's key was judged.
+    pub(in crate::broker) revision: id::Revision,
     priority: u8,
     /// When the statement was received.
     pub(in crate::broker) received_at: Instant,
@@ -167,6 +169,7 @@
             database_name,
             database,
             identity,
+            revision: identity.map(|identity| identity.revision).unwrap_or_default(),
             priority: self.shared.priority(&database.class),
             received_at,
             deadline: received_at + database.timeout.0,
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -16,7 +16,7 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Code};
-use crate::wire::{Body, Error, Forward, Forwarded, Frame, Load, Stream};
+use crate::wire::{Body, Error, Forward, Forwarded, Frame, Identity, Load, Stream};
 
 /// How often a proxy tells that it still works on a forwarded statement.
 pub(super) const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
@@ -31,6 +31,7 @@
         runner: Runner::new(Arc::clone(&shared)),
         shared: Arc::clone(&shared),
         database: None,
+        identity: None,
         open_session: None,
     };
     if let Err(error) = handler.run(socket).await {
@@ -64,6 +65,8 @@
     runner: Runner,
     /// The database of the open transaction.
     database: Option<Database>,
+    /// The account of the open transaction, if the deployment has accounts.
+    identity: Option<Identity>,
     /// Held while a statement runs or a transaction is open.
     open_session: Option<OpenSession>,
 }
@@ -130,13 +133,7 @@
     async fn handle(&mut self, forward: Forward) -> Forwarded {
         if forward.continues && !self.runner.has_connection() {
             let text = "the transaction was lost".to_owned();
-            let reply = vec![Answer::Failed { code: Code::Aborted, text }];
-            return Forwarded::Handled {
-                reply,
-                is_open: false,
-                written: None,
-                load: Load::default(),
-            };
+            return refused(vec![Answer::Failed { code: Code::Aborted, text }]);
         }
         if !forward.continues {
             self.runner.roll_back();
@@ -153,6 +150,17 @@
         let Some(database) = self.database.clone() else {
             return Forwarded::NotServing;
         };
+        if !forward.continues {
+            let keys = Arc::clone(&self.shared.lock().keys);
+            match keys.check_forwarded(forward.identity, forward.revision, database.open) {
+                Ok(identity) => self.identity = identity,
+                Err(reason) => {
+                    log::info!("refusing a forwarded statement on {}: {reason}", forward.database);
+                    let text = "the key is not known".to_owned();
+                    return refused(vec![Answer::Failed { code: Code::NotAuthenticated, text }]);
+                }
+            }
+        }
         if self.open_session.is_none() {
             self.open_session = Some(OpenSession::new(&self.shared));
         }
@@ -166,7 +174,7 @@
             &forward.request,
             &forward.values,
             (&forward.database, &database),
-            forward.identity.as_ref(),
+            self.identity.as_ref(),
         );
         let (reply, is_open) = self.runner.run_step(execution, &forward.step).await;
         let written = self.runner.last_write().filter(|_| self.runner.last_write() != before);
@@ -178,3 +186,8 @@
         }
     }
 }
+
+/// Returns the answer to a statement that did not run.
+fn refused(reply: Vec<Answer>) -> Forwarded {
+    Forwarded::Handled { reply, is_open: false, written: None, load: Load::default() }
+}
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -54,6 +54,8 @@
     /// Number of requests served, for sampling.
     pub(super) served: AtomicU64,
     pub(super) changed: Event,
+    /// Notified when declarations came into force.
+    pub(super) configured: Event,
     pub(super) state: Mutex<State>,
 }
 
@@ -91,6 +93,7 @@
         tickets: AtomicU64::new(0),
         served: AtomicU64::new(0),
         changed: Event::new(),
+        configured: Event::new(),
         state: Mutex::new(State { fence: Fence::new(incarnation), ..State::default() }),
     });
     smol::spawn(shared.credentials.clone().watch(shared.clock.clone())).detach();
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -12,6 +12,7 @@
 use super::dispatch::{self, Request, Ticket};
 use super::explain::ms_since_renewal;
 use super::guard::{CommitGuard, PingGuard, QueueGuard};
+use super::identity::Credential;
 use super::monitor;
 use super::need::{self, Need, PositionSample};
 use super::server::Shared;
@@ -119,6 +120,46 @@
         self.clock.timeout(CONFIGURATION_TIMEOUT, configured).await.is_some()
     }
 
+    /// Judges a session's key again if the declarations have changed.
+    pub(super) fn update_credential(&self, credential: &mut Credential, database: &str) {
+        let keys = {
+            let state = self.lock();
+            if state.revision <= credential.revision() {
+                return;
+            }
+            Arc::clone(&state.keys)
+        };
+        // Sessions of a database that was removed are refused for that reason.
+        let is_open = self.database(database).is_none_or(|database| database.open);
+        credential.update(&keys, is_open);
+    }
+
+    /// Waits until the declarations give a session's key no account, so that the idle session must end.
+    pub(super) async fn wait_until_rejected(&self, credential: &mut Credential, database: &str) {
+        while !credential.is_rejected() {
+            let configured = self.configured.listen();
+            self.update_credential(credential, database);
+            if !credential.is_rejected() {
+                configured.await;
+            }
+        }
+    }
+
+    /// Waits until an open transaction must end because its account is no longer that of the session.
+    pub(super) async fn wait_until_aborted(&self, credential: &mut Credential, database: &str) {
+        loop {
+            let configured = self.configured.listen();
+            self.update_credential(credential, database);
+            match credential.transaction_limit().map(|limit| limit.since(self.clock.now())) {
+                Some(Duration::ZERO) => return,
+                Some(left) => {
+                    self.clock.timeout(left, configured).await;
+                }
+                None => configured.await,
+            }
+        }
+    }
+
     /// Returns whether this proxy serves a group by itself.
     pub(super) fn serves(&self, group: &id::Group) -> bool {
         self.lock().serves(group)
@@ -338,14 +379,20 @@
         self.lock().advance(now, group);
     }
 
-    /// Takes an idle connection, preferring one that has these session variables.
+    /// Takes an idle connection of any account, for the proxy's own probe.
+    pub(super) fn any_idle_connection(&self, instance: &id::Instance) -> Option<SharedConnection> {
+        self.lock().instances.get_mut(instance)?.idle.pop_any()
+    }
+
+    /// Takes an idle connection of the account, preferring one that has these session variables.
     pub(super) fn idle_connection(
         &self,
         instance: &id::Instance,
+        account: Option<&id::Account>,
         values: &BTreeMap<String, String>,
     ) -> Option<SharedConnection> {
         let mut state = self.lock();
-        state.instances.get_mut(instance)?.idle.pop(values)
+        state.instances.get_mut(instance)?.idle.pop(account, values)
     }
 
     /// Opens a connection to an instance.
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -10,6 +10,7 @@
 
 use super::dispatch::{Dispatcher, Primary, Ticket};
 use super::health::Health;
+use super::identity::Keys;
 use super::need::PositionSample;
 use super::peer::Peers;
 use super::pool::Pool;
@@ -28,6 +29,8 @@
     pub(super) fence: Fence,
     pub(super) fleet: Arc<Fleet>,
     pub(super) revision: id::Revision,
+    /// The keys of the accounts in `fleet`.
+    pub(super) keys: Arc<Keys>,
     pub(super) instances: BTreeMap<id::Instance, Instance>,
     pub(super) groups: BTreeMap<id::Group, Group>,
     /// The proxies to which statements are forwarded.
--- a/src/cli/command.rs
+++ b/src/cli/command.rs
@@ -275,10 +275,14 @@
                         .help("File to write the token to, which must not exist"),
                 ),
         )
+        .subcommand(Command::new("account").about(
+            "Read the key of a client account from standard input and print its digest, for the declarations",
+        ))
         .after_help(
             "Examples:\n  cactushatch secret key 1 >> /etc/cactushatch/keys\n  \
              cactushatch secret user anna < password >> /etc/cactushatch/users\n  \
-             cactushatch secret operator anna --token anna.token >> /etc/cactushatch/operators",
+             cactushatch secret operator anna --token anna.token >> /etc/cactushatch/operators\n  \
+             cactushatch secret account < key",
         )
 }
 
--- a/src/cli/operator.rs
+++ b/src/cli/operator.rs
@@ -108,6 +108,9 @@
 fn print_status(status: &Status) {
     let colors = Colors::stdout();
     println!("revision {} at {}.{}", status.revision, status.stamp.term, status.stamp.index);
+    if let Some(accounts) = status.accounts {
+        println!("callers need a key of one of {accounts} accounts");
+    }
     for group in &status.groups {
         let stopped = colors.alert(", writes stopped");
         let frozen = if group.frozen { stopped.as_str() } else { "" };
--- a/src/cli/process.rs
+++ b/src/cli/process.rs
@@ -85,6 +85,9 @@
     if let Some(path) = matches.get_one::<PathBuf>("declarations") {
         let fleet = Fleet::parse(&path.display().to_string(), &read(path)?)?;
         println!("{}: {} groups, {} classes", path.display(), fleet.group.len(), fleet.class.len());
+        if fleet.require_account {
+            println!("{}: callers need a key; {} accounts", path.display(), fleet.account.len());
+        }
     }
     Ok(Exit::Success)
 }
--- a/src/cli/secret.rs
+++ b/src/cli/secret.rs
@@ -10,17 +10,19 @@
 use postgres_protocol::password::scram_sha_256;
 
 use super::Exit;
+use crate::config::KeyDigest;
 use crate::{id, security};
 
 /// Length of a key and of a token, in bytes.
 const SECRET_BYTES: usize = 32;
 
-/// `cactushatch secret key|user|operator`.
+/// `cactushatch secret key|user|operator|account`.
 pub(super) fn run(matches: &ArgMatches) -> anyhow::Result<Exit> {
     match matches.subcommand() {
         Some(("key", matches)) => key(matches),
         Some(("user", matches)) => user(matches),
         Some(("operator", matches)) => operator(matches),
+        Some(("account", _)) => account(),
         _ => anyhow::bail!("unknown command"),
     }
 }
@@ -45,6 +47,18 @@
     Ok(Exit::Success)
 }
 
+/// Prints the digest of an account's key. The key is read from standard input, so that it doesn't show in the list of
+/// processes.
+fn account() -> anyhow::Result<Exit> {
+    let mut key = String::new();
+    std::io::stdin().read_to_string(&mut key)?;
+    let key = key.trim_end_matches(['\r', '\n']);
+    anyhow::ensure!(!key.is_empty(), "standard input contains no key");
+    anyhow::ensure!(!key.contains(['\r', '\n']), "a key is one line");
+    println!("{}", KeyDigest::of(key));
+    Ok(Exit::Success)
+}
+
 fn operator(matches: &ArgMatches) -> anyhow::Result<Exit> {
     let name = matches.get_one::<id::Operator>("name").context("missing operator name")?;
     let path = matches.get_one::<PathBuf>("token").context("missing token file")?;
--- a/src/config/read/fleet.rs
+++ b/src/config/read/fleet.rs
@@ -1,5 +1,6 @@
 //! Reads declarations.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::ops::Range;
 use std::time::Duration;
@@ -7,8 +8,8 @@
 use super::table::Table;
 use crate::config::Span;
 use crate::config::{
-    Account, Class, Consistency, Database, Durability, Fleet, Group, Objective, Peak, Quota,
-    Request,
+    Account, Class, Consistency, Database, Durability, Fleet, Group, KeyDigest, Objective, Peak,
+    Quota, Request,
 };
 use crate::id;
 
@@ -54,7 +55,8 @@
     let group: BTreeMap<id::Group, Group> = group.into_iter().collect();
     let database = root.named_tables("database", |table| read_database(table, &names, &group));
     let idle_transaction = root.span("idle_transaction", IDLE_TRANSACTION);
-    let account = root.named_tables("account", read_account);
+    let seen = RefCell::default();
+    let account = root.named_tables("account", |table| read_account(table, &seen));
     let account: BTreeMap<id::Account, Account> = account.into_iter().collect();
     let require_account = root.flag("require_account") || !account.is_empty();
     let database = database.into_iter().collect();
@@ -91,10 +93,25 @@
     Some(Database { group: group?, class: class?, reads, timeout: timeout?, target: target?, open })
 }
 
-fn read_account(table: &Table<'_>) -> Option<Account> {
-    let keys = table.list("keys", "digests of keys");
+/// Reads an account. `seen` has the keys of the accounts read before, each with the path of its account.
+fn read_account(table: &Table<'_>, seen: &RefCell<BTreeMap<KeyDigest, String>>) -> Option<Account> {
+    let mut keys: Vec<KeyDigest> = table.list("keys", "digests of keys");
+    keys.sort_unstable();
+    keys.dedup();
+    for key in &keys {
+        let owner = seen.borrow_mut().insert(*key, table.path().to_owned());
+        if let Some(owner) = owner {
+            table.fault_without_value("keys", format!("has a key that {owner} has too"));
+        }
+    }
     let rate = table.optional("rate", "a rate such as 50/s");
     let burst = table.optional_number("burst", BURST);
+    if table.has("rate") && !table.has("burst") {
+        table.fault("burst", "is missing; a rate needs it; valid: 1 to 1000000");
+    }
+    if table.has("burst") && !table.has("rate") {
+        table.fault("rate", "is missing; a burst needs it; valid: a rate such as 50/s");
+    }
     let quota = rate.zip(burst).map(|(rate, burst)| Quota { rate, burst });
     Some(Account { keys, quota })
 }
--- a/src/config/read/table.rs
+++ b/src/config/read/table.rs
@@ -50,6 +50,22 @@
         self.document.fault(offset, format!("{}{key}", self.prefix), span, problem.into());
     }
 
+    /// Records a fault of a key whose value may be secret.
+    pub(super) fn fault_without_value(&self, key: &str, problem: impl Into<String>) {
+        let offset = self.table.get(key).map_or(self.offset, |value| value.span().start);
+        self.document.fault(offset, format!("{}{key}", self.prefix), None, problem.into());
+    }
+
+    /// Returns the names of the enclosing tables and its own, separated by dots.
+    pub(super) fn path(&self) -> &str {
+        self.prefix.trim_end_matches('.')
+    }
+
+    /// Returns whether the table has a key.
+    pub(super) fn has(&self, key: &str) -> bool {
+        self.table.get(key).is_some()
+    }
+
     fn missing(&self, key: &'static str, valid: &str) {
         self.fault(key, format!("is missing; valid: {valid}"));
     }
@@ -86,7 +102,7 @@
         self.optional(key, valid)
     }
 
-    /// Reads an optional list of strings and parses each as `T`.
+    /// Reads an optional list of strings and parses each as `T`. Faults don't show the values, which may be secret.
     pub(super) fn list<T>(&self, key: &'static str, valid: &str) -> Vec<T>
     where
         T: FromStr,
@@ -96,15 +112,20 @@
             return Vec::new();
         };
         let Some(items) = value.get_ref().as_array() else {
-            self.fault(key, format!("is not a list; valid: a list of {valid}"));
+            self.fault_without_value(key, format!("is not a list; valid: a list of {valid}"));
             return Vec::new();
         };
+        let fault = |item: &Spanned<DeValue<'_>>, problem| {
+            self.document.fault(item.span().start, format!("{}{key}", self.prefix), None, problem);
+        };
         let mut all = Vec::new();
         for item in items {
             match item.get_ref().as_str().map(str::parse) {
                 Some(Ok(value)) => all.push(value),
-                Some(Err(error)) => self.fault(key, format!("{error}; valid: a list of {valid}")),
-                None => self.fault(key, format!("is not a list of texts; valid: {valid}")),
+                Some(Err(error)) => {
+                    fault(item, format!("{error}; valid: a list of {valid}"));
+                }
+                None => fault(item, format!("is not a list of texts; valid: a list of {valid}")),
             }
         }
         all
--- a/src/control/operator.rs
+++ b/src/control/operator.rs
@@ -49,6 +49,9 @@
     pub stamp: Stamp,
     /// The revision of the configuration in force.
     pub revision: id::Revision,
+    /// The number of accounts that callers need a key of; `None` if they need none.
+    #[serde(default)]
+    pub accounts: Option<usize>,
     /// The groups and their epochs.
     pub groups: Vec<Group>,
     /// The instances.
@@ -236,6 +239,7 @@
     Status {
         stamp: core.stamp(),
         revision: core.state.revision,
+        accounts: core.fleet.require_account.then_some(core.fleet.account.len()),
         groups: core.state.epochs.values().map(group).collect(),
         instances: instances(&core).into_iter().map(instance).collect(),
         proxies: core.state.nodes.keys().cloned().collect(),
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -464,7 +464,9 @@
         let mut state = self.lock();
         if revision > state.revision {
             let databases = fleet.database.len();
-            Event::Configuration { revision, databases }.log(Level::Info);
+            let (accounts, require_account) = (fleet.account.len(), fleet.require_account);
+            Event::Configuration { revision, databases, accounts, require_account }
+                .log(Level::Info);
             self.metrics.set_revision(revision);
             state.revision = revision;
             state.fleet = Arc::new(fleet);
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -103,6 +103,19 @@
         revision: id::Revision,
         /// Number of databases in it.
         databases: usize,
+        /// Number of accounts in it.
+        accounts: usize,
+        /// Whether callers need the key of an account.
+        require_account: bool,
+    },
+    /// A session was rejected when it opened, or ended, because its key has no account.
+    Session {
+        /// The database.
+        database: &'a str,
+        /// Whether the session was open already.
+        was_open: bool,
+        /// Why the key has no account.
+        reason: String,
     },
     /// The control plane decided on a change of a group's epoch.
     Decision {
@@ -217,6 +230,7 @@
             Self::Epoch { .. } => "event.epoch",
             Self::Instance { .. } => "event.instance",
             Self::Configuration { .. } => "event.configuration",
+            Self::Session { .. } => "event.session",
             Self::Decision { .. } => "event.decision",
             Self::Promotion { .. } => "event.promotion",
             Self::Leader { .. } => "event.leader",
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -116,6 +116,15 @@
         Protocol = "protocol",
     }
 );
+label!(
+    /// Why a session is rejected or ended: its key has no account.
+    Rejection {
+        /// No account has the key, as far as this process knows.
+        UnknownKey = "unknown_key",
+        /// The key was one of an account and no longer is.
+        WithdrawnKey = "withdrawn_key",
+    }
+);
 label!(
     /// The sender of a message that violates a protocol.
     Peer {
@@ -160,6 +169,11 @@
     pub(super) reason: Refusal,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct RejectionLabels {
+    pub(super) reason: Rejection,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct FailureLabels {
     pub(super) kind: Failure,
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -13,7 +13,7 @@
 use super::label::{
     self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
     LeaseLabels, Outcome, Peer, PromotionAnswer, PromotionLabels, ProtocolErrorLabels, Refusal,
-    RefusalLabels, RequestLabels, RoleLabels, Target, TargetLabels,
+    RefusalLabels, Rejection, RejectionLabels, RequestLabels, RoleLabels, Target, TargetLabels,
 };
 use crate::{id, wire};
 
@@ -41,6 +41,8 @@
     connections_open: Family<RoleLabels, Gauge>,
     connections_busy: Family<RoleLabels, Gauge>,
     callers: Gauge,
+    sessions_rejected: Family<RejectionLabels, Counter>,
+    sessions_ended: Family<RejectionLabels, Counter>,
     connections_refused: Counter,
     forwards: Family<ForwardLabels, Counter>,
     groups_served: Gauge,
@@ -82,6 +84,8 @@
             connections_open: Family::default(),
             connections_busy: Family::default(),
             callers: Gauge::default(),
+            sessions_rejected: Family::default(),
+            sessions_ended: Family::default(),
             connections_refused: Counter::default(),
             forwards: Family::default(),
             groups_served: Gauge::default(),
@@ -147,6 +151,16 @@
             "Failures of upstreams by kind",
             self.upstream_failures.clone(),
         );
+        registry.register(
+            "sessions_rejected",
+            "Sessions that were not opened because their key has no account, by reason",
+            self.sessions_rejected.clone(),
+        );
+        registry.register(
+            "sessions_ended",
+            "Open sessions that ended because their key has no account, by reason",
+            self.sessions_ended.clone(),
+        );
         registry.register(
             "protocol_errors",
             "Messages that break a protocol, by peer and reason",
@@ -276,6 +290,12 @@
         self.upstream_failures.get_or_create(&FailureLabels { kind }).inc();
     }
 
+    /// Counts a session that was not opened (`was_open` is false) or ended because its key has no account.
+    pub fn record_rejection(&self, was_open: bool, reason: Rejection) {
+        let sessions = if was_open { &self.sessions_ended } else { &self.sessions_rejected };
+        sessions.get_or_create(&RejectionLabels { reason }).inc();
+    }
+
     /// Counts a message that violates a protocol. `reason` must be one of a few fixed words, as it becomes a label.
     pub fn record_protocol_error(&self, peer: Peer, reason: &'static str) {
         self.protocol_errors.get_or_create(&ProtocolErrorLabels { peer, reason }).inc();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -12,7 +12,7 @@
 
 pub use event::Event;
 pub use label::{
-    Failure, ForwardResult, LeaseAnswer, Outcome, Peer, PromotionAnswer, Refusal, Target,
+    Failure, ForwardResult, LeaseAnswer, Outcome, Peer, PromotionAnswer, Refusal, Rejection, Target,
 };
 pub use metrics::Metrics;
 pub use queue::Queue;
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -21,6 +21,8 @@
     pub database: String,
     /// Who asks, if the deployment has accounts.
     pub identity: Option<Identity>,
+    /// The revision of the declarations by which the forwarding proxy judged the session's key.
+    pub revision: id::Revision,
     /// The session variables that must be set while the statement runs.
     pub values: BTreeMap<String, String>,
     /// The position of the primary after the session's last write.
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -40,6 +40,8 @@
     refused_connections: usize,
     /// Executed statements, oldest first, with the session values that were set on the connection.
     executed: Vec<(String, BTreeMap<String, String>)>,
+    /// The account of the connection on which each of these statements arrived.
+    accounts: Vec<String>,
 }
 
 /// A group of instances, and the service that promotes them.
@@ -91,6 +93,13 @@
         self.lock().iter().find(|instance| instance.id == id).unwrap().executed.clone()
     }
 
+    /// Returns the statements that all instances executed, each with the account of the connection that it arrived on.
+    pub fn executed_for(&self) -> Vec<(String, String)> {
+        let instances = self.lock();
+        let executed = instances.iter().flat_map(|i| i.accounts.iter().zip(&i.executed));
+        executed.map(|(account, (text, _))| (account.clone(), text.clone())).collect()
+    }
+
     /// Returns the number of open connections to an instance.
     pub fn connections(&self, id: &str) -> usize {
         self.lock().iter().find(|instance| instance.id == id).unwrap().connections
@@ -122,6 +131,8 @@
 /// The state of a connection to an instance.
 #[derive(Default)]
 struct Session {
+    /// The account that the connection was opened for.
+    account: String,
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, (String, String)>,
     transaction: Option<Vec<(String, String)>>,
@@ -157,8 +168,10 @@
         };
         let text = prepared.as_deref().unwrap_or(text);
         let words: Vec<&str> = text.split(' ').collect();
+        let account = session.account.clone();
         let record = |instances: &mut Vec<Instance>, values: &BTreeMap<String, String>| {
             instances[index].executed.push((text.to_owned(), values.clone()));
+            instances[index].accounts.push(account.clone());
             Ok(format!("signature-{}", instances[index].id))
         };
         match words.as_slice() {
@@ -258,6 +271,7 @@
                 let connect_delay = self.lock()[index].connect_delay;
                 std::thread::sleep(connect_delay);
                 let expected = rest.split(' ').nth(2).map(str::to_owned);
+                session.account = rest.split(' ').nth(1).unwrap_or_default().to_owned();
                 let instances = self.lock();
                 if expected.is_some_and(|id| id != instances[index].id) {
                     return socket.write_all(b"ERR MISROUTED another one\r\n");
@@ -446,6 +460,7 @@
                 connections: 0,
                 refused_connections: 0,
                 executed: Vec::new(),
+                accounts: Vec::new(),
             });
             let group = Arc::clone(&fleet.group);
             std::thread::spawn(move || group.accept_connections(index, listener));
@@ -566,20 +581,21 @@
     /// Sends a configuration with this timeout for all databases until a control process answers, and returns the
     /// status.
     pub fn put_configuration(&self, version: u64, timeout_ms: u64) -> u16 {
-        let body = configuration(version, timeout_ms, self.group.max_connections);
+        self.put_configuration_text(&configuration(version, timeout_ms, self.group.max_connections))
+    }
+
+    /// Sends a configuration until a control process answers, and returns the status.
+    pub fn put_configuration_text(&self, body: &str) -> u16 {
         let start = Instant::now();
         loop {
             let status = VOTERS.iter().find_map(|vm| {
-                let answer = send_http(self.address(*vm, CONTROL_PORT), "PUT /config", &body);
+                let answer = send_http(self.address(*vm, CONTROL_PORT), "PUT /config", body);
                 answer.map(|(status, _)| status).filter(|status| *status < 500)
             });
             if let Some(status) = status {
                 return status;
             }
-            assert!(
-                start.elapsed() < TIMEOUT,
-                "no control process accepted or refused configuration {version}"
-            );
+            assert!(start.elapsed() < TIMEOUT, "no control process accepted or refused {body}");
             std::thread::sleep(Duration::from_millis(50));
         }
     }
@@ -616,7 +632,11 @@
     }
 
     pub fn connect(&self, vm: u8, database: &str) -> Caller {
-        Caller::connect(self.address(vm, FRONT_PORT), database)
+        Caller::connect(self.address(vm, FRONT_PORT), database, "me")
+    }
+
+    pub fn connect_with_key(&self, vm: u8, database: &str, key: &str) -> Caller {
+        Caller::connect(self.address(vm, FRONT_PORT), database, key)
     }
 }
 
@@ -682,12 +702,12 @@
 }
 
 impl Caller {
-    pub fn connect(address: SocketAddr, database: &str) -> Self {
+    pub fn connect(address: SocketAddr, database: &str, key: &str) -> Self {
         let socket = TcpStream::connect(address).expect("a proxy");
         socket.set_read_timeout(Some(TIMEOUT)).unwrap();
         let lines = BufReader::new(socket.try_clone().unwrap());
         let mut caller = Self { socket, lines, next_id: 0, connect_answer: String::new() };
-        caller.send(&format!("CONNECT {database} me"));
+        caller.send(&format!("CONNECT {database} {key}"));
         caller.connect_answer = caller.line().expect("an answer");
         caller
     }
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -91,7 +91,13 @@
         Event::Stranded { stranded: true, unheard_ms: None },
         Event::Epoch { group, term, phase: Phase::Active, primary: instance },
         Event::Instance { instance, group, trouble: Health::Silent, silent_ms: 1, reason: None },
-        Event::Configuration { revision: id::Revision(1), databases: 1 },
+        Event::Configuration {
+            revision: id::Revision(1),
+            databases: 1,
+            accounts: 1,
+            require_account: true,
+        },
+        Event::Session { database: "desk", was_open: false, reason: "unknown_key".to_owned() },
         Event::Decision { group, decision: "freeze", term, instance: None, start: None },
         Event::Promotion { group, instance, token: term, answer: None },
         Event::Leader { leads: true, term },
@@ -107,6 +113,7 @@
         | Event::Epoch { .. }
         | Event::Instance { .. }
         | Event::Configuration { .. }
+        | Event::Session { .. }
         | Event::Decision { .. }
         | Event::Promotion { .. }
         | Event::Leader { .. } => true,
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -9,7 +9,7 @@
 mod line;
 
 use bytes::BytesMut;
-use cactushatch::config::{Consistency, Durability, Fleet, Span};
+use cactushatch::config::{Consistency, Durability, Fleet, KeyDigest, OperationRate, Quota, Span};
 use cactushatch::id;
 use cactushatch::proxy::floor::Mark;
 use cactushatch::statement::{
@@ -89,8 +89,10 @@
     assert_eq!(decode_answer("READY I -"), Ok(Some(ready)));
     let failed = Answer::Failed { code: Code::ReadOnly, text: "i-7f 3a".to_owned() };
     assert_eq!(decode_answer("ERR READONLY i-7f 3a"), Ok(Some(failed)));
-    let other = Answer::Failed { code: Code::Other("NOAUTH".to_owned()), text: String::new() };
-    assert_eq!(decode_answer("ERR NOAUTH"), Ok(Some(other)));
+    let refused = Answer::Failed { code: Code::NotAuthenticated, text: String::new() };
+    assert_eq!(decode_answer("ERR NOAUTH"), Ok(Some(refused)));
+    let other = Answer::Failed { code: Code::Other("NOROOM".to_owned()), text: String::new() };
+    assert_eq!(decode_answer("ERR NOROOM"), Ok(Some(other)));
 }
 
 #[test]
@@ -186,6 +188,57 @@
     assert_eq!(class.priority, 1);
 }
 
+/// Guards against keys that are stored readably in declarations, a quota that is lost or invented, and a database that is
+/// opened to everyone because one of its routes is.
+#[test]
+fn tenants_become_accounts() {
+    let with = |tenants: &str| CONFIGURATION.replacen('{', &format!("{{\"Tenants\":{tenants},"), 1);
+    let fleet = |body: &str| {
+        let declaration = declaration::decode(body.as_bytes()).unwrap();
+        assert_eq!(declaration.source, body);
+        assert!(!declaration.text.contains("u3f1"), "{}", declaration.text);
+        Fleet::parse("declarations", &declaration.text).unwrap()
+    };
+    let tenants = r#"[{"Name":"ann","ApiKeys":["u3f1","u3f2","u3f1"],"RatePerS":12.5,"Burst":7.2,"Priority":1},
+        {"Name":"ben","ApiKeys":[],"RatePerS":3},{"Name":"cat","Burst":4},
+        {"Name":"dan","ApiKeys":["",""],"RatePerS":0.0001,"Burst":0},{"Name":"eve","ApiKeys":null}]"#;
+    let declared = fleet(&with(tenants));
+    assert!(declared.require_account);
+    let account = |name: &str| declared.account[&name.parse::<id::Account>().unwrap()].clone();
+    let quota = |rate, burst| Some(Quota { rate: OperationRate::new(rate), burst });
+    assert_eq!(account("ann").quota, quota(12.5, 8));
+    let mut keys = vec![KeyDigest::of("u3f1"), KeyDigest::of("u3f2")];
+    keys.sort_unstable();
+    assert_eq!(account("ann").keys, keys);
+    assert_eq!((account("ben").quota, account("cat").quota), (None, None));
+    assert_eq!((account("dan").quota, account("dan").keys), (quota(0.001, 1), vec![]));
+    assert!(fleet(&with("[]")).require_account && fleet(&with("[]")).account.is_empty());
+
+    let public =
+        |body: &str| body.replace("\"Host\":\"fiti\",", "\"Host\":\"fiti\",\"Public\":true,");
+    let is_open = |body: &str| {
+        let fleet = fleet(body);
+        ["fiti", "lepu"].map(|name| fleet.database[&name.parse::<id::Database>().unwrap()].open)
+    };
+    assert_eq!(is_open(&public(&with("[]"))), [true, false]);
+    assert_eq!(fleet(&public(CONFIGURATION)), fleet(CONFIGURATION));
+    let second = r#"{"Name":"r-0","Host":"fiti","PathPrefix":"/longer","Type":"session","TimeoutMs":800,
+        "Service":"huvo11a"},"#;
+    let two = public(&with("[]")).replace("\"Routes\":[", &format!("\"Routes\":[{second}"));
+    assert_eq!(is_open(&two), [false, false]);
+
+    for tenants in [
+        r#"[{"Name":"ann","ApiKeys":["u3f1"]},{"Name":"ben","ApiKeys":["u3f2","u3f1"]}]"#,
+        r#"[{"Name":"ann"},{"Name":"ann"}]"#,
+        r#"[{"Name":""}]"#,
+        r#"[{"Name":"ann","RatePerS":-1,"Burst":1}]"#,
+        r#"[{"Name":"ann","ApiKeys":[7]}]"#,
+    ] {
+        let error = declaration::decode(with(tenants).as_bytes()).expect_err(tenants);
+        assert!(!error.to_string().contains("u3f1"), "{error}");
+    }
+}
+
 /// A number of copies at the limit of its type must neither end the process nor turn into a smaller one, with which a
 /// commit would count as durable on the primary alone.
 #[test]
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -203,6 +203,7 @@
         request: Id::new("stranger"),
         database: database.to_owned(),
         identity: None,
+        revision: Default::default(),
         values: BTreeMap::new(),
         last_write: None,
         step: Step::InTransaction {
