Keep connections by account, and run an account's statements at its homes

With accounts a connection serves one account only. 82 accounts shared 5 connections to an instance at each of 12 serving proxies, so most statements opened a connection, which takes 12 ms and occupies a slot.

The pool is keyed by account and closes the idle connection whose next use is expected last before another is opened. Serving proxies are ordered for each account by rendezvous hashing, and statements run on the first of them (homes). The dispatcher adds the time of opening a connection to the cost of instances without an idle one of the account. Statements without an account take the same path as before.

--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -19,8 +19,30 @@
 pub(super) struct SharedConnection {
     pub(super) upstream: Connection,
     pub(super) setup: Setup,
-    /// The account for which the connection was opened.
+    /// The account for which the connection was opened, the only one whose statements may run on it.
     pub(super) account: Option<id::Account>,
+    /// Counts the connection as open.
+    pub(super) _seat: Seat,
+}
+
+/// Counts a connection to an instance as open, or about to be opened, until dropped.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Seat(#[expect(dead_code, reason = "the references to it are counted")] Arc<()>);
+
+/// The open connections to an instance.
+#[derive(Debug, Default)]
+pub(super) struct Seats(Arc<()>);
+
+impl Seats {
+    /// Counts one more connection.
+    pub(super) fn take(&self) -> Seat {
+        Seat(Arc::clone(&self.0))
+    }
+
+    /// Returns the number of connections that are open or about to be opened.
+    pub(super) fn taken(&self) -> usize {
+        Arc::strong_count(&self.0) - 1
+    }
 }
 
 /// The right to use one connection to an instance. Released on drop.
--- a/src/broker/dispatch/candidate.rs
+++ b/src/broker/dispatch/candidate.rs
@@ -39,6 +39,9 @@
 /// For a read that both can serve, the primary's load counts this many times that of a replica.
 const PRIMARY_COST_FACTOR: u32 = 3;
 
+/// The mean time to open a connection that is assumed until one was opened. It was measured at the known deployments.
+pub const INITIAL_CONNECT_MEAN: Duration = Duration::from_millis(12);
+
 /// An instance that may run statements.
 #[derive(Debug)]
 pub(super) struct Candidate {
@@ -58,6 +61,8 @@
     pub(super) mean_duration: Duration,
     /// The mean duration while the instance doesn't queue.
     pub(super) baseline: Duration,
+    /// The mean time to open a connection.
+    pub(super) mean_connect: Duration,
     pub(super) remote: bool,
 }
 
@@ -75,6 +80,7 @@
             refused_connection: None,
             mean_duration: INITIAL_MEAN,
             baseline: INITIAL_MEAN,
+            mean_connect: INITIAL_CONNECT_MEAN,
             remote,
         }
     }
@@ -92,6 +98,14 @@
         self.permits.min(established.saturating_add(extra as u32))
     }
 
+    /// Returns the time to open a connection if none of the account is idle.
+    fn connect_cost(&self, instance: &id::Instance, request: &Request) -> Duration {
+        if request.account.is_none() || request.warm.contains(instance) {
+            return Duration::ZERO;
+        }
+        self.mean_connect
+    }
+
     /// Records how long a statement took. While the instance appears to queue, the window shrinks by a tenth with each
     /// statement; otherwise it grows by one per window of statements.
     pub(super) fn record_duration(&mut self, duration: Duration) {
@@ -108,6 +122,14 @@
 }
 
 impl Dispatcher {
+    /// Records how long it took to open a connection to an instance.
+    pub fn record_connect(&mut self, instance: &id::Instance, duration: Duration) {
+        if let Some(candidate) = self.candidates.get_mut(instance) {
+            let former = candidate.mean_connect * (MEAN_WEIGHT_DIVISOR - 1);
+            candidate.mean_connect = (former + duration) / MEAN_WEIGHT_DIVISOR;
+        }
+    }
+
     /// Returns the instance with a free permit that is expected to run a statement soonest.
     pub(super) fn place(&self, now: Instant, request: &Request) -> Option<id::Instance> {
         let free = |(instance, candidate): &(&id::Instance, &Candidate)| {
@@ -117,7 +139,8 @@
         };
         let cost = |(instance, candidate): &(&id::Instance, &Candidate)| {
             let load = candidate.mean_duration * (candidate.running + 1)
-                + Duration::from_millis(u64::from(candidate.remote));
+                + Duration::from_millis(u64::from(candidate.remote))
+                + candidate.connect_cost(instance, request);
             let is_primary = self.primary.as_ref() == Some(*instance);
             if is_primary { load * PRIMARY_COST_FACTOR } else { load }
         };
--- a/src/broker/dispatch/mod.rs
+++ b/src/broker/dispatch/mod.rs
@@ -22,7 +22,9 @@
 use smallvec::SmallVec;
 
 use candidate::Candidate;
-pub use candidate::{CONNECTION_RETRY_DELAY, FULL_DELAY, LAGGING_PERIOD, TYPICAL_LAG};
+pub use candidate::{
+    CONNECTION_RETRY_DELAY, FULL_DELAY, INITIAL_CONNECT_MEAN, LAGGING_PERIOD, TYPICAL_LAG,
+};
 use queue::Waiter;
 pub use queue::{DEFAULT_RETRY_AFTER, TYPICAL_ELECTION, TYPICAL_PROMOTION};
 
--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -185,25 +185,33 @@
     ) -> (Reply, bool) {
         execution.forwarded = true;
         match self.run_on_any(runner, &mut execution, step).await {
-            Ok(answer) => answer,
+            Ok(Some(answer)) => answer,
+            Ok(None) => {
+                execution.forwarded = false;
+                runner.run_step(execution, step).await
+            }
             Err(refusal) => (runner.conclude(&execution, Err(refusal)), false),
         }
     }
 
     /// Forwards a statement to one proxy after the other until one handles it, as long as nothing of it can be kept.
+    /// Returns `None` if this proxy should run the statement itself, since no better home of its account is usable.
     async fn run_on_any(
         &mut self,
         runner: &mut Runner,
         execution: &mut Execution<'_>,
         step: &Step,
-    ) -> Result<(Reply, bool), Refusal> {
+    ) -> Result<Option<(Reply, bool)>, Refusal> {
         // This proxy may be listed already while its share is still 0.
         let mut excluded: SmallVec<[id::Node; 4]> = SmallVec::from_iter([self.shared.node.clone()]);
         let mut failed = 0;
         loop {
             let (mut peer, continues, wrote) = match self.transaction.take() {
                 Some(transaction) => (transaction.peer, true, transaction.wrote),
-                None => (self.choose(execution, &excluded).await?, false, false),
+                None => match self.choose(execution, &excluded).await? {
+                    Some(peer) => (peer, false, false),
+                    None => return Ok(None),
+                },
             };
             execution.tries += 1;
             let forward = self.message(runner, execution, step, continues);
@@ -225,7 +233,7 @@
                     } else {
                         peer.keep_stream();
                     }
-                    return Ok((reply.into_iter().collect(), is_open));
+                    return Ok(Some((reply.into_iter().collect(), is_open)));
                 }
                 Ok(Forwarded::NotServing) => {
                     self.avoid(&peer, NOT_SERVING_PERIOD);
@@ -285,24 +293,37 @@
     }
 
     /// Chooses the proxy to forward to. Waits for one, as statements wait for capacity, while none serves the group.
+    /// Returns `None` if this proxy should run the statement by itself: if it is now a usable home of the account, or
+    /// serves the group and the first home failed.
     async fn choose(
         &self,
         execution: &mut Execution<'_>,
         excluded: &[id::Node],
-    ) -> Result<Peer, Refusal> {
+    ) -> Result<Option<Peer>, Refusal> {
         let shared = &self.shared;
         let started = shared.clock.now();
         let choose_now = || {
             let now = shared.clock.now();
             let mut state = shared.lock();
             let state = &mut *state;
-            let Serving::Listed(servers) = state.fence.table().serving(&execution.database.group)
-            else {
+            let group = &execution.database.group;
+            let homes = execution.identity.map_or_else(SmallVec::new, |identity| {
+                let place = (&shared.node, &shared.domain);
+                state.homes(now, place, group, &identity.account, excluded)
+            });
+            // After a failed attempt an own connection costs less time than a second attempt at another proxy may.
+            let has_failed = execution.identity.is_some() && excluded.len() > 1;
+            let is_home = homes.iter().any(|server| server.node == shared.node);
+            if is_home || (has_failed && state.serves(group)) {
+                return Some(None);
+            }
+            let Serving::Listed(servers) = state.fence.table().serving(group) else {
                 return None;
             };
+            let servers = if homes.is_empty() { servers } else { &homes[..] };
             let server = state.peers.choose(now, &shared.domain, servers, excluded)?.clone();
             let stream = state.peers.begin(&server);
-            Some(Peer { shared: Arc::clone(shared), server, stream, reusable: false })
+            Some(Some(Peer { shared: Arc::clone(shared), server, stream, reusable: false }))
         };
         let choosing = async {
             loop {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! A session checks out a connection for a statement or a transaction and returns it afterwards. Its session variables
 //! and prepared statements are set up on each connection that it uses. Decisions are made by state machines without I/O
-//! ([`session`], [`setup`], [`dispatch`], [`health`], [`identity`], [`need`], [`peer`],
+//! ([`session`], [`setup`], [`dispatch`], [`health`], [`home`], [`identity`], [`need`], [`peer`], [`pool`],
 //! [`recovery`], [`stranded`]); the other modules do the I/O.
 //! Statements of groups that other proxies serve are forwarded to these. See `docs/PLATFORM.md`, "The broker" and
 //! "Forwarding".
@@ -16,12 +16,13 @@
 mod forward;
 mod guard;
 pub mod health;
+pub mod home;
 pub mod identity;
 mod member;
 mod monitor;
 pub mod need;
 pub mod peer;
-mod pool;
+pub mod pool;
 pub mod recovery;
 mod run;
 mod serve;
--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -70,8 +70,8 @@
     let instance = &replica.instance;
     let deadline = shared.clock.now() + PING_TIMEOUT;
     let connection = match shared.any_idle_connection(instance) {
-        Some(connection) => Ok(connection),
-        None => shared.open_connection(instance, None, deadline).await,
+        Ok(connection) => Ok(connection),
+        Err(seat) => shared.open_connection(instance, None, seat, deadline).await,
     };
     let mut connection = match connection {
         Ok(connection) => connection,
--- a/src/broker/peer.rs
+++ b/src/broker/peer.rs
@@ -75,6 +75,12 @@
         fastrand::choice(equal)
     }
 
+    /// Returns whether a proxy is avoided because it failed or didn't serve the group a moment ago.
+    pub fn is_avoided(&self, now: Instant, node: &id::Node) -> bool {
+        let until = self.peers.get(node).and_then(|peer| peer.avoided_until);
+        until.is_some_and(|until| now < until)
+    }
+
     /// Records that a statement is forwarded to a proxy, and returns an idle stream to it if there is one.
     pub fn begin(&mut self, server: &Server) -> Option<(Instant, Stream)> {
         let peer = self.peers.entry(server.node.clone()).or_insert_with(|| Peer {
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -40,6 +40,9 @@
             if left.is_zero() {
                 return Err(Refusal::busy("no instance took it in time", FULL_DELAY));
             }
+            let account = execution.identity.map(|identity| &identity.account);
+            let group = &execution.database.group;
+            let warm = account.map(|account| self.shared.warm_instances(group, account));
             let request = Request {
                 ticket: self.shared.ticket(),
                 need,
@@ -47,9 +50,9 @@
                 max_wait: execution.max_wait().saturating_sub(waited).min(left),
                 max_promotion_wait: execution.max_promotion_wait().saturating_sub(waited).min(left),
                 excluded: execution.excluded.clone(),
-                account: execution.identity.map(|identity| identity.account.clone()),
+                account: account.cloned(),
                 target: execution.database.target.0,
-                warm: Default::default(),
+                warm: warm.unwrap_or_default(),
             };
             execution.need = Some(need);
             let permit = self.shared.acquire_permit(&execution.database.group, request).await;
@@ -65,11 +68,13 @@
             if need == Need::Primary && term.is_none() {
                 return Err(Refusal::busy("the primary is being replaced", FULL_DELAY));
             }
-            let account = execution.identity.map(|identity| &identity.account);
-            let connection = match self.shared.idle_connection(&instance, account, execution.values)
-            {
-                Some(connection) => Ok(connection),
-                None => self.shared.open_connection(&instance, account, execution.deadline).await,
+            let idle = self.shared.idle_connection(&instance, account, execution.values);
+            let connection = match idle {
+                Ok(connection) => Ok(connection),
+                Err((seat, reason)) => {
+                    self.shared.metrics.record_opened_connection(reason);
+                    self.shared.open_connection(&instance, account, seat, execution.deadline).await
+                }
             };
             match connection {
                 Ok(connection) => return Ok(Checkout { connection, permit, term, wrote: false }),
@@ -104,13 +109,16 @@
 }
 
 impl Execution<'_> {
-    /// Waits, as for capacity, until the group is served. Returns whether this proxy serves it by itself.
+    /// Waits, as for capacity, until the group is served. Returns whether this proxy should run the statement by itself:
+    /// whether it serves the group and, in a deployment with accounts, is a home of the account.
     pub(in crate::broker) async fn wait_until_served(&mut self, shared: &Shared) -> bool {
         let started = shared.clock.now();
         let left = self.max_wait().saturating_sub(self.waited);
         let is_served_here = shared.wait_until_served(&self.database.group, left).await;
         self.waited += shared.clock.now().since(started);
+        let account = self.identity.map(|identity| &identity.account);
         is_served_here
+            && account.is_none_or(|account| shared.is_home(&self.database.group, account))
     }
 
     /// Returns how long the statement may wait for capacity: a part of its target latency, so that a statement that
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use log::Level;
+use smallvec::SmallVec;
 use smol::channel::Sender;
 
+use super::connection::{Seats, SharedConnection};
 use super::dispatch::{Dispatcher, Primary, Ticket};
 use super::health::Health;
+use super::home;
 use super::identity::Keys;
 use super::need::PositionSample;
 use super::peer::Peers;
@@ -21,7 +24,7 @@
 use crate::proxy::fence::{Fence, Verdict};
 use crate::proxy::position_history::PositionHistory;
 use crate::report::Event;
-use crate::wire::{Demand, Epoch, Observation, Phase, Replica, Serving};
+use crate::wire::{Demand, Epoch, Observation, Phase, Replica, Server, Serving};
 
 /// The mutable state. Its lock is never held over an `await`.
 #[derive(Debug, Default)]
@@ -35,6 +38,8 @@
     pub(super) groups: BTreeMap<id::Group, Group>,
     /// The proxies to which statements are forwarded.
     pub(super) peers: Peers,
+    /// The sum of the rates that accounts are declared with.
+    pub(super) rates: home::Rates,
     /// Addresses of control processes, in addition to the seeds.
     pub(super) voters: Vec<SocketAddr>,
     /// Whether the lease was valid when it was last checked.
@@ -47,7 +52,9 @@
 #[derive(Debug)]
 pub(super) struct Instance {
     pub(super) replica: Replica,
-    pub(super) idle: Pool,
+    pub(super) idle: Pool<SharedConnection>,
+    /// The connections of the pool, those in use, and those that are about to be opened.
+    pub(super) seats: Seats,
     pub(super) health: Health,
     /// Whether a ping is pending.
     pub(super) pinging: bool,
@@ -67,7 +74,13 @@
 
 impl Instance {
     fn new(now: Instant, replica: Replica) -> Self {
-        Self { replica, idle: Pool::default(), health: Health::new(now), pinging: false }
+        Self {
+            replica,
+            idle: Pool::default(),
+            seats: Seats::default(),
+            health: Health::new(now),
+            pinging: false,
+        }
     }
 }
 
@@ -142,6 +155,36 @@
         }
     }
 
+    /// Returns the proxies on which a statement of an account should run now: the usable homes of the account, or the
+    /// next ones in its order. `node` is this proxy, which is usable while it serves the group. Empty if no serving
+    /// proxy is usable, or if they aren't listed.
+    ///
+    /// Without contact to the control plane only proxies in the own failure domain count, if there are any: the domain is
+    /// probably partitioned from the others.
+    pub(super) fn homes(
+        &mut self,
+        now: Instant,
+        (node, domain): (&id::Node, &id::Domain),
+        group: &id::Group,
+        account: &id::Account,
+        excluded: &[id::Node],
+    ) -> SmallVec<[Server; 4]> {
+        let share = self.rates.share(self.revision, &self.fleet, account);
+        let Serving::Listed(servers) = self.fence.table().serving(group) else {
+            return SmallVec::new();
+        };
+        let serves = self.serves(group);
+        let is_usable = |server: &Server| match server.node == *node {
+            true => serves,
+            false => !excluded.contains(&server.node) && !self.peers.is_avoided(now, &server.node),
+        };
+        let mut homes = home::servers(account, share, servers, domain);
+        if self.stranded.is_stranded() {
+            homes.keep_domain(domain);
+        }
+        homes.usable(is_usable)
+    }
+
     /// Closes connections that stayed idle for too long.
     pub(super) fn prune(&mut self, now: Instant) {
         for instance in self.instances.values_mut() {
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -64,6 +64,15 @@
         Failed = "failed",
     }
 );
+label!(
+    /// Why a statement had to open a connection to an instance.
+    Opening {
+        /// There was room for one more.
+        New = "new",
+        /// An idle connection of another account was closed for it.
+        Evicted = "evicted",
+    }
+);
 label!(
     /// The result of a call to an external promotion service.
     PromotionAnswer {
@@ -212,3 +221,8 @@
 pub(super) struct PromotionLabels {
     pub(super) answer: PromotionAnswer,
 }
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct OpeningLabels {
+    pub(super) reason: Opening,
+}
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -12,8 +12,9 @@
 
 use super::label::{
     self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
-    LeaseLabels, Outcome, Peer, PromotionAnswer, PromotionLabels, ProtocolErrorLabels, Refusal,
-    RefusalLabels, Rejection, RejectionLabels, RequestLabels, RoleLabels, Target, TargetLabels,
+    LeaseLabels, Opening, OpeningLabels, Outcome, Peer, PromotionAnswer, PromotionLabels,
+    ProtocolErrorLabels, Refusal, RefusalLabels, Rejection, RejectionLabels, RequestLabels,
+    RoleLabels, Target, TargetLabels,
 };
 use crate::{id, wire};
 
@@ -44,6 +45,9 @@
     sessions_rejected: Family<RejectionLabels, Counter>,
     sessions_ended: Family<RejectionLabels, Counter>,
     connections_refused: Counter,
+    connections_opened: Family<OpeningLabels, Counter>,
+    connections_evicted: Counter,
+    connections_reused: Counter,
     forwards: Family<ForwardLabels, Counter>,
     groups_served: Gauge,
     heartbeats_sent: Counter,
@@ -87,6 +91,9 @@
             sessions_rejected: Family::default(),
             sessions_ended: Family::default(),
             connections_refused: Counter::default(),
+            connections_opened: Family::default(),
+            connections_evicted: Counter::default(),
+            connections_reused: Counter::default(),
             forwards: Family::default(),
             groups_served: Gauge::default(),
             heartbeats_sent: Counter::default(),
@@ -182,6 +189,21 @@
             "New connections that an instance refused because it had as many as it accepts",
             self.connections_refused.clone(),
         );
+        registry.register(
+            "upstream_connections_opened",
+            "Connections that statements opened, by whether an idle one of another account was closed for it",
+            self.connections_opened.clone(),
+        );
+        registry.register(
+            "upstream_connections_evicted",
+            "Idle connections closed to make room for connections of other accounts",
+            self.connections_evicted.clone(),
+        );
+        registry.register(
+            "upstream_connections_reused",
+            "Statements and transactions that found an idle connection of their account",
+            self.connections_reused.clone(),
+        );
         registry.register(
             "forwards",
             "Statements forwarded to proxies that serve their group, by result",
@@ -313,6 +335,21 @@
         self.connections_refused.inc();
     }
 
+    /// Counts a connection that a statement opened.
+    pub fn record_opened_connection(&self, reason: Opening) {
+        self.connections_opened.get_or_create(&OpeningLabels { reason }).inc();
+    }
+
+    /// Counts idle connections that were closed to make room for those of other accounts.
+    pub fn record_evicted_connections(&self, connections: usize) {
+        self.connections_evicted.inc_by(connections as u64);
+    }
+
+    /// Counts a statement or transaction that found an idle connection of its account.
+    pub fn record_reused_connection(&self) {
+        self.connections_reused.inc();
+    }
+
     /// Counts a statement that was forwarded to a proxy.
     pub fn record_forward(&self, result: ForwardResult) {
         self.forwards.get_or_create(&ForwardLabels { result }).inc();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -12,7 +12,8 @@
 
 pub use event::Event;
 pub use label::{
-    Failure, ForwardResult, LeaseAnswer, Outcome, Peer, PromotionAnswer, Refusal, Rejection, Target,
+    Failure, ForwardResult, LeaseAnswer, Opening, Outcome, Peer, PromotionAnswer, Refusal,
+    Rejection, Target,
 };
 pub use metrics::Metrics;
 pub use queue::Queue;
