Lease the operations of accounts to proxies from levels at the leader

Accounts are declared with rates and bursts that nothing enforced. The leader now keeps a level for each account and leases tokens by heartbeats and grants; a proxy spends one for each operation before it uses anything else. The bound of the settings quota_window, quota_excess and quota_slack holds for proxies out of contact too.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -10,9 +10,10 @@
 
 use super::forward::Forwarder;
 use super::identity::Credential;
-use super::run::{Reply, Runner};
+use super::run::{Execution, Refusal, Reply, Runner};
 use super::server::Shared;
 use super::session::{Action, Session};
+use super::spend::{OpenSession, Spend};
 use crate::clock::Instant;
 use crate::config::{Database, KeyDigest};
 use crate::proxy::shutdown::Stage;
@@ -66,6 +67,7 @@
         output: BytesMut::new(),
         session: Session::default(),
         credential: Credential::default(),
+        quota_session: None,
         opened: shared.clock.now(),
         spread: fastrand::f64(),
         runner: Runner::new(Arc::clone(&shared)),
@@ -92,6 +94,8 @@
     session: Session,
     /// The caller's key, and the account whose statements the session runs if the deployment has accounts.
     credential: Credential,
+    /// Keeps a token in reserve for the account of the session.
+    quota_session: Option<OpenSession>,
     opened: Instant,
     /// The position of this session, from 0 to 1, among sessions that are ended together.
     spread: f64,
@@ -119,6 +123,8 @@
             self.record_rejection(&database, false);
             return self.refuse(Code::NotAuthenticated, NO_ACCOUNT).await;
         }
+        self.quota_session =
+            self.credential.account().map(|account| self.shared.open_quota_session(account));
         self.queue_ready();
         self.flush().await?;
         loop {
@@ -292,6 +298,14 @@
         let mut execution =
             self.runner.start_execution(id, values, (name, database), self.credential.identity());
         execution.revision = self.credential.revision();
+        let token = match self.take_token(&mut execution, &step).await {
+            Ok(token) => token,
+            Err(refusal) => {
+                let reply = self.runner.conclude(&execution, Err(refusal));
+                self.session.fail();
+                return reply;
+            }
+        };
         let is_served_here = !self.forwarder.has_transaction()
             && (self.runner.has_connection() || execution.wait_until_served(&self.shared).await);
         let (reply, is_open) = if is_served_here {
@@ -302,9 +316,35 @@
         if matches!(step, Step::InTransaction { .. }) && !is_open {
             self.session.fail();
         }
+        if let Some(token) = token {
+            let is_busy =
+                |answer: &Answer| matches!(answer, Answer::Failed { code: Code::Busy, .. });
+            token.finish(!reply.iter().any(is_busy));
+        }
         reply
     }
 
+    /// Takes a token of the session's account if the step begins an operation: a single statement, or the first one of a
+    /// transaction.
+    async fn take_token(
+        &self,
+        execution: &mut Execution<'_>,
+        step: &Step,
+    ) -> Result<Option<Spend>, Refusal> {
+        let begins = match step {
+            Step::Single(_) => true,
+            Step::InTransaction { .. } => !self.has_connection(),
+            Step::Commit { .. } | Step::Rollback => false,
+        };
+        let Some(identity) = execution.identity.filter(|_| begins) else {
+            return Ok(None);
+        };
+        let max_wait = execution.max_wait();
+        let taken = self.shared.take_token(&identity.account, max_wait).await;
+        execution.waited += self.shared.clock.now().since(execution.received_at);
+        taken.map_err(|after| Refusal::busy("the account is above its quota", after))
+    }
+
     /// Returns whether the transaction has a connection, here or on another proxy.
     fn has_connection(&self) -> bool {
         self.runner.has_connection() || self.forwarder.has_transaction()
--- a/src/broker/identity.rs
+++ b/src/broker/identity.rs
@@ -180,6 +180,11 @@
         self.identity.as_ref()
     }
 
+    /// Returns the account of the key by the newest revision.
+    pub fn account(&self) -> Option<&id::Account> {
+        self.standing.account()
+    }
+
     /// Returns whether a session without a transaction must end.
     pub fn is_rejected(&self) -> bool {
         self.standing == Standing::Rejected
--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -86,16 +86,23 @@
             revision: state.revision,
             sightings: state.observations(now, sequence),
             demand: state.demand(),
-            quota: Vec::new(),
+            quota: state.quota.reports(now, sequence),
             draining: self.shutdown.has_reached(Stage::Leaving),
             forwards: true,
         }
     }
 
-    fn apply_grant(self: &Arc<Self>, grant: Grant) -> bool {
+    fn apply_grant(self: &Arc<Self>, mut grant: Grant) -> bool {
         let now = self.clock.now();
         let mut state = self.lock();
         self.metrics.set_stamp(grant.stamp);
+        let is_urgent = grant.incarnation == self.incarnation && {
+            let sent = |sequence| state.fence.sent_at(sequence).map(|at| (sequence, at));
+            let heartbeat = grant.sequence.and_then(sent);
+            let allowances = std::mem::take(&mut grant.quota);
+            let granted = state.quota.apply(now, grant.stamp.term, heartbeat, allowances);
+            state.apply_tokens(now, granted)
+        };
         let mut changed = state.fence.step(grant);
         if !state.leased && state.fence.is_leased(now) {
             let unheard_ms = ms_since_renewal(now, state.fence.last_renewal());
@@ -106,7 +113,7 @@
         if changed {
             self.apply_changes(now, &mut state);
         }
-        changed
+        changed || is_urgent
     }
 
     fn revisions(&self) -> (id::Revision, id::Revision) {
@@ -132,7 +139,9 @@
         self.metrics.set_revision(revision);
         state.revision = revision;
         state.keys = Arc::new(Keys::new(revision, &fleet, now));
-        state.fleet = Arc::new(fleet);
+        let earlier = std::mem::replace(&mut state.fleet, Arc::new(fleet));
+        let fleet = Arc::clone(&state.fleet);
+        state.quota.configure(&earlier.account, &fleet.account);
         self.apply_changes(now, &mut state);
         drop(state);
         self.configured.notify(usize::MAX);
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -4,7 +4,7 @@
 //! A session checks out a connection for a statement or a transaction and returns it afterwards. Its session variables
 //! and prepared statements are set up on each connection that it uses. Decisions are made by state machines without I/O
 //! ([`session`], [`setup`], [`dispatch`], [`health`], [`home`], [`identity`], [`need`], [`peer`], [`pool`],
-//! [`recovery`], [`stranded`]); the other modules do the I/O.
+//! [`quota`], [`recovery`], [`stranded`]); the other modules do the I/O.
 //! Statements of groups that other proxies serve are forwarded to these. See `docs/PLATFORM.md`, "The broker" and
 //! "Forwarding".
 
@@ -23,6 +23,7 @@
 pub mod need;
 pub mod peer;
 pub mod pool;
+pub mod quota;
 pub mod recovery;
 mod run;
 mod serve;
@@ -30,6 +31,7 @@
 pub mod session;
 pub mod setup;
 mod shared;
+mod spend;
 mod state;
 pub mod stranded;
 
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -17,6 +17,7 @@
 use super::need::PositionSample;
 use super::peer::Peers;
 use super::pool::Pool;
+use super::quota::{self, Tokens};
 use super::stranded::Stranded;
 use crate::clock::Instant;
 use crate::config::Fleet;
@@ -40,6 +41,10 @@
     pub(super) peers: Peers,
     /// The sum of the rates that accounts are declared with.
     pub(super) rates: home::Rates,
+    /// The tokens of accounts with a quota.
+    pub(super) quota: Tokens,
+    /// The operations that wait for a token.
+    pub(super) quota_waiters: BTreeMap<Ticket, Sender<quota::Decision>>,
     /// Addresses of control processes, in addition to the seeds.
     pub(super) voters: Vec<SocketAddr>,
     /// Whether the lease was valid when it was last checked.
--- a/src/config/read/settings.rs
+++ b/src/config/read/settings.rs
@@ -9,7 +9,8 @@
 use super::table::Table;
 use crate::config::settings::{DEFAULT_HISTORY_SIZE, DEFAULT_UPSTREAM_USER};
 use crate::config::{
-    Control, Format, Log, Proxy, Secret, Security, Seeds, Settings, Size, Tls, Voter,
+    Control, Format, Log, Proxy, QuotaBound, Secret, Security, Seeds, Settings, Size, Span, Tls,
+    Voter,
 };
 
 /// Valid addresses, as shown in faults.
@@ -20,6 +21,16 @@
 const VALID_PATH: &str = "a path";
 /// Valid times from SIGTERM until the process is killed.
 const GRACE: Range<Duration> = Duration::from_secs(1)..Duration::from_secs(3_600);
+/// Valid windows of the bound on quotas.
+const QUOTA_WINDOW: Range<Duration> = Duration::from_millis(100)..Duration::from_secs(3_600);
+/// Valid windows, as shown in faults.
+const VALID_QUOTA_WINDOW: &str = "a text, 100ms to 1h, or empty for none";
+/// Valid excesses, as shown in faults.
+const VALID_QUOTA_EXCESS: &str = "a text, 0 to 1, or empty for none";
+/// The greatest slack. A greater one is more likely an error than a wish.
+const MAX_QUOTA_SLACK: u32 = 1_000_000;
+/// Valid slacks, as shown in faults.
+const VALID_QUOTA_SLACK: &str = "a text, 0 to 1000000, or empty for none";
 /// The highest number of simultaneous losses to plan for. Each needs two more voters, and more than nine voters slow
 /// the log down.
 const MAX_LOSSES: u32 = 4;
@@ -94,7 +105,41 @@
         table.optional("user", VALID_NAME).unwrap_or_else(|| DEFAULT_UPSTREAM_USER.to_owned());
     let gateway = optional_address(table, "gateway");
     let promoter = optional_address(table, "promoter");
-    Some(Control { address: frame_address?, admin: admin?, user, gateway, promoter })
+    let quota = read_quota_bound(table);
+    Some(Control { address: frame_address?, admin: admin?, user, gateway, promoter, quota })
+}
+
+/// Reads the bound on quotas. A template leaves an absent number empty, perhaps with its unit.
+fn read_quota_bound(table: &Table<'_>) -> QuotaBound {
+    let text = |key: &'static str, valid: &str| -> Option<String> {
+        table.optional::<String>(key, valid).filter(|text| !text.is_empty() && text != "s")
+    };
+    let window = text("quota_window", VALID_QUOTA_WINDOW).and_then(|text| {
+        let window = text.parse::<Span>().ok().filter(|span| QUOTA_WINDOW.contains(&span.0));
+        if window.is_none() {
+            table.fault("quota_window", format!("is {text:?}; valid: {VALID_QUOTA_WINDOW}"));
+        }
+        window
+    });
+    let excess = text("quota_excess", VALID_QUOTA_EXCESS).and_then(|text| {
+        let excess = text.parse::<f64>().ok().filter(|excess| (0.0..=1.0).contains(excess));
+        if excess.is_none() {
+            table.fault("quota_excess", format!("is {text:?}; valid: {VALID_QUOTA_EXCESS}"));
+        }
+        excess
+    });
+    let slack = text("quota_slack", VALID_QUOTA_SLACK).and_then(|text| {
+        let slack = text.parse::<u32>().ok().filter(|slack| *slack <= MAX_QUOTA_SLACK);
+        if slack.is_none() {
+            table.fault("quota_slack", format!("is {text:?}; valid: {VALID_QUOTA_SLACK}"));
+        }
+        slack
+    });
+    QuotaBound {
+        window: window.map_or(Duration::ZERO, |span| span.0),
+        excess: excess.unwrap_or(0.0),
+        slack: slack.unwrap_or(0),
+    }
 }
 
 fn optional_address(table: &Table<'_>, key: &'static str) -> Option<SocketAddr> {
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use super::{Error, Rate, Secret, Size, Span, read};
 use crate::id;
@@ -154,6 +155,20 @@
     pub gateway: Option<SocketAddr>,
     /// Address of the external service that promotes instances.
     pub promoter: Option<SocketAddr>,
+    /// How far accounts may exceed their quotas.
+    pub quota: QuotaBound,
+}
+
+/// How far an account may exceed its quota: in any window it may run (`rate` x window + `burst`) x (1 + excess) + slack
+/// operations. The part above the quota covers tokens that are leased where they are not needed.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct QuotaBound {
+    /// The window.
+    pub window: Duration,
+    /// The excess, as a part of the quota of a window.
+    pub excess: f64,
+    /// The number of operations on top of that.
+    pub slack: u32,
 }
 
 impl Settings {
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -40,6 +40,8 @@
     /// The earlier declarations that proxies may still have in force, oldest first.
     earlier_fleets: VecDeque<(id::Revision, Arc<config::Fleet>)>,
     pub(super) leader: Leader,
+    /// The bound on quotas that the settings declare.
+    pub(super) quota_bound: config::QuotaBound,
     pub(super) peers: Peers,
     pub(super) bootstrap: Bootstrap,
     /// Discovery of the other processes, if the settings name seeds.
@@ -68,6 +70,7 @@
             valid_revision: id::Revision(0),
             earlier_fleets: VecDeque::new(),
             leader: Leader::default(),
+            quota_bound: config::QuotaBound::default(),
             peers: Peers::default(),
             bootstrap,
             discovery: None,
@@ -85,12 +88,13 @@
         core
     }
 
-    /// Restarts from the state read from the disk. Only discovery and the target number of voters are kept.
+    /// Restarts from the state read from the disk. Only discovery and what the settings declare are kept.
     pub(super) fn restart(&mut self, raft: Raft, snapshot: Option<&Snapshot>) {
         let bootstrap = Bootstrap::new(raft.me().clone(), Vec::new());
         let mut fresh = Self::new(raft, bootstrap, snapshot);
         fresh.peers.target_voters = self.peers.target_voters;
         fresh.discovery = self.discovery.take();
+        fresh.quota_bound = self.quota_bound;
         *self = fresh;
     }
 
@@ -174,7 +178,11 @@
             self.leader.refresh_table(now, &self.state, &self.fleet);
         } else if self.raft.is_leader() && entry.term == self.raft.term() {
             self.refresh_fleet();
-            self.leader = Leader::new(now, &self.state, &self.fleet);
+            self.leader = Leader::new(now, &self.state, &self.fleet).with_quota_bound(
+                self.quota_bound,
+                &self.state,
+                &self.fleet,
+            );
             self.leading_since = self.raft.leader_since();
         }
     }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -1,6 +1,7 @@
 //! The leader's soft state: leases, heartbeats, and the table that proxies route by. It is not in the log, and a new
 //! leader starts without it. See `docs/DESIGN.md`, "Leases".
 
+mod quota;
 mod reshare;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,11 +11,12 @@
 use super::budget::Budget;
 use super::failover::{Group, Input, Output, View};
 use super::lease::{CONFIRMATION_VALIDITY, Holder, LEASE_DURATION, Leases};
+use super::quota::Ledger;
 use super::registry::{Registry, Verdict};
 use super::serving::Choice;
 use super::state::{Action, State};
 use crate::clock::Instant;
-use crate::config::Fleet;
+use crate::config::{Fleet, QuotaBound};
 use crate::id;
 use crate::upstream::announcement;
 use crate::wire::{Announcement, Delta, Demand, Grant, Heartbeat, Phase, Replica, Route, Stamp};
@@ -44,6 +46,8 @@
     /// The proxies whose removal was proposed, and when.
     proposed_removals: BTreeMap<id::Node, Instant>,
     registry: Registry,
+    /// The levels of accounts with a quota, and what proxies hold of them.
+    ledger: Ledger,
     /// Whether instances announce themselves to control, so that they are in the log.
     has_enlisted: bool,
     /// The version of the table.
@@ -79,7 +83,9 @@
     /// that `state` has every decision of earlier leaders.
     pub fn new(now: Instant, state: &State, fleet: &Fleet) -> Self {
         let leases = Leases::new(now);
-        let mut leader = Self { elected_at: now, confirmed_at: now, leases, ..Self::default() };
+        let ledger = Ledger::new(now, QuotaBound::default());
+        let mut leader =
+            Self { elected_at: now, confirmed_at: now, leases, ledger, ..Self::default() };
         leader.refresh_table(now, state, fleet);
         leader
     }
@@ -122,6 +128,7 @@
 
     /// Rebuilds the table from the replicated state, and increases its version if it has changed.
     pub fn refresh_table(&mut self, now: Instant, state: &State, fleet: &Fleet) {
+        self.ledger.configure(now, state.revision, &fleet.account);
         self.has_enlisted |= !state.enlisted.is_empty();
         if self.has_enlisted {
             let enlisted = self.registry.replicas(now, state).into_iter();
@@ -181,11 +188,14 @@
             return None;
         }
         let table = if heartbeat.seen.term == stamp.term { heartbeat.table } else { 0 };
+        let holder = (sender.clone(), incarnation);
+        let mut quota = Vec::new();
         if self.record_heartbeat(now, (&sender, incarnation), heartbeat, table) {
             self.record_observations(now, &sender, heartbeat);
             self.record_demands(&sender, &heartbeat.demand, table, state);
+            quota = self.lease_tokens(now, &holder, heartbeat, stamp);
         }
-        self.leases.grant(now, (sender.clone(), incarnation), table);
+        self.leases.grant(now, holder, table);
         Some(Grant {
             stamp,
             incarnation,
@@ -194,7 +204,7 @@
             version: self.version,
             delta: self.delta(&sender, table),
             revision: state.revision,
-            quota: Vec::new(),
+            quota,
         })
     }
 
@@ -318,6 +328,7 @@
             state.nodes.get(&holder.0).is_none_or(|(current, _)| *current != holder.1)
         };
         self.leases.prune(now, replaced);
+        self.expire_tokens(now, state);
         let live = self.live_proxies(now);
         let mut outputs = self.propose_removals(now, state);
         let expired = self.registry.expire(now, state).into_iter();
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod operator;
 pub mod promotion;
+pub mod quota;
 pub mod raft;
 pub mod registry;
 mod server;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -115,6 +115,7 @@
     let raft = Raft::new(clock.now(), me.clone(), &recovery.saved, fastrand::u64(..));
     let bootstrap = Bootstrap::new(me.clone(), initial_voters(settings));
     let mut core = Core::new(raft, bootstrap, recovery.saved.snapshot.as_ref());
+    core.quota_bound = control.quota;
     if let Some(seeds) = &settings.seeds {
         let own = Voter {
             node: me.node.clone(),
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -96,7 +96,7 @@
     }
 
     /// Returns when a heartbeat was sent. The lease that it renews starts at this time.
-    fn sent_at(&self, sequence: id::Sequence) -> Option<Instant> {
+    pub fn sent_at(&self, sequence: id::Sequence) -> Option<Instant> {
         self.sent.iter().find(|(sent, _)| *sent == sequence).map(|(_, at)| *at)
     }
 
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -54,7 +54,7 @@
     fn is_leased(&self) -> bool;
     /// Creates the next heartbeat and records that it is sent now.
     fn heartbeat(&self) -> Heartbeat;
-    /// Applies a grant. Returns whether the state in force changed.
+    /// Applies a grant. Returns whether the state in force changed, so that a heartbeat should be sent at once.
     fn apply_grant(self: &Arc<Self>, grant: Grant) -> bool;
     /// Returns the revision of the configuration in force and the newest revision that was announced.
     fn revisions(&self) -> (id::Revision, id::Revision);
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -1,5 +1,6 @@
 //! Labels of metrics. The values of a label are a closed set or come from the declarations: no label names a caller, a
-//! proxy or an instance, so the number of series per process does not grow with the fleet.
+//! proxy or an instance, and only the largest accounts are named, so the number of series per process does not grow with
+//! the fleet.
 
 use std::fmt::{self, Write};
 
@@ -73,6 +74,17 @@
         Evicted = "evicted",
     }
 );
+label!(
+    /// What an operation of an account with a quota got.
+    QuotaResult {
+        /// A token.
+        Spent = "spent",
+        /// No token, so that it was refused.
+        Refused = "refused",
+        /// No token at once. It is also counted by what it got then.
+        Waited = "waited",
+    }
+);
 label!(
     /// The result of a call to an external promotion service.
     PromotionAnswer {
@@ -173,6 +185,13 @@
     pub(super) target: Target,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct QuotaLabels {
+    /// The name of one of the accounts with the most operations; `*` stands for all others.
+    pub(super) account: String,
+    pub(super) result: QuotaResult,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct RefusalLabels {
     pub(super) reason: Refusal,
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -1,6 +1,6 @@
 //! The metrics of a process, served at `GET /metrics`.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use prometheus_client::encoding::text;
@@ -13,9 +13,11 @@
 use super::label::{
     self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
     LeaseLabels, Opening, OpeningLabels, Outcome, Peer, PromotionAnswer, PromotionLabels,
-    ProtocolErrorLabels, Refusal, RefusalLabels, Rejection, RejectionLabels, RequestLabels,
-    RoleLabels, Target, TargetLabels,
+    ProtocolErrorLabels, QuotaLabels, QuotaResult, Refusal, RefusalLabels, Rejection,
+    RejectionLabels, RequestLabels, RoleLabels, Target, TargetLabels,
 };
+use super::largest::Largest;
+use crate::clock::Instant;
 use crate::{id, wire};
 
 /// Upper bounds of the histogram buckets for requests, waits, upstreams and log syncs.
@@ -50,6 +52,8 @@
     connections_reused: Counter,
     forwards: Family<ForwardLabels, Counter>,
     groups_served: Gauge,
+    quota: Family<QuotaLabels, Counter>,
+    largest_accounts: Arc<Mutex<Largest>>,
     heartbeats_sent: Counter,
     heartbeats_received: Counter,
     leases: Family<LeaseLabels, Counter>,
@@ -96,6 +100,8 @@
             connections_reused: Counter::default(),
             forwards: Family::default(),
             groups_served: Gauge::default(),
+            quota: Family::default(),
+            largest_accounts: Arc::default(),
             heartbeats_sent: Counter::default(),
             heartbeats_received: Counter::default(),
             leases: Family::default(),
@@ -214,6 +220,11 @@
             "Groups whose instances this proxy may hold connections to",
             self.groups_served.clone(),
         );
+        registry.register(
+            "quota",
+            "Operations of accounts with a quota by result; * sums those that are not among the ten largest accounts",
+            self.quota.clone(),
+        );
     }
 
     fn register_processes(&self, registry: &mut Registry) {
@@ -360,6 +371,21 @@
         self.groups_served.set(groups as i64);
     }
 
+    /// Counts what an operation of an account with a quota got. Only the largest accounts are named.
+    pub fn record_quota(&self, now: Instant, account: &id::Account, result: QuotaResult) {
+        let (is_named, dropped) = {
+            let largest = self.largest_accounts.lock();
+            largest.expect("no thread panics while holding this lock").record(now, account)
+        };
+        for account in dropped {
+            for result in [QuotaResult::Spent, QuotaResult::Refused, QuotaResult::Waited] {
+                self.quota.remove(&QuotaLabels { account: account.to_string(), result });
+            }
+        }
+        let account = if is_named { account.to_string() } else { "*".to_owned() };
+        self.quota.get_or_create(&QuotaLabels { account, result }).inc();
+    }
+
     /// Counts a caller that connected.
     pub fn caller_connected(&self) {
         self.callers.inc();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -5,6 +5,7 @@
 pub mod burn;
 pub mod event;
 mod label;
+pub mod largest;
 mod metrics;
 mod queue;
 mod rate_limiter;
@@ -12,8 +13,8 @@
 
 pub use event::Event;
 pub use label::{
-    Failure, ForwardResult, LeaseAnswer, Opening, Outcome, Peer, PromotionAnswer, Refusal,
-    Rejection, Target,
+    Failure, ForwardResult, LeaseAnswer, Opening, Outcome, Peer, PromotionAnswer, QuotaResult,
+    Refusal, Rejection, Target,
 };
 pub use metrics::Metrics;
 pub use queue::Queue;
--- a/src/wire/quota.rs
+++ b/src/wire/quota.rs
@@ -10,13 +10,13 @@
 pub struct Report {
     /// The account.
     pub account: id::Account,
-    /// Grows when the proxy drops the tokens that it holds. The totals begin anew with it.
+    /// Grows when the proxy discards or returns tokens. Limits of earlier generations are void then; the totals go on.
     pub generation: u32,
-    /// The number of tokens spent in this generation.
+    /// The number of tokens spent in the proxy's incarnation. An operation spends its token when its outcome is known.
     pub spent: u64,
-    /// The number of tokens that the proxy may have spent in this generation.
+    /// The number of tokens that the proxy may have spent in its incarnation.
     pub limit: u64,
-    /// The number of tokens that the proxy would like to hold.
+    /// The number of tokens that the proxy would like to hold, including those of the operations in progress.
     pub wanted: u32,
 }
 
@@ -27,8 +27,9 @@
     pub account: id::Account,
     /// The generation that the limit is for.
     pub generation: u32,
-    /// The number of tokens that the proxy may have spent in this generation.
+    /// The number of tokens that the proxy may have spent in its incarnation.
     pub limit: u64,
-    /// When there will be more, in milliseconds, if the proxy got less than it wanted.
+    /// When there will be more, in milliseconds, if the proxy got less than it wanted; 0 if there are few left, so that
+    /// the proxy should return what it doesn't use.
     pub retry_ms: Option<u32>,
 }
