--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -42,7 +42,7 @@
 pub struct Identity {
     /// The account.
     pub account: id::Account,
-    /// The digest of the caller's key; `None` on an open database without a known key.
+    /// The digest of the caller's key, by which it is judged again. Without one it counts as unknown.
     pub key: Option<KeyDigest>,
     /// The revision of the declarations by which the key was judged.
     pub revision: id::Revision,
