--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -10,7 +10,7 @@
 use cactushatch::broker::session::{self, Operation};
 use cactushatch::id;
 use cactushatch::statement::{Access, Answer, Code, Id};
-use cactushatch::wire::{Body, Forward, Forwarded, Frame, Seal, Step, Stream};
+use cactushatch::wire::{Body, Forward, Forwarded, Frame, Identity, Seal, Step, Stream};
 use lines::{Caller, Fleet, INTERNAL_PORT, METRICS_PORT, TIMEOUT, send_http};
 
 const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
@@ -285,3 +285,52 @@
         .sum();
     assert_eq!(count, 5, "those that can't be read: {metrics}");
 }
+
+/// Guards against statements of two accounts on one connection, and against more connections than the proxy's share when
+/// one account after the other needs its own.
+#[test]
+fn connections_are_kept_by_account_within_the_share() {
+    const ACCOUNTS: usize = 20;
+    let fleet = Fleet::up_with(127, &MANY_PROXIES, FEW_CONNECTIONS);
+    fleet.connect(a_forwarding_proxy(&fleet), "shift").query_until_done("PUT own before");
+    let vm = serving(&fleet)[0];
+    let refused_before = fleet.group.refused_connections();
+    let write = |account: usize| {
+        let text = "PUT own x".to_owned();
+        let operation = Operation { access: Access::Write, body: session::Body::Text(text) };
+        let identity = Identity {
+            account: format!("account-{account}").parse().unwrap(),
+            key: None,
+            revision: id::Revision(0),
+        };
+        let mut frame = forwarded_write("shift", false);
+        let Body::Forward(forward) = &mut frame.body else { unreachable!() };
+        (forward.step, forward.identity) = (Step::Single(operation), Some(identity));
+        let (address, seal) = (fleet.address(vm, INTERNAL_PORT), Seal::default());
+        let request = Stream::request(address, &seal, &frame);
+        let answer = smol::block_on(request).expect("an answer").body;
+        let Body::Forwarded(Forwarded::Handled { reply, .. }) = &answer else {
+            panic!("{answer:?}\n{}", fleet.logs());
+        };
+        assert!(matches!(&reply[..], [Answer::Done(_)]), "{reply:?}\n{}", fleet.logs());
+    };
+    let count = |series: &str| -> u64 {
+        let address = fleet.address(vm, METRICS_PORT);
+        let metrics = send_http(address, "GET /metrics", "").expect("metrics").1;
+        let values = metrics.lines().filter(|line| line.starts_with(series));
+        values.map(|line| line.rsplit(' ').next().unwrap().parse::<u64>().unwrap()).sum()
+    };
+    let opened = || count("cactushatch_upstream_connections_opened_total");
+    let reused = || count("cactushatch_upstream_connections_reused_total");
+    let (opened_before, reused_before) = (opened(), reused());
+    for account in 0..ACCOUNTS {
+        write(account);
+        write(account);
+    }
+    assert_eq!(opened() - opened_before, ACCOUNTS as u64, "each account opens its own once");
+    assert_eq!(reused() - reused_before, ACCOUNTS as u64, "and uses it again");
+    assert!(count("cactushatch_upstream_connections_evicted_total") > 0, "{}", fleet.logs());
+    let open = ["i-21", "i-22", "i-23"].map(|id| fleet.group.connections(id));
+    assert!(open.iter().all(|open| *open <= FEW_CONNECTIONS), "{open:?}");
+    assert_eq!(fleet.group.refused_connections(), refused_before, "{}", fleet.logs());
+}
