--- a/src/control/quota.rs
+++ b/src/control/quota.rs
@@ -30,8 +30,12 @@
 /// The number of such parts that are never leased.
 const ELECTION_PARTS: f64 = 2.0;
 
-/// The part of the capacity from which leased tokens count as hoarded by proxies that don't need them.
-const HOARDED_PART: f64 = 0.5;
+/// Leased tokens count as hoarded by proxies that don't need them from this time of the account's rate, and
+/// [`HOARDED_MARGIN`]. Proxies of an account above its quota hold about 0.2 s of its rate: an operation and a heartbeat.
+const HOARDED_PERIOD: Duration = Duration::from_millis(500);
+
+/// The number of tokens in use that says nothing of a small account.
+const HOARDED_MARGIN: f64 = 2.0;
 
 /// The part of the tokens that may be leased from which proxies are told to keep none in reserve. The rest is for those
 /// whose callers wait.
@@ -46,6 +50,10 @@
 /// The interval at which tokens of silent proxies are looked for.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How soon there must be tokens for callers to wait for them, so that they get them within the longest wait for a token
+/// even if a message is late.
+const SOON: Duration = Duration::from_millis(150);
+
 /// The least and the greatest retry time. The first is a round trip to control; callers give up after the second.
 const RETRY: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(2));
 
@@ -239,9 +247,8 @@
 }
 
 /// Returns when the refill has covered what proxies wanted and did not get.
-fn retry_ms(unmet: u64, rate: f64) -> u32 {
-    let wait = RETRY.1.min(Duration::from_secs_f64((unmet.max(1) as f64 / rate).min(60.0)));
-    wait.max(RETRY.0).as_millis() as u32
+fn retry_time(unmet: u64, rate: f64) -> Duration {
+    Duration::from_secs_f64((unmet as f64 / rate).min(RETRY.1.as_secs_f64())).max(RETRY.0)
 }
 
 impl Level {
@@ -332,10 +339,13 @@
         self.unmet = self.unmet + (missing - given) - lease.unmet;
         lease.unmet = missing - given;
         let is_short = given < missing;
-        let is_hoarded = is_short && self.leased as f64 >= self.capacity * HOARDED_PART;
+        let hoarded = self.rate * HOARDED_PERIOD.as_secs_f64() + HOARDED_MARGIN;
+        let is_hoarded = is_short && self.leased as f64 >= hoarded.min(self.capacity / 2.0);
         let is_scarce = self.leased as f64 >= leasable * SCARCE_PART;
-        let retry_ms = match is_short && !is_hoarded {
-            true => Some(retry_ms(self.unmet, self.rate)),
+        let retry = retry_time(self.unmet, self.rate);
+        let is_none = is_short && !is_hoarded && retry > SOON;
+        let retry_ms = match is_none {
+            true => Some(retry.as_millis() as u32),
             false => is_scarce.then_some(0),
         };
         let answer = Allowance {
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -3,7 +3,7 @@
 
 use std::os::unix::fs::PermissionsExt;
 
-use cactushatch::config::{Error, Fault, Fleet, Settings, Share, Size, Span};
+use cactushatch::config::{Error, Fault, Fleet, QuotaBound, Settings, Share, Size, Span};
 
 fn faults(result: Result<impl std::fmt::Debug, Error>) -> Vec<Fault> {
     match result {
@@ -230,3 +230,27 @@
         assert!(text.parse::<Share>().is_err(), "{text}");
     }
 }
+
+/// Guards against a template whose absent numbers are left empty, and against a bound that is taken for none.
+#[test]
+fn bound_on_quotas_is_read_and_may_be_empty() {
+    let text = |window: &str, excess: &str, slack: &str| {
+        format!(
+            "node = \"c\"\ndomain = \"a\"\ndata = \"/tmp\"\n\
+             voters = [{{ node = \"c\", address = \"10.0.0.1:1\", domain = \"a\", admin = \"10.0.0.1:2\" }}]\n\
+             [control]\naddress = \"10.0.0.1:1\"\nadmin = \"10.0.0.1:2\"\n\
+             quota_window = \"{window}\"\nquota_excess = \"{excess}\"\nquota_slack = \"{slack}\"\n"
+        )
+    };
+    let bound = |text: &str| Settings::parse("n", text).unwrap().control.unwrap().quota;
+    let window = std::time::Duration::from_secs(5);
+    assert_eq!(bound(&text("5s", "0.1", "20")), QuotaBound { window, excess: 0.1, slack: 20 });
+    assert_eq!(bound(&text("s", "", "")), QuotaBound::default());
+    let found = faults(Settings::parse("n", &text("5", "-1", "many")));
+    let expected = [
+        (8, "control.quota_window", "100ms"),
+        (9, "control.quota_excess", "0 to 1"),
+        (10, "control.quota_slack", "0 to"),
+    ];
+    assert_faults(&found, &expected);
+}
