Count only the connections that were opened

An attempt that the instance refused was counted as an opened connection, so the share of statements that found one looked too low while connections are refused. Found by reading; no effect was measured.

--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -72,8 +72,13 @@
             let connection = match idle {
                 Ok(connection) => Ok(connection),
                 Err((seat, reason)) => {
-                    self.shared.metrics.record_opened_connection(reason);
-                    self.shared.open_connection(&instance, account, seat, execution.deadline).await
+                    let deadline = execution.deadline;
+                    let opened =
+                        self.shared.open_connection(&instance, account, seat, deadline).await;
+                    if opened.is_ok() {
+                        self.shared.metrics.record_opened_connection(reason);
+                    }
+                    opened
                 }
             };
             match connection {
