--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -10,13 +10,14 @@
 
 use cactushatch::broker::dispatch::Ticket;
 use cactushatch::broker::quota::{Decision, Tokens};
-use cactushatch::control::quota::MAX_REPORTS;
+use cactushatch::control::quota::{Ledger, MAX_REPORTS};
 use cactushatch::control::state::Action;
 use cactushatch::id;
-use machine::name;
+use cactushatch::wire::quota::Report;
+use machine::{at, name};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
-use simulation::{Simulation, Use, account, declare};
+use simulation::{BOUND, Simulation, Use, account, declare};
 
 /// Accounts of similar size, by rank.
 const RANKS: [Range<usize>; 5] = [0..1, 1..5, 5..20, 20..50, 50..82];
@@ -66,7 +67,9 @@
     simulation.uses[2].load *= 8.0;
     simulation.run_for(Duration::from_secs(10));
     simulation.forget_counts();
+    let heartbeats = simulation.heartbeats;
     simulation.run_for(Duration::from_secs(20));
+    println!("{} heartbeats/s", (simulation.heartbeats - heartbeats) / 20);
     let (ran, rate) = (simulation.counts[2].ran.len() as f64 / 20.0, simulation.uses[2].rate);
     println!("got {ran:.1}/s of {rate:.1}/s, refused {}", simulation.counts[2].refused);
     // One operation in fifty returns its token here.
@@ -178,12 +181,63 @@
     simulation.assert_bound();
 }
 
+fn report(spent: u64, limit: u64, wanted: u32) -> Report {
+    Report { account: account(0), generation: 1, spent, limit, wanted }
+}
+
+/// Returns a ledger of one account with 10/s and a burst of 50, elected at 0, and its capacity.
+fn ledger() -> (Ledger, f64) {
+    let used = Use { rate: 10.0, burst: 50, sessions: 1, load: 1.0 };
+    let mut ledger = Ledger::new(at(0), BOUND);
+    ledger.configure(at(0), id::Revision(1), &declare(&[used]).account);
+    (ledger, 50.0 + 0.1 * 100.0 + 20.0)
+}
+
+fn lease(ledger: &mut Ledger, ms: u64, node: &str, report: Report) -> u64 {
+    let holder = (name(node), id::Incarnation(1));
+    let allowances = ledger.handle_reports(at(ms), &holder, &[report], true);
+    allowances.first().map_or(0, |allowance| allowance.limit)
+}
+
+/// Guards against tokens of a silent proxy that are leased again although it may have spent them.
+#[test]
+fn tokens_of_a_silent_proxy_count_as_spent() {
+    let (mut ledger, capacity) = ledger();
+    let holders = || std::iter::empty();
+    ledger.expire(at(5_000), holders());
+    let first = lease(&mut ledger, 20_000, "p1", report(0, 0, 60));
+    assert_eq!(first, 60);
+    ledger.expire(at(23_200), holders());
+    assert_eq!(ledger.leased(&account(0)), 60);
+    ledger.expire(at(23_400), holders());
+    assert_eq!(ledger.leased(&account(0)), 0);
+    let second = lease(&mut ledger, 23_400, "p2", report(0, 0, 500));
+    assert!((first + second) as f64 <= capacity + 34.0, "{first} and {second}");
+}
+
+/// Guards against a new leader that leases a full level while proxies it hasn't heard may hold the former one's tokens.
+#[test]
+fn a_new_leader_leases_little_until_all_proxies_are_known() {
+    let (mut ledger, capacity) = ledger();
+    let p2 = || std::iter::once((name("p2"), id::Incarnation(1)));
+    let early = (name("p1"), id::Incarnation(1));
+    let answer = ledger.handle_reports(at(10), &early, &[report(0, 10, 20)], false);
+    assert!(answer.is_empty(), "the former leader may still raise the limit");
+    assert_eq!(lease(&mut ledger, 20, "p1", report(0, 30, 40)), 30);
+    assert_eq!(ledger.leased(&account(0)), 30);
+    ledger.expire(at(3_000), p2());
+    let part = ((capacity - 50.0) / 4.0) as u64;
+    assert_eq!(lease(&mut ledger, 3_500, "p1", report(0, 30, 100)), 30 + part);
+    ledger.expire(at(3_700), p2());
+    assert!(lease(&mut ledger, 4_700, "p1", report(0, 30 + part, 100)) > 30 + part);
+}
+
 /// Guards against heartbeats longer than a datagram, and accounts that are never reported because others come first.
 #[test]
 fn reports_of_many_accounts_come_in_turn() {
     let mut tokens = Tokens::default();
     (0..600).for_each(|number| tokens.open_session(&account(number)));
-    let now = machine::at(0);
+    let now = at(0);
     let list = |sequence| tokens.reports(now, id::Sequence(sequence));
     let lists: Vec<_> = (1..=3).map(list).collect();
     assert!(lists.iter().all(|list| list.len() <= MAX_REPORTS));
--- a/tests/quota/simulation.rs
+++ b/tests/quota/simulation.rs
@@ -17,7 +17,7 @@
 
 use crate::machine::{self, Control, name};
 
-const BOUND: QuotaBound = QuotaBound { window: Duration::from_secs(5), excess: 0.1, slack: 20 };
+pub const BOUND: QuotaBound = QuotaBound { window: Duration::from_secs(5), excess: 0.1, slack: 20 };
 const STEP: Duration = Duration::from_millis(5);
 const HEARTBEAT: Duration = Duration::from_millis(150);
 
