--- a/src/broker/dispatch/candidate.rs
+++ b/src/broker/dispatch/candidate.rs
@@ -53,7 +53,7 @@
 pub const INITIAL_CONNECT_MEAN: Duration = Duration::from_millis(12);
 
 /// As [`PRIMARY_COST_FACTOR`], for the choice by estimates. With 1 the busiest instance had 1.5 times the mean load at a
-/// load of 30 %, with 2 it had 1.15 times, with 1.5 1.11 times (tests/placement_instances.rs, one write in four).
+/// load of 30 %, with 2 it had 1.15 times, with 1.5 1.11 times (tests/placement/instances.rs, one write in four).
 const ESTIMATED_PRIMARY_COST_FACTOR: f64 = 1.5;
 
 /// An instance that may run statements.
