Schedule scarce capacity by objective, and publish waits in that order

Schedule scarce capacity by objective where chosen proxies serve a group

In a burst, one start in eight went to the longest waiter, so urgent statements lost time to tolerant ones; the order didn't know objectives or accounts, and the estimate of the wait counted all earlier arrivals.

With proxy.scheduling = "objective", statements start by priority, target, fair shares of accounts and deadline. Classes have guaranteed parts of the time (5 % unless declared), urgent ones a kept connection and one place beyond the window, and refusals name their reason and a return time that follows the drain. The default, priority, is unchanged.

Measure the drain of a queue correctly, and refuse only what is likely to miss

The drain was updated after a release had freed the instance, so starts from the queue weren't counted and estimates were two to three times too long: curators were refused while others left in time. A class of which all statements were refused on arrival was never owed its guaranteed part. A full window of urgent statements kept others from the place beyond it.

The drain is now updated after the starts. Recent refusals count as waiting for the guaranteed part. Urgent statements may always exceed the window by one. Tolerant classes yield on an instance that queues until half of their longest wait. Callers refused for a place return twice as fast as this queue drains, since other proxies serve the group too.

A published wait is that of the first class of a priority in the order by objective, since waiting statements are kept there.

--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::dispatch::Ticket;
 use super::server::Shared;
 use super::session::{Body, Operation};
 use super::setup::{Change, Setup};
@@ -51,6 +52,8 @@
     shared: Arc<Shared>,
     pub(super) group: id::Group,
     pub(super) instance: id::Instance,
+    /// The number of the statement that began to use it; `None` for a ping.
+    ticket: Option<Ticket>,
     /// How long the last statement ran.
     pub(super) duration: Option<Duration>,
     /// Whether the transaction is idle between two statements.
@@ -58,20 +61,26 @@
 }
 
 impl Permit {
-    pub(super) fn new(shared: Arc<Shared>, group: id::Group, instance: id::Instance) -> Self {
-        Self { shared, group, instance, duration: None, suspended: false }
+    pub(super) fn new(
+        shared: Arc<Shared>,
+        group: id::Group,
+        instance: id::Instance,
+        ticket: Option<Ticket>,
+    ) -> Self {
+        Self { shared, group, instance, ticket, duration: None, suspended: false }
     }
 
     /// Frees the instance's slot while the transaction is idle. The connection stays checked out.
     pub(super) fn suspend(&mut self) {
         self.suspended = true;
-        self.shared.suspend(&self.group, &self.instance, self.duration.take());
+        let duration = self.duration.take();
+        self.shared.suspend(&self.group, &self.instance, self.ticket, duration);
     }
 
     /// Takes a slot again after the transaction was idle.
     pub(super) fn resume(&mut self) {
         if std::mem::take(&mut self.suspended) {
-            self.shared.resume(&self.group, &self.instance);
+            self.shared.resume(&self.group, &self.instance, self.ticket);
         }
     }
 }
@@ -79,7 +88,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         self.resume();
-        self.shared.release(&self.group, &self.instance, self.duration);
+        self.shared.release(&self.group, &self.instance, self.ticket, self.duration);
     }
 }
 
--- a/src/broker/dispatch/candidate.rs
+++ b/src/broker/dispatch/candidate.rs
@@ -151,7 +151,7 @@
     /// Returns the instance with a free permit that is expected to run a statement soonest.
     pub(super) fn place(&self, now: Instant, request: &Request) -> Option<id::Instance> {
         let free = |(instance, candidate): &(&id::Instance, &Candidate)| {
-            candidate.has_capacity(now)
+            self.has_capacity(now, instance, candidate, request)
                 && !request.excluded.contains(instance)
                 && self.can_serve(now, instance, candidate, request)
         };
--- a/src/broker/dispatch/mod.rs
+++ b/src/broker/dispatch/mod.rs
@@ -14,6 +14,7 @@
 //! can be estimated.
 
 mod candidate;
+mod objective;
 mod publish;
 mod queue;
 
@@ -27,6 +28,7 @@
     CONNECTION_RETRY_DELAY, FULL_DELAY, INITIAL_CONNECT_MEAN, LAGGING_PERIOD, TRIAL_INTERVAL,
     TYPICAL_LAG,
 };
+use objective::Objective;
 use queue::Waiter;
 pub use queue::{DEFAULT_RETRY_AFTER, TYPICAL_ELECTION, TYPICAL_PROMOTION};
 
@@ -109,6 +111,8 @@
     /// When the primary became unavailable, and whether a new one is being promoted.
     missing_since: Option<(Instant, bool)>,
     waiting: Vec<Waiter>,
+    /// The waiting statements instead of `waiting`, if they are ordered by objective.
+    objective: Option<Box<Objective>>,
     started: u64,
     placement: Placement,
     /// The number of statements whose durations were recorded.
@@ -228,8 +232,9 @@
 
     /// Returns the load of the group.
     pub fn load(&self) -> Load {
+        let (for_primary, for_any) = self.objective_waiting();
         Load {
-            waiting: self.waiting.len(),
+            waiting: self.waiting.len() + for_primary + for_any,
             used: self.candidates.values().map(|candidate| candidate.used).sum(),
             permits: self.candidates.values().map(|candidate| candidate.permits).sum(),
         }
@@ -256,8 +261,10 @@
     pub fn max_wanted(&self) -> u32 {
         let used = self.max_used();
         let needs_primary = |waiter: &&Waiter| waiter.request.need == Need::Primary;
-        let for_primary = self.waiting.iter().filter(needs_primary).count();
-        let others = (self.waiting.len() - for_primary) / self.candidates.len().max(1);
+        let ordered = self.objective_waiting();
+        let for_primary = self.waiting.iter().filter(needs_primary).count() + ordered.0;
+        let others = self.load().waiting - for_primary;
+        let others = others / self.candidates.len().max(1);
         used + for_primary.max(others) as u32
     }
 
@@ -275,6 +282,9 @@
 
     /// Starts a statement, queues it, or refuses it.
     pub fn submit(&mut self, now: Instant, request: Request) -> Decision {
+        if self.objective.is_some() {
+            return self.submit_by_objective(now, request);
+        }
         if let Some(instance) = self.place(now, &request)
             && !self.is_preceded(now, &request)
         {
@@ -299,6 +309,9 @@
 
     /// Removes a waiting statement and returns the estimated time until there is capacity for it.
     pub fn cancel(&mut self, now: Instant, ticket: Ticket) -> Duration {
+        if self.objective.is_some() {
+            return self.cancel_by_objective(now, ticket);
+        }
         let found = self.waiting.iter().position(|waiter| waiter.request.ticket == ticket);
         let Some(at) = found else {
             return Duration::ZERO;
@@ -366,6 +379,10 @@
     /// Starts the statements that can run now, and returns them with their instances.
     pub fn advance(&mut self, now: Instant) -> SmallVec<[(Ticket, id::Instance); 2]> {
         let mut started = SmallVec::new();
+        if self.objective.is_some() {
+            started.extend(std::iter::from_fn(|| self.advance_by_objective(now)));
+            return started;
+        }
         while let Some((at, instance)) = self.next_start(now) {
             let waiter = self.waiting.swap_remove(at);
             self.start(&instance);
--- a/src/broker/dispatch/publish.rs
+++ b/src/broker/dispatch/publish.rs
@@ -33,21 +33,17 @@
     }
 
     fn new_wait(&self, now: Instant, priority: u8) -> Duration {
-        let request = |need| Request {
-            ticket: Ticket(0),
-            need,
-            priority,
-            max_wait: Duration::ZERO,
-            max_promotion_wait: Duration::ZERO,
-            excluded: SmallVec::new(),
-            account: None,
-            target: Duration::ZERO,
-            warm: SmallVec::new(),
-        };
-        let on_primary = request(Need::Primary);
-        let mark = Mark { term: id::Term(u64::MAX), position: id::Position(u64::MAX) };
-        let read = request(Need::AtLeast { mark, since: now - TYPICAL_MARK_AGE });
+        let target = self.first_target(priority);
+        let read = Request { target, max_wait: target, ..Request::typical_read(now, priority) };
+        let on_primary = Request { need: Need::Primary, ..read.clone() };
         let wait = |request: &Request| {
+            if self.orders_by_objective() {
+                let is_first = self.objective_waiting() == (0, 0);
+                if is_first && self.place(now, request).is_some() {
+                    return Duration::ZERO;
+                }
+                return self.estimate_by_objective(now, request);
+            }
             if self.count_ahead(request) == 0 && self.place(now, request).is_some() {
                 Duration::ZERO
             } else {
@@ -65,3 +61,21 @@
         }
     }
 }
+
+impl Request {
+    /// Returns a read of typical age that asks for nothing else, by which the state of a group is judged.
+    pub(super) fn typical_read(now: Instant, priority: u8) -> Self {
+        let mark = Mark { term: id::Term(u64::MAX), position: id::Position(u64::MAX) };
+        Self {
+            ticket: Ticket(0),
+            need: Need::AtLeast { mark, since: now - TYPICAL_MARK_AGE },
+            priority,
+            max_wait: Duration::ZERO,
+            max_promotion_wait: Duration::ZERO,
+            excluded: SmallVec::new(),
+            account: None,
+            target: Duration::ZERO,
+            warm: SmallVec::new(),
+        }
+    }
+}
--- a/src/broker/guard.rs
+++ b/src/broker/guard.rs
@@ -60,7 +60,7 @@
         };
         queue.waiters.remove(&self.ticket);
         if let Ok(instance) = self.receiver.try_recv() {
-            queue.dispatcher.release(&instance, None);
+            queue.dispatcher.release_ticket(now, self.ticket, &instance, None);
             state.advance(now, self.group);
             return Duration::ZERO;
         }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -21,6 +21,7 @@
 mod member;
 mod monitor;
 pub mod need;
+mod order;
 pub mod peer;
 pub mod pool;
 pub mod quota;
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -8,6 +8,7 @@
 use crate::broker::need::Need;
 use crate::broker::server::Shared;
 use crate::id;
+use crate::schedule::Reason;
 
 /// The number of instances on which a statement may fail.
 const MAX_INSTANCES: usize = 3;
@@ -57,8 +58,16 @@
             execution.need = Some(need);
             let permit = self.shared.acquire_permit(&execution.database.group, request).await;
             execution.waited += self.shared.clock.now().since(now);
-            let permit = permit.map_err(|wait| {
-                let reason = self.shared.busy_reason(&execution.database.group, need);
+            let permit = permit.map_err(|(wait, reason)| {
+                let class = &execution.database.class;
+                reason.into_iter().for_each(|reason| {
+                    self.shared.metrics.record_scheduling_refusal(class, reason);
+                });
+                let busy = self.shared.busy_reason(&execution.database.group, need);
+                let reason = match reason {
+                    Some(Reason::NoPrimary) | None => busy,
+                    Some(reason) => reason.text(),
+                };
                 Refusal::busy(reason, self.shared.retry_after(wait))
             })?;
             let instance = permit.instance.clone();
--- a/src/broker/server.rs
+++ b/src/broker/server.rs
@@ -97,6 +97,7 @@
         state: Mutex::new(State {
             fence: Fence::new(incarnation),
             placement: proxy.placement,
+            scheduling: proxy.scheduling,
             ..State::default()
         }),
     });
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -27,6 +27,7 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::event::{Event, millis};
 use crate::report::{Failure, Opening};
+use crate::schedule::Reason;
 use crate::upstream::connection::{Connection, Error as ConnectionError};
 use crate::wire::{Health, Load, Replica};
 
@@ -48,6 +49,9 @@
 /// staleness can then still rely on the position sample.
 const MAX_POSITION_SAMPLE_AGE: Duration = Duration::from_millis(400);
 
+/// When there may be capacity for a statement that found none, and why it found none if that is known.
+pub(super) type Refused = (Duration, Option<Reason>);
+
 impl Shared {
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no thread panics while holding this lock")
@@ -270,29 +274,38 @@
     }
 
     /// Waits for a permit. Fails at once, or when the maximum wait has passed, with the estimated time until there is
-    /// capacity.
+    /// capacity and the reason if statements are ordered by objective.
     pub(super) async fn acquire_permit(
         self: &Arc<Self>,
         group: &id::Group,
         request: Request,
-    ) -> Result<Permit, Duration> {
-        let ticket = request.ticket;
-        let (receiver, max_wait) = {
+    ) -> Result<Permit, Refused> {
+        let (ticket, need) = (request.ticket, request.need);
+        let (receiver, max_wait, is_ordered) = {
             let now = self.clock.now();
             let mut state = self.lock();
             let Some(queue) = state.groups.get_mut(group) else {
-                return Err(dispatch::DEFAULT_RETRY_AFTER);
+                return Err((dispatch::DEFAULT_RETRY_AFTER, None));
             };
+            let ordered = queue.dispatcher.orders_by_objective().then(|| request.clone());
             let max_wait = queue.dispatcher.max_wait(&request);
             match queue.dispatcher.submit(now, request) {
                 dispatch::Decision::Start(instance) => {
-                    return Ok(Permit::new(Arc::clone(self), group.clone(), instance));
+                    let ticket = Some(ticket);
+                    return Ok(Permit::new(Arc::clone(self), group.clone(), instance, ticket));
+                }
+                dispatch::Decision::Refuse(wait) => {
+                    let reason = |request| queue.dispatcher.refusal_reason(now, &request);
+                    return Err((wait, ordered.map(reason)));
                 }
-                dispatch::Decision::Refuse(wait) => return Err(wait),
                 dispatch::Decision::Wait => {
                     let (sender, receiver) = bounded(1);
                     queue.waiters.insert(ticket, sender);
-                    (receiver, max_wait)
+                    if ordered.is_some() {
+                        // One that waits may have become able to run without a release, and goes first.
+                        state.advance(now, group);
+                    }
+                    (receiver, max_wait, ordered.is_some())
                 }
             }
         };
@@ -300,9 +313,14 @@
         match self.clock.timeout(max_wait, guard.receiver.recv()).await {
             Some(Ok(instance)) => {
                 guard.finished = true;
-                Ok(Permit::new(Arc::clone(self), group.clone(), instance))
+                Ok(Permit::new(Arc::clone(self), group.clone(), instance, Some(ticket)))
+            }
+            _ => {
+                let wait = guard.cancel();
+                let is_missing = need == Need::Primary && self.primary(group).is_none();
+                let reason = if is_missing { Reason::NoPrimary } else { Reason::Waited };
+                Err((wait, is_ordered.then_some(reason)))
             }
-            _ => Err(guard.cancel()),
         }
     }
 
@@ -313,19 +331,23 @@
         let group = state.groups.get_mut(&replica.group)?;
         let taken = group.dispatcher.try_acquire(now, &replica.instance);
         let (group, instance) = (replica.group.clone(), replica.instance.clone());
-        taken.then(|| Permit::new(Arc::clone(self), group, instance))
+        taken.then(|| Permit::new(Arc::clone(self), group, instance, None))
     }
 
     pub(super) fn release(
         &self,
         group: &id::Group,
         instance: &id::Instance,
+        ticket: Option<Ticket>,
         duration: Option<Duration>,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
         if let Some(queue) = state.groups.get_mut(group) {
-            queue.dispatcher.release(instance, duration);
+            match ticket {
+                Some(ticket) => queue.dispatcher.release_ticket(now, ticket, instance, duration),
+                None => queue.dispatcher.release(instance, duration),
+            }
             duration.into_iter().for_each(|duration| {
                 queue.dispatcher.record_duration(now, instance, duration);
             });
@@ -338,12 +360,16 @@
         &self,
         group: &id::Group,
         instance: &id::Instance,
+        ticket: Option<Ticket>,
         duration: Option<Duration>,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
         if let Some(queue) = state.groups.get_mut(group) {
-            queue.dispatcher.suspend(instance, duration);
+            match ticket {
+                Some(ticket) => queue.dispatcher.suspend_ticket(now, ticket, instance, duration),
+                None => queue.dispatcher.suspend(instance, duration),
+            }
             duration.into_iter().for_each(|duration| {
                 queue.dispatcher.record_duration(now, instance, duration);
             });
@@ -352,9 +378,17 @@
     }
 
     /// Takes a slot again for a transaction that was idle.
-    pub(super) fn resume(&self, group: &id::Group, instance: &id::Instance) {
+    pub(super) fn resume(
+        &self,
+        group: &id::Group,
+        instance: &id::Instance,
+        ticket: Option<Ticket>,
+    ) {
         if let Some(queue) = self.lock().groups.get_mut(group) {
-            queue.dispatcher.resume(instance);
+            match ticket {
+                Some(ticket) => queue.dispatcher.resume_ticket(ticket, instance),
+                None => queue.dispatcher.resume(instance),
+            }
         }
     }
 
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -20,7 +20,7 @@
 use super::quota::{self, Tokens};
 use super::stranded::Stranded;
 use crate::clock::Instant;
-use crate::config::{Fleet, Placement};
+use crate::config::{Fleet, Placement, Scheduling};
 use crate::id;
 use crate::proxy::fence::{Fence, Verdict};
 use crate::proxy::position_history::PositionHistory;
@@ -53,6 +53,8 @@
     pub(super) stranded: Stranded,
     /// How statements are placed where chosen proxies serve a group.
     pub(super) placement: Placement,
+    /// In which order the statements of a group start.
+    pub(super) scheduling: Scheduling,
 }
 
 /// An instance of the routing table.
@@ -77,6 +79,8 @@
     pub(super) permits: u32,
     /// The term and the phase that were seen last.
     epoch: Option<(id::Term, Phase)>,
+    /// The revision of the declarations from which the classes were taken, while they are ordered by objective.
+    pub(super) ordered: Option<id::Revision>,
 }
 
 impl Instance {
@@ -153,6 +157,7 @@
             };
             queue.dispatcher.set_primary(now, primary);
         }
+        self.refresh_order(now);
     }
 
     /// Returns whether this proxy serves a group by itself.
@@ -237,7 +242,7 @@
             let delivered =
                 group.waiters.remove(&ticket).map(|waiter| waiter.try_send(instance.clone()));
             if !matches!(delivered, Some(Ok(()))) {
-                group.dispatcher.release(&instance, None);
+                group.dispatcher.release_ticket(now, ticket, &instance, None);
             }
         }
     }
--- a/src/config/fleet.rs
+++ b/src/config/fleet.rs
@@ -62,6 +62,10 @@
     pub deadline: Span,
     /// Service level objective of the class.
     pub objective: Objective,
+    /// Part of the time of the instances that the class keeps under any load.
+    pub guaranteed: Option<Share>,
+    /// Greatest part of the connections to an instance that the class may hold.
+    pub most: Option<Share>,
 }
 
 /// Service level objective of a class over the window of its error budget. `docs/operators/burn.md` describes how it is
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -18,7 +18,8 @@
 pub use fleet::{Class, Consistency, Database, Durability, Fleet, Group, Objective, Peak, Request};
 pub use secret::{Error as SecretError, Secret};
 pub use settings::{
-    Control, Format, Log, Placement, Proxy, QuotaBound, Security, Seeds, Settings, Tls, Voter,
+    Control, Format, Log, Placement, Proxy, QuotaBound, Scheduling, Security, Seeds, Settings, Tls,
+    Voter,
 };
 pub use unit::{Rate, Share, Size, Span, TimeOfDay};
 
--- a/src/config/read/fleet.rs
+++ b/src/config/read/fleet.rs
@@ -9,7 +9,7 @@
 use crate::config::Span;
 use crate::config::{
     Account, Class, Consistency, Database, Durability, Fleet, Group, KeyDigest, Objective, Peak,
-    Quota, Request,
+    Quota, Request, Share,
 };
 use crate::id;
 
@@ -50,6 +50,7 @@
 pub(super) fn read(root: &Table<'_>) -> Option<Fleet> {
     let class: BTreeMap<id::Class, Class> =
         root.named_tables("class", read_class).into_iter().collect();
+    check_guarantees(root, &class);
     let names: BTreeSet<id::Class> = class.keys().cloned().collect();
     let group = root.named_tables("group", |table| read_group(table, &names));
     let group: BTreeMap<id::Group, Group> = group.into_iter().collect();
@@ -128,13 +129,30 @@
     let priority = table.required_number("priority", 0..=255);
     let deadline = table.required_span("deadline", DEADLINE);
     let objective = table.table("objective", |table| Some(read_objective(table)));
+    let guaranteed = table.optional("guaranteed", "a share of 0% to 100%, such as 10%");
+    let most: Option<Share> = table.optional("most", "a share above 0% up to 100%, such as 50%");
+    if most == Some(Share::per_million(0)) {
+        table.fault("most", "leaves the class no connection; valid: a share above 0%");
+    }
     Some(Class {
         priority: u8::try_from(priority?).ok()?,
         deadline: deadline?,
         objective: objective.unwrap_or_default(),
+        guaranteed,
+        most,
     })
 }
 
+/// Reports guaranteed parts that are more than the whole. Shares have millionths, so a thousandth of one is rounding.
+fn check_guarantees(root: &Table<'_>, classes: &BTreeMap<id::Class, Class>) {
+    let guaranteed = classes.values().filter_map(|class| class.guaranteed);
+    let sum: f64 = guaranteed.map(Share::fraction).sum();
+    if sum > 1.0 + 1e-9 {
+        let problem = format!("guarantees {:.1}% of the time; valid: at most 100%", sum * 100.0);
+        root.fault("class", problem);
+    }
+}
+
 fn read_objective(table: &Table<'_>) -> Objective {
     const VALID_SHARE: &str = "a share of 0% to 100%, such as 99.9%";
     let defaults = Objective::default();
--- a/src/config/read/settings.rs
+++ b/src/config/read/settings.rs
@@ -9,8 +9,8 @@
 use super::table::Table;
 use crate::config::settings::{DEFAULT_HISTORY_SIZE, DEFAULT_UPSTREAM_USER};
 use crate::config::{
-    Control, Format, Log, Placement, Proxy, QuotaBound, Secret, Security, Seeds, Settings, Size,
-    Span, Tls, Voter,
+    Control, Format, Log, Placement, Proxy, QuotaBound, Scheduling, Secret, Security, Seeds,
+    Settings, Size, Span, Tls, Voter,
 };
 
 /// Valid addresses, as shown in faults.
@@ -97,6 +97,8 @@
     let grace = table.span("grace", GRACE);
     let placements = [("local", Placement::Local), ("estimated", Placement::Estimated)];
     let placement = table.keyword("placement", &placements).unwrap_or_default();
+    let orders = [("priority", Scheduling::Priority), ("objective", Scheduling::Objective)];
+    let scheduling = table.keyword("scheduling", &orders).unwrap_or_default();
     Some(Proxy {
         listen: listen?,
         address: frame_address?,
@@ -105,6 +107,7 @@
         ready,
         grace,
         placement,
+        scheduling,
     })
 }
 
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -142,6 +142,8 @@
     pub grace: Option<Span>,
     /// How statements are placed on serving proxies and instances.
     pub placement: Placement,
+    /// In which order the statements of a group start.
+    pub scheduling: Scheduling,
 }
 
 /// How statements are placed on serving proxies and instances. See `docs/design/placement.md`.
@@ -154,6 +156,16 @@
     Estimated,
 }
 
+/// In which order the statements of a group start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Scheduling {
+    /// By priority; one start in eight goes to the statement that has waited longest.
+    #[default]
+    Priority,
+    /// By priority, objective, fair shares of accounts and deadline, in groups that chosen proxies serve.
+    Objective,
+}
+
 /// Settings of the control role.
 #[derive(Debug, Clone)]
 pub struct Control {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pgsql;
 pub mod proxy;
 pub mod report;
+pub mod schedule;
 pub mod security;
 pub mod statement;
 pub mod upstream;
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -202,6 +202,12 @@
     pub(super) reason: Rejection,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct SchedulingLabels {
+    pub(super) class: id::Class,
+    pub(super) reason: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct FailureLabels {
     pub(super) kind: Failure,
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -15,11 +15,11 @@
     self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
     LeaseLabels, Opening, OpeningLabels, Outcome, Peer, PromotionAnswer, PromotionLabels,
     ProtocolErrorLabels, QuotaLabels, QuotaResult, Refusal, RefusalLabels, Rejection,
-    RejectionLabels, RequestLabels, RoleLabels, Target, TargetLabels,
+    RejectionLabels, RequestLabels, RoleLabels, SchedulingLabels, Target, TargetLabels,
 };
 use super::largest::Largest;
 use crate::clock::Instant;
-use crate::{id, wire};
+use crate::{id, schedule, wire};
 
 /// Upper bounds of the histogram buckets for requests, waits, upstreams and log syncs.
 const REQUEST_BUCKETS_SECONDS: [f64; 14] =
@@ -39,6 +39,7 @@
     upstream_seconds: Family<TargetLabels, Histogram>,
     reads: Family<TargetLabels, Counter>,
     refusals: Family<RefusalLabels, Counter>,
+    scheduling_refusals: Family<SchedulingLabels, Counter>,
     retries: Counter,
     lagging_refusals: Counter,
     forwards_refused: Counter,
@@ -90,6 +91,7 @@
             upstream_seconds: Family::new_with_constructor(request_histogram),
             reads: Family::default(),
             refusals: Family::default(),
+            scheduling_refusals: Family::default(),
             retries: Counter::default(),
             lagging_refusals: Counter::default(),
             forwards_refused: Counter::default(),
@@ -165,6 +167,11 @@
             "Requests refused before they ran",
             self.refusals.clone(),
         );
+        registry.register(
+            "scheduling_refusals",
+            "Statements refused for want of capacity, by class and reason, where they start by objective",
+            self.scheduling_refusals.clone(),
+        );
         registry.register("retries", "Requests tried again elsewhere", self.retries.clone());
         registry.register(
             "lagging_refusals",
@@ -335,6 +342,12 @@
         self.refusals.get_or_create(&RefusalLabels { reason }).inc();
     }
 
+    /// Counts a statement that was refused for want of capacity.
+    pub fn record_scheduling_refusal(&self, class: &id::Class, reason: schedule::Reason) {
+        let labels = SchedulingLabels { class: class.clone(), reason: reason.label() };
+        self.scheduling_refusals.get_or_create(&labels).inc();
+    }
+
     /// Counts a request that is retried on another instance.
     pub fn record_retry(&self) {
         self.retries.inc();
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -276,3 +276,20 @@
     let found = faults(Settings::parse("node.toml", &text("placement = \"random\"")));
     assert_faults(&found, &[(12, "proxy.placement", "local, estimated")]);
 }
+
+/// Guards against guaranteed parts that add up to more than there is, and a class without any connection.
+#[test]
+fn guaranteed_parts_are_checked_together() {
+    let classes = |push: &str, late: &str| {
+        let text = format!("{FLEET}\n[class.late]\npriority = 1\ndeadline = \"1s\"\n{late}\n");
+        text.replace("deadline = \"2s\"", &format!("deadline = \"2s\"\n{push}"))
+    };
+    let text = classes("guaranteed = \"60%\"", "guaranteed = \"40%\"\nmost = \"50%\"");
+    let fleet = Fleet::parse("groups.toml", &text).expect("valid declarations");
+    let shares = fleet.class.values().map(|class| (class.guaranteed, class.most));
+    let share = |percent: u32| Some(Share::per_million(percent * 10_000));
+    assert_eq!(shares.collect::<Vec<_>>(), [(share(40), share(50)), (share(60), None)]);
+    let text = classes("guaranteed = \"61%\"", "guaranteed = \"40%\"\nmost = \"0%\"");
+    let found = faults(Fleet::parse("groups.toml", &text));
+    assert_faults(&found, &[(2, "class", "at most 100%"), (18, "class.late.most", "above 0%")]);
+}
