--- a/src/control/state/effect.rs
+++ b/src/control/state/effect.rs
@@ -9,7 +9,7 @@
 const MAX_EFFECTS: usize = 50;
 
 /// The metrics that a declaration affects, by the last part of its key.
-const RISKS: [(&str, &str); 14] = [
+const RISKS: [(&str, &str); 16] = [
     ("at", "waiting time at the peak"),
     ("class", "priority and deadline of the request"),
     ("connect_time", "connections opened ahead of a peak"),
@@ -17,11 +17,13 @@
     ("deadline", "requests refused, time to answer"),
     ("default_class", "priority and deadline of unnamed statements"),
     ("durability", "acknowledged writes lost at a failover, time to answer writes"),
+    ("guaranteed", "who waits when capacity is scarce"),
     ("idempotent", "requests that run twice"),
     ("instances", "how many instances a failover needs"),
     ("keep", "how long a resent request is recognised"),
     ("lasts", "waiting time at the peak"),
     ("max_age", "age of the data read, load of the primary"),
+    ("most", "connections that a class may hold"),
     ("once", "requests that run twice"),
     ("priority", "who waits when connections are scarce"),
 ];
