Ask for fewer tokens while they are scarce

After an election with a quarter of the proxies cut off, other proxies kept the few tokens that the new leader may lease as their stock, and callers elsewhere were refused: 2,068 of 5,412 operations in 5 s, those of the cut proxies included. The leader now says that tokens are scarce while it doesn't know all proxies, and a proxy then asks for what one heartbeat interval uses and returns the rest at once. It may lease more of the capacity at other times.

--- a/src/broker/quota.rs
+++ b/src/broker/quota.rs
@@ -29,11 +29,17 @@
 /// the loss of one or two leaves tokens.
 const USE_PERIOD: Duration = Duration::from_millis(500);
 
+/// The part of the recent use that a proxy asks for while tokens are scarce: that of one heartbeat and its answer. With
+/// all of it, 2,068 instead of 1,165 of some 5,300 operations were refused within 5 s of an election with a quarter of
+/// the proxies cut off, those of the cut ones included.
+const SCARCE_USE_PART: f64 = 0.4;
+
 /// How long tokens that are not used are kept.
 const IDLE_PERIOD: Duration = Duration::from_secs(1);
 
-/// How long a proxy keeps no token in reserve after the leader had few left. With a second, the reserves of many proxies
-/// took the tokens of small accounts again at once, and 16 % of their operations were refused.
+/// How long a proxy keeps no token in reserve after the leader had few left. With a second, and only after the leader had
+/// none, the reserves of 77 proxies took the tokens of small accounts again at once, and 16 % of their operations were
+/// refused.
 const SCARCE_PERIOD: Duration = Duration::from_secs(10);
 
 /// A proxy returns tokens while it is in use if it holds more than this many times what it needs, plus
@@ -135,8 +141,11 @@
 
     /// Returns the number of tokens that the proxy wants to have free.
     fn needed(&self, now: Instant) -> u64 {
-        let reserve = u64::from(self.sessions > 0 && now >= self.scarce_until);
-        self.recent_use(now).round() as u64 + reserve + self.waiting.len() as u64
+        let waiting = self.waiting.len() as u64;
+        if now < self.scarce_until {
+            return (self.recent_use(now) * SCARCE_USE_PART).round() as u64 + waiting;
+        }
+        self.recent_use(now).round() as u64 + u64::from(self.sessions > 0) + waiting
     }
 
     /// Discards all tokens. The operations that hold one count as spent.
@@ -154,7 +163,7 @@
     /// Returns tokens that are not needed, by a new generation with a lower limit.
     fn return_idle(&mut self, now: Instant) {
         let (free, needed) = (self.free(), self.needed(now));
-        let is_idle = now.since(self.used_at) >= IDLE_PERIOD;
+        let is_idle = now.since(self.used_at) >= IDLE_PERIOD || now < self.scarce_until;
         let kept = if is_idle { needed } else { SURPLUS_FACTOR * needed + SURPLUS_MARGIN };
         if free > kept {
             self.limit = self.spent + self.reserved + needed;
--- a/src/control/quota.rs
+++ b/src/control/quota.rs
@@ -24,8 +24,10 @@
 pub const VALIDITY_WAIT: Duration = Duration::from_millis(VALIDITY.as_millis() as u64 * 11 / 10);
 
 /// The part of the capacity above the burst that one leader may add to what its predecessor leased, before it knows
-/// what that is. Two such parts are never leased, so that the bound holds over two elections within [`VALIDITY_WAIT`].
-const ELECTION_PART: f64 = 0.25;
+/// what that is. Two such parts are never leased, so that the bound holds over two elections in a row, each within
+/// [`VALIDITY_WAIT`] of the one before. With 0.25 less could be leased at other times, and 70 instead of 44 % of
+/// the operations of the accounts of ranks 6 to 20 waited for a token.
+const ELECTION_PART: f64 = 0.15;
 
 /// The number of such parts that are never leased.
 const ELECTION_PARTS: f64 = 2.0;
@@ -39,7 +41,7 @@
 
 /// The part of the tokens that may be leased from which proxies are told to keep none in reserve. The rest is for those
 /// whose callers wait.
-const SCARCE_PART: f64 = 0.75;
+const SCARCE_PART: f64 = 0.9;
 
 /// How long proxies are asked to return idle tokens after another one found none.
 const RECALL_PERIOD: Duration = Duration::from_secs(1);
@@ -341,7 +343,7 @@
         let is_short = given < missing;
         let hoarded = self.rate * HOARDED_PERIOD.as_secs_f64() + HOARDED_MARGIN;
         let is_hoarded = is_short && self.leased as f64 >= hoarded.min(self.capacity / 2.0);
-        let is_scarce = self.leased as f64 >= leasable * SCARCE_PART;
+        let is_scarce = is_inheriting || self.leased as f64 >= leasable * SCARCE_PART;
         let retry = retry_time(self.unmet, self.rate);
         let is_none = is_short && !is_hoarded && retry > SOON;
         let retry_ms = match is_none {
--- a/tests/quota/main.rs
+++ b/tests/quota/main.rs
@@ -45,10 +45,14 @@
     let mut simulation = Simulation::new(1, 77, user_a());
     simulation.run_for(Duration::from_secs(30));
     simulation.forget_counts();
+    simulation.total_wait = Duration::ZERO;
     let (heartbeats, reports) = (simulation.heartbeats, simulation.reports);
     simulation.run_for(Duration::from_secs(60));
     let heartbeats = (simulation.heartbeats - heartbeats) as f64 / 60.0;
     let reports = (simulation.reports - reports) as f64 / 60.0;
+    let (_, _, waited) = simulation.total(0..82);
+    let (mean, longest) = (simulation.total_wait / waited, simulation.longest_wait);
+    println!("mean wait {mean:?}, longest {longest:?}");
     println!("{heartbeats:.0} heartbeats/s, {reports:.0} reports/s");
     for ranks in RANKS {
         let (asked, refused, waited) = simulation.total(ranks.clone());
@@ -149,17 +153,21 @@
     assert!(ran > 450, "{ran} operations in 10 s at 50/s");
 }
 
-/// Guards against a leader change that stops accounts below their quota.
+/// Guards against a leader change that stops accounts below their quota, also while proxies that may hold tokens of the
+/// former leader are out of contact.
 #[test]
 fn a_leader_change_refuses_little() {
-    let mut simulation = Simulation::new(7, 77, user_a());
-    simulation.run_for(Duration::from_secs(20));
-    simulation.forget_counts();
-    simulation.change_leader();
-    simulation.run_for(Duration::from_secs(5));
-    let (asked, refused, _) = simulation.total(0..82);
-    println!("leader change: {asked} asked, {refused} refused in 5 s");
-    assert!(percent(refused, asked) <= 5.0);
+    for cut in [0, 19] {
+        let mut simulation = Simulation::new(7, 77, user_a());
+        simulation.run_for(Duration::from_secs(20));
+        simulation.forget_counts();
+        (0..cut).for_each(|at| simulation.proxies[at].is_cut = true);
+        simulation.change_leader();
+        simulation.run_for(Duration::from_secs(5));
+        let (asked, refused, _) = simulation.total(0..82);
+        println!("leader change, {cut} proxies cut: {asked} asked, {refused} refused in 5 s");
+        assert!(percent(refused, asked) <= 2.5);
+    }
 }
 
 /// Guards against an account that gets its rate on both sides of a partition, also while leaders change in succession.
@@ -226,7 +234,7 @@
     assert_eq!(lease(&mut ledger, 20, "p1", report(0, 30, 40)), 30);
     assert_eq!(ledger.leased(&account(0)), 30);
     ledger.expire(at(3_000), p2());
-    let part = ((capacity - 50.0) / 4.0) as u64;
+    let part = ((capacity - 50.0) * 0.15) as u64;
     assert_eq!(lease(&mut ledger, 3_500, "p1", report(0, 30, 100)), 30 + part);
     ledger.expire(at(3_700), p2());
     assert!(lease(&mut ledger, 4_700, "p1", report(0, 30 + part, 100)) > 30 + part);
--- a/tests/quota/simulation.rs
+++ b/tests/quota/simulation.rs
@@ -72,6 +72,8 @@
     /// The number of heartbeats sent, and of reports in them.
     pub heartbeats: u64,
     pub reports: u64,
+    pub longest_wait: Duration,
+    pub total_wait: Duration,
 }
 
 pub fn account(number: usize) -> id::Account {
@@ -118,6 +120,8 @@
             sent: 0,
             heartbeats: 0,
             reports: 0,
+            longest_wait: Duration::ZERO,
+            total_wait: Duration::ZERO,
             clock,
         };
         for at in 0..proxies {
@@ -223,16 +227,24 @@
     }
 
     fn decide(&mut self, at: usize, (ticket, decision): (Ticket, Decision)) {
-        let Some((number, _)) = self.proxies[at].waiting.remove(&ticket) else {
+        let Some((number, since)) = self.proxies[at].waiting.remove(&ticket) else {
             return;
         };
+        let waited = self.clock.now().since(since);
+        self.longest_wait = self.longest_wait.max(waited);
+        self.total_wait += waited;
         match decision {
             Decision::Run(token) => self.run(at, number, token),
-            Decision::Refuse(_) => self.counts[number].refused += 1,
+            Decision::Refuse(_) => self.refuse(at, number),
             Decision::Wait => {}
         }
     }
 
+    /// Counts a refusal, except on a proxy out of contact.
+    fn refuse(&mut self, at: usize, number: usize) {
+        self.counts[number].refused += u32::from(!self.proxies[at].is_cut);
+    }
+
     fn run(&mut self, at: usize, number: usize, token: Token) {
         let now = self.clock.now();
         let end = now + Duration::from_millis(self.random.u64(5..60));
@@ -243,10 +255,10 @@
         let now = self.clock.now();
         self.sent += 1;
         let ticket = Ticket(self.sent);
-        self.counts[number].asked += 1;
+        self.counts[number].asked += u32::from(!self.proxies[at].is_cut);
         match self.proxies[at].tokens.start(now, &account(number), ticket) {
             Decision::Run(token) => self.run(at, number, token),
-            Decision::Refuse(_) => self.counts[number].refused += 1,
+            Decision::Refuse(_) => self.refuse(at, number),
             Decision::Wait => {
                 self.counts[number].waited += 1;
                 self.proxies[at].waiting.insert(ticket, (number, now));
@@ -300,7 +312,7 @@
         proxy.waiting.retain(|ticket, (number, since)| {
             let waits = now.since(*since) < MAX_WAIT;
             if !waits {
-                counts[*number].refused += 1;
+                counts[*number].refused += u32::from(!proxy.is_cut);
                 proxy.tokens.cancel(&account(*number), *ticket);
             }
             waits
