--- /dev/null
+++ b/src/broker/checkout.rs
@@ -0,0 +1,150 @@
+//! Connections to instances: taking an idle one, opening one, and returning it to the pool.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::connection::{Seat, SharedConnection};
+use super::server::Shared;
+use super::state::State;
+use crate::clock::Instant;
+use crate::id;
+use crate::report::Opening;
+use crate::upstream::connection::{Connection, Error as ConnectionError};
+use crate::wire::Health;
+
+/// Timeout for opening a connection to an instance.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+
+impl Shared {
+    /// Takes an idle connection of an account for the holder of a permit, preferring one that has these session
+    /// variables. If there is none, closes as many idle connections of other accounts as must make room for a new one
+    /// before the caller opens it.
+    pub(super) fn idle_connection(
+        &self,
+        instance: &id::Instance,
+        account: Option<&id::Account>,
+        values: &BTreeMap<String, String>,
+    ) -> Result<SharedConnection, (Seat, Opening)> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let State { instances, groups, .. } = &mut *state;
+        let Some(entry) = instances.get_mut(instance) else {
+            return Err((Seat::default(), Opening::New));
+        };
+        let suitable = |connection: &SharedConnection| connection.setup.has_values(values);
+        if let Some(connection) = entry.idle.pop(now, account, suitable) {
+            self.metrics.record_reused_connection();
+            return Ok(connection);
+        }
+        let Some(group) = groups.get(&entry.replica.group) else {
+            return Err((Seat::default(), Opening::New));
+        };
+        let before = entry.idle.len();
+        if group.dispatcher.is_connection_limited(now, instance) {
+            // The instance refused a connection a moment ago, so the new one must replace another.
+            drop(entry.idle.evict(now, account));
+        }
+        while entry.seats.taken() >= group.permits as usize && !entry.idle.is_empty() {
+            drop(entry.idle.evict(now, account));
+        }
+        let evicted = before - entry.idle.len();
+        self.metrics.record_evicted_connections(evicted);
+        let reason = if evicted > 0 { Opening::Evicted } else { Opening::New };
+        Err((entry.seats.take(), reason))
+    }
+
+    /// Takes an idle connection of any account for a ping by this proxy. If there is none, the caller may open one.
+    pub(super) fn any_idle_connection(
+        &self,
+        instance: &id::Instance,
+    ) -> Result<SharedConnection, Seat> {
+        let no_values = BTreeMap::new();
+        let mut state = self.lock();
+        let entry = state.instances.get_mut(instance).ok_or_else(Seat::default)?;
+        let idle = entry.idle.pop_any(|connection| connection.setup.has_values(&no_values));
+        idle.ok_or_else(|| entry.seats.take())
+    }
+
+    /// Returns the instances of a group with an idle connection of an account.
+    pub(super) fn warm_instances(
+        &self,
+        group: &id::Group,
+        account: &id::Account,
+    ) -> SmallVec<[id::Instance; 3]> {
+        let state = self.lock();
+        let entries = state.instances.iter().filter(|(_, entry)| entry.replica.group == *group);
+        let warm = entries.filter(|(_, entry)| entry.idle.has(account));
+        warm.map(|(instance, _)| instance.clone()).collect()
+    }
+
+    /// Returns whether statements of an account should run on this proxy, which serves the group, rather than on
+    /// another one.
+    pub(super) fn is_home(&self, group: &id::Group, account: &id::Account) -> bool {
+        let now = self.clock.now();
+        let homes =
+            self.lock().homes(now, (&self.node, &self.domain), group, account, Default::default());
+        homes.is_empty() || homes.iter().any(|server| server.node == self.node)
+    }
+
+    /// Opens a connection of an account to an instance.
+    pub(super) async fn open_connection(
+        &self,
+        instance: &id::Instance,
+        account: Option<&id::Account>,
+        seat: Seat,
+        limit: Instant,
+    ) -> Result<SharedConnection, ConnectionError> {
+        let replica = self.lock().instances.get(instance).map(|entry| entry.replica.clone());
+        let replica = replica.ok_or(ConnectionError::Closed)?;
+        let started = self.clock.now();
+        let deadline = limit.min(started + CONNECT_TIMEOUT);
+        let opened =
+            Connection::connect(&self.clock, self.codec, &replica, account, deadline).await;
+        let (upstream, position) = match opened {
+            Ok(opened) => opened,
+            Err(error) => {
+                match error.health() {
+                    Health::Fine => self.record_answer(instance, None),
+                    Health::Refused | Health::Silent | Health::Faulty => {
+                        self.record_failure(instance, &error);
+                    }
+                }
+                return Err(error);
+            }
+        };
+        self.record_answer(instance, position);
+        let elapsed = self.clock.now().since(started);
+        if let Some(group) = self.lock().groups.get_mut(&replica.group) {
+            group.dispatcher.record_connect(instance, elapsed);
+        }
+        let (setup, account) = (Default::default(), account.cloned());
+        Ok(SharedConnection { upstream, setup, account, _seat: seat })
+    }
+
+    /// Returns a connection that is fit for the next session to the pool.
+    pub(super) fn return_connection(&self, instance: &id::Instance, connection: SharedConnection) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let State { instances, groups, .. } = &mut *state;
+        let Some(entry) = instances.get_mut(instance) else {
+            return;
+        };
+        let Some(group) = groups.get(&entry.replica.group) else {
+            return;
+        };
+        // The share may have shrunk while the connection was in use. `used` includes this connection.
+        let is_within_share =
+            group.dispatcher.used(instance) + entry.idle.len() as u32 <= group.permits;
+        if connection.account.is_some() {
+            // Another connection may be worth less than this one, so this one isn't closed before they are compared.
+            entry.idle.put(now, connection.account.clone(), connection);
+            while entry.seats.taken() > group.permits as usize && !entry.idle.is_empty() {
+                drop(entry.idle.evict(now, None));
+            }
+        } else if is_within_share {
+            entry.idle.put(now, None, connection);
+        }
+    }
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -10,6 +10,7 @@
 
 mod accept;
 mod caller;
+mod checkout;
 mod connection;
 pub mod dispatch;
 mod explain;
@@ -23,6 +24,7 @@
 pub mod need;
 mod order;
 pub mod peer;
+mod permits;
 pub mod pool;
 pub mod quota;
 pub mod recovery;
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -1,18 +1,12 @@
 //! Operations on the state that the tasks of a broker share. Each holds the lock only briefly.
 
-use std::collections::BTreeMap;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
 use log::Level;
-use smallvec::SmallVec;
-use smol::channel::bounded;
 
-use super::connection::{Permit, Seat, SharedConnection};
-use super::dispatch::{self, Request, Ticket};
 use super::explain::ms_since_renewal;
-use super::guard::{CommitGuard, PingGuard, QueueGuard};
+use super::guard::{CommitGuard, PingGuard};
 use super::identity::Credential;
 use super::monitor;
 use super::need::{self, Need, PositionSample};
@@ -25,14 +19,10 @@
 use crate::proxy::floor::Mark;
 use crate::proxy::heartbeat;
 use crate::proxy::shutdown::Stage;
+use crate::report::Failure;
 use crate::report::event::{Event, millis};
-use crate::report::{Failure, Opening};
-use crate::schedule::Reason;
-use crate::upstream::connection::{Connection, Error as ConnectionError};
-use crate::wire::{Health, Load, Replica};
-
-/// Timeout for opening a connection to an instance.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+use crate::upstream::connection::Error as ConnectionError;
+use crate::wire::{Health, Replica};
 
 /// How long a read waits for a first position sample while the group has no known primary, before it queues for the
 /// primary.
@@ -49,9 +39,6 @@
 /// staleness can then still rely on the position sample.
 const MAX_POSITION_SAMPLE_AGE: Duration = Duration::from_millis(400);
 
-/// When there may be capacity for a statement that found none, and why it found none if that is known.
-pub(super) type Refused = (Duration, Option<Reason>);
-
 impl Shared {
     pub(super) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no thread panics while holding this lock")
@@ -256,319 +243,6 @@
         state.instances.get(primary).map(|entry| entry.replica.clone())
     }
 
-    pub(super) fn ticket(&self) -> Ticket {
-        Ticket(self.tickets.fetch_add(1, Ordering::Relaxed))
-    }
-
-    /// Returns how long statements of each priority would wait here.
-    pub(super) fn published_load(&self, group: &id::Group) -> Load {
-        let now = self.clock.now();
-        let state = self.lock();
-        let Some(queue) = state.groups.get(group) else {
-            return Load::default();
-        };
-        // Taken under the lock, so that a later load has a higher number.
-        let sequence = id::Sequence(self.ticket().0);
-        let waits_ms = queue.dispatcher.published_waits(now, &state.fleet.priorities());
-        Load { sequence, waits_ms }
-    }
-
-    /// Waits for a permit. Fails at once, or when the maximum wait has passed, with the estimated time until there is
-    /// capacity and the reason if statements are ordered by objective.
-    pub(super) async fn acquire_permit(
-        self: &Arc<Self>,
-        group: &id::Group,
-        request: Request,
-    ) -> Result<Permit, Refused> {
-        let (ticket, need) = (request.ticket, request.need);
-        let (receiver, max_wait, is_ordered) = {
-            let now = self.clock.now();
-            let mut state = self.lock();
-            let Some(queue) = state.groups.get_mut(group) else {
-                return Err((dispatch::DEFAULT_RETRY_AFTER, None));
-            };
-            let ordered = queue.dispatcher.orders_by_objective().then(|| request.clone());
-            let max_wait = queue.dispatcher.max_wait(&request);
-            match queue.dispatcher.submit(now, request) {
-                dispatch::Decision::Start(instance) => {
-                    let ticket = Some(ticket);
-                    return Ok(Permit::new(Arc::clone(self), group.clone(), instance, ticket));
-                }
-                dispatch::Decision::Refuse(wait) => {
-                    let reason = |request| queue.dispatcher.refusal_reason(now, &request);
-                    return Err((wait, ordered.map(reason)));
-                }
-                dispatch::Decision::Wait => {
-                    let (sender, receiver) = bounded(1);
-                    queue.waiters.insert(ticket, sender);
-                    if ordered.is_some() {
-                        // One that waits may have become able to run without a release, and goes first.
-                        state.advance(now, group);
-                    }
-                    (receiver, max_wait, ordered.is_some())
-                }
-            }
-        };
-        let mut guard = QueueGuard { shared: self, group, ticket, receiver, finished: false };
-        match self.clock.timeout(max_wait, guard.receiver.recv()).await {
-            Some(Ok(instance)) => {
-                guard.finished = true;
-                Ok(Permit::new(Arc::clone(self), group.clone(), instance, Some(ticket)))
-            }
-            _ => {
-                let wait = guard.cancel();
-                let is_missing = need == Need::Primary && self.primary(group).is_none();
-                let reason = if is_missing { Reason::NoPrimary } else { Reason::Waited };
-                Err((wait, is_ordered.then_some(reason)))
-            }
-        }
-    }
-
-    /// Takes a permit for an instance if one is free.
-    pub(super) fn try_acquire_permit(self: &Arc<Self>, replica: &Replica) -> Option<Permit> {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let group = state.groups.get_mut(&replica.group)?;
-        let taken = group.dispatcher.try_acquire(now, &replica.instance);
-        let (group, instance) = (replica.group.clone(), replica.instance.clone());
-        taken.then(|| Permit::new(Arc::clone(self), group, instance, None))
-    }
-
-    pub(super) fn release(
-        &self,
-        group: &id::Group,
-        instance: &id::Instance,
-        ticket: Option<Ticket>,
-        duration: Option<Duration>,
-    ) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if let Some(queue) = state.groups.get_mut(group) {
-            match ticket {
-                Some(ticket) => queue.dispatcher.release_ticket(now, ticket, instance, duration),
-                None => queue.dispatcher.release(instance, duration),
-            }
-            duration.into_iter().for_each(|duration| {
-                queue.dispatcher.record_duration(now, instance, duration);
-            });
-        }
-        state.advance(now, group);
-    }
-
-    /// Frees the slot of a transaction that is idle.
-    pub(super) fn suspend(
-        &self,
-        group: &id::Group,
-        instance: &id::Instance,
-        ticket: Option<Ticket>,
-        duration: Option<Duration>,
-    ) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if let Some(queue) = state.groups.get_mut(group) {
-            match ticket {
-                Some(ticket) => queue.dispatcher.suspend_ticket(now, ticket, instance, duration),
-                None => queue.dispatcher.suspend(instance, duration),
-            }
-            duration.into_iter().for_each(|duration| {
-                queue.dispatcher.record_duration(now, instance, duration);
-            });
-        }
-        state.advance(now, group);
-    }
-
-    /// Takes a slot again for a transaction that was idle.
-    pub(super) fn resume(
-        &self,
-        group: &id::Group,
-        instance: &id::Instance,
-        ticket: Option<Ticket>,
-    ) {
-        if let Some(queue) = self.lock().groups.get_mut(group) {
-            match ticket {
-                Some(ticket) => queue.dispatcher.resume_ticket(ticket, instance),
-                None => queue.dispatcher.resume(instance),
-            }
-        }
-    }
-
-    /// Records that an instance refused a statement because it was full, or because it lacked the mark of a requirement.
-    pub(super) fn record_refusal(&self, permit: &Permit, lacking: Option<Need>) {
-        let now = self.clock.now();
-        if lacking.is_some() {
-            self.metrics.record_lagging_refusal();
-        }
-        let mut state = self.lock();
-        if let Some(queue) = state.groups.get_mut(&permit.group) {
-            match lacking {
-                Some(need) => queue.dispatcher.record_lacking(now, &permit.instance, need),
-                None => queue.dispatcher.record_full(now, &permit.instance),
-            }
-        }
-    }
-
-    /// Records that an instance refused a new connection, and schedules a retry for the statements that wait for it.
-    pub(super) fn record_refused_connection(self: &Arc<Self>, permit: &Permit) {
-        let now = self.clock.now();
-        self.metrics.record_refused_connection();
-        if let Some(queue) = self.lock().groups.get_mut(&permit.group) {
-            queue.dispatcher.record_refused_connection(now, &permit.instance);
-            let (instance, group) = (&permit.instance, &permit.group);
-            let (in_use, permits) = (queue.dispatcher.used(instance), queue.permits);
-            Event::ConnectionLimit { instance, group, in_use, permits }.log(Level::Info);
-        }
-        let (shared, group) = (Arc::clone(self), permit.group.clone());
-        let later = async move {
-            shared.clock.sleep(dispatch::CONNECTION_RETRY_DELAY).await;
-            shared.advance(&group);
-        };
-        smol::spawn(later).detach();
-    }
-
-    /// Returns whether an instance refused a new connection a moment ago.
-    pub(super) fn is_connection_limited(&self, replica: &Replica) -> bool {
-        let now = self.clock.now();
-        let state = self.lock();
-        let group = state.groups.get(&replica.group);
-        group.is_some_and(|group| group.dispatcher.is_connection_limited(now, &replica.instance))
-    }
-
-    /// Starts the waiting statements of a group that can run now.
-    pub(super) fn advance(&self, group: &id::Group) {
-        let now = self.clock.now();
-        self.lock().advance(now, group);
-    }
-
-    /// Takes an idle connection of an account for the holder of a permit, preferring one that has these session
-    /// variables. If there is none, closes as many idle connections of other accounts as must make room for a new one
-    /// before the caller opens it.
-    pub(super) fn idle_connection(
-        &self,
-        instance: &id::Instance,
-        account: Option<&id::Account>,
-        values: &BTreeMap<String, String>,
-    ) -> Result<SharedConnection, (Seat, Opening)> {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let State { instances, groups, .. } = &mut *state;
-        let Some(entry) = instances.get_mut(instance) else {
-            return Err((Seat::default(), Opening::New));
-        };
-        let suitable = |connection: &SharedConnection| connection.setup.has_values(values);
-        if let Some(connection) = entry.idle.pop(now, account, suitable) {
-            self.metrics.record_reused_connection();
-            return Ok(connection);
-        }
-        let Some(group) = groups.get(&entry.replica.group) else {
-            return Err((Seat::default(), Opening::New));
-        };
-        let before = entry.idle.len();
-        if group.dispatcher.is_connection_limited(now, instance) {
-            // The instance refused a connection a moment ago, so the new one must replace another.
-            drop(entry.idle.evict(now, account));
-        }
-        while entry.seats.taken() >= group.permits as usize && !entry.idle.is_empty() {
-            drop(entry.idle.evict(now, account));
-        }
-        let evicted = before - entry.idle.len();
-        self.metrics.record_evicted_connections(evicted);
-        let reason = if evicted > 0 { Opening::Evicted } else { Opening::New };
-        Err((entry.seats.take(), reason))
-    }
-
-    /// Takes an idle connection of any account for a ping by this proxy. If there is none, the caller may open one.
-    pub(super) fn any_idle_connection(
-        &self,
-        instance: &id::Instance,
-    ) -> Result<SharedConnection, Seat> {
-        let no_values = BTreeMap::new();
-        let mut state = self.lock();
-        let entry = state.instances.get_mut(instance).ok_or_else(Seat::default)?;
-        let idle = entry.idle.pop_any(|connection| connection.setup.has_values(&no_values));
-        idle.ok_or_else(|| entry.seats.take())
-    }
-
-    /// Returns the instances of a group with an idle connection of an account.
-    pub(super) fn warm_instances(
-        &self,
-        group: &id::Group,
-        account: &id::Account,
-    ) -> SmallVec<[id::Instance; 3]> {
-        let state = self.lock();
-        let entries = state.instances.iter().filter(|(_, entry)| entry.replica.group == *group);
-        let warm = entries.filter(|(_, entry)| entry.idle.has(account));
-        warm.map(|(instance, _)| instance.clone()).collect()
-    }
-
-    /// Returns whether statements of an account should run on this proxy, which serves the group, rather than on
-    /// another one.
-    pub(super) fn is_home(&self, group: &id::Group, account: &id::Account) -> bool {
-        let now = self.clock.now();
-        let homes =
-            self.lock().homes(now, (&self.node, &self.domain), group, account, Default::default());
-        homes.is_empty() || homes.iter().any(|server| server.node == self.node)
-    }
-
-    /// Opens a connection of an account to an instance.
-    pub(super) async fn open_connection(
-        &self,
-        instance: &id::Instance,
-        account: Option<&id::Account>,
-        seat: Seat,
-        limit: Instant,
-    ) -> Result<SharedConnection, ConnectionError> {
-        let replica = self.lock().instances.get(instance).map(|entry| entry.replica.clone());
-        let replica = replica.ok_or(ConnectionError::Closed)?;
-        let started = self.clock.now();
-        let deadline = limit.min(started + CONNECT_TIMEOUT);
-        let opened =
-            Connection::connect(&self.clock, self.codec, &replica, account, deadline).await;
-        let (upstream, position) = match opened {
-            Ok(opened) => opened,
-            Err(error) => {
-                match error.health() {
-                    Health::Fine => self.record_answer(instance, None),
-                    Health::Refused | Health::Silent | Health::Faulty => {
-                        self.record_failure(instance, &error);
-                    }
-                }
-                return Err(error);
-            }
-        };
-        self.record_answer(instance, position);
-        let elapsed = self.clock.now().since(started);
-        if let Some(group) = self.lock().groups.get_mut(&replica.group) {
-            group.dispatcher.record_connect(instance, elapsed);
-        }
-        let (setup, account) = (Default::default(), account.cloned());
-        Ok(SharedConnection { upstream, setup, account, _seat: seat })
-    }
-
-    /// Returns a connection that is fit for the next session to the pool.
-    pub(super) fn return_connection(&self, instance: &id::Instance, connection: SharedConnection) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        let State { instances, groups, .. } = &mut *state;
-        let Some(entry) = instances.get_mut(instance) else {
-            return;
-        };
-        let Some(group) = groups.get(&entry.replica.group) else {
-            return;
-        };
-        // The share may have shrunk while the connection was in use. `used` includes this connection.
-        let is_within_share =
-            group.dispatcher.used(instance) + entry.idle.len() as u32 <= group.permits;
-        if connection.account.is_some() {
-            // Another connection may be worth less than this one, so this one isn't closed before they are compared.
-            entry.idle.put(now, connection.account.clone(), connection);
-            while entry.seats.taken() > group.permits as usize && !entry.idle.is_empty() {
-                drop(entry.idle.evict(now, None));
-            }
-        } else if is_within_share {
-            entry.idle.put(now, None, connection);
-        }
-    }
-
     /// Records that an instance answered, and its position.
     pub(super) fn record_answer(&self, instance: &id::Instance, position: Option<Mark>) {
         let now = self.clock.now();
