--- a/src/broker/permits.rs
+++ b/src/broker/permits.rs
@@ -8,10 +8,11 @@
 use smol::channel::bounded;
 
 use super::connection::Permit;
-use super::dispatch::{self, Request, Ticket};
+use super::dispatch::{self, Dispatcher, Request, Ticket};
 use super::guard::QueueGuard;
 use super::need::Need;
 use super::server::Shared;
+use crate::clock::Instant;
 use crate::id;
 use crate::report::event::Event;
 use crate::schedule::Reason;
@@ -99,6 +100,7 @@
         taken.then(|| Permit::new(Arc::clone(self), group, instance, None))
     }
 
+    /// Gives a permit back. `duration` is how long its last statement ran, if that is known.
     pub(super) fn release(
         &self,
         group: &id::Group,
@@ -106,18 +108,10 @@
         ticket: Option<Ticket>,
         duration: Option<Duration>,
     ) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if let Some(queue) = state.groups.get_mut(group) {
-            match ticket {
-                Some(ticket) => queue.dispatcher.release_ticket(now, ticket, instance, duration),
-                None => queue.dispatcher.release(instance, duration),
-            }
-            duration.into_iter().for_each(|duration| {
-                queue.dispatcher.record_duration(now, instance, duration);
-            });
-        }
-        state.advance(now, group);
+        self.end_statement(group, instance, duration, |now, dispatcher| match ticket {
+            Some(ticket) => dispatcher.release_ticket(now, ticket, instance, duration),
+            None => dispatcher.release(instance, duration),
+        });
     }
 
     /// Frees the slot of a transaction that is idle.
@@ -127,17 +121,28 @@
         instance: &id::Instance,
         ticket: Option<Ticket>,
         duration: Option<Duration>,
+    ) {
+        self.end_statement(group, instance, duration, |now, dispatcher| match ticket {
+            Some(ticket) => dispatcher.suspend_ticket(now, ticket, instance, duration),
+            None => dispatcher.suspend(instance, duration),
+        });
+    }
+
+    /// Records the end of a statement and starts those that waited for it.
+    fn end_statement(
+        &self,
+        group: &id::Group,
+        instance: &id::Instance,
+        duration: Option<Duration>,
+        end: impl FnOnce(Instant, &mut Dispatcher),
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
         if let Some(queue) = state.groups.get_mut(group) {
-            match ticket {
-                Some(ticket) => queue.dispatcher.suspend_ticket(now, ticket, instance, duration),
-                None => queue.dispatcher.suspend(instance, duration),
-            }
-            duration.into_iter().for_each(|duration| {
+            end(now, &mut queue.dispatcher);
+            if let Some(duration) = duration {
                 queue.dispatcher.record_duration(now, instance, duration);
-            });
+            }
         }
         state.advance(now, group);
     }
