--- a/src/broker/spend.rs
+++ b/src/broker/spend.rs
@@ -13,7 +13,7 @@
 use crate::id;
 use crate::report::QuotaResult;
 
-/// The longest retry time is this many times the estimate, so that refused callers don't return together.
+/// The part of the estimate by which retry times are spread, so that refused callers don't return together.
 const RETRY_SPREAD: f64 = 0.5;
 
 /// The token of an operation. One that is dropped counts as spent.
