Promote a replica after a primary has returned under another id

Cause: a primary that comes back under another id with its log is primary of the frozen epoch's term already.

Change: with an outside service such an instance is read, but not chosen. Replicas that hold less than it are made to receive again, and the first that holds all of it is promoted. Nothing is written meanwhile, since the epoch is frozen and the fence holds. No command of the log changes. Left out: adopting the instance at the term that it has. So a group whose only instance is such a primary has none until a replica joins.

--- a/src/control/failover/candidate.rs
+++ b/src/control/failover/candidate.rs
@@ -3,11 +3,16 @@
 
 use std::collections::BTreeSet;
 
+use smallvec::SmallVec;
+
 use crate::config::Durability;
 use crate::id;
 use crate::upstream::status::Status;
 use crate::wire::{Epoch, Role};
 
+/// The replicas of a group.
+pub(super) type Replicas = SmallVec<[id::Instance; 4]>;
+
 /// A status of an instance that was requested after the fence held.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Reading<'a> {
@@ -28,6 +33,8 @@
     pub(super) known_instances: usize,
     pub(super) durability: Durability,
     pub(super) draining: &'a BTreeSet<id::Instance>,
+    /// Whether an outside service promotes instances.
+    pub(super) promoted_outside: bool,
     /// Whether control has waited long enough for instances that have not answered yet.
     pub(super) waited: bool,
 }
@@ -105,11 +112,31 @@
         self.best_at(highest)
     }
 
+    /// Returns the replicas of a primary that returned under another id, or none if there is no such primary. Only one
+    /// of them can be given a new term, once it holds what the returned primary holds.
+    pub(super) fn behind_returned_primary(&self) -> Replicas {
+        if !self.others().any(|reading| self.is_returned_primary(reading)) {
+            return Replicas::new();
+        }
+        let replicas = self.others().filter(|reading| reading.status.role == Role::Replica);
+        replicas.map(|reading| reading.instance.clone()).collect()
+    }
+
+    /// Returns whether an instance is the epoch's primary under another id. An outside service changes nothing when it is
+    /// asked to promote such an instance.
+    fn is_returned_primary(&self, reading: &Reading<'_>) -> bool {
+        let Status { role, term, .. } = *reading.status;
+        self.promoted_outside && role == Role::Primary && term == self.epoch.term
+    }
+
     /// Returns the best instance other than the primary that holds the history up to `position`.
     fn best_at(&self, position: id::Position) -> Option<Reading<'a>> {
         let eligible = self.others().filter(|reading| {
             let progress = self.progress(reading);
-            reading.usable && !progress.diverged && progress.position >= position
+            reading.usable
+                && !progress.diverged
+                && progress.position >= position
+                && !self.is_returned_primary(reading)
         });
         let rank = |reading: &&Reading<'a>| {
             let progress = self.progress(reading);
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -12,7 +12,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use self::candidate::{Candidates, Reading};
+use self::candidate::{Candidates, Reading, Replicas};
 pub use self::damper::{DAMPING_DELAY, DAMPING_RESET, MAX_DAMPING_DELAY};
 use self::damper::{Damper, backoff};
 pub use self::reports::FAULTY_TIMEOUT;
@@ -481,7 +481,8 @@
         let waited = now.since(fenced_at) >= MISSING_WAIT;
         let candidates = self.candidates(now, epoch, view, after_fence, waited);
         let Some(chosen) = candidates.choose() else {
-            return Vec::new();
+            let behind = candidates.behind_returned_primary();
+            return self.resume(now, behind);
         };
         if self.promoted_outside && *chosen.instance == epoch.primary {
             // An outside service doesn't promote an instance that is primary already, so the old epoch is put in force
@@ -496,6 +497,13 @@
         self.order(now, Output::Submit(action))
     }
 
+    /// Makes replicas receive again while the epoch is frozen. Nothing is added to the log meanwhile, because proxies
+    /// write only under an epoch in force.
+    fn resume(&mut self, now: Instant, replicas: Replicas) -> Vec<Output> {
+        let resume = |instance| self.order(now, Output::Resume { instance });
+        replicas.into_iter().flat_map(resume).collect()
+    }
+
     /// Collects the readings and settings for the choice. `waited` is false as long as missing instances may still
     /// answer.
     fn candidates<'a>(
@@ -517,6 +525,7 @@
             known_instances: self.known_instances(epoch, view),
             durability: view.durability,
             draining: view.draining,
+            promoted_outside: self.promoted_outside,
             waited,
         }
     }
