--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -85,7 +85,7 @@
             table,
             revision: state.revision,
             sightings: state.observations(now, sequence),
-            demand: state.demand(),
+            demand: state.demand(sequence),
             quota: state.quota.reports(now, sequence),
             draining: self.shutdown.has_reached(Stage::Leaving),
             forwards: true,
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -84,6 +84,9 @@
     pub(super) waiters: BTreeMap<Ticket, Sender<id::Instance>>,
     /// The maximum number of connections to each instance. It is 0 if other proxies serve the group.
     pub(super) permits: u32,
+    /// While other proxies serve the group, the number of open connections that is reported, and in
+    /// which heartbeat it was first.
+    reported_open: Option<(u32, id::Sequence)>,
     /// The term and the phase that were seen last.
     epoch: Option<(id::Term, Phase)>,
     /// The revision of the declarations from which the classes were taken, while they are ordered by objective.
@@ -108,23 +111,26 @@
     pub(super) fn refresh(&mut self, now: Instant, node: &id::Node, domain: &id::Domain) {
         self.leased = self.fence.is_leased(now);
         let table = self.fence.table();
-        let servers = table.serving.iter().filter_map(|(_, serving)| match serving {
+        let servers = table.routes().filter_map(|route| match &route.serving {
             Serving::Listed(servers) => Some(servers),
             Serving::Undecided | Serving::Every => None,
         });
         self.peers.retain(servers.flatten());
-        let listed = |instance: &Instance| table.replicas.contains(&instance.replica);
-        self.instances.retain(|_, instance| listed(instance));
-        for replica in &table.replicas {
-            let known = self.instances.entry(replica.instance.clone());
-            let instance = known.or_insert_with(|| Instance::new(now, replica.clone()));
+        self.instances.retain(|_, instance| table.lists(&instance.replica));
+        for replica in table.replicas() {
             let group = self.groups.entry(replica.group.clone()).or_default();
             let permits = self.fence.permits(now, node, &replica.group);
+            // An instance of a group that other proxies serve needs no state here, unless it has some left.
+            if permits == 0 && !self.instances.contains_key(&replica.instance) {
+                continue;
+            }
+            let known = self.instances.entry(replica.instance.clone());
+            let instance = known.or_insert_with(|| Instance::new(now, replica.clone()));
             if group.permits == 0 && permits > 0 {
                 // Nothing was known of the instance while other proxies served the group.
                 instance.health.reset(now);
             }
-            let usable = instance.health.is_usable() && !table.draining.contains(&replica.instance);
+            let usable = instance.health.is_usable() && !table.is_draining(replica);
             let remote = replica.domain != *domain;
             group.dispatcher.set_instance(&replica.instance, permits, usable, remote);
             let used = group.dispatcher.used(&replica.instance);
@@ -153,6 +159,7 @@
             let known = epoch.map(|epoch| (epoch.term, epoch.phase));
             if let Some(Epoch { group, term, phase, primary, .. }) = epoch
                 && known != std::mem::replace(&mut queue.epoch, known)
+                && queue.permits > 0
             {
                 Event::Epoch { group, term: *term, phase: *phase, primary }.log(Level::Info);
             }
@@ -318,20 +325,35 @@
         was_stale
     }
 
-    /// Returns how many connections each group uses and needs.
-    pub(super) fn demand(&self) -> Vec<Demand> {
-        let demand = |(name, group): (&id::Group, &Group)| {
-            let instances = self.instances.values().filter(|i| i.replica.group == *name);
-            let open = |instance: &Instance| {
-                instance.idle.len() as u32 + group.dispatcher.used(&instance.replica.instance)
-            };
-            let open = instances.map(open).max().unwrap_or(0);
-            let wanted = match group.permits {
+    /// Returns how many connections each group uses and needs, for a heartbeat: of the groups that this proxy serves, and
+    /// of others until the control plane has acknowledged the report. A heartbeat that names each of hundreds of groups
+    /// would cost the leader more than all else.
+    pub(super) fn demand(&mut self, sequence: id::Sequence) -> Vec<Demand> {
+        let mut opened: BTreeMap<&id::Group, u32> = BTreeMap::new();
+        for (name, instance) in &self.instances {
+            let group = &instance.replica.group;
+            let used = self.groups.get(group).map_or(0, |queue| queue.dispatcher.used(name));
+            let most = opened.entry(group).or_default();
+            *most = (*most).max(instance.idle.len() as u32 + used);
+        }
+        let mut demands = Vec::new();
+        for (name, group) in &mut self.groups {
+            let open = opened.get(name).copied().unwrap_or(0);
+            let share = group.permits;
+            let wanted = match share {
                 0 => 0,
                 _ => group.dispatcher.max_wanted().max(1),
             };
-            Demand { group: name.clone(), wanted, open, share: group.permits }
-        };
-        self.groups.iter().map(demand).collect()
+            // Each heartbeat since the first names the group, so an answer to any of them acknowledges the report.
+            let first = group.reported_open.filter(|(known, first)| {
+                share == 0 && *known == open && self.fence.is_for_current_leader(*first)
+            });
+            if first.is_some_and(|(_, first)| self.fence.is_acknowledged(first)) {
+                continue;
+            }
+            group.reported_open = (share == 0).then(|| first.unwrap_or((open, sequence)));
+            demands.push(Demand { group: name.clone(), wanted, open, share });
+        }
+        demands
     }
 }
--- a/src/control/budget.rs
+++ b/src/control/budget.rs
@@ -48,15 +48,19 @@
 }
 
 impl Budget {
-    /// Records a proxy's demand; `table` is the version of this leader's table that the proxy has in force.
-    pub fn record_demand(&mut self, node: &id::Node, demand: &Demand, table: u64) {
+    /// Records a proxy's demand; `table` is the version of this leader's table that the proxy has in force. Returns
+    /// whether the shares may change by it.
+    pub fn record_demand(&mut self, node: &id::Node, demand: &Demand, table: u64) -> bool {
         let new =
             || Allocation { share: demand.share, max_open: demand.share, ..Allocation::default() };
+        let is_new = !self.allocations.contains_key(node);
         let allocation = self.allocations.entry(node.clone()).or_insert_with(new);
+        let earlier = (allocation.wanted, allocation.max_open);
         allocation.wanted = demand.wanted.next_power_of_two();
         if table >= allocation.version {
             allocation.max_open = allocation.share.max(demand.open);
         }
+        is_new || earlier != (allocation.wanted, allocation.max_open)
     }
 
     /// Updates the shares and returns whether any changed. `version` is the table version that will contain them, and
@@ -99,6 +103,12 @@
         self.allocations.get(node).map_or(0, |allocation| allocation.share)
     }
 
+    /// Returns the proxies that have a share, with their shares.
+    pub fn shares(&self) -> impl Iterator<Item = (&id::Node, u32)> {
+        let shares = self.allocations.iter().map(|(node, allocation)| (node, allocation.share));
+        shares.filter(|(_, share)| *share > 0)
+    }
+
     /// Returns whether a proxy holds a share of the connections.
     pub fn holds_share(&self, node: &id::Node) -> bool {
         self.share(node) > 0
@@ -135,7 +145,8 @@
     fn targets(&self, participants: &[Participant], available: u32) -> BTreeMap<id::Node, u32> {
         let mut targets: BTreeMap<id::Node, u32> = participants
             .iter()
-            .map(|participant| (participant.node.clone(), u32::from(participant.serves)))
+            .filter(|participant| participant.serves)
+            .map(|participant| (participant.node.clone(), 1))
             .collect();
         let live: Vec<&Participant> = participants
             .iter()
--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -9,10 +9,11 @@
 
 use super::discovery::{Discovery, Greeting};
 use super::failover::Output as Decision;
-use super::leader::Leader;
+use super::leader::{Leader, Touched};
 use super::member::{self, Peers};
 use super::raft::{Bootstrap, Entry, EntryId, Message, Output, Raft, Snapshot};
 use super::registry::Verdict;
+use super::relay::Refreshes;
 use super::state::{Action, Command, State};
 use crate::clock::Instant;
 use crate::config::{self, Change};
@@ -40,6 +41,8 @@
     /// The earlier declarations that proxies may still have in force, oldest first.
     earlier_fleets: VecDeque<(id::Revision, Arc<config::Fleet>)>,
     pub(super) leader: Leader,
+    /// The announcements that this process has passed on while another one leads.
+    pub(super) refreshes: Refreshes,
     /// The bound on quotas that the settings declare.
     pub(super) quota_bound: config::QuotaBound,
     pub(super) peers: Peers,
@@ -51,6 +54,8 @@
     /// When this process became the leader; set once the decisions of all earlier leaders are applied.
     leading_since: Option<Instant>,
     applied: EntryId,
+    /// What the entries have touched that were applied since the table was last refreshed.
+    touched: Touched,
     compacted_to: id::Index,
     /// The callers that wait for proposed commands, by index, each with the term of the proposal.
     waiters: BTreeMap<id::Index, (id::Term, Sender<Answer>)>,
@@ -70,6 +75,7 @@
             valid_revision: id::Revision(0),
             earlier_fleets: VecDeque::new(),
             leader: Leader::default(),
+            refreshes: Refreshes::default(),
             quota_bound: config::QuotaBound::default(),
             peers: Peers::default(),
             bootstrap,
@@ -77,6 +83,7 @@
             stop_reason: None,
             leading_since: None,
             applied: EntryId::default(),
+            touched: Touched::default(),
             compacted_to: id::Index(0),
             waiters: BTreeMap::new(),
             registering: BTreeSet::new(),
@@ -114,7 +121,7 @@
     /// others.
     pub(super) fn handle_output(&mut self, now: Instant, output: &Output) {
         match output {
-            Output::Apply(entries) => entries.iter().for_each(|entry| self.apply(now, entry)),
+            Output::Apply(entries) => self.apply_all(now, entries),
             Output::Restore(snapshot) => self.restore(snapshot),
             Output::BecameLeader => {
                 Event::Leader { leads: true, term: self.raft.term() }.log(Level::Info);
@@ -157,6 +164,16 @@
         self.waiters.insert(index, (term, waiter));
     }
 
+    /// Applies entries, and refreshes the leader's table once for all of them: under load many are applied together.
+    fn apply_all(&mut self, now: Instant, entries: &[Entry]) {
+        entries.iter().for_each(|entry| self.apply(now, entry));
+        let touched = std::mem::take(&mut self.touched);
+        if self.leading_since.is_some() {
+            self.refresh_fleet();
+            self.leader.refresh_touched(now, &touched, &self.state, &self.fleet);
+        }
+    }
+
     fn apply(&mut self, now: Instant, entry: &Entry) {
         let outcome = self.state.apply(&entry.command);
         self.applied = (entry.term, entry.index);
@@ -173,10 +190,8 @@
         }
         self.pending_member_change =
             self.pending_member_change.filter(|index| *index > entry.index);
-        if self.leading_since.is_some() {
-            self.refresh_fleet();
-            self.leader.refresh_table(now, &self.state, &self.fleet);
-        } else if self.raft.is_leader() && entry.term == self.raft.term() {
+        self.touched.record(&entry.command.action);
+        if self.leading_since.is_none() && self.raft.is_leader() && entry.term == self.raft.term() {
             self.refresh_fleet();
             self.leader = Leader::new(now, &self.state, &self.fleet).with_quota_bound(
                 self.quota_bound,
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -2,9 +2,10 @@
 //! control process accepts them; those that are not the leader forward them to it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, MutexGuard};
 use std::time::Duration;
 
+use super::core::Core;
 use super::registry::Verdict;
 use super::server::{Server, Shared};
 use super::state::{Action, Command, Declaration, Outcome};
@@ -15,6 +16,36 @@
 /// How long the leader may take to answer a forwarded request. Callers try the next control process after one second.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// How long a stream that was left open may take to answer before a new one is opened.
+const KEPT_STREAM_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How many unused streams to the leader are kept.
+const MAX_KEPT_STREAMS: usize = 16;
+
+/// The unused streams to the leader.
+#[derive(Debug, Default)]
+pub(super) struct LeaderStreams {
+    streams: Vec<(SocketAddr, Stream)>,
+}
+
+impl LeaderStreams {
+    /// Returns a stream to `leader`, and closes those to earlier leaders.
+    fn take(&mut self, leader: SocketAddr) -> Option<Stream> {
+        self.streams.retain(|(address, _)| *address == leader);
+        self.streams.pop().map(|(_, stream)| stream)
+    }
+
+    fn keep(&mut self, leader: SocketAddr, stream: Stream) {
+        if self.streams.len() < MAX_KEPT_STREAMS {
+            self.streams.push((leader, stream));
+        }
+    }
+
+    fn clear(&mut self) {
+        self.streams.clear();
+    }
+}
+
 /// No leader answered in time; another control process may be able to reach it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 #[error("no leader of control answered in time")]
@@ -28,14 +59,10 @@
     ///
     /// Fails if no leader answered in time.
     pub async fn announce(&self, announcement: Announcement) -> Result<(), Unavailable> {
-        let request = Body::Announce(announcement.clone());
-        match self.shared.announce_locally(announcement).await {
+        match self.shared.announce_locally(announcement.clone()).await {
             Answer::Applied(_) => Ok(()),
             Answer::Unknown => Err(Unavailable),
-            Answer::NotLeader(_) => match self.shared.request_from_leader(request).await {
-                Some(Body::Answer(Answer::Applied(_))) => Ok(()),
-                _ => Err(Unavailable),
-            },
+            Answer::NotLeader(_) => self.shared.relay_announcement(announcement).await,
         }
     }
 
@@ -70,9 +97,9 @@
         self.shared.core().state.enlisted.get(instance).cloned()
     }
 
-    /// Returns the address at which the leader receives frames, if the leader is known.
-    pub fn leader_address(&self) -> Option<SocketAddr> {
-        self.shared.leader_address()
+    /// Returns the address at which this process receives frames.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.address
     }
 }
 
@@ -101,6 +128,75 @@
         self.submit_locally(Command { origin: None, action: Action::Announce(announcement) }).await
     }
 
+    /// Passes an announcement on to the leader, unless that has heard of the instance recently.
+    async fn relay_announcement(&self, announcement: Announcement) -> Result<(), Unavailable> {
+        let sent_at = self.clock.now();
+        let term = {
+            let core = self.core();
+            let term = core.raft.term();
+            let has_leader = core.raft.leader().is_some();
+            if has_leader && core.refreshes.is_recent(sent_at, term, &announcement, &core.state) {
+                return Ok(());
+            }
+            term
+        };
+        let instance = announcement.replica.instance.clone();
+        match self.request_over_kept_stream(Body::Announce(announcement)).await {
+            Some(Body::Answer(Answer::Applied(_))) => {
+                let mut core = self.core();
+                let Core { refreshes, state, .. } = &mut *core;
+                refreshes.record(sent_at, term, &instance, state);
+                Ok(())
+            }
+            _ => Err(Unavailable),
+        }
+    }
+
+    /// Forwards a request to the leader like [`Self::request_from_leader`], over a stream that an earlier request has left
+    /// open. If that doesn't answer soon it may have gone silent, and a new one is opened.
+    async fn request_over_kept_stream(&self, body: Body) -> Option<Body> {
+        let leader = self.leader_address()?;
+        let kept = self.leader_streams().take(leader);
+        if let Some(mut stream) = kept {
+            let frame = self.frame(body.clone());
+            let exchange = async {
+                stream.send(&frame).await?;
+                stream.receive().await
+            };
+            match self.clock.timeout(KEPT_STREAM_TIMEOUT, exchange).await {
+                Some(Ok(Frame { body, .. })) => {
+                    self.leader_streams().keep(leader, stream);
+                    return Some(body);
+                }
+                Some(Err(error)) => {
+                    log::debug!("a stream to the leader at {leader} failed: {error}")
+                }
+                None => self.leader_streams().clear(),
+            }
+        }
+        let exchange = async {
+            let mut stream = Stream::connect(leader).await?.with_seal(&self.credentials.seal);
+            stream.send(&self.frame(body)).await?;
+            let answer = stream.receive().await?;
+            Ok::<_, crate::wire::Error>((stream, answer.body))
+        };
+        match self.clock.timeout(RELAY_TIMEOUT - KEPT_STREAM_TIMEOUT, exchange).await {
+            Some(Ok((stream, body))) => {
+                self.leader_streams().keep(leader, stream);
+                Some(body)
+            }
+            Some(Err(error)) => {
+                log::debug!("request to the leader at {leader} failed: {error}");
+                None
+            }
+            None => None,
+        }
+    }
+
+    fn leader_streams(&self) -> MutexGuard<'_, LeaderStreams> {
+        self.leader_streams.lock().expect("no thread panics while holding this lock")
+    }
+
     /// Forwards a request to the leader and returns its answer.
     async fn request_from_leader(&self, body: Body) -> Option<Body> {
         let leader = self.leader_address()?;
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -3,6 +3,8 @@
 
 mod quota;
 mod reshare;
+mod table;
+pub mod turn;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -20,7 +22,7 @@
 use crate::config::{Fleet, QuotaBound};
 use crate::id;
 use crate::upstream::announcement;
-use crate::wire::{Announcement, Delta, Demand, Grant, Heartbeat, Phase, Replica, Route, Stamp};
+use crate::wire::{Announcement, Demand, Grant, Heartbeat, Phase, Replica, Stamp};
 
 /// How long a proxy may be silent before it is removed from the state, so that later leaders don't wait for its lease.
 pub const PROXY_RETENTION: Duration = Duration::from_secs(600);
@@ -28,6 +30,22 @@
 /// The interval after which the removal of a proxy that is still registered is proposed again.
 const PROXY_REMOVAL_REPEAT_INTERVAL: Duration = Duration::from_secs(10);
 
+/// The interval between two probes of an instance.
+const PROBE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// The interval between two probes of an instance where each probe takes one of its slots, while its group has a
+/// primary in force.
+const SETTLED_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// The maximum rate of probes of instances whose groups have no primary in force.
+const MAX_PROBES_PER_S: u32 = 500;
+
+/// The maximum rate of probes of instances whose groups have a primary in force.
+const MAX_SETTLED_PROBES_PER_S: u32 = 250;
+
+/// The interval at which instances that have stopped announcing themselves are looked for.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The soft state of a leader.
 #[derive(Debug, Default)]
 pub struct Leader {
@@ -39,11 +57,22 @@
     /// The instances that announce themselves, each with the time of its latest announcement.
     replicas: BTreeMap<id::Instance, (Instant, Replica)>,
     proxies: BTreeMap<id::Node, Proxy>,
-    routes: BTreeMap<id::Group, TableEntry>,
+    /// Grows with each change of `replicas`.
+    replicas_version: u64,
+    /// The names of the instances of each group, from `replicas`.
+    members: BTreeMap<id::Group, BTreeSet<id::Instance>>,
+    /// The groups that the declarations name.
+    declared: BTreeSet<id::Group>,
+    routes: BTreeMap<id::Group, table::Entry>,
+    /// The groups whose entries have to be made anew.
+    stale: BTreeSet<id::Group>,
+    rotation: turn::Rotation,
+    /// The number of groups without a primary in force.
+    unsettled: usize,
     budgets: BTreeMap<id::Group, Budget>,
     /// The proxies that serve each group.
     serving: BTreeMap<id::Group, Choice>,
-    reshared_at: Option<Instant>,
+    resharing: reshare::Pass,
     /// The proxies whose removal was proposed, and when.
     proposed_removals: BTreeMap<id::Node, Instant>,
     registry: Registry,
@@ -53,8 +82,59 @@
     positions: Positions,
     /// Whether instances announce themselves to control, so that they are in the log.
     has_enlisted: bool,
+    /// When instances that are silent were last looked for.
+    expired_at: Option<Instant>,
     /// The version of the table.
     version: u64,
+    /// The newest version that proxies should have at once: an epoch or a drain changed in it.
+    urgent_version: u64,
+}
+
+/// What a batch of committed commands has changed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Touched {
+    /// Anything, such as the declarations.
+    All,
+    /// No more than this.
+    Some {
+        /// The groups that commands name.
+        groups: BTreeSet<id::Group>,
+        /// Whether instances have come, gone or changed.
+        instances: bool,
+    },
+}
+
+impl Default for Touched {
+    fn default() -> Self {
+        Self::Some { groups: BTreeSet::new(), instances: false }
+    }
+}
+
+impl Touched {
+    /// Records a committed command.
+    pub fn record(&mut self, action: &Action) {
+        let Self::Some { groups, instances } = self else {
+            return;
+        };
+        match action {
+            Action::Freeze { group, .. }
+            | Action::Thaw { group, .. }
+            | Action::Claim { group, .. }
+            | Action::Promote { group, .. }
+            | Action::Adopt { group, .. } => {
+                groups.insert(group.clone());
+            }
+            Action::Announce(announcement) => {
+                groups.insert(announcement.replica.group.clone());
+                *instances = true;
+            }
+            Action::Noop | Action::Register { .. } | Action::Member(_) => {}
+            Action::Plan { .. }
+            | Action::Confirm { .. }
+            | Action::Declare(_)
+            | Action::Forget { .. } => *self = Self::All,
+        }
+    }
 }
 
 /// The content of a proxy's newest heartbeat.
@@ -70,17 +150,6 @@
     forwards: bool,
 }
 
-/// A group's entry in the table.
-#[derive(Debug)]
-struct TableEntry {
-    route: Route,
-    shares: BTreeMap<id::Node, u32>,
-    /// The table version in which this entry last changed.
-    version: u64,
-    /// The table version in which the epoch's term or phase last changed.
-    phase_version: u64,
-}
-
 impl Leader {
     /// Creates the state of a new leader. The first entry of the leader's own term must have been applied before, so
     /// that `state` has every decision of earlier leaders.
@@ -104,6 +173,11 @@
         self.version
     }
 
+    /// Returns the newest version of the table that proxies should have without waiting for their next heartbeat.
+    pub fn urgent_version(&self) -> u64 {
+        self.urgent_version
+    }
+
     /// Returns the instances that announce themselves.
     pub fn replicas(&self) -> impl Iterator<Item = &Replica> {
         self.replicas.values().map(|(_, replica)| replica)
@@ -114,6 +188,24 @@
         self.replicas.get(instance).map(|(_, replica)| replica)
     }
 
+    /// Returns a number that grows with each change of [`Self::replicas`].
+    pub fn replicas_version(&self) -> u64 {
+        self.replicas_version
+    }
+
+    /// Returns the interval between two probes of an instance; `settled` if its group has a primary in force and each
+    /// probe takes one of the instance's slots. With many instances it grows, so that probes have a bounded rate.
+    pub fn probe_interval(&self, settled: bool) -> Duration {
+        if settled {
+            let paced =
+                Duration::from_secs(1) / MAX_SETTLED_PROBES_PER_S * self.replicas.len() as u32;
+            return paced.max(SETTLED_PROBE_INTERVAL);
+        }
+        let unsettled = self.replicas.len() * self.unsettled / self.groups.len().max(1);
+        let paced = Duration::from_secs(1) / MAX_PROBES_PER_S * unsettled as u32;
+        paced.max(PROBE_INTERVAL)
+    }
+
     /// Handles an announcement that an instance sent to control.
     pub fn handle_announcement(
         &mut self,
@@ -129,51 +221,6 @@
         self.leases.live(now).map(|(node, _)| node.clone()).collect()
     }
 
-    /// Rebuilds the table from the replicated state, and increases its version if it has changed.
-    pub fn refresh_table(&mut self, now: Instant, state: &State, fleet: &Fleet) {
-        self.ledger.configure(now, state.revision, &fleet.account);
-        self.has_enlisted |= !state.enlisted.is_empty();
-        if self.has_enlisted {
-            let enlisted = self.registry.replicas(now, state).into_iter();
-            let named = enlisted.map(|(at, replica)| (replica.instance.clone(), (at, replica)));
-            self.replicas = named.collect();
-        } else {
-            self.replicas.retain(|_, (at, _)| now.since(*at) < announcement::TTL);
-        }
-        let groups: BTreeSet<id::Group> =
-            fleet.group.keys().chain(state.epochs.keys()).cloned().collect();
-        for group in groups {
-            self.refresh_group(group, state);
-        }
-    }
-
-    fn refresh_group(&mut self, group: id::Group, state: &State) {
-        let replicas = self.replicas().filter(|replica| replica.group == group);
-        let replicas: Vec<Replica> = replicas.cloned().collect();
-        let drains = |replica: &&Replica| state.draining.contains(&replica.instance);
-        let route = Route {
-            epoch: state.epochs.get(&group).cloned(),
-            draining: replicas.iter().filter(drains).map(|r| r.instance.clone()).collect(),
-            replicas,
-            share: 0,
-            serving: self.serving(&group, state),
-            peaks: state.peaks.iter().filter(|peak| peak.group == group).cloned().collect(),
-            group: group.clone(),
-        };
-        let budget = self.budgets.entry(group.clone()).or_default();
-        let shares = state.nodes.keys().map(|node| (node.clone(), budget.share(node))).collect();
-        let known = self.routes.get(&group);
-        if known.is_some_and(|known| known.route == route && known.shares == shares) {
-            return;
-        }
-        self.version += 1;
-        let phase = |route: &Route| route.epoch.as_ref().map(|epoch| (epoch.term, epoch.phase));
-        let same = known.filter(|known| phase(&known.route) == phase(&route));
-        let phase_version = same.map_or(self.version, |known| known.phase_version);
-        self.routes
-            .insert(group, TableEntry { route, shares, version: self.version, phase_version });
-    }
-
     /// Handles a proxy's heartbeat and returns the grant that answers it. Returns none if this incarnation of the
     /// proxy isn't registered or its removal was proposed, if the proxy knows of a later leader, or if no majority has
     /// confirmed this leader recently.
@@ -206,53 +253,24 @@
         }
         self.positions.record_answer(now, &holder, heartbeat.sequence);
         let positions = self.positions.missing(now, heartbeat);
+        let part = self.part(&sender, table);
+        if !part.is_last {
+            return Some(Self::update(stamp, incarnation, part, state.revision));
+        }
         self.leases.grant(now, holder, table);
         Some(Grant {
             stamp,
             incarnation,
             sequence: Some(heartbeat.sequence),
             lease_ms: LEASE_DURATION.as_millis() as u32,
-            version: self.version,
-            delta: self.delta(&sender, table),
+            version: part.version,
+            delta: part.delta,
             revision: state.revision,
             quota,
             positions,
         })
     }
 
-    /// Returns grants that bring the table to every proxy with an older version, without renewing their leases.
-    pub fn table_updates(&self, stamp: Stamp, revision: id::Revision) -> Vec<(SocketAddr, Grant)> {
-        let behind = self.proxies.iter().filter(|(_, proxy)| proxy.table < self.version);
-        let grant = |(node, proxy): (&id::Node, &Proxy)| {
-            let grant = Grant {
-                stamp,
-                incarnation: proxy.incarnation,
-                sequence: None,
-                lease_ms: 0,
-                version: self.version,
-                delta: self.delta(node, proxy.table),
-                revision,
-                quota: Vec::new(),
-                positions: Vec::new(),
-            };
-            (proxy.address, grant)
-        };
-        behind.map(grant).collect()
-    }
-
-    /// Returns the entries that changed after table version `since`, with the shares of `node`.
-    fn delta(&self, node: &id::Node, since: u64) -> Option<Delta> {
-        if since >= self.version {
-            return None;
-        }
-        let changed = self.routes.values().filter(|entry| entry.version > since);
-        let route = |entry: &TableEntry| Route {
-            share: entry.shares.get(node).copied().unwrap_or(0),
-            ..entry.route.clone()
-        };
-        Some(Delta { since, routes: changed.map(route).collect() })
-    }
-
     /// Records a heartbeat and returns whether it is the proxy's newest. The observations and demands of an older
     /// heartbeat are outdated.
     fn record_heartbeat(
@@ -308,7 +326,7 @@
         match self.replicas.get_mut(&replica.instance) {
             Some((known, same)) if same == replica => *known = (*known).max(at),
             _ => {
-                self.replicas.insert(replica.instance.clone(), (at, replica.clone()));
+                self.insert_replica(at, replica.clone());
             }
         }
     }
@@ -319,15 +337,20 @@
         for demand in demands {
             let budget = self.budgets.entry(demand.group.clone()).or_default();
             let is_first_report = !budget.has_reported(node);
-            budget.record_demand(node, demand, table);
+            if budget.record_demand(node, demand, table) {
+                self.resharing.add(&demand.group);
+            }
             if is_first_report && state.nodes.keys().all(|node| budget.has_reported(node)) {
-                self.reshared_at = None;
+                self.resharing.hasten();
             }
         }
     }
 
     /// Passes an input to a group's failover state machine.
     pub fn step(&mut self, now: Instant, name: &id::Group, input: Input<'_>) -> Vec<Output> {
+        if !matches!(input, Input::Tick(_)) {
+            self.rotation.add(name);
+        }
         let group = self.groups.entry(name.clone());
         group.or_insert_with(|| Group::new(now, name.clone())).step(now, input)
     }
@@ -336,7 +359,8 @@
     /// out.
     pub fn tick(&mut self, now: Instant, state: &State, fleet: &Fleet) -> Vec<Output> {
         self.reshare(now, state, fleet);
-        self.refresh_table(now, state, fleet);
+        self.expire_replicas(now);
+        self.refresh_stale(state);
         let replaced = |holder: &Holder| {
             state.nodes.get(&holder.0).is_none_or(|(current, _)| *current != holder.1)
         };
@@ -345,22 +369,18 @@
         self.expire_tokens(now, state);
         let live = self.live_proxies(now);
         let mut outputs = self.propose_removals(now, state);
-        let expired = self.registry.expire(now, state).into_iter();
-        outputs.extend(expired.map(|gone| Output::Submit(Action::Announce(gone))));
-        let names: Vec<id::Group> = self.groups.keys().cloned().collect();
-        for name in names {
+        outputs.extend(self.remove_silent(now, state));
+        for name in self.turns(state) {
             let Some(declared) = fleet.group.get(&name) else {
                 continue;
             };
-            let known = self.replicas().filter(|replica| replica.group == name);
-            let known: Vec<id::Instance> = known.map(|r| r.instance.clone()).collect();
+            let known: Vec<id::Instance> = self.members(&name).cloned().collect();
             // The other proxies don't watch the instances, so their last reports are outdated.
-            let choice = self.serving.get(&name);
-            let observers: BTreeSet<id::Node> = live
-                .iter()
-                .filter(|node| choice.is_none_or(|choice| choice.may_include(node)))
-                .cloned()
-                .collect();
+            let listed = match self.serving.get(&name) {
+                Some(Choice::Listed(listed)) => Some(live.intersection(listed).cloned().collect()),
+                _ => None,
+            };
+            let observers = listed.as_ref().unwrap_or(&live);
             let view = View {
                 epoch: state.epochs.get(&name),
                 claim: state.claims.get(&name),
@@ -368,7 +388,7 @@
                 declared_instances: declared.instances as usize,
                 known_instances: &known,
                 durability: declared.durability,
-                live_proxies: &observers,
+                live_proxies: observers,
                 draining: &state.draining,
             };
             if let Some(group) = self.groups.get_mut(&name) {
@@ -379,6 +399,31 @@
         outputs
     }
 
+    /// Returns the groups whose failover state machines run now. Groups without a primary in force are always due.
+    fn turns(&mut self, state: &State) -> Vec<id::Group> {
+        self.unsettled = 0;
+        for name in self.groups.keys() {
+            let is_settled = state.epochs.get(name).is_some_and(|epoch| {
+                epoch.phase == Phase::Active && !state.draining.contains(&epoch.primary)
+            });
+            if !is_settled {
+                self.unsettled += 1;
+                self.rotation.add(name);
+            }
+        }
+        self.rotation.next(&self.groups)
+    }
+
+    /// Returns commands that remove the instances that have stopped announcing themselves.
+    fn remove_silent(&mut self, now: Instant, state: &State) -> Vec<Output> {
+        if self.expired_at.is_some_and(|at| now.since(at) < EXPIRY_INTERVAL) {
+            return Vec::new();
+        }
+        self.expired_at = Some(now);
+        let expired = self.registry.expire(now, state).into_iter();
+        expired.map(|gone| Output::Submit(Action::Announce(gone))).collect()
+    }
+
     /// Returns whether a group is frozen and no proxy can release an answer under an earlier term or phase of it.
     pub fn is_fenced(&self, now: Instant, group: &id::Group, state: &State) -> bool {
         let Some(entry) = self.routes.get(group) else {
@@ -388,8 +433,10 @@
         let decided = state.epochs.get(group).map(|epoch| (epoch.term, epoch.phase));
         let holders =
             state.nodes.iter().map(|(node, (incarnation, _))| (node.clone(), *incarnation));
-        let frozen = decided.is_some_and(|(_, phase)| phase == Phase::Frozen);
-        frozen && in_table == decided && self.leases.is_fenced(now, entry.phase_version, holders)
+        if decided.is_none_or(|(_, phase)| phase != Phase::Frozen) {
+            return false;
+        }
+        in_table == decided && self.leases.is_fenced(now, entry.phase_version, holders)
     }
 
     /// Proposes to remove proxies that were silent for [`PROXY_RETENTION`]. From then on they get no lease until they
--- a/src/control/leader/reshare.rs
+++ b/src/control/leader/reshare.rs
@@ -1,6 +1,12 @@
 //! Shares the connections of all groups between the proxies, and chooses the proxies that serve each group.
+//!
+//! The load pattern: hundreds of proxies join at once, and each changes what is best for hundreds of groups. Deciding on
+//! all of them at once takes longer than a heartbeat of control's log may wait. So the groups are decided on in turn, at
+//! most [`MAX_PAIRS`] pairs of proxy and group in a tick, and in a fleet at rest only those whose demand has changed.
+//! Memory is bounded by one entry for each proxy and one name for each group.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::{Leader, Proxy};
@@ -15,61 +21,179 @@
 use crate::id;
 use crate::wire::{Server, Serving};
 
-/// The interval at which connection shares are updated.
+/// The interval at which the proxies are looked at again.
 const RESHARE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// The maximum number of pairs of proxy and group that are decided on in a tick.
+const MAX_PAIRS: usize = 2_000;
+
+/// What decisions on all groups depend on.
+#[derive(Debug, Default, PartialEq)]
+struct Conditions {
+    candidates: Vec<Candidate>,
+    addresses: Vec<Option<SocketAddr>>,
+    participants: Vec<Participant>,
+    /// Whether every proxy can forward statements.
+    all_forward: bool,
+    inherited: bool,
+    revision: id::Revision,
+}
+
+/// The pass over the groups that is under way.
+#[derive(Debug, Default)]
+pub(super) struct Pass {
+    looked_at: Option<Instant>,
+    conditions: Conditions,
+    /// The groups that are still to be decided on.
+    remaining: VecDeque<id::Group>,
+    last: Option<id::Group>,
+    /// The groups whose demand has changed since they were decided on.
+    demanding: BTreeSet<id::Group>,
+    /// Whether other proxies were chosen for a group in this pass, so that exchanges may have become possible for others.
+    has_new_choice: bool,
+}
+
+impl Pass {
+    /// Records that a group's demand has changed.
+    pub(super) fn add(&mut self, group: &id::Group) {
+        if !self.demanding.contains(group) {
+            self.demanding.insert(group.clone());
+        }
+    }
+
+    /// Makes the next tick look at the proxies without waiting for the interval.
+    pub(super) fn hasten(&mut self) {
+        self.looked_at = None;
+    }
+
+    /// Starts a pass over all groups, after the one that was decided on last.
+    fn restart(&mut self, groups: &BTreeMap<id::Group, crate::config::Group>) {
+        let is_after = |name: &&id::Group| self.last.as_ref().is_none_or(|last| *name > last);
+        let (after, before): (Vec<_>, Vec<_>) = groups.keys().partition(is_after);
+        self.remaining = after.into_iter().chain(before).cloned().collect();
+        self.has_new_choice = false;
+        self.demanding.clear();
+    }
+}
+
 impl Leader {
-    /// Updates the connection shares of all groups.
+    /// Updates the connection shares of the groups whose turn it is.
     pub(super) fn reshare(&mut self, now: Instant, state: &State, fleet: &Fleet) {
-        if self.reshared_at.is_some_and(|at| now.since(at) < RESHARE_INTERVAL) {
-            return;
+        let mut pass = std::mem::take(&mut self.resharing);
+        if pass.looked_at.is_none_or(|at| now.since(at) >= RESHARE_INTERVAL) {
+            pass.looked_at = Some(now);
+            let conditions = self.conditions(now, state);
+            if conditions != pass.conditions {
+                pass.conditions = conditions;
+                pass.restart(&fleet.group);
+            } else if pass.remaining.is_empty() && pass.has_new_choice {
+                pass.restart(&fleet.group);
+            } else if pass.remaining.is_empty() {
+                pass.remaining.extend(std::mem::take(&mut pass.demanding));
+            }
         }
-        self.reshared_at = Some(now);
-        let inherited = self.leases.has_inherited(now);
-        let mut candidates = self.candidates(now, state);
-        for (name, group) in &fleet.group {
-            // If an outside service promotes instances, proxies watch them over their shared connections, so that no
-            // connections are reserved for it.
-            let watching = WATCH_CONNECTIONS * state.nodes.len() as u32;
-            let reserved = if group.promoted_outside { 0 } else { watching };
-            let available = group.connections.saturating_sub(reserved);
-            let groups = fleet.group.len();
-            let decided = self.choose_servers(now, name, (available, groups), &mut candidates);
-            let Some(choice) = self.serving.get(name).filter(|_| decided) else {
-                continue;
-            };
-            let participant = |(node, (incarnation, _)): (&id::Node, &(id::Incarnation, _))| {
-                let live = self.leases.may_hold(now, &(node.clone(), *incarnation));
-                let unleased = now - UNLEASED_RETENTION_WAIT;
-                let retains = self.leases.may_hold(unleased, &(node.clone(), *incarnation));
-                Participant { node: node.clone(), live, serves: choice.includes(node), retains }
-            };
-            let participants: Vec<Participant> = state.nodes.iter().map(participant).collect();
-            let budget = self.budgets.entry(name.clone()).or_default();
-            let connections = group.connections + watching - reserved;
-            budget.reshare(connections, &participants, inherited, self.version + 1);
-            self.refresh_group(name.clone(), state);
+        if !pass.remaining.is_empty() {
+            let mut candidates = self.candidates(&pass.conditions);
+            let mut pairs = 0;
+            while pairs < MAX_PAIRS
+                && let Some(name) = pass.remaining.pop_front()
+            {
+                pairs += candidates.len().max(1);
+                pass.has_new_choice |= self.reshare_group(
+                    now,
+                    &name,
+                    (state, fleet),
+                    &mut pass.conditions,
+                    &mut candidates,
+                );
+                pass.last = Some(name);
+            }
         }
+        self.resharing = pass;
     }
 
-    /// Returns the proxies that may serve groups, each with the number of groups that it serves now.
-    fn candidates(&self, now: Instant, state: &State) -> Vec<Candidate> {
-        let mut served: BTreeMap<&id::Node, usize> = BTreeMap::new();
-        for choice in self.serving.values() {
-            choice.listed().for_each(|node| *served.entry(node).or_default() += 1);
+    /// Updates the serving proxies and the shares of one group. Returns whether it has other serving proxies.
+    fn reshare_group(
+        &mut self,
+        now: Instant,
+        name: &id::Group,
+        (state, fleet): (&State, &Fleet),
+        conditions: &mut Conditions,
+        candidates: &mut [Candidate],
+    ) -> bool {
+        let Some(group) = fleet.group.get(name) else {
+            return false;
+        };
+        // If an outside service promotes instances, proxies watch them over their shared connections, so that no
+        // connections are reserved for it.
+        let watching = WATCH_CONNECTIONS * state.nodes.len() as u32;
+        let reserved = if group.promoted_outside { 0 } else { watching };
+        let available = group.connections.saturating_sub(reserved);
+        let earlier = self.serving.get(name).cloned();
+        let limits = (available, fleet.group.len());
+        let decided = self.choose_servers(now, name, limits, conditions.all_forward, candidates);
+        let Some(choice) = self.serving.get(name).filter(|_| decided) else {
+            return false;
+        };
+        let is_new = earlier.as_ref() != Some(choice);
+        for participant in &mut conditions.participants {
+            participant.serves = choice.includes(&participant.node);
+        }
+        let budget = self.budgets.entry(name.clone()).or_default();
+        let connections = group.connections + watching - reserved;
+        let version = self.version + 1;
+        budget.reshare(connections, &conditions.participants, conditions.inherited, version);
+        for participant in &mut conditions.participants {
+            participant.serves = false;
         }
-        let candidate = |(node, (incarnation, domain)): (&id::Node, &(_, id::Domain))| {
-            let reported = self.proxies.get(node).filter(|proxy| proxy.incarnation == *incarnation);
-            let live = self.leases.may_hold(now, &(node.clone(), *incarnation));
-            Candidate {
+        self.refresh_group(name.clone(), state);
+        is_new
+    }
+
+    /// Returns what decisions on all groups depend on.
+    fn conditions(&self, now: Instant, state: &State) -> Conditions {
+        let mut conditions = Conditions {
+            all_forward: true,
+            inherited: self.leases.has_inherited(now),
+            revision: state.revision,
+            ..Conditions::default()
+        };
+        for (node, (incarnation, domain)) in &state.nodes {
+            let holder = (node.clone(), *incarnation);
+            let known = self.proxies.get(node);
+            let reported = known.filter(|proxy| proxy.incarnation == *incarnation);
+            let live = self.leases.may_hold(now, &holder);
+            let retains = self.leases.may_hold(now - UNLEASED_RETENTION_WAIT, &holder);
+            conditions.all_forward &= known.is_none_or(|proxy: &Proxy| proxy.forwards);
+            conditions.addresses.push(known.map(|proxy| proxy.address));
+            conditions.candidates.push(Candidate {
                 node: node.clone(),
                 domain: domain.clone(),
                 live: live && reported.is_some_and(|proxy| !proxy.draining),
                 holds_share: false,
-                groups: served.get(node).copied().unwrap_or(0),
-            }
+                groups: 0,
+            });
+            conditions.participants.push(Participant {
+                node: holder.0,
+                live,
+                serves: false,
+                retains,
+            });
+        }
+        conditions
+    }
+
+    /// Returns the proxies that may serve groups, each with the number of groups that it serves now.
+    fn candidates(&self, conditions: &Conditions) -> Vec<Candidate> {
+        let mut served: BTreeMap<&id::Node, usize> = BTreeMap::new();
+        for choice in self.serving.values() {
+            choice.listed().for_each(|node| *served.entry(node).or_default() += 1);
+        }
+        let candidate = |candidate: &Candidate| Candidate {
+            groups: served.get(&candidate.node).copied().unwrap_or(0),
+            ..candidate.clone()
         };
-        state.nodes.iter().map(candidate).collect()
+        conditions.candidates.iter().map(candidate).collect()
     }
 
     /// Updates which proxies serve a group, and the numbers of groups of the candidates. Returns false as long as that
@@ -80,13 +204,13 @@
         now: Instant,
         name: &id::Group,
         (connections, groups): (u32, usize),
+        all_forward: bool,
         candidates: &mut [Candidate],
     ) -> bool {
         let budget = self.budgets.entry(name.clone()).or_default();
         let available = connections.saturating_sub(CONTROL_CONNECTIONS + SPARE_CONNECTIONS);
-        let can_forward = |node| self.proxies.get(node).is_none_or(|proxy: &Proxy| proxy.forwards);
         let choice = self.serving.entry(name.clone()).or_default();
-        if !candidates.iter().all(|candidate| can_forward(&candidate.node)) {
+        if !all_forward {
             *choice = Choice::Every;
             return true;
         }
--- /dev/null
+++ b/src/control/leader/table.rs
@@ -0,0 +1,237 @@
+//! The table that proxies route by: which part of it a command changes, and the parts that a proxy is sent.
+//!
+//! The load pattern: hundreds of groups are announced, promoted and shared out at once, as at a start or after a loss of
+//! power, while hundreds of proxies fetch the table. Only the entries that a command changes are made anew, and a proxy
+//! is sent them in parts of [`MAX_DELTA_BYTES`]. See `docs/DESIGN.md`, "Leases".
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use super::{Leader, Touched};
+use crate::clock::Instant;
+use crate::config::Fleet;
+use crate::control::state::State;
+use crate::id;
+use crate::upstream::announcement;
+use crate::wire::{Delta, Grant, Replica, Route, Stamp};
+
+/// The maximum size of the routes in one grant, before compression. A grant has to fit in a datagram.
+pub const MAX_DELTA_BYTES: usize = 24 * 1024;
+
+/// A group's entry in the table.
+#[derive(Debug)]
+pub(super) struct Entry {
+    pub(super) route: Route,
+    /// The proxies that have a share of the connections.
+    shares: BTreeMap<id::Node, u32>,
+    /// The table version in which this entry last changed. No two entries have the same.
+    version: u64,
+    /// The table version in which the epoch's term or phase last changed.
+    pub(super) phase_version: u64,
+    /// The encoded size of the route.
+    size: usize,
+}
+
+/// The part of the table that a proxy lacks.
+#[derive(Debug)]
+pub(super) struct Part {
+    pub(super) version: u64,
+    pub(super) delta: Option<Delta>,
+    /// Whether the proxy has the newest version after it has applied the part.
+    pub(super) is_last: bool,
+}
+
+impl Leader {
+    /// Rebuilds the table from the replicated state, and increases its version if it has changed.
+    pub fn refresh_table(&mut self, now: Instant, state: &State, fleet: &Fleet) {
+        self.refresh_touched(now, &Touched::All, state, fleet);
+    }
+
+    /// Rebuilds what committed commands have touched.
+    pub fn refresh_touched(
+        &mut self,
+        now: Instant,
+        touched: &Touched,
+        state: &State,
+        fleet: &Fleet,
+    ) {
+        match touched {
+            Touched::All => {
+                self.ledger.configure(now, state.revision, &fleet.account);
+                self.sync_replicas(now, state);
+                self.stale.extend(fleet.group.keys().chain(state.epochs.keys()).cloned());
+                if self.declared.len() != fleet.group.len()
+                    || !self.declared.iter().eq(fleet.group.keys())
+                {
+                    self.declared = fleet.group.keys().cloned().collect();
+                }
+            }
+            Touched::Some { groups, instances } => {
+                if *instances {
+                    self.sync_replicas(now, state);
+                }
+                self.stale.extend(groups.iter().cloned());
+            }
+        }
+        self.refresh_stale(state);
+    }
+
+    /// Rebuilds the entries of the groups whose instances, epoch or serving proxies have changed.
+    pub(super) fn refresh_stale(&mut self, state: &State) {
+        for group in std::mem::take(&mut self.stale) {
+            if self.declared.contains(&group) || state.epochs.contains_key(&group) {
+                self.rotation.add(&group);
+                self.refresh_group(group, state);
+            }
+        }
+    }
+
+    /// Drops the instances whose announcements to proxies have expired. Those that announce themselves to control are
+    /// removed by a command.
+    pub(super) fn expire_replicas(&mut self, now: Instant) {
+        if self.has_enlisted {
+            return;
+        }
+        let expired = |(at, _): &(Instant, Replica)| now.since(*at) >= announcement::TTL;
+        let gone = self.replicas.iter().filter(|(_, known)| expired(known));
+        let gone: Vec<id::Instance> = gone.map(|(instance, _)| instance.clone()).collect();
+        gone.iter().for_each(|instance| self.remove_replica(instance));
+    }
+
+    /// Takes over the instances that are in the replicated state.
+    fn sync_replicas(&mut self, now: Instant, state: &State) {
+        self.has_enlisted |= !state.enlisted.is_empty();
+        if !self.has_enlisted {
+            return;
+        }
+        self.registry.refresh(now, state);
+        let gone = self.replicas.keys().filter(|instance| !state.enlisted.contains_key(*instance));
+        let gone: Vec<id::Instance> = gone.cloned().collect();
+        gone.iter().for_each(|instance| self.remove_replica(instance));
+        let changed = state.enlisted.values().filter(|known| {
+            let replica = self.replica(&known.replica.instance);
+            replica != Some(&known.replica)
+        });
+        let changed: Vec<Replica> = changed.map(|known| known.replica.clone()).collect();
+        changed.into_iter().for_each(|replica| self.insert_replica(now, replica));
+    }
+
+    pub(super) fn insert_replica(&mut self, at: Instant, replica: Replica) {
+        self.remove_replica(&replica.instance);
+        self.stale.insert(replica.group.clone());
+        let members = self.members.entry(replica.group.clone()).or_default();
+        members.insert(replica.instance.clone());
+        self.replicas_version += 1;
+        self.replicas.insert(replica.instance.clone(), (at, replica));
+    }
+
+    fn remove_replica(&mut self, instance: &id::Instance) {
+        let Some((_, replica)) = self.replicas.remove(instance) else {
+            return;
+        };
+        self.replicas_version += 1;
+        if let Some(members) = self.members.get_mut(&replica.group) {
+            members.remove(instance);
+            if members.is_empty() {
+                self.members.remove(&replica.group);
+            }
+        }
+        self.stale.insert(replica.group);
+    }
+
+    /// Returns the names of the instances of a group.
+    pub(super) fn members(&self, group: &id::Group) -> impl Iterator<Item = &id::Instance> {
+        self.members.get(group).into_iter().flatten()
+    }
+
+    pub(super) fn refresh_group(&mut self, group: id::Group, state: &State) {
+        let replicas = self.members(&group).filter_map(|instance| self.replica(instance));
+        let replicas: Vec<Replica> = replicas.cloned().collect();
+        let drains = |replica: &&Replica| state.draining.contains(&replica.instance);
+        let route = Route {
+            epoch: state.epochs.get(&group).cloned(),
+            draining: replicas.iter().filter(drains).map(|r| r.instance.clone()).collect(),
+            replicas,
+            share: 0,
+            serving: self.serving(&group, state),
+            peaks: state.peaks.iter().filter(|peak| peak.group == group).cloned().collect(),
+            group: group.clone(),
+        };
+        let shares = self.budgets.entry(group.clone()).or_default().shares();
+        let shares = shares.filter(|(node, _)| state.nodes.contains_key(*node));
+        let shares = shares.map(|(node, share)| (node.clone(), share)).collect();
+        let known = self.routes.get(&group);
+        if known.is_some_and(|known| known.route == route && known.shares == shares) {
+            return;
+        }
+        self.version += 1;
+        let phase = |route: &Route| route.epoch.as_ref().map(|epoch| (epoch.term, epoch.phase));
+        let same = known.filter(|known| phase(&known.route) == phase(&route));
+        let phase_version = same.map_or(self.version, |known| known.phase_version);
+        if phase_version == self.version || known.is_none_or(|k| k.route.draining != route.draining)
+        {
+            self.urgent_version = self.version;
+        }
+        let size = postcard::experimental::serialized_size(&route).unwrap_or(MAX_DELTA_BYTES);
+        let entry = Entry { route, shares, version: self.version, phase_version, size };
+        self.routes.insert(group, entry);
+    }
+
+    /// Returns grants that bring the table to every proxy with an older version, without renewing their leases.
+    pub fn table_updates(&self, stamp: Stamp, revision: id::Revision) -> Vec<(SocketAddr, Grant)> {
+        let behind = self.proxies.iter().filter(|(_, proxy)| proxy.table < self.version);
+        let grant = |(node, proxy): (&id::Node, &super::Proxy)| {
+            let part = self.part(node, proxy.table);
+            (proxy.address, Self::update(stamp, proxy.incarnation, part, revision))
+        };
+        behind.map(grant).collect()
+    }
+
+    /// Returns a grant that brings a part of the table and renews no lease.
+    pub(super) fn update(
+        stamp: Stamp,
+        incarnation: id::Incarnation,
+        part: Part,
+        revision: id::Revision,
+    ) -> Grant {
+        Grant {
+            stamp,
+            incarnation,
+            sequence: None,
+            lease_ms: 0,
+            version: part.version,
+            delta: part.delta,
+            revision,
+            quota: Vec::new(),
+            positions: Vec::new(),
+        }
+    }
+
+    /// Returns the entries that changed after table version `since`, with the shares of `node`: the earliest ones, if
+    /// together they exceed [`MAX_DELTA_BYTES`].
+    pub(super) fn part(&self, node: &id::Node, since: u64) -> Part {
+        if since >= self.version {
+            return Part { version: self.version, delta: None, is_last: true };
+        }
+        let mut changed: Vec<&Entry> =
+            self.routes.values().filter(|entry| entry.version > since).collect();
+        changed.sort_unstable_by_key(|entry| entry.version);
+        let mut size = 0;
+        let fits = |entry: &&Entry| {
+            size += entry.size;
+            size <= MAX_DELTA_BYTES
+        };
+        let count = changed.iter().copied().take_while(fits).count().max(1).min(changed.len());
+        let is_last = count == changed.len();
+        let version = match changed.get(count - 1) {
+            Some(entry) if !is_last => entry.version,
+            _ => self.version,
+        };
+        let route = |entry: &&Entry| Route {
+            share: entry.shares.get(node).copied().unwrap_or(0),
+            ..entry.route.clone()
+        };
+        let routes = changed[..count].iter().map(route).collect();
+        Part { version, delta: Some(Delta { since, routes }), is_last }
+    }
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -20,6 +20,7 @@
 pub mod quota;
 pub mod raft;
 pub mod registry;
+pub mod relay;
 mod server;
 pub mod serving;
 pub mod state;
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -24,13 +24,6 @@
 use crate::upstream::status;
 use crate::wire::{Health, Replica};
 
-/// The interval between two probes of an instance.
-const PROBE_INTERVAL: Duration = Duration::from_millis(50);
-
-/// The interval between two probes of an instance where each probe takes one of its slots, while its group has a
-/// primary in force.
-const SETTLED_PROBE_INTERVAL: Duration = Duration::from_millis(1_000);
-
 /// How long an order to an instance may take.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -104,9 +97,19 @@
         self.order_queues.lock().expect("no thread panics while holding this lock")
     }
 
-    /// Starts a task for each instance that has none yet; see [`Shared::watch`].
+    /// Starts a task for each instance that has none yet; see [`Shared::watch`]. Looks for such instances only if some
+    /// have changed or a task has ended.
     pub(super) fn watch_new(self: &Arc<Self>) {
-        let replicas: Vec<Replica> = self.core().leader.replicas().cloned().collect();
+        let replicas: Vec<Replica> = {
+            let core = self.core();
+            let version = (core.raft.term(), core.leader.replicas_version());
+            let mut watched =
+                self.watched.lock().expect("no thread panics while holding this lock");
+            if watched.replace(version) == Some(version) {
+                return;
+            }
+            core.leader.replicas().cloned().collect()
+        };
         for replica in replicas {
             let mut order_queues = self.order_queues();
             if !order_queues.contains_key(&replica.instance) {
@@ -143,11 +146,12 @@
             }
             let settled = matches!(transport, Transport::Outside(..))
                 && self.core().has_active_primary(&replica.group);
-            let interval = if settled { SETTLED_PROBE_INTERVAL } else { PROBE_INTERVAL };
+            let interval = self.core().leader.probe_interval(settled);
             let received = self.clock.timeout(interval, orders.recv()).await;
             order = received.and_then(Result::ok).unwrap_or(Order::Probe);
         }
         self.order_queues().remove(&replica.instance);
+        *self.watched.lock().expect("no thread panics while holding this lock") = None;
     }
 
     fn transport(&self, replica: &Replica) -> Transport {
--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -10,7 +10,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::upstream::announcement::TTL;
-use crate::wire::{Announcement, Availability, Phase, Replica};
+use crate::wire::{Announcement, Availability, Phase};
 
 /// The interval after which the removal of an instance that is still registered is proposed again.
 const INSTANCE_REMOVAL_REPEAT_INTERVAL: Duration = Duration::from_secs(2);
@@ -71,22 +71,20 @@
         if is_known || is_removed { Verdict::Known } else { Verdict::New }
     }
 
-    /// Returns the instances with the time of their latest announcement, which is `now` for those that this leader has
-    /// not received one from.
-    pub fn replicas(&mut self, now: Instant, state: &State) -> Vec<(Instant, Replica)> {
+    /// Takes over the instances of the replicated state. Those that this leader has received no announcement from count
+    /// as heard `now`.
+    pub fn refresh(&mut self, now: Instant, state: &State) {
         self.contacts.retain(|instance, contact| {
             state.enlisted.contains_key(instance) || now.since(contact.received_at) < TTL
         });
-        let at = |(instance, known): (&id::Instance, &Announcement)| {
-            let contact = self.contacts.entry(instance.clone()).or_insert(Contact {
-                received_at: now,
-                born: known.born,
-                sequence: known.sequence,
-                removal_proposed_at: None,
-            });
-            (contact.received_at, known.replica.clone())
-        };
-        state.enlisted.iter().map(at).collect()
+        for (instance, known) in &state.enlisted {
+            if !self.contacts.contains_key(instance) {
+                let (born, sequence) = (known.born, known.sequence);
+                let contact =
+                    Contact { received_at: now, born, sequence, removal_proposed_at: None };
+                self.contacts.insert(instance.clone(), contact);
+            }
+        }
     }
 
     /// Returns announcements that remove the instances silent for [`TTL`], except the primary of an active epoch: proxies
@@ -112,7 +110,8 @@
     }
 }
 
-fn is_unchanged(known: &Announcement, announcement: &Announcement) -> bool {
+/// Returns whether an announcement has the content of the known one.
+pub(super) fn is_unchanged(known: &Announcement, announcement: &Announcement) -> bool {
     known.replica == announcement.replica
         && known.born == announcement.born
         && known.standing == announcement.standing
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -10,6 +10,7 @@
 
 use super::core::Core;
 use super::discovery::Discovery;
+use super::gateway::LeaderStreams;
 use super::journal::{self, Job};
 use super::link::Link;
 use super::promotion::Protocol;
@@ -27,6 +28,9 @@
 /// The interval at which the state machines are advanced.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// The least interval between two pushes of the table. Changes in between travel together.
+const PUSH_INTERVAL: Duration = Duration::from_millis(20);
+
 /// The interval at which a process with a blank disk contacts the others.
 pub(super) const HELLO_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -52,7 +56,10 @@
     core: Mutex<Core>,
     /// The queue of orders to each instance.
     pub(super) order_queues: Mutex<BTreeMap<id::Instance, Sender<promotion::Order>>>,
+    /// The leadership and the version of its instances for which every instance has a task.
+    pub(super) watched: Mutex<Option<(id::Term, u64)>>,
     links: Mutex<BTreeMap<id::Node, Link>>,
+    pub(super) leader_streams: Mutex<LeaderStreams>,
     /// When a Raft message last arrived from each control process.
     last_contact: Mutex<BTreeMap<id::Node, Instant>>,
     jobs: mpsc::Sender<Job>,
@@ -139,7 +146,9 @@
         voters: settings.voters.clone(),
         core: Mutex::new(core),
         order_queues: Mutex::default(),
+        watched: Mutex::default(),
         links: Mutex::default(),
+        leader_streams: Mutex::default(),
         last_contact: Mutex::default(),
         jobs,
         udp,
@@ -402,6 +411,7 @@
 
     async fn tick(self: Arc<Self>) {
         let mut pushed_version = (id::Term(0), 0);
+        let mut pushed_at = Instant::default();
         loop {
             self.step(Input::Tick);
             let (outputs, version) = {
@@ -411,7 +421,7 @@
                     if let Some(command) = core.next_member_change(now) {
                         self.step_locked(&mut core, Input::Propose(command));
                     }
-                    (core.tick(now), Some((core.raft.term(), core.leader.version())))
+                    (core.tick(now), Some((core.raft.term(), core.leader.urgent_version())))
                 } else {
                     (Vec::new(), None)
                 }
@@ -420,10 +430,12 @@
                 self.carry_out(output);
             }
             self.watch_new();
+            let now = self.clock.now();
             if let Some(version) = version
                 && version != pushed_version
+                && now.since(pushed_at) >= PUSH_INTERVAL
             {
-                pushed_version = version;
+                (pushed_version, pushed_at) = (version, now);
                 self.push_table().await;
             }
             self.clock.sleep(TICK_INTERVAL).await;
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -87,6 +87,7 @@
         if let Some(sent) = grant.sequence.and_then(|sequence| self.sent_at(sequence))
             && self.table_version >= grant.version
         {
+            self.table.confirm();
             self.is_lapsed = false;
             self.last_renewal = self.last_renewal.max(sent);
             self.lease_end =
@@ -113,7 +114,12 @@
 
     /// Returns whether the current leader has received the heartbeat with this sequence number or a later one.
     pub fn is_acknowledged(&self, sequence: id::Sequence) -> bool {
-        sequence > self.last_before_leader && sequence <= self.last_answered
+        self.is_for_current_leader(sequence) && sequence <= self.last_answered
+    }
+
+    /// Returns whether a heartbeat was sent after the first grant of the current leader arrived.
+    pub fn is_for_current_leader(&self, sequence: id::Sequence) -> bool {
+        sequence > self.last_before_leader
     }
 
     /// Returns when the heartbeat was sent that last renewed the lease.
@@ -149,7 +155,7 @@
 
     /// Returns the epoch of the group in the last received table.
     pub fn epoch(&self, group: &id::Group) -> Option<&Epoch> {
-        self.table.epochs.iter().find(|epoch| epoch.group == *group)
+        self.table.epoch(group)
     }
 
     /// Returns the table in force.
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -170,8 +170,8 @@
             }
             return;
         }
-        let share = state.fence.table().shares.iter().find(|(group, _)| *group == replica.group);
-        let limit = share.map_or(1, |(_, share)| *share);
+        let route = state.fence.table().route(&replica.group);
+        let limit = route.map_or(1, |route| route.share);
         let slots = state.slots(&replica.group);
         let pool = Pool::new(
             self.clock.clone(),
@@ -275,13 +275,13 @@
     /// Returns the candidates for routing in a group.
     pub(super) fn candidates(&self, group: &id::Group) -> Vec<Candidate> {
         let state = self.lock();
-        let draining = &state.fence.table().draining;
+        let table = state.fence.table();
         let instances = state.instances.values().filter(|entry| entry.replica.group == *group);
         let candidate = |entry: &Instance| Candidate {
             replica: entry.replica.clone(),
             status: entry.status,
             health: entry.health,
-            draining: draining.contains(&entry.replica.instance),
+            draining: table.is_draining(&entry.replica),
             busy: entry.pool.busy(),
         };
         instances.map(candidate).collect()
@@ -356,7 +356,7 @@
     /// Returns the confirmed peaks of a group: the start, in seconds since 1970, and the duration, in seconds.
     pub(super) fn peaks(&self, group: &id::Group) -> Vec<(u64, u64)> {
         let state = self.lock();
-        let peaks = state.fence.table().peaks.iter().filter(|peak| peak.group == *group);
+        let peaks = state.fence.table().peaks(group).iter();
         peaks.map(|peak| (peak.at_ms / 1_000, peak.lasts_ms / 1_000)).collect()
     }
 
@@ -437,8 +437,8 @@
                 state.lease_expired = false;
                 changed = true;
             }
-            let table = state.fence.table();
-            (changed, table.replicas.clone(), table.shares.clone())
+            let replicas: Vec<Replica> = state.fence.table().replicas().cloned().collect();
+            (changed, replicas, shares(&state.fence))
         };
         for replica in replicas {
             self.add_instance(replica, None);
@@ -472,10 +472,15 @@
             state.revision = revision;
             state.fleet = Arc::new(fleet);
         }
-        let shares = state.fence.table().shares.clone();
+        let shares = shares(&state.fence);
         drop(state);
         self.apply_shares(&shares);
         self.traffic.notify_all();
         self.request_heartbeat();
     }
 }
+
+/// Returns the shares of all groups in the table in force.
+fn shares(fence: &Fence) -> Vec<(id::Group, u32)> {
+    fence.table().routes().map(|route| (route.group.clone(), route.share)).collect()
+}
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -218,7 +218,8 @@
 /// The changes to the table since a given version.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Delta {
-    /// The version that the changes are relative to. With 0, `routes` holds all groups and replaces the table.
+    /// The version that the changes are relative to. With 0, `routes` holds all groups, or the first of them, and begins
+    /// a new table.
     pub since: u64,
     /// The complete new entries of the changed groups.
     pub routes: Vec<Route>,
@@ -267,71 +268,6 @@
     pub domain: id::Domain,
 }
 
-/// The routing table, which the leader of the control plane sends to every proxy.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct Table {
-    /// The epoch of each group.
-    pub epochs: Vec<Epoch>,
-    /// The instances of each group.
-    pub replicas: Vec<Replica>,
-    /// The instances that are draining and accept no new work.
-    pub draining: Vec<id::Instance>,
-    /// The maximum number of connections that this proxy may hold to each instance of a group.
-    pub shares: Vec<(id::Group, u32)>,
-    /// The proxies that serve each group.
-    pub serving: Vec<(id::Group, Serving)>,
-    /// The peaks that operators have confirmed and that have not ended.
-    pub peaks: Vec<Peak>,
-}
-
-impl Table {
-    /// Returns the proxies that serve a group.
-    pub fn serving(&self, group: &id::Group) -> &Serving {
-        let found = self.serving.iter().find(|(name, _)| name == group);
-        found.map_or(&Serving::Undecided, |(_, serving)| serving)
-    }
-
-    /// Returns the receiver's share of the connections to each instance of a group.
-    pub fn share(&self, group: &id::Group) -> u32 {
-        let found = self.shares.iter().find(|(name, _)| name == group);
-        found.map_or(0, |(_, share)| *share)
-    }
-
-    /// Applies a delta. A delta since version 0 replaces the whole table, except that a group for which it has no
-    /// decision on the serving proxies keeps the earlier one, and up to `max_kept_share` of the share that belongs to
-    /// it.
-    pub fn apply(&mut self, delta: Delta, max_kept_share: u32) {
-        let replaced = if delta.since == 0 { std::mem::take(self) } else { Self::default() };
-        for mut route in delta.routes {
-            if route.serving == Serving::Undecided {
-                let known = if delta.since == 0 { &replaced } else { &*self };
-                route.serving = known.serving(&route.group).clone();
-                route.share = known.share(&route.group).min(max_kept_share);
-            }
-            self.replace_route(route);
-        }
-    }
-
-    fn replace_route(&mut self, route: Route) {
-        let group = &route.group;
-        let known = self.replicas.iter().filter(|replica| replica.group == *group);
-        let known: Vec<id::Instance> = known.map(|replica| replica.instance.clone()).collect();
-        self.draining.retain(|instance| !known.contains(instance));
-        self.draining.retain(|instance| !route.draining.contains(instance));
-        self.epochs.retain(|epoch| epoch.group != *group);
-        self.replicas.retain(|replica| replica.group != *group);
-        self.shares.retain(|(name, _)| name != group);
-        self.serving.retain(|(name, _)| name != group);
-        self.peaks.retain(|peak| peak.group != *group);
-        self.epochs.extend(route.epoch);
-        self.replicas.extend(route.replicas);
-        self.draining.extend(route.draining);
-        self.shares.push((route.group.clone(), route.share));
-        self.serving.push((route.group, route.serving));
-        self.peaks.extend(route.peaks);
-    }
-}
-
 /// An expected load peak of a group. Proxies open connections ahead of it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Peak {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -12,15 +12,17 @@
 pub mod quota;
 mod seal;
 mod stream;
+mod table;
 
 pub use forward::{Forward, Forwarded, Identity, LastWrite, Load, Step};
 pub use frame::{Frame, MAX_DATAGRAM_BYTES, MAX_FRAME_BYTES, VERSION};
 pub use message::{
     Announcement, Answer, Availability, Body, Configuration, Delta, Demand, Epoch, Grant, Health,
-    Heartbeat, Observation, Peak, Phase, Replica, Role, Route, Server, Serving, Stamp, Table,
+    Heartbeat, Observation, Peak, Phase, Replica, Role, Route, Server, Serving, Stamp,
 };
 pub use seal::{SEAL_BYTES, Seal};
 pub use stream::Stream;
+pub use table::Table;
 
 /// An error in sending or receiving a frame.
 #[derive(Debug, thiserror::Error)]
--- a/tests/explorer/simulation.rs
+++ b/tests/explorer/simulation.rs
@@ -414,10 +414,10 @@
             self.execute(leader, output);
         }
         let LeaderProcess { control, pushed_version, .. } = &mut self.leaders[leader];
-        if control.leader.version() == *pushed_version {
+        if control.leader.urgent_version() == *pushed_version {
             return;
         }
-        *pushed_version = control.leader.version();
+        *pushed_version = control.leader.urgent_version();
         let grants = control.leader.table_updates(control.stamp, control.state.revision);
         for (_, grant) in grants {
             let to = (0..PROXIES).find(|n| self.proxies[*n].proxy.holder.1 == grant.incarnation);
--- a/tests/failover_returns.rs
+++ b/tests/failover_returns.rs
@@ -263,9 +263,10 @@
 
     fn happen(&mut self, event: Event) {
         let last_replica = || {
-            let replicas = self.upstreams.iter().filter(|(id, up)| {
-                **id != self.first && up.role == Role::Replica && up.available
-            });
+            let replicas = self
+                .upstreams
+                .iter()
+                .filter(|(id, up)| **id != self.first && up.role == Role::Replica && up.available);
             replicas.map(|(id, _)| id.clone()).next_back()
         };
         let replica = last_replica();
@@ -316,9 +317,8 @@
     fn check(&self, events: &[Event]) {
         let epoch = &self.state.epochs[&group()];
         let primary = self.upstreams.get(&epoch.primary);
-        let serves = primary.is_some_and(|up| {
-            up.available && up.role == Role::Primary && up.term == epoch.term.0
-        });
+        let serves = primary
+            .is_some_and(|up| up.available && up.role == Role::Primary && up.term == epoch.term.0);
         assert!(
             !self.can_have_primary() || (epoch.phase == Phase::Active && serves),
             "{events:?}: no primary: {epoch:?}, {:?}",
