Send long parts of the table once at a time, and push shares that have grown

Cause: with 470 databases (1,410 instances) before 88 proxies no request was served: each heartbeat of a proxy that lacked a part of the table was answered with the part again, while the former copies still filled its link of 2 Mbit/s, and each heartbeat named all groups until the table was whole. Leases ran out after 2.5 s for good. Besides, a share that grew reached its proxy with the next heartbeat only: tests/platform_process.rs, unused_connections_are_closed, failed in 4 of 12 runs beside eight busy processes (a second transaction was refused with 'no instance has room' while the proxy had one permit of seven).

Change: a part of 2 KiB or more is sent again after 300 ms, doubling to 2.4 s; parts have 12 KiB at most; groups that other proxies serve are reported once the table is whole; a proxy whose share has grown gets the change at once.

--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -325,8 +325,8 @@
         was_stale
     }
 
-    /// Returns how many connections each group uses and needs, for a heartbeat: of the groups that this proxy serves, and
-    /// of others until the control plane has acknowledged the report. A heartbeat that names each of hundreds of groups
+    /// Returns how many connections each group uses and needs, for a heartbeat: of the groups that this proxy serves, and,
+    /// once it has the leader's table, of others until the leader has acknowledged the report. A heartbeat that names each of hundreds of groups
     /// would cost the leader more than all else.
     pub(super) fn demand(&mut self, sequence: id::Sequence) -> Vec<Demand> {
         let mut opened: BTreeMap<&id::Group, u32> = BTreeMap::new();
@@ -348,7 +348,8 @@
             let first = group.reported_open.filter(|(known, first)| {
                 share == 0 && *known == open && self.fence.is_for_current_leader(*first)
             });
-            if first.is_some_and(|(_, first)| self.fence.is_acknowledged(first)) {
+            let is_acknowledged = first.is_some_and(|(_, first)| self.fence.is_acknowledged(first));
+            if is_acknowledged || (share + open == 0 && !self.fence.is_complete()) {
                 continue;
             }
             group.reported_open = (share == 0).then(|| first.unwrap_or((open, sequence)));
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -86,8 +86,8 @@
     expired_at: Option<Instant>,
     /// The version of the table.
     version: u64,
-    /// The newest version that proxies should have at once: an epoch or a drain changed in it.
-    urgent_version: u64,
+    /// The proxies that should have the newest version without waiting for their next heartbeat.
+    urgent: table::Urgent,
 }
 
 /// What a batch of committed commands has changed.
@@ -148,6 +148,8 @@
     table: u64,
     draining: bool,
     forwards: bool,
+    /// The long part of the table that was sent last.
+    pending: Option<table::Pending>,
 }
 
 impl Leader {
@@ -173,11 +175,6 @@
         self.version
     }
 
-    /// Returns the newest version of the table that proxies should have without waiting for their next heartbeat.
-    pub fn urgent_version(&self) -> u64 {
-        self.urgent_version
-    }
-
     /// Returns the instances that announce themselves.
     pub fn replicas(&self) -> impl Iterator<Item = &Replica> {
         self.replicas.values().map(|(_, replica)| replica)
@@ -254,6 +251,9 @@
         self.positions.record_answer(now, &holder, heartbeat.sequence);
         let positions = self.positions.missing(now, heartbeat);
         let part = self.part(&sender, table);
+        if !self.may_send(now, &sender, table, &part) {
+            return None;
+        }
         if !part.is_last {
             return Some(Self::update(stamp, incarnation, part, state.revision));
         }
@@ -287,8 +287,18 @@
         }
         let (sequence, address) = (heartbeat.sequence, heartbeat.address);
         let (draining, forwards) = (heartbeat.draining, heartbeat.forwards);
-        let proxy =
-            Proxy { incarnation, sequence, received_at: now, address, table, draining, forwards };
+        let pending = known.filter(|known| known.incarnation == incarnation);
+        let pending = pending.and_then(|known| known.pending);
+        let proxy = Proxy {
+            incarnation,
+            sequence,
+            received_at: now,
+            address,
+            table,
+            draining,
+            forwards,
+            pending,
+        };
         self.proxies.insert(node.clone(), proxy);
         true
     }
--- a/src/control/leader/table.rs
+++ b/src/control/leader/table.rs
@@ -4,8 +4,9 @@
 //! power, while hundreds of proxies fetch the table. Only the entries that a command changes are made anew, and a proxy
 //! is sent them in parts of [`MAX_DELTA_BYTES`]. See `docs/DESIGN.md`, "Leases".
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::{Leader, Touched};
 use crate::clock::Instant;
@@ -15,8 +16,26 @@
 use crate::upstream::announcement;
 use crate::wire::{Delta, Grant, Replica, Route, Stamp};
 
-/// The maximum size of the routes in one grant, before compression. A grant has to fit in a datagram.
-pub const MAX_DELTA_BYTES: usize = 24 * 1024;
+/// The maximum size of the routes in one grant, before compression. A grant has to fit in a datagram, and the loss of one
+/// should cost little on a narrow link.
+pub const MAX_DELTA_BYTES: usize = 12 * 1024;
+
+/// The size of the routes in a grant from which it is not sent again before [`RESEND_DELAY`] has passed.
+const PACED_DELTA_BYTES: usize = 2 * 1024;
+
+/// How long a part may be on its way before it is sent again; it doubles with each attempt.
+const RESEND_DELAY: Duration = Duration::from_millis(300);
+
+/// How often the delay doubles at most.
+const MAX_RESEND_DOUBLINGS: u32 = 3;
+
+/// A part of the table that a proxy has not acknowledged yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Pending {
+    since: u64,
+    sent_at: Instant,
+    attempts: u32,
+}
 
 /// A group's entry in the table.
 #[derive(Debug)]
@@ -32,6 +51,28 @@
     size: usize,
 }
 
+/// The proxies for which a change of the table is urgent.
+#[derive(Debug)]
+pub(super) enum Urgent {
+    Every,
+    Some(BTreeSet<id::Node>),
+}
+
+impl Default for Urgent {
+    fn default() -> Self {
+        Self::Some(BTreeSet::new())
+    }
+}
+
+impl Urgent {
+    fn includes(&self, node: &id::Node) -> bool {
+        match self {
+            Self::Every => true,
+            Self::Some(nodes) => nodes.contains(node),
+        }
+    }
+}
+
 /// The part of the table that a proxy lacks.
 #[derive(Debug)]
 pub(super) struct Part {
@@ -39,6 +80,7 @@
     pub(super) delta: Option<Delta>,
     /// Whether the proxy has the newest version after it has applied the part.
     pub(super) is_last: bool,
+    size: usize,
 }
 
 impl Leader {
@@ -159,7 +201,8 @@
         };
         let shares = self.budgets.entry(group.clone()).or_default().shares();
         let shares = shares.filter(|(node, _)| state.nodes.contains_key(*node));
-        let shares = shares.map(|(node, share)| (node.clone(), share)).collect();
+        let shares: BTreeMap<id::Node, u32> =
+            shares.map(|(node, share)| (node.clone(), share)).collect();
         let known = self.routes.get(&group);
         if known.is_some_and(|known| known.route == route && known.shares == shares) {
             return;
@@ -168,23 +211,73 @@
         let phase = |route: &Route| route.epoch.as_ref().map(|epoch| (epoch.term, epoch.phase));
         let same = known.filter(|known| phase(&known.route) == phase(&route));
         let phase_version = same.map_or(self.version, |known| known.phase_version);
-        if phase_version == self.version || known.is_none_or(|k| k.route.draining != route.draining)
-        {
-            self.urgent_version = self.version;
+        let has_other_drains = known.is_none_or(|known| known.route.draining != route.draining);
+        if phase_version == self.version || has_other_drains {
+            self.urgent = Urgent::Every;
+        } else if let Urgent::Some(nodes) = &mut self.urgent {
+            let earlier = |node| known.and_then(|known| known.shares.get(node)).copied();
+            let grown = shares.iter().filter(|(node, share)| Some(**share) > earlier(node));
+            nodes.extend(grown.map(|(node, _)| node.clone()));
         }
         let size = postcard::experimental::serialized_size(&route).unwrap_or(MAX_DELTA_BYTES);
         let entry = Entry { route, shares, version: self.version, phase_version, size };
         self.routes.insert(group, entry);
     }
 
-    /// Returns grants that bring the table to every proxy with an older version, without renewing their leases.
-    pub fn table_updates(&self, stamp: Stamp, revision: id::Revision) -> Vec<(SocketAddr, Grant)> {
+    /// Returns whether proxies should get changes of the table without waiting for their next heartbeats.
+    pub fn has_urgent_updates(&self) -> bool {
+        match &self.urgent {
+            Urgent::Every => true,
+            Urgent::Some(nodes) => !nodes.is_empty(),
+        }
+    }
+
+    /// Returns grants that bring the table to the proxies for which a change is urgent, without renewing their leases: to
+    /// all after an epoch or a drain has changed, and otherwise to those whose shares have grown.
+    pub fn table_updates(
+        &mut self,
+        now: Instant,
+        stamp: Stamp,
+        revision: id::Revision,
+    ) -> Vec<(SocketAddr, Grant)> {
         let behind = self.proxies.iter().filter(|(_, proxy)| proxy.table < self.version);
-        let grant = |(node, proxy): (&id::Node, &super::Proxy)| {
-            let part = self.part(node, proxy.table);
-            (proxy.address, Self::update(stamp, proxy.incarnation, part, revision))
+        let urgent = std::mem::take(&mut self.urgent);
+        let behind = behind.filter(|(node, _)| urgent.includes(node));
+        let behind: Vec<id::Node> = behind.map(|(node, _)| node.clone()).collect();
+        let mut grants = Vec::new();
+        for node in behind {
+            let Some(proxy) = self.proxies.get(&node) else { continue };
+            let (address, incarnation, table) = (proxy.address, proxy.incarnation, proxy.table);
+            let part = self.part(&node, table);
+            if self.may_send(now, &node, table, &part) {
+                grants.push((address, Self::update(stamp, incarnation, part, revision)));
+            }
+        }
+        grants
+    }
+
+    /// Returns whether a part may be sent to a proxy that has acknowledged version `since`, and records that it is. A long
+    /// one that is on its way already is not: the link of the proxy is busy with it.
+    pub(super) fn may_send(
+        &mut self,
+        now: Instant,
+        node: &id::Node,
+        since: u64,
+        part: &Part,
+    ) -> bool {
+        let Some(proxy) = self.proxies.get_mut(node).filter(|_| part.size > PACED_DELTA_BYTES)
+        else {
+            return true;
         };
-        behind.map(grant).collect()
+        let pending = proxy.pending.filter(|pending| pending.since == since);
+        let attempts = pending.map_or(0, |pending| pending.attempts);
+        let delay = RESEND_DELAY * 2_u32.pow(attempts.min(MAX_RESEND_DOUBLINGS));
+        if pending.is_some_and(|pending| now.since(pending.sent_at) < delay) {
+            return false;
+        }
+        let attempts = if pending.is_some() { attempts + 1 } else { 0 };
+        proxy.pending = Some(Pending { since, sent_at: now, attempts });
+        true
     }
 
     /// Returns a grant that brings a part of the table and renews no lease.
@@ -211,7 +304,7 @@
     /// together they exceed [`MAX_DELTA_BYTES`].
     pub(super) fn part(&self, node: &id::Node, since: u64) -> Part {
         if since >= self.version {
-            return Part { version: self.version, delta: None, is_last: true };
+            return Part { version: self.version, delta: None, is_last: true, size: 0 };
         }
         let mut changed: Vec<&Entry> =
             self.routes.values().filter(|entry| entry.version > since).collect();
@@ -232,6 +325,7 @@
             ..entry.route.clone()
         };
         let routes = changed[..count].iter().map(route).collect();
-        Part { version, delta: Some(Delta { since, routes }), is_last }
+        let size = changed[..count].iter().map(|entry| entry.size).sum();
+        Part { version, delta: Some(Delta { since, routes }), is_last, size }
     }
 }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -410,20 +410,19 @@
     }
 
     async fn tick(self: Arc<Self>) {
-        let mut pushed_version = (id::Term(0), 0);
         let mut pushed_at = Instant::default();
         loop {
             self.step(Input::Tick);
-            let (outputs, version) = {
+            let (outputs, has_urgent_updates) = {
                 let mut core = self.core();
                 let now = self.clock.now();
                 if core.is_confirmed_leader(now) {
                     if let Some(command) = core.next_member_change(now) {
                         self.step_locked(&mut core, Input::Propose(command));
                     }
-                    (core.tick(now), Some((core.raft.term(), core.leader.urgent_version())))
+                    (core.tick(now), core.leader.has_urgent_updates())
                 } else {
-                    (Vec::new(), None)
+                    (Vec::new(), false)
                 }
             };
             for output in outputs {
@@ -431,11 +430,8 @@
             }
             self.watch_new();
             let now = self.clock.now();
-            if let Some(version) = version
-                && version != pushed_version
-                && now.since(pushed_at) >= PUSH_INTERVAL
-            {
-                (pushed_version, pushed_at) = (version, now);
+            if has_urgent_updates && now.since(pushed_at) >= PUSH_INTERVAL {
+                pushed_at = now;
                 self.push_table().await;
             }
             self.clock.sleep(TICK_INTERVAL).await;
@@ -459,8 +455,9 @@
     /// Sends the changes of the table to the proxies without waiting for their heartbeats.
     async fn push_table(&self) {
         let grants = {
-            let core = self.core();
-            core.leader.table_updates(core.stamp(), core.state.revision)
+            let mut core = self.core();
+            let (now, stamp, revision) = (self.clock.now(), core.stamp(), core.state.revision);
+            core.leader.table_updates(now, stamp, revision)
         };
         for (proxy, grant) in grants {
             self.send_datagram(proxy, Body::Grant(grant)).await;
--- a/src/proxy/fence.rs
+++ b/src/proxy/fence.rs
@@ -36,6 +36,8 @@
     table_version: u64,
     table: Table,
     lease_end: Instant,
+    /// Whether all of the current leader's table has arrived once.
+    is_complete: bool,
     /// Whether a heartbeat was sent since the lease expired. The leader that received it may have given the share to
     /// others.
     is_lapsed: bool,
@@ -70,6 +72,7 @@
         }
         if grant.stamp.term > self.newest_stamp.term {
             self.table_version = 0;
+            self.is_complete = false;
             self.last_before_leader = self.last_sent;
         }
         self.newest_stamp = grant.stamp;
@@ -88,6 +91,7 @@
             && self.table_version >= grant.version
         {
             self.table.confirm();
+            self.is_complete = true;
             self.is_lapsed = false;
             self.last_renewal = self.last_renewal.max(sent);
             self.lease_end =
@@ -117,6 +121,11 @@
         self.is_for_current_leader(sequence) && sequence <= self.last_answered
     }
 
+    /// Returns whether all of the current leader's table has arrived.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
     /// Returns whether a heartbeat was sent after the first grant of the current leader arrived.
     pub fn is_for_current_leader(&self, sequence: id::Sequence) -> bool {
         sequence > self.last_before_leader
--- a/src/proxy/heartbeat.rs
+++ b/src/proxy/heartbeat.rs
@@ -142,9 +142,7 @@
 ) {
     let pushed = grant.sequence.is_none();
     let now = member.clock().now();
-    if !pushed {
-        *leader.lock().expect("no thread panics while holding this lock") = Some((from, now));
-    }
+    *leader.lock().expect("no thread panics while holding this lock") = Some((from, now));
     if member.apply_grant(grant) || pushed {
         member.request_heartbeat();
     }
--- a/tests/explorer/simulation.rs
+++ b/tests/explorer/simulation.rs
@@ -137,8 +137,6 @@
 struct LeaderProcess {
     control: Control,
     clock: LocalClock,
-    /// The version of the last table that was pushed to the proxies.
-    pushed_version: u64,
 }
 
 pub struct Simulation {
@@ -185,7 +183,7 @@
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             proxies: Vec::new(),
-            leaders: vec![LeaderProcess { control, clock, pushed_version: 0 }],
+            leaders: vec![LeaderProcess { control, clock }],
             instances,
             cut_links: BTreeSet::new(),
             acknowledged: Vec::new(),
@@ -413,12 +411,11 @@
         for output in outputs {
             self.execute(leader, output);
         }
-        let LeaderProcess { control, pushed_version, .. } = &mut self.leaders[leader];
-        if control.leader.urgent_version() == *pushed_version {
+        let LeaderProcess { control, .. } = &mut self.leaders[leader];
+        if !control.leader.has_urgent_updates() {
             return;
         }
-        *pushed_version = control.leader.urgent_version();
-        let grants = control.leader.table_updates(control.stamp, control.state.revision);
+        let grants = control.leader.table_updates(now, control.stamp, control.state.revision);
         for (_, grant) in grants {
             let to = (0..PROXIES).find(|n| self.proxies[*n].proxy.holder.1 == grant.incarnation);
             if let Some(to) = to {
@@ -738,7 +735,7 @@
             term,
             self.durability,
         );
-        self.leaders.push(LeaderProcess { control, clock, pushed_version: 0 });
+        self.leaders.push(LeaderProcess { control, clock });
         let leader = self.leaders.len() - 1;
         self.schedule(0, Event::TickDue(leader));
         self.schedule(0, Event::ProbesDue(leader));
--- a/tests/failover_lease.rs
+++ b/tests/failover_lease.rs
@@ -176,7 +176,7 @@
         control.handle_heartbeat(at(10), &proxy.holder.clone(), &heartbeat).expect("a grant");
     proxy.fence.step(grant);
     assert!(!proxy.may_release(at(10) + LEASE_DURATION, 1));
-    let pushed = control.leader.table_updates(control.stamp, id::Revision(0));
+    let pushed = control.leader.table_updates(START, control.stamp, id::Revision(0));
     for (_, grant) in pushed {
         proxy.fence.step(grant);
     }
@@ -292,7 +292,8 @@
     let mut grant =
         control.handle_heartbeat(at(10), &proxy.holder.clone(), &heartbeat).expect("a grant");
     control.freeze(at(11));
-    let mut pushed = control.leader.table_updates(control.stamp, id::Revision(0)).remove(0).1;
+    let mut pushed =
+        control.leader.table_updates(START, control.stamp, id::Revision(0)).remove(0).1;
     let version = proxy.fence.newest().1;
     let delta = pushed.delta.as_mut().expect("a delta");
     delta.since = version + 1;
--- a/tests/fleet_size.rs
+++ b/tests/fleet_size.rs
@@ -82,7 +82,7 @@
         let (seen, table, revision) = self.fence.newest();
         let route = |route: &cactushatch::wire::Route| Demand {
             group: route.group.clone(),
-            wanted: u32::from(route.share > 0),
+            wanted: 1,
             open: 0,
             share: route.share,
         };
@@ -95,7 +95,13 @@
             table,
             revision,
             sightings: Vec::new(),
-            demand: self.fence.table().routes().map(route).collect(),
+            demand: self
+                .fence
+                .table()
+                .routes()
+                .filter(|known| known.share > 0)
+                .map(route)
+                .collect(),
             quota: Vec::new(),
             positions: Vec::new(),
             draining: false,
