Log the account and its tokens with each request that a quota refuses

Change: an event 'quota' with account, declared rate, tokens of operations in progress, waiting operations, the age of the last grant, the wait and the retry time. The level of the account is the leader's and isn't in it.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -355,7 +355,15 @@
         let max_wait = execution.max_wait();
         let taken = self.shared.take_token(&identity.account, max_wait).await;
         execution.waited += self.shared.clock.now().since(execution.received_at);
-        taken.map_err(|after| Refusal::busy("the account has no token of its quota left", after))
+        taken.map_err(|after| {
+            self.shared.log_refused_operation(
+                execution.id.as_str(),
+                &identity.account,
+                execution.waited,
+                after,
+            );
+            Refusal::busy("the account has no token of its quota left", after)
+        })
     }
 
     /// Returns whether the transaction has a connection, here or on another proxy.
--- a/src/broker/quota.rs
+++ b/src/broker/quota.rs
@@ -239,6 +239,15 @@
         }
     }
 
+    /// Returns the number of tokens that operations of an account hold, the number of operations that wait for one, and the
+    /// time since the last grant.
+    pub fn usage(&self, now: Instant, account: &id::Account) -> (u64, usize, Duration) {
+        let bucket = self.accounts.get(account);
+        let (reserved, waiting) =
+            bucket.map_or((0, 0), |bucket| (bucket.reserved, bucket.waiting.len()));
+        (reserved, waiting, now.since(self.renewed_at))
+    }
+
     /// Removes a waiting operation.
     pub fn cancel(&mut self, account: &id::Account, ticket: Ticket) {
         if let Some(bucket) = self.accounts.get_mut(account) {
--- a/src/broker/spend.rs
+++ b/src/broker/spend.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use log::Level;
 use smol::channel::{Receiver, Sender, bounded};
 
 use super::dispatch::Ticket;
@@ -12,6 +13,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::report::QuotaResult;
+use crate::report::event::{Event, millis};
 
 /// The part of the estimate by which retry times are spread, so that refused callers don't return together.
 const RETRY_SPREAD: f64 = 0.5;
@@ -133,6 +135,30 @@
         Spend { shared: Arc::clone(self), account: account.clone(), token: Some(token) }
     }
 
+    /// Logs what an operation was refused by, so that a request's id leads to the account and its tokens.
+    pub(super) fn log_refused_operation(
+        &self,
+        request: &str,
+        account: &id::Account,
+        waited: Duration,
+        retry_after: Duration,
+    ) {
+        let state = self.lock();
+        let quota = state.fleet.account.get(account).and_then(|declared| declared.quota);
+        let (reserved, waiting, granted_ago) = state.quota.usage(self.clock.now(), account);
+        Event::Quota {
+            request,
+            account,
+            rate: quota.map_or(0.0, |quota| quota.rate.per_second()),
+            reserved,
+            waiting,
+            granted_ago_ms: millis(granted_ago),
+            waited_ms: millis(waited),
+            retry_after_ms: millis(retry_after),
+        }
+        .log(Level::Info);
+    }
+
     /// Counts an operation that is refused, and returns when its caller may retry.
     fn refuse_operation(&self, account: &id::Account, after: Duration) -> Duration {
         self.metrics.record_quota(self.clock.now(), account, QuotaResult::Refused);
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -38,6 +38,25 @@
         /// Time since the arrival of the request.
         elapsed_ms: u64,
     },
+    /// A request was refused because the proxy held no token of its account's quota.
+    Quota {
+        /// The caller's id of the request.
+        request: &'a str,
+        /// The account.
+        account: &'a id::Account,
+        /// Declared operations per second.
+        rate: f64,
+        /// Number of tokens that the proxy holds for operations in progress.
+        reserved: u64,
+        /// Number of operations of the account that wait for a token at the proxy.
+        waiting: usize,
+        /// Time since sending the heartbeat that the leader last granted tokens for.
+        granted_ago_ms: u64,
+        /// Time that the request waited for a token.
+        waited_ms: u64,
+        /// The retry delay given to the caller.
+        retry_after_ms: u64,
+    },
     /// An instance refused a new connection because it has as many as it accepts.
     ConnectionLimit {
         /// The instance.
@@ -225,6 +244,7 @@
             Self::Request(_) => "event.request",
             Self::Retry(_) => "event.retry",
             Self::Forward { .. } => "event.forward",
+            Self::Quota { .. } => "event.quota",
             Self::ConnectionLimit { .. } => "event.connection_limit",
             Self::Share { .. } => "event.share",
             Self::Lease { .. } => "event.lease",
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -85,6 +85,16 @@
         Event::Request(Request::default()),
         Event::Retry(retry),
         Event::Forward { request: "r1", group, server, reason: "no", elapsed_ms: 1 },
+        Event::Quota {
+            request: "r1",
+            account: &"spa".parse().unwrap(),
+            rate: 1.5,
+            reserved: 1,
+            waiting: 0,
+            granted_ago_ms: 2,
+            waited_ms: 3,
+            retry_after_ms: 4,
+        },
         Event::ConnectionLimit { instance, group, in_use: 1, permits: 2 },
         Event::Share { group, permits: 2, servers: Some(3) },
         Event::Lease { held: true, unheard_ms: Some(1) },
@@ -106,6 +116,7 @@
         Event::Request(_)
         | Event::Retry(_)
         | Event::Forward { .. }
+        | Event::Quota { .. }
         | Event::ConnectionLimit { .. }
         | Event::Share { .. }
         | Event::Lease { .. }
