Pace only parts of the table of 8 KiB and more

Cause: the whole table of eight groups has 3 to 4 kB, so that on small fleets a lost grant was repeated after 300 ms, where heartbeats without a lease repeat it after 50 ms.

Change: the bound is 8 KiB, which the tables of up to some twenty groups don't reach.

--- a/src/control/leader/table.rs
+++ b/src/control/leader/table.rs
@@ -21,7 +21,7 @@
 pub const MAX_DELTA_BYTES: usize = 12 * 1024;
 
 /// The size of the routes in a grant from which it is not sent again before [`RESEND_DELAY`] has passed.
-const PACED_DELTA_BYTES: usize = 2 * 1024;
+const PACED_DELTA_BYTES: usize = 8 * 1024;
 
 /// How long a part may be on its way before it is sent again; it doubles with each attempt.
 const RESEND_DELAY: Duration = Duration::from_millis(300);
