Judge leases in each tick of a pass, and split files of the leader

Cause: a pass over more than 2,000 pairs of proxy and group takes several ticks, and took the proxies' leases as they were when it began. The share of a proxy that got its lease in between would have been reclaimed while it may open as many connections. Found by reading; fleets of up to 2,000 pairs finish a pass in one tick.

Change: who shares connections is looked up in each tick.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -9,7 +9,7 @@
 
 use super::discovery::{Discovery, Greeting};
 use super::failover::Output as Decision;
-use super::leader::{Leader, Touched};
+use super::leader::{Leader, Scope};
 use super::member::{self, Peers};
 use super::raft::{Bootstrap, Entry, EntryId, Message, Output, Raft, Snapshot};
 use super::registry::Verdict;
@@ -55,7 +55,7 @@
     leading_since: Option<Instant>,
     applied: EntryId,
     /// What the entries have touched that were applied since the table was last refreshed.
-    touched: Touched,
+    touched: Scope,
     compacted_to: id::Index,
     /// The callers that wait for proposed commands, by index, each with the term of the proposal.
     waiters: BTreeMap<id::Index, (id::Term, Sender<Answer>)>,
@@ -83,7 +83,7 @@
             stop_reason: None,
             leading_since: None,
             applied: EntryId::default(),
-            touched: Touched::default(),
+            touched: Scope::default(),
             compacted_to: id::Index(0),
             waiters: BTreeMap::new(),
             registering: BTreeSet::new(),
@@ -170,7 +170,7 @@
         let touched = std::mem::take(&mut self.touched);
         if self.leading_since.is_some() {
             self.refresh_fleet();
-            self.leader.refresh_touched(now, &touched, &self.state, &self.fleet);
+            self.leader.refresh_scope(now, &touched, &self.state, &self.fleet);
         }
     }
 
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -87,12 +87,12 @@
     /// The version of the table.
     version: u64,
     /// The proxies that should have the newest version without waiting for their next heartbeat.
-    urgent: table::Urgent,
+    urgent: table::Recipients,
 }
 
 /// What a batch of committed commands has changed.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Touched {
+pub enum Scope {
     /// Anything, such as the declarations.
     All,
     /// No more than this.
@@ -104,13 +104,13 @@
     },
 }
 
-impl Default for Touched {
+impl Default for Scope {
     fn default() -> Self {
         Self::Some { groups: BTreeSet::new(), instances: false }
     }
 }
 
-impl Touched {
+impl Scope {
     /// Records a committed command.
     pub fn record(&mut self, action: &Action) {
         let Self::Some { groups, instances } = self else {
@@ -149,7 +149,7 @@
     draining: bool,
     forwards: bool,
     /// The long part of the table that was sent last.
-    pending: Option<table::Pending>,
+    attempt: Option<table::Attempt>,
 }
 
 impl Leader {
@@ -287,8 +287,8 @@
         }
         let (sequence, address) = (heartbeat.sequence, heartbeat.address);
         let (draining, forwards) = (heartbeat.draining, heartbeat.forwards);
-        let pending = known.filter(|known| known.incarnation == incarnation);
-        let pending = pending.and_then(|known| known.pending);
+        let attempt = known.filter(|known| known.incarnation == incarnation);
+        let attempt = attempt.and_then(|known| known.attempt);
         let proxy = Proxy {
             incarnation,
             sequence,
@@ -297,7 +297,7 @@
             table,
             draining,
             forwards,
-            pending,
+            attempt,
         };
         self.proxies.insert(node.clone(), proxy);
         true
--- a/src/control/leader/reshare.rs
+++ b/src/control/leader/reshare.rs
@@ -35,10 +35,20 @@
     participants: Vec<Participant>,
     /// Whether every proxy can forward statements.
     all_forward: bool,
+    /// Whether leases of an earlier leader may still be valid.
     inherited: bool,
     revision: id::Revision,
 }
 
+/// The proxies as they are in one tick. A lease may be granted between two ticks of a pass, and the share of a proxy that
+/// holds one must not be reclaimed.
+#[derive(Debug)]
+struct Proxies {
+    candidates: Vec<Candidate>,
+    participants: Vec<Participant>,
+    all_forward: bool,
+}
+
 /// The pass over the groups that is under way.
 #[derive(Debug, Default)]
 pub(super) struct Pass {
@@ -93,19 +103,17 @@
             }
         }
         if !pass.remaining.is_empty() {
-            let mut candidates = self.candidates(&pass.conditions);
+            let mut proxies = Proxies {
+                candidates: self.candidates(&pass.conditions),
+                participants: self.participants(now, state),
+                all_forward: pass.conditions.all_forward,
+            };
             let mut pairs = 0;
             while pairs < MAX_PAIRS
                 && let Some(name) = pass.remaining.pop_front()
             {
-                pairs += candidates.len().max(1);
-                pass.has_new_choice |= self.reshare_group(
-                    now,
-                    &name,
-                    (state, fleet),
-                    &mut pass.conditions,
-                    &mut candidates,
-                );
+                pairs += proxies.candidates.len().max(1);
+                pass.has_new_choice |= self.reshare_group(now, &name, (state, fleet), &mut proxies);
                 pass.last = Some(name);
             }
         }
@@ -118,8 +126,7 @@
         now: Instant,
         name: &id::Group,
         (state, fleet): (&State, &Fleet),
-        conditions: &mut Conditions,
-        candidates: &mut [Candidate],
+        proxies: &mut Proxies,
     ) -> bool {
         let Some(group) = fleet.group.get(name) else {
             return false;
@@ -131,21 +138,19 @@
         let available = group.connections.saturating_sub(reserved);
         let earlier = self.serving.get(name).cloned();
         let limits = (available, fleet.group.len());
-        let decided = self.choose_servers(now, name, limits, conditions.all_forward, candidates);
+        let decided = self.choose_servers(now, name, limits, proxies);
         let Some(choice) = self.serving.get(name).filter(|_| decided) else {
             return false;
         };
         let is_new = earlier.as_ref() != Some(choice);
-        for participant in &mut conditions.participants {
+        for participant in &mut proxies.participants {
             participant.serves = choice.includes(&participant.node);
         }
         let budget = self.budgets.entry(name.clone()).or_default();
         let connections = group.connections + watching - reserved;
         let version = self.version + 1;
-        budget.reshare(connections, &conditions.participants, conditions.inherited, version);
-        for participant in &mut conditions.participants {
-            participant.serves = false;
-        }
+        let inherited = self.leases.has_inherited(now);
+        budget.reshare(connections, &proxies.participants, inherited, version);
         self.refresh_group(name.clone(), state);
         is_new
     }
@@ -156,6 +161,7 @@
             all_forward: true,
             inherited: self.leases.has_inherited(now),
             revision: state.revision,
+            participants: self.participants(now, state),
             ..Conditions::default()
         };
         for (node, (incarnation, domain)) in &state.nodes {
@@ -163,7 +169,6 @@
             let known = self.proxies.get(node);
             let reported = known.filter(|proxy| proxy.incarnation == *incarnation);
             let live = self.leases.may_hold(now, &holder);
-            let retains = self.leases.may_hold(now - UNLEASED_RETENTION_WAIT, &holder);
             conditions.all_forward &= known.is_none_or(|proxy: &Proxy| proxy.forwards);
             conditions.addresses.push(known.map(|proxy| proxy.address));
             conditions.candidates.push(Candidate {
@@ -173,16 +178,21 @@
                 holds_share: false,
                 groups: 0,
             });
-            conditions.participants.push(Participant {
-                node: holder.0,
-                live,
-                serves: false,
-                retains,
-            });
         }
         conditions
     }
 
+    /// Returns the proxies that share connections, none of them as one that serves.
+    fn participants(&self, now: Instant, state: &State) -> Vec<Participant> {
+        let participant = |(node, (incarnation, _)): (&id::Node, &(id::Incarnation, _))| {
+            let holder = (node.clone(), *incarnation);
+            let live = self.leases.may_hold(now, &holder);
+            let retains = self.leases.may_hold(now - UNLEASED_RETENTION_WAIT, &holder);
+            Participant { node: holder.0, live, serves: false, retains }
+        };
+        state.nodes.iter().map(participant).collect()
+    }
+
     /// Returns the proxies that may serve groups, each with the number of groups that it serves now.
     fn candidates(&self, conditions: &Conditions) -> Vec<Candidate> {
         let mut served: BTreeMap<&id::Node, usize> = BTreeMap::new();
@@ -204,13 +214,12 @@
         now: Instant,
         name: &id::Group,
         (connections, groups): (u32, usize),
-        all_forward: bool,
-        candidates: &mut [Candidate],
+        Proxies { candidates, all_forward, .. }: &mut Proxies,
     ) -> bool {
         let budget = self.budgets.entry(name.clone()).or_default();
         let available = connections.saturating_sub(CONTROL_CONNECTIONS + SPARE_CONNECTIONS);
         let choice = self.serving.entry(name.clone()).or_default();
-        if !all_forward {
+        if !*all_forward {
             *choice = Choice::Every;
             return true;
         }
--- a/src/control/leader/table.rs
+++ b/src/control/leader/table.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{Leader, Touched};
+use super::{Leader, Scope};
 use crate::clock::Instant;
 use crate::config::Fleet;
 use crate::control::state::State;
@@ -29,12 +29,14 @@
 /// How often the delay doubles at most.
 const MAX_RESEND_DOUBLINGS: u32 = 3;
 
-/// A part of the table that a proxy has not acknowledged yet.
+/// The last time that a long part of the table was sent to a proxy.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Pending {
+pub(super) struct Attempt {
+    /// The version that the part begins at.
     since: u64,
     sent_at: Instant,
-    attempts: u32,
+    /// How often the same part was sent before.
+    repeats: u32,
 }
 
 /// A group's entry in the table.
@@ -53,18 +55,18 @@
 
 /// The proxies for which a change of the table is urgent.
 #[derive(Debug)]
-pub(super) enum Urgent {
+pub(super) enum Recipients {
     Every,
     Some(BTreeSet<id::Node>),
 }
 
-impl Default for Urgent {
+impl Default for Recipients {
     fn default() -> Self {
         Self::Some(BTreeSet::new())
     }
 }
 
-impl Urgent {
+impl Recipients {
     fn includes(&self, node: &id::Node) -> bool {
         match self {
             Self::Every => true,
@@ -86,19 +88,13 @@
 impl Leader {
     /// Rebuilds the table from the replicated state, and increases its version if it has changed.
     pub fn refresh_table(&mut self, now: Instant, state: &State, fleet: &Fleet) {
-        self.refresh_touched(now, &Touched::All, state, fleet);
+        self.refresh_scope(now, &Scope::All, state, fleet);
     }
 
     /// Rebuilds what committed commands have touched.
-    pub fn refresh_touched(
-        &mut self,
-        now: Instant,
-        touched: &Touched,
-        state: &State,
-        fleet: &Fleet,
-    ) {
+    pub fn refresh_scope(&mut self, now: Instant, touched: &Scope, state: &State, fleet: &Fleet) {
         match touched {
-            Touched::All => {
+            Scope::All => {
                 self.ledger.configure(now, state.revision, &fleet.account);
                 self.sync_replicas(now, state);
                 self.stale.extend(fleet.group.keys().chain(state.epochs.keys()).cloned());
@@ -108,7 +104,7 @@
                     self.declared = fleet.group.keys().cloned().collect();
                 }
             }
-            Touched::Some { groups, instances } => {
+            Scope::Some { groups, instances } => {
                 if *instances {
                     self.sync_replicas(now, state);
                 }
@@ -213,8 +209,8 @@
         let phase_version = same.map_or(self.version, |known| known.phase_version);
         let has_other_drains = known.is_none_or(|known| known.route.draining != route.draining);
         if phase_version == self.version || has_other_drains {
-            self.urgent = Urgent::Every;
-        } else if let Urgent::Some(nodes) = &mut self.urgent {
+            self.urgent = Recipients::Every;
+        } else if let Recipients::Some(nodes) = &mut self.urgent {
             let earlier = |node| known.and_then(|known| known.shares.get(node)).copied();
             let grown = shares.iter().filter(|(node, share)| Some(**share) > earlier(node));
             nodes.extend(grown.map(|(node, _)| node.clone()));
@@ -227,8 +223,8 @@
     /// Returns whether proxies should get changes of the table without waiting for their next heartbeats.
     pub fn has_urgent_updates(&self) -> bool {
         match &self.urgent {
-            Urgent::Every => true,
-            Urgent::Some(nodes) => !nodes.is_empty(),
+            Recipients::Every => true,
+            Recipients::Some(nodes) => !nodes.is_empty(),
         }
     }
 
@@ -269,14 +265,15 @@
         else {
             return true;
         };
-        let pending = proxy.pending.filter(|pending| pending.since == since);
-        let attempts = pending.map_or(0, |pending| pending.attempts);
-        let delay = RESEND_DELAY * 2_u32.pow(attempts.min(MAX_RESEND_DOUBLINGS));
-        if pending.is_some_and(|pending| now.since(pending.sent_at) < delay) {
-            return false;
+        let last = proxy.attempt.filter(|attempt| attempt.since == since);
+        let repeats = last.map_or(0, |attempt| attempt.repeats + 1);
+        if let Some(last) = last {
+            let delay = RESEND_DELAY * 2_u32.pow(last.repeats.min(MAX_RESEND_DOUBLINGS));
+            if now.since(last.sent_at) < delay {
+                return false;
+            }
         }
-        let attempts = if pending.is_some() { attempts + 1 } else { 0 };
-        proxy.pending = Some(Pending { since, sent_at: now, attempts });
+        proxy.attempt = Some(Attempt { since, sent_at: now, repeats });
         true
     }
 
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -5,12 +5,14 @@
 
 pub mod budget;
 mod core;
+mod datagram;
 pub mod discovery;
 pub mod failover;
 mod gateway;
 mod greet;
 mod journal;
 pub mod leader;
+mod leader_stream;
 pub mod lease;
 mod link;
 pub mod member;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -10,8 +10,8 @@
 
 use super::core::Core;
 use super::discovery::Discovery;
-use super::gateway::LeaderStreams;
 use super::journal::{self, Job};
+use super::leader_stream;
 use super::link::Link;
 use super::promotion::Protocol;
 use super::raft::{Bootstrap, Input, Members, Message, Output, Peer, Raft};
@@ -21,7 +21,7 @@
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
-use crate::report::{self, LeaseAnswer, Metrics};
+use crate::report::{self, Metrics};
 use crate::security::Credentials;
 use crate::wire::{Answer, Body, Frame, Replica, Role, Stream};
 
@@ -59,11 +59,11 @@
     /// The leadership and the version of its instances for which every instance has a task.
     pub(super) watched: Mutex<Option<(id::Term, u64)>>,
     links: Mutex<BTreeMap<id::Node, Link>>,
-    pub(super) leader_streams: Mutex<LeaderStreams>,
+    pub(super) leader_streams: Mutex<leader_stream::Pool>,
     /// When a Raft message last arrived from each control process.
     last_contact: Mutex<BTreeMap<id::Node, Instant>>,
     jobs: mpsc::Sender<Job>,
-    udp: UdpSocket,
+    pub(super) udp: UdpSocket,
 }
 
 /// Binds the sockets of a control process and starts it on the data directory that the settings name.
@@ -346,69 +346,6 @@
         Frame { sender: self.me.node.clone(), incarnation: self.me.incarnation, body }
     }
 
-    pub(super) async fn send_datagram(&self, to: SocketAddr, body: Body) {
-        match self.credentials.seal.encode(&self.frame(body)) {
-            Ok(bytes) => {
-                if let Err(error) = self.udp.send_to(&bytes, to).await {
-                    log::debug!("sending a datagram to {to} failed: {error}");
-                }
-            }
-            Err(error) => log::error!("encoding a frame for {to} failed, dropping it: {error}"),
-        }
-    }
-
-    async fn receive_datagrams(self: Arc<Self>) {
-        let mut buffer = vec![0; crate::wire::MAX_DATAGRAM_BYTES];
-        loop {
-            let Ok((len, from)) = self.udp.recv_from(&mut buffer).await else {
-                continue;
-            };
-            match self.credentials.seal.decode(&buffer[..len]) {
-                Ok(frame) => self.handle_heartbeat(from, &frame).await,
-                Err(error) => {
-                    self.metrics.record_protocol_error(report::Peer::Process, error.kind());
-                    log::debug!("dropping a datagram from {from}: {error}");
-                }
-            }
-        }
-    }
-
-    /// Answers a proxy's heartbeat, with a grant only while a majority confirms that this process is the leader.
-    async fn handle_heartbeat(self: &Arc<Self>, from: SocketAddr, frame: &Frame) {
-        let Body::Heartbeat(heartbeat) = &frame.body else {
-            return;
-        };
-        self.metrics.heartbeat_received();
-        let answer = {
-            let mut core = self.core();
-            let now = self.clock.now();
-            if core.is_confirmed_leader(now) {
-                let (grant, command) = core.handle_heartbeat(now, frame, heartbeat);
-                if let Some(command) = command {
-                    self.step_locked(&mut core, Input::Propose(command));
-                }
-                grant.map(Body::Grant)
-            } else {
-                Some(Body::Redirect(core.raft.leader().cloned()))
-            }
-        };
-        let granted = matches!(answer, Some(Body::Grant(_)));
-        self.metrics.record_lease_answer(if granted {
-            LeaseAnswer::Granted
-        } else {
-            LeaseAnswer::Refused
-        });
-        // A proxy that is new to this leader, or that sent its heartbeat to a process other than the leader, may not
-        // know the current members.
-        let needs_members = !granted || is_behind_term(heartbeat, self.core().raft.term());
-        if let Some(answer) = answer {
-            self.send_datagram(from, answer).await;
-        }
-        if needs_members {
-            self.send_voters(from).await;
-        }
-    }
-
     async fn tick(self: Arc<Self>) {
         let mut pushed_at = Instant::default();
         loop {
@@ -452,18 +389,6 @@
         }
     }
 
-    /// Sends the changes of the table to the proxies without waiting for their heartbeats.
-    async fn push_table(&self) {
-        let grants = {
-            let mut core = self.core();
-            let (now, stamp, revision) = (self.clock.now(), core.stamp(), core.state.revision);
-            core.leader.table_updates(now, stamp, revision)
-        };
-        for (proxy, grant) in grants {
-            self.send_datagram(proxy, Body::Grant(grant)).await;
-        }
-    }
-
     /// Handles a Raft message from another control process.
     fn handle_peer_message(self: &Arc<Self>, from: Peer, message: Message) {
         let now = self.clock.now();
@@ -533,11 +458,6 @@
     }
 }
 
-/// Returns whether a proxy has not yet seen the term of the current leader.
-fn is_behind_term(heartbeat: &crate::wire::Heartbeat, term: id::Term) -> bool {
-    heartbeat.seen.term != term
-}
-
 async fn accept(shared: Arc<Shared>, listener: TcpListener) {
     loop {
         let Ok((socket, from)) = listener.accept().await else {
