Apply a new leader's table with its last part, and an instance's health to its group only

Change: parts of 24 KiB; what follows from them waits for the last one, with which the lease comes; a change of an instance's health refreshes its own group.

--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -106,7 +106,9 @@
         };
         let answered = grant.sequence.filter(|_| grant.incarnation == self.incarnation);
         let (term, positions) = (grant.stamp.term, std::mem::take(&mut grant.positions));
+        let was_complete = state.fence.is_complete();
         let mut changed = state.fence.step(grant);
+        changed |= state.fence.is_complete() && !was_complete;
         if let Some(sequence) = answered
             && state.record_answer(now, (term, sequence), &positions)
         {
@@ -119,7 +121,8 @@
             state.instances.values_mut().for_each(|entry| entry.health.reset(now));
             changed = true;
         }
-        if changed {
+        // A part of a new leader's table renews no lease, so what follows from it can wait for the last part.
+        if changed && state.fence.is_complete() {
             self.apply_changes(now, &mut state);
         }
         changed || is_urgent
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -260,8 +260,9 @@
             let (trouble, silent_ms, reason) = (Health::Fine, 0, None);
             Event::Instance { instance, group: &group, trouble, silent_ms, reason }
                 .log(Level::Info);
-            self.apply_changes(now, &mut state);
+            state.refresh_health(now, (&self.node, &self.domain), instance);
             drop(state);
+            self.changed.notify(usize::MAX);
             self.request_heartbeat();
         }
     }
@@ -286,8 +287,9 @@
             Health::Silent => Failure::Silent,
             Health::Faulty | Health::Fine => Failure::Faulty,
         });
-        self.apply_changes(now, &mut state);
+        state.refresh_health(now, (&self.node, &self.domain), instance);
         drop(state);
+        self.changed.notify(usize::MAX);
         self.request_heartbeat();
     }
 
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -175,6 +175,28 @@
         self.refresh_order(now);
     }
 
+    /// Applies a change of one instance's health, without looking at the other groups: after a restart or a loss of power
+    /// the health of each instance changes.
+    pub(super) fn refresh_health(
+        &mut self,
+        now: Instant,
+        (node, domain): (&id::Node, &id::Domain),
+        name: &id::Instance,
+    ) {
+        let Some(instance) = self.instances.get(name) else {
+            return;
+        };
+        let replica = &instance.replica;
+        let permits = self.fence.permits(now, node, &replica.group);
+        let usable = instance.health.is_usable() && !self.fence.table().is_draining(replica);
+        let remote = replica.domain != *domain;
+        let group = replica.group.clone();
+        if let Some(queue) = self.groups.get_mut(&group) {
+            queue.dispatcher.set_instance(name, permits, usable, remote);
+        }
+        self.advance(now, &group);
+    }
+
     /// Returns whether this proxy serves a group by itself.
     pub(super) fn serves(&self, group: &id::Group) -> bool {
         self.groups.get(group).is_some_and(|group| group.permits > 0)
--- a/src/control/leader/table.rs
+++ b/src/control/leader/table.rs
@@ -18,7 +18,7 @@
 
 /// The maximum size of the routes in one grant, before compression. A grant has to fit in a datagram, and the loss of one
 /// should cost little on a narrow link.
-pub const MAX_DELTA_BYTES: usize = 12 * 1024;
+pub const MAX_DELTA_BYTES: usize = 24 * 1024;
 
 /// The size of the routes in a grant from which it is not sent again before [`RESEND_DELAY`] has passed.
 const PACED_DELTA_BYTES: usize = 8 * 1024;
