Apply a share that has shrunk with the part of the table that brings it

Cause: what follows from a part of a new leader's table waited for the last part, so a proxy could acknowledge a smaller share and still open as many connections as before. Found by reading; only tables of more than 24 KiB have parts.

Change: a part by which a share shrinks is applied at once.

--- a/src/broker/member.rs
+++ b/src/broker/member.rs
@@ -121,8 +121,10 @@
             state.instances.values_mut().for_each(|entry| entry.health.reset(now));
             changed = true;
         }
-        // A part of a new leader's table renews no lease, so what follows from it can wait for the last part.
-        if changed && state.fence.is_complete() {
+        // A part of a new leader's table renews no lease, so what follows from it can wait for the last part. A share that
+        // has shrunk can't: the leader gives it to others once the part is acknowledged.
+        let is_due = state.fence.is_complete() || state.has_shrunk_share(now, &self.node);
+        if changed && is_due {
             self.apply_changes(now, &mut state);
         }
         changed || is_urgent
--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -84,8 +84,8 @@
     pub(super) waiters: BTreeMap<Ticket, Sender<id::Instance>>,
     /// The maximum number of connections to each instance. It is 0 if other proxies serve the group.
     pub(super) permits: u32,
-    /// While other proxies serve the group, the number of open connections that is reported, and in
-    /// which heartbeat it was first.
+    /// While other proxies serve the group, the number of open connections that is reported, and the heartbeat that first
+    /// reported it.
     reported_open: Option<(u32, id::Sequence)>,
     /// The term and the phase that were seen last.
     epoch: Option<(id::Term, Phase)>,
@@ -197,6 +197,11 @@
         self.advance(now, &group);
     }
 
+    /// Returns whether the table allows fewer connections to some group than are in force.
+    pub(super) fn has_shrunk_share(&self, now: Instant, node: &id::Node) -> bool {
+        self.groups.iter().any(|(name, group)| self.fence.permits(now, node, name) < group.permits)
+    }
+
     /// Returns whether this proxy serves a group by itself.
     pub(super) fn serves(&self, group: &id::Group) -> bool {
         self.groups.get(group).is_some_and(|group| group.permits > 0)
@@ -348,8 +353,8 @@
     }
 
     /// Returns how many connections each group uses and needs, for a heartbeat: of the groups that this proxy serves, and,
-    /// once it has the leader's table, of others until the leader has acknowledged the report. A heartbeat that names each of hundreds of groups
-    /// would cost the leader more than all else.
+    /// once it has the leader's table, of others until the leader has acknowledged the report. Naming each of hundreds of
+    /// groups in every heartbeat would cost the leader more than all else.
     pub(super) fn demand(&mut self, sequence: id::Sequence) -> Vec<Demand> {
         let mut opened: BTreeMap<&id::Group, u32> = BTreeMap::new();
         for (name, instance) in &self.instances {
