--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -8,6 +8,7 @@
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -17,7 +18,8 @@
 const CONTROLS: [u8; 3] = [11, 12, 13];
 const PROXIES: [u8; 3] = [21, 22, 23];
 const INSTANCES: [u8; 3] = [31, 32, 33];
-const PLATFORM: u8 = 60;
+/// The hosts on which control processes reach the platform, each by a path of its own.
+const PATHS: [u8; 3] = [61, 62, 63];
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -60,6 +62,10 @@
     controls: Vec<SocketAddr>,
     record: Record,
     counter: Mutex<u64>,
+    /// The fencing tokens of the orders, in the order in which the platform got them.
+    tokens: Mutex<Vec<u64>>,
+    /// Whether the paths to the platform are cut.
+    cut: [AtomicBool; 3],
 }
 
 struct Session {
@@ -351,16 +357,27 @@
     }
 
     /// Answers orders to promote.
-    fn serve_platform(self: &Arc<Self>, listener: TcpListener) {
-        for socket in listener.incoming().flatten() {
+    fn serve_platform(self: &Arc<Self>, listener: TcpListener, path: usize) {
+        loop {
+            // A cut path takes no connections: its queue is full, so that the opening packets of others are dropped.
+            while self.cut[path].load(Ordering::SeqCst) {
+                sleep(ms(2));
+            }
+            let Ok((socket, _)) = listener.accept() else { continue };
             let service = Arc::clone(self);
             spawn(move || {
                 let mut socket = socket;
                 let Some((head, body)) = read_http(&mut socket) else { return };
                 let id = body.split("\"Id\":\"").nth(1).and_then(|rest| rest.split('"').next()).unwrap_or("").to_owned();
                 let up = service.lock().iter().any(|i| i.id == id && i.up);
-                let headers: Vec<&str> = head.lines().filter(|l| l.contains("oken") || l.to_lowercase().starts_with("holder")).collect();
-                service.record.note(&format!("platform gets an order to promote {id}: {}", headers.join("; ")));
+                let field = |name: &str| {
+                    let line = head.lines().find(|line| line.to_lowercase().starts_with(name));
+                    line.and_then(|line| line.split(": ").nth(1)).unwrap_or("").to_owned()
+                };
+                let (holder, token) = (field("holder:"), field("fence-"));
+                let number: u64 = token.parse().unwrap_or(0);
+                service.tokens.lock().unwrap().push(number);
+                service.record.note(&format!("platform gets an order of {holder} with token {token} to promote {id}"));
                 let status = if up { "200 OK" } else { "409 Conflict" };
                 let _ = write!(socket, "HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
                 let leads = service.primary().as_deref() == Some(&id);
@@ -450,7 +467,7 @@
             let number = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(round * 7_919);
             subnet = (60 + (number >> 20) as u8 % 100, (number >> 30) as u8);
             port = 20_000 + ((number >> 40) % 1_000) as u16 * 8;
-            let hosts = CONTROLS.iter().chain(&PROXIES).chain(&INSTANCES).chain([&PLATFORM]);
+            let hosts = CONTROLS.iter().chain(&PROXIES).chain(&INSTANCES).chain(&PATHS);
             let mut all = hosts.flat_map(|host| (0..7).map(move |n| (*host, n)));
             all.all(|(host, n)| TcpListener::bind(SocketAddr::from(([127, subnet.0, subnet.1, host], port + n))).is_ok())
         });
@@ -467,10 +484,14 @@
             controls,
             record: record.clone(),
             counter: Mutex::new(0),
+            tokens: Mutex::default(),
+            cut: Default::default(),
         });
-        let platform = TcpListener::bind(address(PLATFORM, 6)).unwrap();
-        let promoting = Arc::clone(&service);
-        spawn(move || promoting.serve_platform(platform));
+        for (path, host) in PATHS.iter().enumerate() {
+            let listener = TcpListener::bind(address(*host, 6)).unwrap();
+            let promoting = Arc::clone(&service);
+            spawn(move || promoting.serve_platform(listener, path));
+        }
         let mut fleet = Self { subnet, port, folder, processes: BTreeMap::new(), service, record, version: 0 };
         CONTROLS.iter().chain(&PROXIES).for_each(|host| fleet.start(*host, true));
         for (n, host) in INSTANCES.iter().enumerate() {
@@ -504,7 +525,7 @@
             ("Listen.Control", self.address(host, 2).to_string()),
             (&format!("{inner}.0"), (self.port + 3).to_string()),
             (&format!("{inner}.1"), (self.port + 4).to_string()),
-            ("Cloud.Addr", self.address(PLATFORM, 6).to_string()),
+            ("Cloud.Addr", self.address(PATHS[usize::from(host % 10 - 1)], 6).to_string()),
             ("Bounds.GraceS", "6".into()),
             ("Bounds.QuotaWindowS", String::new()),
             ("Bounds.QuotaExcess", String::new()),
@@ -827,6 +848,63 @@
     !apart
 }
 
+/// The leader of control is frozen for a second while its path to the platform is cut, as it orders a promotion.
+fn stale(fleet: &mut Fleet, record: &Record, trouble: &str) -> bool {
+    fleet.configure(&[("desk", "primary")]);
+    fleet.wait_until_served("desk");
+    let (port, subnet) = (fleet.port, fleet.subnet);
+    let log = |fleet: &Fleet, host: u8| fs::read_to_string(fleet.folder.join(format!("{host}.log"))).unwrap_or_default();
+    let leads = |text: &str| text.rfind("\"leads\":true").is_some_and(|at| text.rfind("\"leads\":false").is_none_or(|other| other < at));
+    let leader = *CONTROLS.iter().find(|host| leads(&log(fleet, **host))).unwrap_or_else(|| give_up("no leader is known"));
+    let path = usize::from(leader % 10 - 1);
+    record.note(&format!("control-{leader} leads"));
+    let mut fillers = Vec::new();
+    if trouble != "0" {
+        fleet.service.cut[path].store(true, Ordering::SeqCst);
+        // The thread of this path may be in accept and takes one more.
+        let target = SocketAddr::from(([127, subnet.0, subnet.1, PATHS[path]], port + 6));
+        for _ in 0..400 {
+            match TcpStream::connect_timeout(&target, ms(20)) {
+                Ok(socket) => fillers.push(socket),
+                Err(_) => break,
+            }
+        }
+        record.note(&format!("the path of control-{leader} to the platform is cut ({} connections wait)", fillers.len()));
+    }
+    let primary = fleet.service.primary().unwrap_or_default();
+    fleet.service.crash(&primary);
+    if trouble != "0" {
+        let start = Instant::now();
+        while !log(fleet, leader).contains("\"event\":\"promotion\"") {
+            if start.elapsed() > ms(5_000) {
+                give_up("the leader ordered no promotion");
+            }
+            sleep(ms(2));
+        }
+        let ordered = Instant::now();
+        let id = fleet.processes[&leader].id().to_string();
+        let signal = |name: &str| {
+            let _ = Command::new("kill").args([name, &id]).status();
+            record.note(&format!("control-{leader} gets {name}"));
+        };
+        sleep(ms(50));
+        signal("-STOP");
+        sleep(ms(850).saturating_sub(ordered.elapsed()));
+        fleet.service.cut[path].store(false, Ordering::SeqCst);
+        fillers.clear();
+        record.note(&format!("the path of control-{leader} to the platform works again"));
+        sleep(ms(1_300).saturating_sub(ordered.elapsed()));
+        signal("-CONT");
+    }
+    sleep(ms(5_000));
+    let tokens = fleet.service.tokens.lock().unwrap().clone();
+    record.note(&format!("tokens in the order in which the platform got them: {tokens:?}"));
+    if tokens.is_empty() {
+        give_up("nothing was promoted");
+    }
+    tokens.windows(2).all(|pair| pair[0] <= pair[1])
+}
+
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
     let (scenario, folder) = (arguments[1].clone(), arguments[2].clone());
@@ -839,6 +917,7 @@
         let mut fleet = Fleet::up(record.clone());
         match scenario.as_str() {
             "returned" => returned(&mut fleet, &record, &trouble),
+            "stale" => stale(&mut fleet, &record, &trouble),
             "route" => route(&mut fleet, &record, &trouble, &folder),
             "refused" => refused(&mut fleet, &record, &trouble, &folder),
             _ => give_up("there is no such scenario"),
