Log how long a promotion took and whether its author still led, and what a new leader inherits

The log of a leader said that an order got no answer in time, but not whether another process could have been elected by then, so that the hypotheses of the incident could not be told apart: an order that is kept after its author was replaced (1), one that is sent after that (2), and a successor that decides while an order is open (3). The promotion line has the time since a majority last confirmed its author; a new leader logs the reserved terms that it inherits; a call that was sent and not answered is counted apart from a declined one.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -199,6 +199,17 @@
                 &self.fleet,
             );
             self.leading_since = self.raft.leader_since();
+            self.log_inherited_orders();
+        }
+    }
+
+    /// Logs the terms that earlier leaders reserved and that are not in force yet.
+    fn log_inherited_orders(&self) {
+        for (group, claim) in &self.state.claims {
+            if self.state.epochs.get(group).is_some_and(|epoch| epoch.term < claim.term) {
+                let (instance, term) = (&claim.primary, claim.term);
+                Event::Inherited { group, instance, term }.log(Level::Info);
+            }
         }
     }
 
--- a/src/control/promotion.rs
+++ b/src/control/promotion.rs
@@ -17,6 +17,7 @@
 use crate::clock::{Clock, Instant};
 use crate::id;
 use crate::pgsql;
+use crate::report::event::millis;
 use crate::report::{Event, PromotionAnswer};
 use crate::statement::{self, Codec};
 use crate::upstream::connection::{self, Connection};
@@ -76,9 +77,12 @@
     /// The instance isn't running.
     #[error("the instance doesn't run")]
     NotRunning,
-    /// The request or the service failed; the promotion may still happen.
+    /// The service declined the request, or could not be reached.
     #[error("{0}")]
     Failed(String),
+    /// The request was sent, and no answer arrived. The promotion may still happen.
+    #[error("{0}")]
+    Unanswered(String),
 }
 
 /// An order to an instance.
@@ -210,9 +214,14 @@
             holder: self.me().node.clone(),
             token,
         };
-        let log = |answer, level| {
+        let sent_at = self.clock.now();
+        let log = |answer: Option<String>, level| {
+            let now = self.clock.now();
             let (group, instance) = (&replica.group, &replica.instance);
-            Event::Promotion { group, instance, token, answer }.log(level);
+            let elapsed_ms = answer.is_some().then(|| millis(now.since(sent_at)));
+            let confirmed_ago_ms = self.time_since_confirmation(now, token).map(millis);
+            Event::Promotion { group, instance, token, answer, elapsed_ms, confirmed_ago_ms }
+                .log(level);
         };
         log(None, Level::Info);
         match promoter.promote(promotion).await {
@@ -222,7 +231,11 @@
                 None
             }
             Err(refusal) => {
-                self.metrics.record_promotion_call(PromotionAnswer::Declined);
+                let answer = match refusal {
+                    Refusal::NotRunning | Refusal::Failed(_) => PromotionAnswer::Declined,
+                    Refusal::Unanswered(_) => PromotionAnswer::Unanswered,
+                };
+                self.metrics.record_promotion_call(answer);
                 log(Some(refusal.to_string()), Level::Warn);
                 let not_running = matches!(refusal, Refusal::NotRunning);
                 not_running.then(|| Input::PromotionDeclined { instance: replica.instance.clone() })
@@ -230,6 +243,14 @@
         }
     }
 
+    /// Returns the time since this process sent the message in response to which a majority last confirmed it as the
+    /// leader in `term`, or `None` if it doesn't lead in that term.
+    fn time_since_confirmation(&self, now: Instant, term: id::Term) -> Option<Duration> {
+        let core = self.core();
+        let contact = core.raft.last_majority_contact(now)?;
+        (core.raft.term() == term).then(|| now.since(contact))
+    }
+
     pub(super) fn carry_out(self: &Arc<Self>, output: Output) {
         match output {
             Output::Submit(action) => {
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -157,8 +157,23 @@
         instance: &'a id::Instance,
         /// The fencing token.
         token: id::Term,
-        /// The service's answer; absent when the call is sent.
+        /// The service's answer, or why there is none; absent when the call is sent.
         answer: Option<String>,
+        /// Time since the call was sent; absent when it is.
+        elapsed_ms: Option<u64>,
+        /// Time since sending the message in response to which a majority last confirmed this process as the leader in
+        /// the token's term; absent if it no longer leads in that term.
+        confirmed_ago_ms: Option<u64>,
+    },
+    /// A process that became the leader found a term reserved by an earlier leader, whose order to promote the instance
+    /// may still be open.
+    Inherited {
+        /// The group.
+        group: &'a id::Group,
+        /// The instance.
+        instance: &'a id::Instance,
+        /// The reserved term.
+        term: id::Term,
     },
     /// This process became the leader of the control plane, or is no longer the leader.
     Leader {
@@ -255,6 +270,7 @@
             Self::Session { .. } => "event.session",
             Self::Decision { .. } => "event.decision",
             Self::Promotion { .. } => "event.promotion",
+            Self::Inherited { .. } => "event.inherited",
             Self::Leader { .. } => "event.leader",
         }
     }
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -90,8 +90,10 @@
     PromotionAnswer {
         /// The service accepted the call.
         Accepted = "accepted",
-        /// The service declined or did not answer.
+        /// The service declined, or could not be reached.
         Declined = "declined",
+        /// The call was sent and not answered, so that it may still take effect.
+        Unanswered = "unanswered",
     }
 );
 label!(
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -109,7 +109,15 @@
         },
         Event::Session { database: "desk", was_open: false, reason: "unknown_key".to_owned() },
         Event::Decision { group, decision: "freeze", term, instance: None, start: None },
-        Event::Promotion { group, instance, token: term, answer: None },
+        Event::Promotion {
+            group,
+            instance,
+            token: term,
+            answer: None,
+            elapsed_ms: None,
+            confirmed_ago_ms: Some(1),
+        },
+        Event::Inherited { group, instance, term },
         Event::Leader { leads: true, term },
     ];
     let is_covered = |event: &Event<'_>| match event {
@@ -127,6 +135,7 @@
         | Event::Session { .. }
         | Event::Decision { .. }
         | Event::Promotion { .. }
+        | Event::Inherited { .. }
         | Event::Leader { .. } => true,
     };
     examples.iter().filter(|event| is_covered(event)).map(ToString::to_string).collect()
