Give the stand-in fleet network paths that hold orders, and instances that lag

`Path` is the way of one control process to the platform: it passes, holds and releases bytes, notices whether their sender closed or reset the connection, and can stop accepting connections. `Peers` is a relay in front of the control processes, which cuts one of them off from all others; it replaces the addresses that processes tell each other, so that no frame to a control process goes around it.

The stand-in group gets closer to the users' pages: the call for the present primary changes nothing, a replaced primary steps down a second after it can reach the new one, a replica that returns receives the log and the term at once, an instance can lag behind and come back after a crash, a commit can wait for a replica, and an order whose body is incomplete has no effect and blocks no other.

--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -4,6 +4,9 @@
 
 #![allow(dead_code, reason = "each test file uses only some of these items")]
 
+pub mod path;
+pub mod peers;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
@@ -12,9 +15,18 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use path::Path;
+use peers::{Peers, Route};
+
 /// Time between the answer to a promotion request and the new primary.
 const PROMOTION_DURATION: Duration = Duration::from_millis(300);
 
+/// Time after which a replaced primary that can reach the new one becomes a replica by itself.
+const STEP_DOWN_DURATION: Duration = Duration::from_secs(1);
+
+/// How long a commit waits for a replica to receive it. After that the connection is closed without an answer.
+const COMMIT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time after which an expected event counts as missing.
 pub const TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -26,6 +38,10 @@
     /// Committed writes, oldest first: the term, the item and the data.
     log: Vec<(u64, String, String)>,
     running: bool,
+    /// Number of crashes. Connections from before a crash end.
+    crashes: usize,
+    /// Whether the instance can't reach the others: it receives nothing, and follows no new primary.
+    detached: bool,
     /// Whether the instance has stopped receiving writes from the primary.
     paused: bool,
     state: &'static str,
@@ -51,6 +67,8 @@
     instances: Mutex<Vec<Instance>>,
     /// Number of connections that each instance accepts.
     max_connections: usize,
+    /// Whether a commit is acknowledged only once a replica has received it.
+    synchronous: bool,
     /// Promotion requests, oldest first: the instance, the holder and the token.
     pub promotions: Mutex<Vec<(String, String, u64)>>,
 }
@@ -65,9 +83,65 @@
         let mut instances = self.lock();
         let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
         instance.running = false;
+        instance.crashes += 1;
         let _ = TcpStream::connect(instance.address);
     }
 
+    /// Starts a crashed instance again with its log; as a replica if another one has been promoted meanwhile.
+    pub fn recover(self: &Arc<Self>, id: &str) {
+        let start = Instant::now();
+        let (index, address) = {
+            let instances = self.lock();
+            let index = instances.iter().position(|instance| instance.id == id).unwrap();
+            (index, instances[index].address)
+        };
+        let listener = loop {
+            match TcpListener::bind(address) {
+                Ok(listener) => break listener,
+                Err(error) => assert!(start.elapsed() < TIMEOUT, "{address}: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        {
+            let mut instances = self.lock();
+            instances[index].running = true;
+            instances[index].paused = false;
+            let term = instances[index].term;
+            if instances.iter().any(|other| other.primary && other.term > term) {
+                instances[index].primary = false;
+            }
+            replicate_newest(&mut instances);
+        }
+        let group = Arc::clone(self);
+        std::thread::spawn(move || group.accept_connections(index, listener));
+    }
+
+    /// Cuts an instance off from callers and from the other instances. It stays reachable for the service that promotes.
+    pub fn detach(&self, id: &str) {
+        let mut instances = self.lock();
+        let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        (instance.unresponsive, instance.detached) = (true, true);
+    }
+
+    /// Makes an instance answer again. It receives what it has missed only after [`Self::attach`].
+    pub fn answer_again(&self, id: &str) {
+        let mut instances = self.lock();
+        instances.iter_mut().find(|instance| instance.id == id).unwrap().unresponsive = false;
+    }
+
+    /// Ends a cut of an instance entirely.
+    pub fn attach(&self, id: &str) {
+        let mut instances = self.lock();
+        let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        (instance.unresponsive, instance.detached) = (false, false);
+        replicate_newest(&mut instances);
+    }
+
+    /// Returns the number of entries in the log of an instance.
+    pub fn log_len(&self, id: &str) -> usize {
+        self.lock().iter().find(|instance| instance.id == id).unwrap().log.len()
+    }
+
     /// Makes an instance leave all further statements unanswered.
     pub fn stop_answering(&self, id: &str) {
         let mut instances = self.lock();
@@ -136,9 +210,32 @@
     (term.parse().unwrap(), number.parse().unwrap())
 }
 
+/// Copies the log of an instance to every running replica that receives from it.
+fn replicate(instances: &mut [Instance], index: usize) {
+    let (term, detached) = (instances[index].term, instances[index].detached);
+    let log = instances[index].log.clone();
+    let receives = |i: &&mut Instance| {
+        i.running && !i.paused && !i.detached && !detached && !i.primary && i.term <= term
+    };
+    for instance in instances.iter_mut().filter(receives) {
+        instance.term = term;
+        instance.log.clone_from(&log);
+    }
+}
+
+/// Copies the log of the newest primary to the replicas that receive from it.
+fn replicate_newest(instances: &mut [Instance]) {
+    let primaries = (0..instances.len()).filter(|i| instances[*i].primary && instances[*i].running);
+    if let Some(newest) = primaries.max_by_key(|index| instances[*index].term) {
+        replicate(instances, newest);
+    }
+}
+
 /// The state of a connection to an instance.
 #[derive(Default)]
 struct Session {
+    /// The length of the log after a commit that waits for its acknowledgement.
+    committed: Option<usize>,
     /// The account that the connection was opened for.
     account: String,
     values: BTreeMap<String, String>,
@@ -194,6 +291,9 @@
                 {
                     instances[index].primary = false;
                 }
+                if matches!(words.as_slice(), ["RESUME"] | ["DEMOTE", _]) {
+                    replicate_newest(&mut instances);
+                }
                 let instance = &instances[index];
                 let role = if instance.primary { "primary" } else { "replica" };
                 let row =
@@ -235,7 +335,7 @@
                 let write = ((*item).to_owned(), data.join(" "));
                 match &mut session.transaction {
                     Some(writes) => writes.push(write),
-                    None => Self::commit(&mut instances, index, vec![write]),
+                    None => Self::commit(&mut instances, index, session, vec![write]),
                 }
                 (vec![], record(&mut instances, &session.values))
             }
@@ -244,7 +344,7 @@
                 if !writes.is_empty() && !instances[index].primary {
                     return (vec![], Err("READONLY".to_owned()));
                 }
-                Self::commit(&mut instances, index, writes);
+                Self::commit(&mut instances, index, session, writes);
                 (vec![], record(&mut instances, &session.values))
             }
             _ => (vec![], Err("MALFORMED".to_owned())),
@@ -252,15 +352,42 @@
     }
 
     /// Commits on the primary, and copies the log at once to every running replica that receives writes.
-    fn commit(instances: &mut [Instance], index: usize, writes: Vec<(String, String)>) {
+    fn commit(
+        instances: &mut [Instance],
+        index: usize,
+        session: &mut Session,
+        writes: Vec<(String, String)>,
+    ) {
         let term = instances[index].term;
+        session.committed = (!writes.is_empty()).then(|| instances[index].log.len() + writes.len());
         instances[index].log.extend(writes.into_iter().map(|(item, data)| (term, item, data)));
-        let log = instances[index].log.clone();
-        for instance in
-            instances.iter_mut().filter(|i| i.running && !i.paused && !i.primary && i.term <= term)
-        {
-            instance.log.clone_from(&log);
+        replicate(instances, index);
+    }
+
+    /// Waits until a replica has received the first `len` entries of the instance's log. Returns `false` if the instance
+    /// has lost its lead or crashed, or the time is up.
+    fn wait_for_replica(&self, index: usize, len: usize) -> bool {
+        let start = Instant::now();
+        let (term, crashes) = {
+            let instances = self.lock();
+            (instances[index].term, instances[index].crashes)
+        };
+        while start.elapsed() < COMMIT_TIMEOUT {
+            {
+                let instances = self.lock();
+                let primary = &instances[index];
+                if !primary.primary || primary.crashes != crashes || primary.unresponsive {
+                    return false;
+                }
+                let has_received =
+                    |i: &Instance| !i.primary && i.term == term && i.log.len() >= len;
+                if instances.iter().any(has_received) {
+                    return true;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(2));
         }
+        false
     }
 
     fn serve_connection(self: Arc<Self>, index: usize, socket: TcpStream) -> std::io::Result<()> {
@@ -269,10 +396,11 @@
         let mut socket = socket;
         let mut session = Session::default();
         let mut line = String::new();
+        let crashes = self.lock()[index].crashes;
         while lines.read_line(&mut line)? > 0 {
             let text = line.trim_end().to_owned();
             line.clear();
-            if !self.lock()[index].running {
+            if !self.lock()[index].running || self.lock()[index].crashes != crashes {
                 return Ok(());
             }
             if let Some(rest) = text.strip_prefix("CONNECT ") {
@@ -295,6 +423,10 @@
                 continue;
             }
             let (rows, result) = self.execute(index, &mut session, statement);
+            let committed = session.committed.take().filter(|_| self.synchronous);
+            if committed.is_some_and(|len| !self.wait_for_replica(index, len)) {
+                return Ok(());
+            }
             let rows: String = rows.iter().map(|row| format!("ROW {row}\r\n")).collect();
             let result = match result {
                 Ok(signature) => format!("DONE {signature}\r\n"),
@@ -331,45 +463,69 @@
         }
     }
 
-    /// Answers promotion requests over HTTP and promotes the instances that run.
+    /// Answers promotion requests over HTTP and promotes the instances that run. A request that ends early has no effect.
     fn serve_promotions(self: Arc<Self>, listener: TcpListener) {
         for mut socket in listener.incoming().flatten() {
-            let Some((head, body)) = read_http_message(&mut socket) else { continue };
-            let field = |name: &str| {
-                let line =
-                    head.lines().find(|line| line.to_lowercase().starts_with(&format!("{name}:")));
-                line.and_then(|line| line.split_once(':'))
-                    .map(|(_, v)| v.trim().to_owned())
-                    .unwrap_or_default()
-            };
-            let body: serde_json::Value = serde_json::from_slice(&body).unwrap();
-            let id = body["Id"].as_str().expect("an id").to_owned();
-            let token = field("fence-token").parse().expect("a token");
-            self.promotions.lock().unwrap().push((id.clone(), field("holder"), token));
-            let running = self.lock().iter().any(|instance| instance.id == id && instance.running);
-            let status = if running { "200 OK" } else { "409 Conflict" };
-            let _ = write!(socket, "HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
-            if running {
-                let group = Arc::clone(&self);
-                std::thread::spawn(move || group.become_primary(&id));
-            }
+            let group = Arc::clone(&self);
+            std::thread::spawn(move || {
+                let (head, body) = read_http_message(&mut socket)?;
+                group.order_promotion(&mut socket, &head, &body);
+                Some(())
+            });
+        }
+    }
+
+    fn order_promotion(self: &Arc<Self>, socket: &mut TcpStream, head: &str, body: &[u8]) {
+        let field = |name: &str| {
+            let line =
+                head.lines().find(|line| line.to_lowercase().starts_with(&format!("{name}:")));
+            line.and_then(|line| line.split_once(':'))
+                .map(|(_, v)| v.trim().to_owned())
+                .unwrap_or_default()
+        };
+        let body: serde_json::Value = serde_json::from_slice(body).unwrap();
+        let id = body["Id"].as_str().expect("an id").to_owned();
+        let token = field("fence-token").parse().expect("a token");
+        let running = {
+            let mut promotions = self.promotions.lock().unwrap();
+            promotions.push((id.clone(), field("holder"), token));
+            self.lock().iter().any(|instance| instance.id == id && instance.running)
+        };
+        let status = if running { "200 OK" } else { "409 Conflict" };
+        let _ = write!(socket, "HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        if running {
+            let group = Arc::clone(self);
+            std::thread::spawn(move || group.become_primary(&id));
         }
     }
 
+    /// Makes an instance lead the next term with the log that it has. Nothing changes if it leads the newest term.
     fn become_primary(&self, id: &str) {
         std::thread::sleep(PROMOTION_DURATION);
+        {
+            let mut instances = self.lock();
+            let index = instances.iter().position(|instance| instance.id == id).unwrap();
+            let primaries = instances.iter().filter(|i| i.primary && i.running);
+            let newest = primaries.max_by_key(|i| i.term).map(|i| i.id.clone());
+            if newest.as_deref() == Some(id) || !instances[index].running {
+                return;
+            }
+            let term = 1 + instances.iter().map(|instance| instance.term).max().unwrap();
+            instances.iter_mut().for_each(|instance| instance.paused = false);
+            // The others follow it; those that are ahead are rolled back.
+            instances[index].detached = false;
+            (instances[index].primary, instances[index].term) = (true, term);
+            replicate(&mut instances, index);
+        }
+        std::thread::sleep(STEP_DOWN_DURATION);
         let mut instances = self.lock();
-        let term = 1 + instances.iter().map(|instance| instance.term).max().unwrap();
-        let log = instances.iter().find(|instance| instance.id == id).unwrap().log.clone();
-        for instance in instances.iter_mut() {
-            instance.paused = false;
-            if instance.id == id {
-                (instance.primary, instance.term) = (true, term);
-            } else if !instance.primary && instance.running {
-                instance.term = term;
-                instance.log.clone_from(&log);
+        let newest = instances.iter().filter(|i| i.primary && i.running).map(|i| i.term).max();
+        for instance in instances.iter_mut().filter(|i| i.running && !i.detached) {
+            if Some(instance.term) < newest {
+                instance.primary = false;
             }
         }
+        replicate_newest(&mut instances);
     }
 }
 
@@ -412,10 +568,14 @@
     pub proxies: Vec<u8>,
     processes: BTreeMap<u8, Child>,
     pub group: Arc<Group>,
+    /// The path of each control process to the platform, if the fleet has such paths.
+    pub paths: BTreeMap<u8, Path>,
+    /// The relay in front of the control processes, if there is one.
+    pub peers: Option<Peers>,
 }
 
 /// The ports that the platform assigns on every VM.
-const FRONT_PORT: u16 = 17_301;
+pub const FRONT_PORT: u16 = 17_301;
 const READY_PORT: u16 = 17_302;
 const CONTROL_PORT: u16 = 17_303;
 pub const INTERNAL_PORT: u16 = 17_304;
@@ -429,6 +589,13 @@
 const INSTANCES: [u8; 3] = [21, 22, 23];
 const PLATFORM_VM: u8 = 31;
 
+/// What is added to the last part of a control process's address for its path to the platform, for the relay in front of
+/// it, and for the address behind that relay. The first control process has no other address behind the relay: the one
+/// that founds the log must have the lowest address that it knows.
+const PATH_OFFSET: u8 = 50;
+const RELAY_OFFSET: u8 = 40;
+const BEHIND_RELAY_OFFSET: u8 = 100;
+
 /// The connections that an instance accepts unless a test says otherwise.
 pub const MAX_CONNECTIONS: usize = 28;
 
@@ -440,14 +607,26 @@
 
     /// Starts a fleet with these proxies, whose instances accept `max_connections` connections each.
     pub fn up_with(subnet: u8, proxies: &[u8], max_connections: usize) -> Self {
+        Self::start(subnet, proxies, max_connections, false)
+    }
+
+    /// Starts a fleet with a [`Path`] from each control process to the platform and a relay in front of each, whose
+    /// instances acknowledge a commit only once a replica has received it.
+    pub fn up_behind_paths(subnet: u8) -> Self {
+        Self::start(subnet, &PROXIES, MAX_CONNECTIONS, true)
+    }
+
+    fn start(subnet: u8, proxies: &[u8], max_connections: usize, behind_paths: bool) -> Self {
         let group = Arc::new(Group {
             instances: Mutex::default(),
             max_connections,
+            synchronous: behind_paths,
             promotions: Mutex::default(),
         });
         let dir = tempfile::tempdir().unwrap();
         let proxies = proxies.to_vec();
-        let mut fleet = Self { subnet, dir, proxies, processes: BTreeMap::new(), group };
+        let (processes, paths, peers) = (BTreeMap::new(), BTreeMap::new(), None);
+        let mut fleet = Self { subnet, dir, proxies, processes, group, paths, peers };
         for (index, vm) in INSTANCES.into_iter().enumerate() {
             let address = fleet.address(vm, INSTANCE_PORT);
             let listener = TcpListener::bind(address).expect("the instance's address");
@@ -460,6 +639,8 @@
                 term,
                 log: Vec::new(),
                 running,
+                crashes: 0,
+                detached: false,
                 paused: false,
                 state,
                 sequence: 0,
@@ -477,6 +658,9 @@
         let listener = TcpListener::bind(fleet.address(PLATFORM_VM, PROMOTE_PORT)).unwrap();
         let group = Arc::clone(&fleet.group);
         std::thread::spawn(move || group.serve_promotions(listener));
+        if behind_paths {
+            fleet.open_paths();
+        }
         VOTERS.into_iter().for_each(|vm| fleet.start_process(vm, true));
         for vm in fleet.proxies.clone() {
             fleet.start_process(vm, true);
@@ -493,6 +677,32 @@
         fleet
     }
 
+    fn open_paths(&mut self) {
+        for vm in VOTERS {
+            let listen = self.address(vm + PATH_OFFSET, PROMOTE_PORT);
+            self.paths.insert(vm, Path::open(listen, self.address(PLATFORM_VM, PROMOTE_PORT)));
+        }
+        let routes = VOTERS.map(|vm| Route {
+            node: format!("control-{vm}"),
+            listen: self.address(vm + RELAY_OFFSET, INTERNAL_PORT),
+            target: self.address(vm + Self::behind_relay(vm), INTERNAL_PORT),
+        });
+        self.peers = Some(Peers::open(routes.to_vec()));
+    }
+
+    fn behind_relay(vm: u8) -> u8 {
+        if vm == VOTERS[0] { 0 } else { BEHIND_RELAY_OFFSET }
+    }
+
+    /// Returns the host at which the process on `vm` reaches a control process.
+    fn voter_host(&self, vm: u8, voter: u8) -> u8 {
+        match self.peers {
+            Some(_) if vm == voter => voter + Self::behind_relay(voter),
+            Some(_) => voter + RELAY_OFFSET,
+            None => voter,
+        }
+    }
+
     pub fn address(&self, vm: u8, port: u16) -> SocketAddr {
         SocketAddr::new(Ipv4Addr::new(127, self.subnet, 0, vm).into(), port)
     }
@@ -501,17 +711,18 @@
     pub fn start_process(&mut self, vm: u8, first_start: bool) {
         let seeds: Vec<String> = VOTERS
             .iter()
-            .map(|voter| format!("\"{}\"", self.address(*voter, CONTROL_PORT)))
+            .map(|voter| format!("\"{}\"", self.address(self.voter_host(vm, *voter), CONTROL_PORT)))
             .collect();
+        let promoter_host = if self.paths.is_empty() { PLATFORM_VM } else { vm + PATH_OFFSET };
         let role = if VOTERS.contains(&vm) { "control" } else { "proxy" };
         let data = self.dir.path().join(format!("data-{vm}"));
         let role_settings = match role {
             "control" => format!(
                 "[control]\naddress = \"{}\"\nadmin = \"{}\"\ngateway = \"{}\"\npromoter = \"{}\"\n",
-                self.address(vm, INTERNAL_PORT),
+                self.address(self.voter_host(vm, vm), INTERNAL_PORT),
                 self.address(vm, METRICS_PORT),
                 self.address(vm, CONTROL_PORT),
-                self.address(PLATFORM_VM, PROMOTE_PORT)
+                self.address(promoter_host, PROMOTE_PORT)
             ),
             _ => format!(
                 "[proxy]\nlisten = \"{}\"\nready = \"{}\"\naddress = \"{}\"\nadmin = \"{}\"\ngrace = \"6s\"\n",
@@ -530,7 +741,11 @@
         );
         let path: PathBuf = self.dir.path().join(format!("{vm}.toml"));
         std::fs::write(&path, settings).unwrap();
-        let log = std::fs::File::create(self.dir.path().join(format!("{vm}.log"))).unwrap();
+        // Behind paths, the log of a process goes on after a restart.
+        let appends = self.peers.is_some();
+        let mut options = std::fs::File::options();
+        options.create(true).write(true).append(appends).truncate(!appends);
+        let log = options.open(self.log_file(vm)).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_cactushatch"))
             .args(["platform", role, "--settings"])
             .arg(path)
