Reproduce the late promotion on real processes

What callers saw: the platform got an order to promote from a leader that had been replaced, and the instance that it named became primary without acknowledged commits.

The tests hold the order of a leader in the network; the leader is killed, cut off from its peers or frozen, its successor orders, and the bytes are released. The stand-in network drops what it holds after a reset and delivers it after a close, which a test of its own shows.

--- /dev/null
+++ b/tests/platform_late_order.rs
@@ -0,0 +1,292 @@
+//! Tests on real processes that an order to promote has no effect once its author has been replaced, whatever the network
+//! does with its bytes.
+
+mod lines;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use lines::path::{OnReset, Path};
+use lines::{Caller, Fleet, PROXIES};
+
+/// The first primary of the group.
+const FIRST_PRIMARY: &str = "i-21";
+
+/// Number of acknowledged writes that show that the group is served.
+const SERVED_WRITES: usize = 20;
+
+/// Time in which a released order reaches the platform, and the instance that it names becomes primary.
+const EFFECT_DURATION: Duration = Duration::from_millis(1_500);
+
+/// Writes without a pause over a session, and records the writes that are acknowledged.
+struct Load {
+    acknowledged: Arc<Mutex<Vec<String>>>,
+    ends: Arc<AtomicBool>,
+    thread: JoinHandle<()>,
+}
+
+impl Load {
+    fn start(address: SocketAddr, name: &'static str) -> Self {
+        let acknowledged = Arc::new(Mutex::new(Vec::new()));
+        let ends = Arc::new(AtomicBool::new(false));
+        let (shared, stop) = (Arc::clone(&acknowledged), Arc::clone(&ends));
+        let thread = std::thread::spawn(move || {
+            let mut session = Caller::connect(address, "desk", "me");
+            for number in 0.. {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let data = format!("{name}{number}");
+                match session.query(&format!("PUT book {data}")) {
+                    Some(answer) if answer.result.starts_with("DONE") => {
+                        shared.lock().unwrap().push(data);
+                    }
+                    Some(_) => {}
+                    None => session = Caller::connect(address, "desk", "me"),
+                }
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        });
+        Self { acknowledged, ends, thread }
+    }
+
+    fn count(&self) -> usize {
+        self.acknowledged.lock().unwrap().len()
+    }
+
+    fn stop(self) -> Vec<String> {
+        self.ends.store(true, Ordering::SeqCst);
+        self.thread.join().unwrap();
+        Arc::into_inner(self.acknowledged).unwrap().into_inner().unwrap()
+    }
+}
+
+/// A fleet under writes, and the control process that leads it.
+struct Scene {
+    fleet: Fleet,
+    load: Load,
+    leader: u8,
+}
+
+impl Scene {
+    fn up(subnet: u8) -> Self {
+        let fleet = Fleet::up_behind_paths(subnet);
+        let load = Load::start(fleet.address(PROXIES[0], lines::FRONT_PORT), "w");
+        fleet.wait_until("the first writes", |_| load.count() >= SERVED_WRITES);
+        fleet.wait_until("a leader", |fleet| leader(fleet).is_some());
+        let leader = leader(&fleet).unwrap();
+        Self { fleet, load, leader }
+    }
+
+    fn path(&self) -> &Path {
+        &self.fleet.paths[&self.leader]
+    }
+
+    fn leader_log(&self) -> String {
+        std::fs::read_to_string(self.fleet.log_file(self.leader)).unwrap()
+    }
+
+    fn tokens(&self) -> Vec<u64> {
+        self.fleet.group.promotions.lock().unwrap().iter().map(|(.., token)| *token).collect()
+    }
+
+    /// Holds the path of the leader from the first bytes of an order, and lets the primary fail. Returns once an order has
+    /// begun.
+    fn hold_an_order(&self) {
+        self.path().hold_next_order();
+        self.fleet.group.detach(FIRST_PRIMARY);
+        self.fleet.wait_until("an order is held", |_| self.path().orders().begun > 0);
+    }
+
+    /// Waits until the successor has promoted an instance and writes are served again.
+    fn wait_for_successor(&self) -> String {
+        self.fleet.wait_until("another primary", |fleet| fleet.group.primary() != FIRST_PRIMARY);
+        self.fleet.group.attach(FIRST_PRIMARY);
+        self.wait_for_writes();
+        self.fleet.group.primary()
+    }
+
+    fn wait_for_writes(&self) {
+        let before = self.load.count();
+        self.fleet
+            .wait_until("writes are acknowledged", |_| self.load.count() >= before + SERVED_WRITES);
+    }
+
+    /// Lets the primary fail, so that the successor promotes yet another instance. The old one lacks what is acknowledged
+    /// from then on.
+    fn replace(&self, primary: &str) {
+        self.fleet.group.detach(primary);
+        self.fleet.wait_until("a third primary", |fleet| fleet.group.primary() != primary);
+        self.wait_for_writes();
+        self.fleet.group.answer_again(primary);
+        self.wait_for_writes();
+    }
+
+    /// Checks that tokens never fell, that no order was delivered that its author had given up, and that each acknowledged
+    /// write is in the log of the primary once.
+    fn check(self) {
+        std::thread::sleep(EFFECT_DURATION);
+        let (tokens, orders) = (self.tokens(), self.path().orders());
+        let promotions = self.fleet.group.promotions.lock().unwrap().clone();
+        let acknowledged = self.load.stop();
+        let values = self.fleet.group.values_of("book");
+        let count = |data: &String| values.iter().filter(|value| *value == data).count();
+        let lost = acknowledged.iter().filter(|data| count(data) == 0).count();
+        let doubled = acknowledged.iter().filter(|data| count(data) > 1).count();
+        let falls = tokens.windows(2).filter(|pair| pair[0] > pair[1]).count();
+        let result = format!(
+            "{falls} falls of the token, {lost} of {} acknowledged writes lost, {doubled} doubled; {orders:?}; \
+             {promotions:?}; the primary is {}",
+            acknowledged.len(),
+            self.fleet.group.primary()
+        );
+        eprintln!("{result}");
+        let holds = falls == 0 && orders.late == 0 && lost == 0 && doubled == 0;
+        assert!(holds, "{result}\n{}", self.fleet.logs());
+    }
+}
+
+/// Returns the control process that leads by its log.
+fn leader(fleet: &Fleet) -> Option<u8> {
+    let leads = |vm: &u8| {
+        let log = std::fs::read_to_string(fleet.log_file(*vm)).unwrap_or_default();
+        let mut changes = log.lines().filter(|line| line.contains("\"leads\":"));
+        changes.next_back().is_some_and(|line| line.contains("\"leads\":true"))
+    };
+    [1, 2, 3].into_iter().find(leads)
+}
+
+/// The kernel sends what a process has written even after the process was killed.
+#[test]
+fn a_held_order_of_a_leader_that_was_killed_has_no_effect_after_its_successors_order() {
+    let mut scene = Scene::up(131);
+    scene.hold_an_order();
+    scene.fleet.signal(scene.leader, "-KILL");
+    scene.fleet.wait_for_exit(scene.leader);
+    let primary = scene.wait_for_successor();
+    scene.fleet.start_process(scene.leader, false);
+    scene.replace(&primary);
+    scene.path().release();
+    scene.check();
+}
+
+/// The same failures lose nothing as long as the held order doesn't arrive.
+#[test]
+fn failures_of_a_leader_and_two_primaries_lose_nothing_while_its_order_is_held() {
+    let mut scene = Scene::up(138);
+    scene.hold_an_order();
+    scene.fleet.signal(scene.leader, "-KILL");
+    scene.fleet.wait_for_exit(scene.leader);
+    let primary = scene.wait_for_successor();
+    scene.fleet.start_process(scene.leader, false);
+    scene.replace(&primary);
+    scene.check();
+}
+
+/// A leader is cut off from its peers and the platform in the middle of an order, and gives it up long before the cut
+/// ends.
+#[test]
+fn a_held_order_of_a_leader_that_was_cut_off_has_no_effect_after_its_successors_order() {
+    cut_off_in_an_order(132, OnReset::Drop);
+}
+
+/// As before, but the network delivers what it holds even if the connection was reset.
+#[test]
+fn an_order_that_was_cut_off_at_its_start_has_no_effect_even_if_resets_are_ignored() {
+    cut_off_in_an_order(133, OnReset::Keep);
+}
+
+fn cut_off_in_an_order(subnet: u8, on_reset: OnReset) {
+    let scene = Scene::up(subnet);
+    let node = format!("control-{}", scene.leader);
+    scene.path().set_on_reset(on_reset);
+    let peers = scene.fleet.peers.as_ref().expect("a relay");
+    scene.hold_an_order();
+    peers.isolate(&node);
+    let primary = scene.wait_for_successor();
+    scene.replace(&primary);
+    scene.path().release();
+    peers.heal(&node);
+    scene.check();
+}
+
+/// An order that its author has given up arrives later, when its author may have chosen another instance.
+#[test]
+fn an_order_that_was_given_up_is_not_delivered_later() {
+    let scene = Scene::up(134);
+    scene.hold_an_order();
+    let given_up = |text: &str| text.matches("did not answer in time").count();
+    scene.fleet.wait_until("two orders are given up", |_| given_up(&scene.leader_log()) >= 2);
+    scene.path().release();
+    scene.wait_for_successor();
+    scene.check();
+}
+
+/// Time after an order at which its author is frozen, at which the path accepts connections again, and at which the author
+/// wakes. It wakes before the order's time limit, and after the kernel has sent the first packet of the connection again.
+const FROZEN_AT: Duration = Duration::from_millis(50);
+const ACCEPTED_AT: Duration = Duration::from_millis(850);
+const AWAKE_AT: Duration = Duration::from_millis(1_300);
+
+/// A frozen leader sends its order when it wakes, after its successor's.
+#[test]
+fn an_order_of_a_leader_that_was_frozen_has_no_effect_after_its_successors_order() {
+    for subnet in 135..138 {
+        let scene = Scene::up(subnet);
+        scene.path().stop_accepting();
+        scene.fleet.group.detach(FIRST_PRIMARY);
+        let is_ordered = || scene.leader_log().contains("\"event\":\"promotion\"");
+        scene.fleet.wait_until("an order is sent", |_| is_ordered());
+        let ordered_at = Instant::now();
+        let wait_for = |at: Duration| std::thread::sleep(at.saturating_sub(ordered_at.elapsed()));
+        wait_for(FROZEN_AT);
+        scene.fleet.signal(scene.leader, "-STOP");
+        wait_for(ACCEPTED_AT);
+        scene.path().accept_again();
+        wait_for(AWAKE_AT);
+        let successor_ordered = !scene.tokens().is_empty();
+        scene.fleet.signal(scene.leader, "-CONT");
+        scene.wait_for_successor();
+        scene.check();
+        if successor_ordered {
+            return;
+        }
+        eprintln!("the successor ordered too late, trying again");
+    }
+    panic!("no successor ordered before the frozen leader woke");
+}
+
+/// Checks the stand-in for the network.
+#[test]
+fn a_path_drops_the_held_bytes_of_a_connection_that_was_reset() {
+    let closed = (false, OnReset::Drop, true);
+    let reset = (true, OnReset::Drop, false);
+    let reset_and_kept = (true, OnReset::Keep, true);
+    for (host, (resets, on_reset, arrives)) in [closed, reset, reset_and_kept].iter().enumerate() {
+        let address = |port| SocketAddr::from(([127, 139, 0, 1 + host as u8], port));
+        let service = TcpListener::bind(address(17_307)).unwrap();
+        service.set_nonblocking(true).unwrap();
+        let path = Path::open(address(17_308), address(17_307));
+        path.set_on_reset(*on_reset);
+        path.hold();
+        let mut sender = TcpStream::connect(address(17_308)).unwrap();
+        sender.write_all(b"POST /x HTTP/1.1\r\ncontent-length: 2\r\n\r\nab").unwrap();
+        while path.orders().held.is_empty() {
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        if *resets {
+            socket2::SockRef::from(&sender).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        drop(sender);
+        std::thread::sleep(Duration::from_millis(50));
+        path.release();
+        std::thread::sleep(Duration::from_millis(100));
+        let orders = path.orders();
+        assert_eq!(service.accept().is_ok(), *arrives, "{orders:?}");
+        assert_eq!((orders.late == 1, orders.dropped == 1), (*arrives, !*arrives), "{orders:?}");
+    }
+}
