Tie a promotion to the leadership of its author, and take back what has not arrived

Cause: an order outlived the authority under which it was given. It was given up after 1.4 s, while its author may be replaced 0.3 s after it has lost the majority; leadership was checked before the connection was opened and not again; and the connection was closed, so that the kernel kept the order and delivered it when the cut path was back. In terms of the platform such an order promotes an instance to the next term, whatever was decided meanwhile.

Change: an order is dropped when another process may have been elected, its connection is reset instead of closed, also by the kernel (SO_LINGER 0, TCP_USER_TIMEOUT), and its body leaves only once a majority has confirmed the leader in answer to a message sent after the connection was open. A cut between the two leaves a request without its body.

--- a/src/admin/client.rs
+++ b/src/admin/client.rs
@@ -4,8 +4,10 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Body;
 use hyper::client::conn::http1;
 use hyper::header::AUTHORIZATION;
+use hyper::http::request;
 use hyper::{Method, Request};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -70,9 +72,19 @@
         headers: &[(&str, &str)],
         body: Bytes,
     ) -> Result<Bytes, Error> {
+        let request = self.request(address, method, path, headers).body(Full::new(body))?;
         let socket = TcpStream::connect(address).await.map_err(Error::Connect)?;
-        let (mut sender, connection) = http1::handshake(FuturesIo::new(socket)).await?;
-        let driver = smol::spawn(connection);
+        exchange(socket, request).await
+    }
+
+    /// Returns a request without a body.
+    pub(super) fn request(
+        &self,
+        address: SocketAddr,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+    ) -> request::Builder {
         let mut request = Request::builder()
             .method(method)
             .uri(path)
@@ -84,17 +96,27 @@
         if let Some(token) = &self.token {
             request = request.header(AUTHORIZATION, format!("Bearer {token}"));
         }
-        let response = sender.send_request(request.body(Full::new(body))?).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
-        let body = body.map_err(|error| Error::Body(error.to_string()))?.to_bytes();
-        drop(driver);
-        if status.is_success() {
-            return Ok(body);
-        }
-        let message = String::from_utf8_lossy(&body).into_owned();
-        Err(Error::Refused { status: status.as_u16(), message })
+        request
+    }
+}
+
+/// Sends a request over a new connection and returns the response body.
+pub(super) async fn exchange<B>(socket: TcpStream, request: Request<B>) -> Result<Bytes, Error>
+where
+    B: Body<Data: Send, Error: Into<Box<dyn std::error::Error + Send + Sync>>> + Send + 'static,
+{
+    let (mut sender, connection) = http1::handshake(FuturesIo::new(socket)).await?;
+    let driver = smol::spawn(connection);
+    let response = sender.send_request(request).await?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_BODY_BYTES).collect().await;
+    let body = body.map_err(|error| Error::Body(error.to_string()))?.to_bytes();
+    drop(driver);
+    if status.is_success() {
+        return Ok(body);
     }
+    let message = String::from_utf8_lossy(&body).into_owned();
+    Err(Error::Refused { status: status.as_u16(), message })
 }
 
 /// Sends a GET request for `path` without a token and returns the response body.
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -1,9 +1,11 @@
 //! HTTP server and client for operators, announcements and metrics. Bodies are JSON, except for metrics and errors.
 
 mod client;
+mod guarded;
 mod server;
 
 pub use client::{Client, get, post};
+pub use guarded::Guard;
 pub use server::{Reply, Request, serve, serve_metrics};
 
 /// Maximum size of a request or response body, in bytes.
@@ -39,3 +41,8 @@
         message: String,
     },
 }
+
+/// The guard of a request withheld its body, so that the request takes no effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("this process may have been replaced")]
+pub struct Withheld;
--- /dev/null
+++ b/src/control/promotion/order.rs
@@ -0,0 +1,315 @@
+//! The orders of the leader to instances. Each instance has a task that carries out its orders one after the other.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, MutexGuard};
+
+use log::Level;
+use smol::channel::{Receiver, Sender, unbounded};
+
+use super::client::Client;
+use super::{Authority, Promoter, Promotion, Protocol, Refusal};
+use crate::clock::Instant;
+use crate::control::failover::{Input, Output};
+use crate::control::server::Shared;
+use crate::control::state::{Action, Command};
+use crate::id;
+use crate::pgsql;
+use crate::report::event::millis;
+use crate::report::{Event, PromotionAnswer};
+use crate::statement;
+use crate::upstream::probe::Probe;
+use crate::upstream::status;
+use crate::wire::Replica;
+
+/// The orders that wait for the task of an instance, each with the term of the control log in which it was given.
+pub(in crate::control) type Queue = Sender<(id::Term, Order)>;
+
+/// An order to an instance.
+#[derive(Debug)]
+pub(in crate::control) enum Order {
+    Probe,
+    Promote(id::Term),
+    Demote(id::Term),
+    Follow(SocketAddr, id::Term),
+    Pause(id::Term),
+    Resume,
+}
+
+/// The means by which orders reach one instance.
+enum Transport {
+    /// PostgreSQL's protocol; orders are SQL statements.
+    Pgsql(Probe),
+    /// A [`crate::statement::Codec`], and an outside service that promotes the instance.
+    Outside(Client, Arc<dyn Promoter>),
+}
+
+impl Shared {
+    fn order_queues(&self) -> MutexGuard<'_, BTreeMap<id::Instance, Queue>> {
+        self.order_queues.lock().expect("no thread panics while holding this lock")
+    }
+
+    /// Starts a task for each instance that has none yet; see [`Shared::watch`]. Looks for such instances only if some
+    /// have changed or a task has ended.
+    pub(in crate::control) fn watch_new(self: &Arc<Self>) {
+        let replicas: Vec<Replica> = {
+            let core = self.core();
+            let version = (core.raft.term(), core.leader.replicas_version());
+            let mut watched =
+                self.watched.lock().expect("no thread panics while holding this lock");
+            if watched.replace(version) == Some(version) {
+                return;
+            }
+            core.leader.replicas().cloned().collect()
+        };
+        for replica in replicas {
+            let mut order_queues = self.order_queues();
+            if !order_queues.contains_key(&replica.instance) {
+                let (sender, receiver) = unbounded();
+                order_queues.insert(replica.instance.clone(), sender);
+                smol::spawn(Arc::clone(self).watch(replica, receiver)).detach();
+            }
+        }
+    }
+
+    fn is_watched(&self, replica: &Replica) -> bool {
+        self.core().leader.replica(&replica.instance) == Some(replica)
+    }
+
+    fn step_failover(&self, replica: &Replica, input: Input<'_>) {
+        let now = self.clock.now();
+        self.core().leader.step(now, &replica.group, input);
+    }
+
+    /// Probes an instance and sends it orders, as long as this process is the leader and the instance announces itself.
+    async fn watch(self: Arc<Self>, replica: Replica, orders: Receiver<(id::Term, Order)>) {
+        let mut transport = self.transport(&replica);
+        let mut order = None;
+        while self.is_watched(&replica) {
+            let (term, next) = order.unwrap_or_else(|| (self.core().raft.term(), Order::Probe));
+            match self.run(term, &mut transport, &replica, next).await {
+                Some(Some(input)) => self.step_failover(&replica, input),
+                Some(None) => {}
+                // The connection may hold an order whose authority has ended.
+                None => transport = self.transport(&replica),
+            }
+            let settled = matches!(transport, Transport::Outside(..))
+                && self.core().has_active_primary(&replica.group);
+            let interval = self.core().leader.probe_interval(settled);
+            let received = self.clock.timeout(interval, orders.recv()).await;
+            order = received.and_then(Result::ok);
+        }
+        self.order_queues().remove(&replica.instance);
+        *self.watched.lock().expect("no thread panics while holding this lock") = None;
+    }
+
+    /// Carries out an order that was given in `term`. Returns `None` if this process may no longer give it.
+    async fn run(
+        self: &Arc<Self>,
+        term: id::Term,
+        transport: &mut Transport,
+        replica: &Replica,
+        order: Order,
+    ) -> Option<Option<Input<'static>>> {
+        match (transport, order) {
+            (Transport::Outside(_, promoter), Order::Promote(_)) => {
+                Some(self.promote(term, replica, &**promoter).await)
+            }
+            (Transport::Outside(client, _), order) => {
+                Some(run_outside(client, replica, order).await)
+            }
+            (Transport::Pgsql(probe), order) => {
+                let requested_at = self.clock.now();
+                let run = run_pgsql(probe, &replica.instance, requested_at, order);
+                Some(run.await)
+            }
+        }
+    }
+
+    fn transport(&self, replica: &Replica) -> Transport {
+        match self.protocol.clone() {
+            Protocol::Pgsql => {
+                let application = format!("cactushatch/{}/{}", self.me().node, self.domain);
+                let (clock, user) = (self.clock.clone(), self.user.clone());
+                let probe = Probe::new(clock, user, application, replica.clone());
+                Transport::Pgsql(probe.with_upstream(self.credentials.upstream.clone()))
+            }
+            Protocol::Outside { codec, promoter } => {
+                let (clock, replica) = (self.clock.clone(), replica.clone());
+                Transport::Outside(Client::new(clock, codec, replica), promoter)
+            }
+        }
+    }
+
+    /// Asks an outside service to promote an instance.
+    async fn promote(
+        self: &Arc<Self>,
+        token: id::Term,
+        replica: &Replica,
+        promoter: &dyn Promoter,
+    ) -> Option<Input<'static>> {
+        let (group, instance) = (&replica.group, &replica.instance);
+        let promotion = Promotion {
+            group: group.clone(),
+            instance: instance.clone(),
+            holder: self.me().node.clone(),
+            token,
+        };
+        let authority = Authority::new(Arc::clone(self), token);
+        let sent_at = self.clock.now();
+        let log = |answer: Option<String>, level| {
+            let now = self.clock.now();
+            let elapsed_ms = answer.is_some().then(|| millis(now.since(sent_at)));
+            let confirmed_ago_ms = self.time_since_confirmation(now, token).map(millis);
+            Event::Promotion { group, instance, token, answer, elapsed_ms, confirmed_ago_ms }
+                .log(level);
+        };
+        log(None, Level::Info);
+        let call = promoter.promote(promotion, authority.clone());
+        let result = self.while_leading(token, call).await;
+        let label = match &result {
+            Some(Ok(())) => PromotionAnswer::Accepted,
+            Some(Err(Refusal::NotRunning | Refusal::Failed(_))) => PromotionAnswer::Declined,
+            Some(Err(Refusal::Unanswered(_))) | None if authority.is_complete() => {
+                PromotionAnswer::Unanswered
+            }
+            Some(Err(Refusal::Unanswered(_))) | None => PromotionAnswer::Withheld,
+        };
+        self.metrics.record_promotion_call(label);
+        match result {
+            Some(Ok(())) => {
+                log(Some("accepted".to_owned()), Level::Info);
+                None
+            }
+            Some(Err(refusal)) => {
+                log(Some(refusal.to_string()), Level::Warn);
+                let not_running = matches!(refusal, Refusal::NotRunning);
+                not_running.then(|| Input::PromotionDeclined { instance: instance.clone() })
+            }
+            None => {
+                log(Some("taken back, another process may lead".to_owned()), Level::Warn);
+                None
+            }
+        }
+    }
+
+    /// Carries out what this process decided as the leader in `term` of the control log.
+    pub(in crate::control) fn carry_out(self: &Arc<Self>, term: id::Term, output: Output) {
+        match output {
+            Output::Submit(action) => {
+                log_decision(&action);
+                match &action {
+                    Action::Freeze { .. } => self.metrics.record_freeze(),
+                    Action::Promote { .. } | Action::Adopt { .. } => {
+                        self.metrics.record_promotion()
+                    }
+                    _ => {}
+                }
+                self.propose(Command { origin: None, action });
+            }
+            Output::Probe { instance } => self.order(term, &instance, Order::Probe),
+            Output::Pause { instance, term: pause } => {
+                self.order(term, &instance, Order::Pause(pause))
+            }
+            Output::Resume { instance } => self.order(term, &instance, Order::Resume),
+            Output::Promote { instance, term: promotion } => {
+                self.order(term, &instance, Order::Promote(promotion))
+            }
+            Output::Demote { instance, term: demotion } => {
+                self.order(term, &instance, Order::Demote(demotion))
+            }
+            Output::Follow { instance, primary, term: epoch } => {
+                let address = self.core().leader.replica(&primary).map(|replica| replica.address);
+                if let Some(address) = address {
+                    self.order(term, &instance, Order::Follow(address, epoch));
+                }
+            }
+        }
+    }
+
+    fn order(&self, term: id::Term, instance: &id::Instance, order: Order) {
+        if let Some(orders) = self.order_queues().get(instance) {
+            let _ = orders.try_send((term, order));
+        }
+    }
+}
+
+/// Carries out an order over a [`crate::statement::Codec`], other than a promotion.
+async fn run_outside(
+    client: &mut Client,
+    replica: &Replica,
+    order: Order,
+) -> Option<Input<'static>> {
+    let instance = replica.instance.clone();
+    match order {
+        Order::Probe => Some(client.probe().await),
+        // The outside service promotes.
+        Order::Promote(_) => None,
+        Order::Pause(term) => client.pause(term).await,
+        Order::Resume => {
+            client.execute(&statement::Command::Resume).await;
+            None
+        }
+        Order::Follow(_, term) => {
+            client.execute(&statement::Command::Demote { term }).await;
+            Some(client.probe().await)
+        }
+        // No command stops writes on such a primary; only the freeze does. A replica must have received the
+        // primary's current position before the freeze.
+        Order::Demote(_) => Some(match client.status().await {
+            Some(status) => Input::Demoted { instance, status },
+            None => Input::DemotionRefused { instance },
+        }),
+    }
+}
+
+/// Probes an instance or sends it an order, and returns the input for the group's failover state machine.
+async fn run_pgsql(
+    probe: &mut Probe,
+    instance: &id::Instance,
+    requested_at: Instant,
+    order: Order,
+) -> Option<Input<'static>> {
+    let instance = instance.clone();
+    let demotes = matches!(order, Order::Demote(_));
+    let sql = match order {
+        Order::Probe => {
+            let result = probe.status().await;
+            let requested_at =
+                result.as_ref().map_or(requested_at, |response| response.requested_at);
+            let result = result.map(|response| response.status);
+            return Some(Input::Probed { instance, requested_at, result });
+        }
+        Order::Promote(term) => status::promote_sql(term),
+        Order::Demote(term) => status::demote_sql(term),
+        Order::Follow(primary, term) => status::follow_sql(primary, term),
+        // Instances that are promoted by SQL need no pause: they are fenced by the proxies' leases alone.
+        Order::Pause(_) | Order::Resume => return None,
+    };
+    match probe.execute(&sql).await {
+        Ok(status) if demotes => Some(Input::Demoted { instance, status }),
+        Ok(status) => Some(Input::Probed { instance, requested_at, result: Ok(status) }),
+        Err(error) => {
+            log::warn!("instance {instance} did not execute {sql:?}: {error}");
+            let refused = demotes && matches!(error, pgsql::Error::Server { .. });
+            refused.then_some(Input::DemotionRefused { instance })
+        }
+    }
+}
+
+/// Logs an action that control proposes.
+fn log_decision(action: &Action) {
+    let (decision, group, term, instance, start) = match action {
+        Action::Freeze { group, term } => ("freeze", group, *term, None, None),
+        Action::Thaw { group, term } => ("thaw", group, *term, None, None),
+        Action::Claim { group, term, primary } => ("claim", group, *term, Some(primary), None),
+        Action::Promote { group, term, primary, start } => {
+            ("promote", group, *term, Some(primary), Some(*start))
+        }
+        Action::Adopt { group, term, primary, start } => {
+            ("adopt", group, *term, Some(primary), Some(*start))
+        }
+        action => return log::info!("control proposes {action:?}"),
+    };
+    Event::Decision { group, decision, term, instance, start }.log(Level::Info);
+}
--- a/src/control/raft/leader.rs
+++ b/src/control/raft/leader.rs
@@ -5,8 +5,8 @@
 
 use super::machine::{Raft, Role};
 use super::{
-    CLOCK_DRIFT_MARGIN, Entry, HEARTBEAT_INTERVAL, MAX_COMMAND_BYTES, MAX_ELECTION_TIMEOUT,
-    MIN_ELECTION_TIMEOUT, Message, Output, Peer, Start,
+    Entry, HEARTBEAT_INTERVAL, LEADERSHIP_VALIDITY, MAX_COMMAND_BYTES, MAX_ELECTION_TIMEOUT,
+    Message, Output, Peer, Start,
 };
 use crate::clock::Instant;
 use crate::control::state::{Action, Command, Voter};
@@ -75,11 +75,17 @@
     /// Returns whether a majority confirmed this leader recently enough that no other leader can have been elected,
     /// and all entries committed by earlier leaders are known to be committed here.
     pub fn is_confirmed_leader(&self, now: Instant) -> bool {
+        self.confirmed_until(now).is_some()
+    }
+
+    /// Returns until when this leader may act without a new confirmation, or `None` if it may not act now; see
+    /// [`Raft::is_confirmed_leader`].
+    pub fn confirmed_until(&self, now: Instant) -> Option<Instant> {
         let Role::Leader(leader) = &self.role else {
-            return false;
+            return None;
         };
-        let recent = |contact: Instant| now < contact + MIN_ELECTION_TIMEOUT - CLOCK_DRIFT_MARGIN;
-        self.commit >= leader.first_index && self.majority_contact(now, leader).is_some_and(recent)
+        let until = self.majority_contact(now, leader)? + LEADERSHIP_VALIDITY;
+        (self.commit >= leader.first_index && now < until).then_some(until)
     }
 
     /// Returns when this voter was elected, if it is the leader.
@@ -190,7 +196,7 @@
         self.append(Entry { term: self.term, index, command });
     }
 
-    fn broadcast(&mut self, now: Instant) {
+    pub(super) fn broadcast(&mut self, now: Instant) {
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
--- a/src/control/raft/machine.rs
+++ b/src/control/raft/machine.rs
@@ -90,6 +90,7 @@
             Input::Tick => self.tick(now),
             Input::Message { from, message } => self.on_message(now, &from, message),
             Input::Propose(command) => self.propose(now, command),
+            Input::Confirm => self.broadcast(now),
             Input::Synced { ticket } => self.on_synced(now, ticket),
             Input::Compact { index, state } => self.compact(index, state),
             Input::Bootstrap(members) => self.bootstrap(now, members),
--- a/src/control/raft/mod.rs
+++ b/src/control/raft/mod.rs
@@ -40,6 +40,10 @@
 /// clock drift between voters.
 pub const CLOCK_DRIFT_MARGIN: Duration = Duration::from_millis(50);
 
+/// How long a leader acts after it sent the message in response to which a majority last confirmed it. Whoever is elected
+/// later can rely on it: the voters of the majority grant no vote before [`MIN_ELECTION_TIMEOUT`].
+pub const LEADERSHIP_VALIDITY: Duration = MIN_ELECTION_TIMEOUT.saturating_sub(CLOCK_DRIFT_MARGIN);
+
 /// The maximum size of the entries in one message; a single entry may be larger.
 pub const MAX_APPEND_BYTES: usize = 512 * 1024;
 
@@ -230,6 +234,8 @@
     },
     /// Append a command to the log.
     Propose(Command),
+    /// Ask all voters to confirm this leader.
+    Confirm,
     /// The disk has synced all changes up to this ticket.
     Synced {
         /// The ticket of [`Output::Persist`].
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use smol::channel::Sender;
 use smol::net::{TcpListener, TcpStream, UdpSocket};
 
 use super::core::Core;
@@ -55,11 +54,13 @@
     voters: Vec<config::Voter>,
     core: Mutex<Core>,
     /// The queue of orders to each instance.
-    pub(super) order_queues: Mutex<BTreeMap<id::Instance, Sender<promotion::Order>>>,
+    pub(super) order_queues: Mutex<BTreeMap<id::Instance, promotion::Queue>>,
     /// The leadership and the version of its instances for which every instance has a task.
     pub(super) watched: Mutex<Option<(id::Term, u64)>>,
     links: Mutex<BTreeMap<id::Node, Link>>,
     pub(super) leader_streams: Mutex<leader_stream::Pool>,
+    /// Notified of each Raft message that has been handled.
+    pub(super) voter_answered: event_listener::Event,
     /// When a Raft message last arrived from each control process.
     last_contact: Mutex<BTreeMap<id::Node, Instant>>,
     jobs: mpsc::Sender<Job>,
@@ -146,6 +147,7 @@
         voters: settings.voters.clone(),
         core: Mutex::new(core),
         order_queues: Mutex::default(),
+        voter_answered: event_listener::Event::new(),
         watched: Mutex::default(),
         links: Mutex::default(),
         leader_streams: Mutex::default(),
@@ -350,20 +352,21 @@
         let mut pushed_at = Instant::default();
         loop {
             self.step(Input::Tick);
-            let (outputs, has_urgent_updates) = {
+            let (term, outputs, has_urgent_updates) = {
                 let mut core = self.core();
                 let now = self.clock.now();
+                let term = core.raft.term();
                 if core.is_confirmed_leader(now) {
                     if let Some(command) = core.next_member_change(now) {
                         self.step_locked(&mut core, Input::Propose(command));
                     }
-                    (core.tick(now), core.leader.has_urgent_updates())
+                    (term, core.tick(now), core.leader.has_urgent_updates())
                 } else {
-                    (Vec::new(), false)
+                    (term, Vec::new(), false)
                 }
             };
             for output in outputs {
-                self.carry_out(output);
+                self.carry_out(term, output);
             }
             self.watch_new();
             let now = self.clock.now();
@@ -422,6 +425,8 @@
                     core.peers.newest_runs.entry(from.node.clone()).or_insert(from.clone());
                 *newest = from.clone().max(newest.clone());
                 self.step_locked(&mut core, Input::Message { from, message });
+                drop(core);
+                self.voter_answered.notify(usize::MAX);
             }
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod report;
 pub mod schedule;
 pub mod security;
+pub mod socket;
 pub mod statement;
 pub mod upstream;
 pub mod wire;
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -94,6 +94,8 @@
         Declined = "declined",
         /// The call was sent and not answered, so that it may still take effect.
         Unanswered = "unanswered",
+        /// The call was not completed, since another process may have been elected, and takes no effect.
+        Withheld = "withheld",
     }
 );
 label!(
--- a/tests/control/raft.rs
+++ b/tests/control/raft.rs
@@ -5,7 +5,7 @@
 use crate::cluster::{Cluster, command, name, voter};
 use crate::disk::Fault;
 use cactushatch::control::raft::{
-    Entry, Input, MAX_ELECTION_TIMEOUT, MIN_ELECTION_TIMEOUT, Message, Output,
+    Entry, HEARTBEAT_INTERVAL, Input, MAX_ELECTION_TIMEOUT, MIN_ELECTION_TIMEOUT, Message, Output,
 };
 use cactushatch::control::state::Membership;
 
@@ -79,6 +79,39 @@
     cluster.commit_everywhere();
 }
 
+#[test]
+fn a_leader_that_asks_for_a_confirmation_gets_one_before_the_next_heartbeat() {
+    let mut cluster = Cluster::new(3, 2);
+    cluster.commit_everywhere();
+    let leader = cluster.await_leader();
+    let asked_at = cluster.now;
+    cluster.step_raft(leader, Input::Confirm);
+    let confirmed = |cluster: &Cluster| {
+        let contact = cluster.live(leader).raft.last_majority_contact(cluster.now);
+        contact.is_some_and(|contact| contact >= asked_at)
+    };
+    assert!(!confirmed(&cluster), "confirmed without an answer");
+    while !confirmed(&cluster) {
+        assert!(cluster.now.since(asked_at) < HEARTBEAT_INTERVAL);
+        cluster.run(Duration::from_millis(1));
+    }
+}
+
+#[test]
+fn a_partitioned_leader_may_not_act_once_another_can_be_elected() {
+    let mut cluster = Cluster::new(3, 3);
+    cluster.commit_everywhere();
+    let old = cluster.await_leader();
+    let until = cluster.live(old).raft.confirmed_until(cluster.now).expect("it leads");
+    cluster.cut(old);
+    while cluster.live(old).raft.confirmed_until(cluster.now).is_some() {
+        assert!(cluster.now < until, "the authority grew without the majority");
+        let others = (0..3).filter(|at| *at != old);
+        assert!(others.clone().all(|at| !cluster.live(at).raft.is_leader()));
+        cluster.run(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn a_leader_killed_between_sync_and_answer_loses_no_answered_command() {
     for seed in 0..SEEDS {
