Drop orders to instances when their author may have been replaced

An order waited in a queue or in a connection, ran whether or not its author still led, and a connection that was given up was closed, so that a Resume that a cut path held reached a replica after the next leader had paused it and taken its position for final.

Each order now has the term in which it was given, runs only while its author is confirmed in that term, and is taken back after that with the connection that it was sent on.

--- a/src/control/promotion/client.rs
+++ b/src/control/promotion/client.rs
@@ -4,6 +4,7 @@
 
 use crate::clock::Clock;
 use crate::control::failover::Input;
+use crate::control::raft::LEADERSHIP_VALIDITY;
 use crate::id;
 use crate::statement::{self, Codec};
 use crate::upstream::connection::{self, Connection};
@@ -103,6 +104,7 @@
                 let (clock, codec, replica) = (&self.clock, self.codec, &self.replica);
                 let (connection, _) =
                     Connection::connect(clock, codec, replica, None, deadline).await?;
+                connection.withdraw_on_close(LEADERSHIP_VALIDITY)?;
                 connection
             }
         };
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -116,12 +116,12 @@
                 Some(self.promote(term, replica, &**promoter).await)
             }
             (Transport::Outside(client, _), order) => {
-                Some(run_outside(client, replica, order).await)
+                self.while_leading(term, run_outside(client, replica, order)).await
             }
             (Transport::Pgsql(probe), order) => {
                 let requested_at = self.clock.now();
                 let run = run_pgsql(probe, &replica.instance, requested_at, order);
-                Some(run.await)
+                self.while_leading(term, run).await
             }
         }
     }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -11,6 +11,7 @@
 use crate::clock::{Clock, Instant};
 use crate::id;
 use crate::proxy::floor::Mark;
+use crate::socket;
 use crate::statement::{Answer, Code, Codec, Command, DecodeError, State};
 use crate::upstream::status::Status;
 use crate::wire::{Health, Replica};
@@ -131,6 +132,16 @@
         }
     }
 
+    /// Makes the kernel take back commands that the instance has not received when the connection is closed, or once they
+    /// are unacknowledged for `validity`; see [`socket::withdraw_on_close`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket doesn't accept the options.
+    pub fn withdraw_on_close(&self, validity: Duration) -> std::io::Result<()> {
+        socket::withdraw_on_close(&self.socket, validity)
+    }
+
     /// Queues a command, which the next [`Connection::flush`] sends.
     pub fn queue(&mut self, command: &Command<'_>) {
         self.codec.encode_command(command, &mut self.output);
