Send a commit or a single write only within its time and under its epoch

What callers saw: after a proxy was suspended, a single write got UNKNOWN although its time was over before it was sent, and so did a COMMIT that was sent without a lease. Both ran at the instance. A caller may not retry after UNKNOWN.

Cause: the lease and the deadline were checked when a connection was chosen. Opening the connection, setting it up, and the pauses of a transaction come after that, and a process can be frozen there. The lease was checked again only before the answer.

Change: `check_send` looks at the deadline and the verdict of the fence right before a statement that commits is sent. If it may not be sent, the caller gets BUSY or ABORTED, which promise that nothing is kept; a write whose primary is being replaced waits for the next one. Without a lease it waits for one before it sends and not after, up to the same deadline. The check before the answer stays, since a process can be frozen after any check.

--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -31,6 +31,12 @@
 use crate::upstream::connection::{Error, Outcome};
 use crate::wire::{Identity, Step};
 
+/// The text for callers of a proxy without a lease.
+const NO_LEASE: &str = "this proxy's lease has run out";
+
+/// The text for callers while the epoch is being replaced.
+const REPLACED: &str = "the primary is being replaced";
+
 /// The answer to a statement, without the final [`Answer::Ready`].
 pub(super) type Reply = SmallVec<[Answer; 2]>;
 
@@ -90,6 +96,17 @@
     Replaced,
 }
 
+/// The reason why a statement that commits was not sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum NotSent {
+    /// Its deadline has passed.
+    TimeOver,
+    /// The proxy holds no lease.
+    NoLease,
+    /// The epoch is being replaced.
+    Replaced,
+}
+
 impl Execution<'_> {
     /// Records that the statement runs on the connection of its transaction.
     fn continue_on(&mut self, checkout: &Checkout, read_only: bool) {
@@ -114,7 +131,17 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::Connection(error) => error.fmt(f),
-            Self::Replaced => f.write_str("the primary is being replaced"),
+            Self::Replaced => f.write_str(REPLACED),
+        }
+    }
+}
+
+impl NotSent {
+    fn text(self) -> &'static str {
+        match self {
+            Self::TimeOver => "its time was over before it was sent",
+            Self::NoLease => NO_LEASE,
+            Self::Replaced => REPLACED,
         }
     }
 }
@@ -311,6 +338,24 @@
         }
     }
 
+    /// Checks whether a statement that commits may be sent: its time is not over, and the epoch under which the connection
+    /// was checked out is in force. The process may have been suspended since then, and what it sends now can't be taken
+    /// back. Without a lease it waits for the next one, without which no answer could be released either.
+    async fn check_send(
+        &self,
+        execution: &Execution<'_>,
+        checkout: &Checkout,
+    ) -> Result<(), NotSent> {
+        let (group, term) = (&checkout.permit.group, checkout.term.unwrap_or_default());
+        let verdict = self.shared.wait_for_verdict(group, term, execution.deadline).await;
+        match verdict {
+            _ if self.shared.clock.now() >= execution.deadline => Err(NotSent::TimeOver),
+            Verdict::Release => Ok(()),
+            Verdict::NoLease => Err(NotSent::NoLease),
+            Verdict::Replaced => Err(NotSent::Replaced),
+        }
+    }
+
     /// Checks whether the answer to a write may be released, and records its position as the session's last write.
     /// Without a lease it waits for the next one, which shows whether the epoch is still in force.
     async fn check_release(
@@ -330,8 +375,8 @@
                 self.last_write = position.map(|mark| PositionSample { requested_at, mark });
                 return Ok(());
             }
-            Verdict::NoLease => "this proxy's lease has run out",
-            Verdict::Replaced => "the primary is being replaced",
+            Verdict::NoLease => NO_LEASE,
+            Verdict::Replaced => REPLACED,
         };
         Err(Refusal::new(Code::Unknown, reason))
     }
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -1,10 +1,13 @@
 //! Statements outside of transactions.
 
-use super::{Execution, Failure, Refusal, Reply, Runner, required_mark, success, template};
+use super::{
+    Execution, Failure, NotSent, Refusal, Reply, Runner, required_mark, success, template,
+};
 use crate::broker::connection::Checkout;
+use crate::broker::dispatch::FULL_DELAY;
 use crate::broker::need::Need;
 use crate::broker::session::Operation;
-use crate::statement::{Access, Code};
+use crate::statement::{Access, Code, State};
 use crate::upstream::connection::Outcome;
 
 impl Runner {
@@ -79,6 +82,18 @@
                 self.record_failure(&instance, &Failure::Connection(error));
                 continue;
             }
+            match self.check_send(execution, &checkout).await {
+                Ok(()) => {}
+                // The next one may be known already.
+                Err(NotSent::Replaced) => {
+                    self.return_connection(checkout, State::Idle);
+                    continue;
+                }
+                Err(reason) => {
+                    self.return_connection(checkout, State::Idle);
+                    return Err(Refusal::busy(reason.text(), FULL_DELAY));
+                }
+            }
             let committing = self.shared.begin_commit(&instance);
             let (group, term) = (checkout.permit.group.clone(), checkout.term);
             let sent = clock.now();
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -240,6 +240,10 @@
         let (group, term, wrote) = (checkout.permit.group.clone(), checkout.term, checkout.wrote);
         let command = Command::Commit { id: execution.id };
         loop {
+            if wrote && let Err(reason) = self.check_send(execution, &checkout).await {
+                self.roll_back_in_background(checkout);
+                return Err(Refusal::new(Code::Aborted, reason.text()));
+            }
             let committing = wrote.then(|| self.shared.begin_commit(&instance));
             let sent = clock.now();
             let committed =
