Refuse heartbeats whose address accepts no connections

Callers saw no write served for a group whose primary had crashed, for as long as another writer announced an instance of the group with port 0.

Cause: the address was parsed but not checked. An address with port 0, or an unspecified, broadcast, multicast or scoped one, went into the log as an instance. A failover must count every listed instance, since it may hold an acknowledged commit; one that can never answer leaves no majority of readings, so the group stays frozen until the registration expires, and each further heartbeat renews it.

The check is at the edge, before the leader is asked: a log that already has such an entry must still be read.

--- a/src/upstream/announcement.rs
+++ b/src/upstream/announcement.rs
@@ -1,6 +1,7 @@
 //! The announcement of an instance. It is only a hint: proxies verify it by probing the instance, it expires
 //! unless it is renewed, and it never makes an instance primary.
 
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -24,3 +25,13 @@
     /// The position of the instance.
     pub position: id::Position,
 }
+
+/// Returns whether a process on any VM can open a connection to the address. Whoever lists another one would query it
+/// in vain, and would wait for the instance at every failover of its group.
+pub fn is_connectable(address: SocketAddr) -> bool {
+    // An IPv6 scope has a meaning only on the VM that uses it, and is lost in frames.
+    let is_scoped = matches!(address, SocketAddr::V6(address) if address.scope_id() != 0);
+    let ip = address.ip().to_canonical();
+    let is_broadcast = matches!(ip, IpAddr::V4(ip) if ip.is_broadcast());
+    address.port() != 0 && !is_scoped && !is_broadcast && !ip.is_unspecified() && !ip.is_multicast()
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -157,6 +157,33 @@
     assert!(announcement::decode("i-7f", b"\xff\x00").is_err());
 }
 
+/// An instance that can't be reached counts in its group until its registration expires, and a failover waits for it.
+#[test]
+fn a_heartbeat_with_an_address_that_accepts_no_connections_is_refused() {
+    for address in [
+        "10.128.0.9:0",
+        "10.128.0.9:65536",
+        "10.128.0.9:99999",
+        "10.128.0.9:-1",
+        "0.0.0.0:8080",
+        "255.255.255.255:8080",
+        "224.0.0.1:8080",
+        "[::]:8080",
+        "[ff02::1]:8080",
+        "[::ffff:224.0.0.1]:8080",
+        "[::ffff:0.0.0.0]:8080",
+        "[fe80::1%3]:8080",
+    ] {
+        let body = HEARTBEAT.replace("10.128.0.9:8080", address);
+        assert!(announcement::decode("i-7f", body.as_bytes()).is_err(), "{address}");
+    }
+    for address in ["127.0.0.1:1", "10.0.0.255:65535", "[fd00::9]:8080", "[::ffff:10.0.0.1]:8080"] {
+        let body = HEARTBEAT.replace("10.128.0.9:8080", address);
+        let announcement = announcement::decode("i-7f", body.as_bytes()).unwrap();
+        assert_eq!(announcement.replica.address, address.parse().unwrap());
+    }
+}
+
 const CONFIGURATION: &str = r#"{"Version":7,"Routes":[
     {"Name":"r-1","Host":"fiti","PathPrefix":"/","Type":"session","TimeoutMs":800,"TargetLatencyMs":200,
      "Priority":2,"Service":"huvo11a","Attempts":2,"MaxStaleMs":2500},
