Refuse announcements to proxies whose address accepts no connections

A database that announces itself to a proxy could name port 0 or an unspecified, broadcast, multicast or scoped address. The same check now stands in `POST /announce`, through `Announcement::decode`.

Evidence: `odd_announcements_are_refused` failed without the check (port 0 was taken) and passes with it. No failover was run for this edge.

--- a/src/proxy/admin.rs
+++ b/src/proxy/admin.rs
@@ -26,7 +26,7 @@
 
 fn handle(shared: &Arc<Shared>, request: &Request) -> Reply {
     match (&request.method, request.path.as_str()) {
-        (&Method::POST, "/announce") => match serde_json::from_slice(&request.body) {
+        (&Method::POST, "/announce") => match Announcement::decode(&request.body) {
             Ok(Announcement { replica, .. }) => {
                 shared.add_instance(replica, Some(shared.clock.now()));
                 Reply::json(&())
--- a/src/upstream/announcement.rs
+++ b/src/upstream/announcement.rs
@@ -26,6 +26,33 @@
     pub position: id::Position,
 }
 
+/// Why an announcement is refused.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The body is not an announcement in JSON.
+    #[error("{0}")]
+    Json(#[from] serde_json::Error),
+    /// No connection can be opened to the address.
+    #[error("no connection can be opened to {address}")]
+    Address {
+        /// The rejected address.
+        address: SocketAddr,
+    },
+}
+
+impl Announcement {
+    /// Decodes the body of an announcement.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is not an announcement in JSON, or names an address that accepts no connections.
+    pub fn decode(body: &[u8]) -> Result<Self, Error> {
+        let announcement: Self = serde_json::from_slice(body)?;
+        let address = announcement.replica.address;
+        if is_connectable(address) { Ok(announcement) } else { Err(Error::Address { address }) }
+    }
+}
+
 /// Returns whether a process on any VM can open a connection to the address. Whoever lists another one would query it
 /// in vain, and would wait for the instance at every failover of its group.
 pub fn is_connectable(address: SocketAddr) -> bool {
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -139,7 +139,7 @@
     fn announcement_decoder_accepts_or_rejects_arbitrary_bytes(
         bytes in proptest::collection::vec(any::<u8>(), 0..500),
     ) {
-        let _ = serde_json::from_slice::<Announcement>(&bytes);
+        let _ = Announcement::decode(&bytes);
     }
 
     #[test]
@@ -239,3 +239,28 @@
     let nested_not = format!("SELECT {} true", "NOT ".repeat(50_000));
     let _ = classify::kind(&nested_not);
 }
+
+const ANNOUNCEMENT: &str = r#"{"group":"ops-1","instance":"ops-1-a","address":"10.0.0.9:5432","domain":"a",
+    "role":"replica","term":3,"position":1209}"#;
+
+#[test]
+fn odd_announcements_are_refused() {
+    Announcement::decode(ANNOUNCEMENT.as_bytes()).expect("a valid announcement");
+    let nested = "[".repeat(100_000);
+    for (from, to) in [
+        ("10.0.0.9:5432", "10.0.0.9:0"),
+        ("10.0.0.9:5432", "10.0.0.9:65536"),
+        ("10.0.0.9:5432", "0.0.0.0:5432"),
+        ("10.0.0.9:5432", "[ff02::1]:5432"),
+        ("\"term\":3", "\"term\":-1"),
+        ("1209", "18446744073709551616"),
+        ("1209", "1e30"),
+        ("\"replica\"", "\"witness\""),
+        ("\"a\"", nested.as_str()),
+        ("\"term\":3", &format!("\"term\":3,\"more\":{nested}")),
+    ] {
+        let body = ANNOUNCEMENT.replacen(from, to, 1);
+        assert_ne!(body, ANNOUNCEMENT, "{from} is not there");
+        assert!(Announcement::decode(body.as_bytes()).is_err(), "{from} -> {to:.40}");
+    }
+}
