Accept the drain of an incarnation whatever its sequence number

What callers could see: statements on an instance long after its drain was acknowledged. After one heartbeat under the instance's id with a far too high `Seq`, every later one of the instance counted as late. It was acknowledged and changed nothing, the drain included; for the primary of an active epoch, which does not expire, for good.

An incarnation that drains never becomes ready again, so the order of announcements can't matter for its drain. The highest number heard stays, so that a delayed heartbeat from before the drain is still late. Without a start time nothing changes, since the number may be of an earlier incarnation.

Evidence: `a_drain_counts_after_a_heartbeat_with_a_higher_sequence_number` failed before the change (tests/registry_odd_numbers.rs:38) and passes with it; the 9 tests of tests/registry.rs pass unchanged.

--- a/src/control/registry.rs
+++ b/src/control/registry.rs
@@ -57,13 +57,20 @@
             contact.is_some_and(|contact| (contact.born, contact.sequence) > received);
         // An instance that is gone sends no later announcement, and `Gone` may be announced on its behalf without the
         // sequence number.
+        let is_final = announcement.standing == Availability::Gone
+            || known.is_some_and(|known| is_drain_of_same_incarnation(known, announcement));
         if known.is_some_and(|known| known.born > announcement.born)
-            || (is_overtaken && announcement.standing != Availability::Gone)
+            || (is_overtaken && !is_final)
             || is_address_taken_over(state, announcement)
         {
             return Verdict::Late;
         }
-        let (born, sequence) = received;
+        let (born, sequence) = match contact {
+            Some(contact) if announcement.standing == Availability::Leaving => {
+                received.max((contact.born, contact.sequence))
+            }
+            _ => received,
+        };
         let contact = Contact { received_at: now, born, sequence, removal_proposed_at: None };
         self.contacts.insert(announcement.replica.instance.clone(), contact);
         let is_known = known.is_some_and(|known| is_unchanged(known, announcement));
@@ -117,6 +124,15 @@
         && known.standing == announcement.standing
 }
 
+/// Returns whether an announcement drains the known incarnation of an instance. An incarnation that drains never becomes
+/// ready again, so its drain counts in whatever order announcements arrive. Without a start time, it may be of an earlier
+/// incarnation, whose sequence was another one.
+fn is_drain_of_same_incarnation(known: &Announcement, announcement: &Announcement) -> bool {
+    announcement.standing == Availability::Leaving
+        && known.born == announcement.born
+        && known.born > id::Incarnation(0)
+}
+
 /// Returns whether a later incarnation of another instance uses the address.
 fn is_address_taken_over(state: &State, announcement: &Announcement) -> bool {
     state.enlisted.values().any(|known| {
