--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -184,6 +184,39 @@
     }
 }
 
+/// After a heartbeat with a number near the limit of its type, the later ones of the same instance would be late.
+#[test]
+fn a_heartbeat_with_a_number_out_of_range_is_refused() {
+    const MAX_SEQUENCE: u64 = (1 << 53) - 1;
+    const MAX_BORN_MS: u64 = 4_102_444_800_000;
+    let decode = |sequence: &str, born: &str| {
+        let body = HEARTBEAT.replace("\"Seq\":4", &format!("\"Seq\":{sequence}"));
+        announcement::decode("i-7f", body.replace("1700000000000", born).as_bytes())
+    };
+    let greatest = decode(&MAX_SEQUENCE.to_string(), &MAX_BORN_MS.to_string()).unwrap();
+    assert_eq!(greatest.sequence, id::Sequence(MAX_SEQUENCE));
+    assert_eq!(greatest.born, id::Incarnation(MAX_BORN_MS));
+    assert!(decode("0", "0").is_ok());
+    let odd =
+        ["18446744073709551615", "18446744073709551616", "-1", "1e30", "1e999", "4.0", "null"];
+    for number in odd {
+        assert!(decode(number, "1700000000000").is_err(), "Seq {number}");
+        assert!(decode("4", number).is_err(), "born {number}");
+    }
+    assert!(decode(&(MAX_SEQUENCE + 1).to_string(), "1700000000000").is_err());
+    assert!(decode("4", &(MAX_BORN_MS + 1).to_string()).is_err());
+    for (from, to) in [
+        ("\"Slots\":2", "\"Slots\":4294967296"),
+        ("\"Slots\":2", "\"Slots\":-2"),
+        ("\"ColdLeftMs\":0", "\"ColdLeftMs\":18446744073709551616"),
+        ("\"ColdLeftMs\":0", "\"ColdLeftMs\":1e400"),
+    ] {
+        let body = HEARTBEAT.replace(from, to);
+        assert_ne!(body, HEARTBEAT, "{from} is not there");
+        assert!(announcement::decode("i-7f", body.as_bytes()).is_err(), "{to}");
+    }
+}
+
 const CONFIGURATION: &str = r#"{"Version":7,"Routes":[
     {"Name":"r-1","Host":"fiti","PathPrefix":"/","Type":"session","TimeoutMs":800,"TargetLatencyMs":200,
      "Priority":2,"Service":"huvo11a","Attempts":2,"MaxStaleMs":2500},
