--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -184,6 +184,30 @@
     }
 }
 
+/// Another writer's fields must neither exhaust the stack nor be taken for those of an instance.
+#[test]
+fn a_heartbeat_that_is_deeply_nested_or_too_long_is_refused() {
+    let lists = |depth: usize| format!("{}{}", "[".repeat(depth), "]".repeat(depth));
+    let objects = |depth: usize| format!("{}1{}", "{\"a\":".repeat(depth), "}".repeat(depth));
+    let with_field = |value: &str| {
+        let body = HEARTBEAT.replace("\"Seq\":4", &format!("\"Seq\":4,\"more\":{value}"));
+        announcement::decode("i-7f", body.as_bytes())
+    };
+    for value in ["7", "-1e30", "null", "\"\"", "{\"a\":[{}]}", &lists(100), &objects(100)] {
+        assert!(with_field(value).is_ok(), "{value}");
+    }
+    for depth in [128, 1_000, 100_000] {
+        for value in [lists(depth), objects(depth), "[".repeat(depth)] {
+            assert!(with_field(&value).is_err(), "{depth}");
+            assert!(announcement::decode("i-7f", value.as_bytes()).is_err(), "{depth}");
+            let known = HEARTBEAT.replace("\"huvo11a\"", &value);
+            assert!(announcement::decode("i-7f", known.as_bytes()).is_err(), "{depth}");
+        }
+    }
+    assert!(with_field(&format!("\"{}\"", "x".repeat(60_000))).is_ok());
+    assert!(with_field(&format!("\"{}\"", "x".repeat(70_000))).is_err());
+}
+
 /// After a heartbeat with a number near the limit of its type, the later ones of the same instance would be late.
 #[test]
 fn a_heartbeat_with_a_number_out_of_range_is_refused() {
