--- a/src/control/promotion/mod.rs
+++ b/src/control/promotion/mod.rs
@@ -4,6 +4,7 @@
 mod authority;
 mod client;
 mod order;
+mod outside;
 
 use std::fmt::Debug;
 use std::pin::Pin;
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -8,16 +8,15 @@
 use smol::channel::{Receiver, Sender, unbounded};
 
 use super::client::Client;
-use super::{Authority, Promoter, Promotion, Protocol, Refusal};
+use super::outside::run_outside;
+use super::{Promoter, Protocol};
 use crate::clock::Instant;
 use crate::control::failover::{Input, Output};
 use crate::control::server::Shared;
 use crate::control::state::{Action, Command};
 use crate::id;
 use crate::pgsql;
-use crate::report::event::millis;
-use crate::report::{Event, PromotionAnswer};
-use crate::statement;
+use crate::report::Event;
 use crate::upstream::probe::Probe;
 use crate::upstream::status;
 use crate::wire::Replica;
@@ -141,58 +140,6 @@
         }
     }
 
-    /// Asks an outside service to promote an instance.
-    async fn promote(
-        self: &Arc<Self>,
-        token: id::Term,
-        replica: &Replica,
-        promoter: &dyn Promoter,
-    ) -> Option<Input<'static>> {
-        let (group, instance) = (&replica.group, &replica.instance);
-        let promotion = Promotion {
-            group: group.clone(),
-            instance: instance.clone(),
-            holder: self.me().node.clone(),
-            token,
-        };
-        let authority = Authority::new(Arc::clone(self), token);
-        let sent_at = self.clock.now();
-        let log = |answer: Option<String>, level| {
-            let now = self.clock.now();
-            let elapsed_ms = answer.is_some().then(|| millis(now.since(sent_at)));
-            let confirmed_ago_ms = self.time_since_confirmation(now, token).map(millis);
-            Event::Promotion { group, instance, token, answer, elapsed_ms, confirmed_ago_ms }
-                .log(level);
-        };
-        log(None, Level::Info);
-        let call = promoter.promote(promotion, authority.clone());
-        let result = self.while_leading(token, call).await;
-        let label = match &result {
-            Some(Ok(())) => PromotionAnswer::Accepted,
-            Some(Err(Refusal::NotRunning | Refusal::Failed(_))) => PromotionAnswer::Declined,
-            Some(Err(Refusal::Unanswered(_))) | None if authority.is_complete() => {
-                PromotionAnswer::Unanswered
-            }
-            Some(Err(Refusal::Unanswered(_))) | None => PromotionAnswer::Withheld,
-        };
-        self.metrics.record_promotion_call(label);
-        match result {
-            Some(Ok(())) => {
-                log(Some("accepted".to_owned()), Level::Info);
-                None
-            }
-            Some(Err(refusal)) => {
-                log(Some(refusal.to_string()), Level::Warn);
-                let not_running = matches!(refusal, Refusal::NotRunning);
-                not_running.then(|| Input::PromotionDeclined { instance: instance.clone() })
-            }
-            None => {
-                log(Some("taken back, another process may lead".to_owned()), Level::Warn);
-                None
-            }
-        }
-    }
-
     /// Carries out what this process decided as the leader in `term` of the control log.
     pub(in crate::control) fn carry_out(self: &Arc<Self>, term: id::Term, output: Output) {
         match output {
@@ -234,35 +181,6 @@
     }
 }
 
-/// Carries out an order over a [`crate::statement::Codec`], other than a promotion.
-async fn run_outside(
-    client: &mut Client,
-    replica: &Replica,
-    order: Order,
-) -> Option<Input<'static>> {
-    let instance = replica.instance.clone();
-    match order {
-        Order::Probe => Some(client.probe().await),
-        // The outside service promotes.
-        Order::Promote(_) => None,
-        Order::Pause(term) => client.pause(term).await,
-        Order::Resume => {
-            client.execute(&statement::Command::Resume).await;
-            None
-        }
-        Order::Follow(_, term) => {
-            client.execute(&statement::Command::Demote { term }).await;
-            Some(client.probe().await)
-        }
-        // No command stops writes on such a primary; only the freeze does. A replica must have received the
-        // primary's current position before the freeze.
-        Order::Demote(_) => Some(match client.status().await {
-            Some(status) => Input::Demoted { instance, status },
-            None => Input::DemotionRefused { instance },
-        }),
-    }
-}
-
 /// Probes an instance or sends it an order, and returns the input for the group's failover state machine.
 async fn run_pgsql(
     probe: &mut Probe,
