Test that the kernel discards an unacknowledged order while its process is frozen

Loopback has no packets that get lost, so the test closes the receiver's window: what the kernel holds then is gone after the time limit, without a step of the process.

--- a/tests/guarded_request.rs
+++ b/tests/guarded_request.rs
@@ -6,6 +6,8 @@
 
 use bytes::Bytes;
 use cactushatch::admin::{Client, Error, Guard, Withheld};
+use cactushatch::clock::Clock;
+use cactushatch::socket;
 use hyper::Method;
 use smol::channel;
 
@@ -88,6 +90,36 @@
     assert!(smol::block_on(answer).is_err());
 }
 
+/// The receiver's window is closed, so that the kernel holds data that is not acknowledged. The process does nothing, like one
+/// that is frozen.
+#[test]
+fn the_kernel_discards_what_stays_unacknowledged_while_the_process_does_nothing() {
+    let (listener, address) = listen();
+    let sender = smol::block_on(smol::net::TcpStream::connect(address)).unwrap();
+    socket::withdraw_on_close(&sender, VALIDITY).unwrap();
+    let mut receiver = accept(&listener);
+    let chunk = vec![7; 64 * 1024];
+    let mut sent = 0;
+    smol::block_on(async {
+        let mut writer = sender.clone();
+        let clock = Clock::system();
+        while let Some(written) =
+            clock.timeout(VALIDITY / 5, smol::io::AsyncWriteExt::write(&mut writer, &chunk)).await
+        {
+            sent += written.unwrap();
+        }
+    });
+    std::thread::sleep(8 * VALIDITY);
+    let mut received = 0;
+    let mut buffer = vec![0; 64 * 1024];
+    while let Ok(len @ 1..) = receiver.read(&mut buffer) {
+        received += len;
+    }
+    assert!(received < sent, "all {sent} bytes arrived after {:?}", 8 * VALIDITY);
+    let error = socket2::SockRef::from(&sender).take_error().unwrap();
+    assert_eq!(error.map(|error| error.kind()), Some(ErrorKind::TimedOut));
+}
+
 #[test]
 fn a_request_that_is_given_up_is_reset() {
     let (listener, address) = listen();
