--- a/tests/platform_port_0.rs
+++ b/tests/platform_port_0.rs
@@ -11,9 +11,9 @@
 /// An instance that doesn't exist counts in its group while it is listed, so that a failover waits for its answer.
 #[test]
 fn a_failover_does_not_wait_for_an_entry_with_port_0() {
-    let fleet = Fleet::up(144);
+    let fleet = Fleet::up(193);
     let gateway = fleet.address(1, CONTROL_PORT);
-    let body = "{\"Service\":\"books\",\"Addr\":\"127.144.0.29:0\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":2,\
+    let body = "{\"Service\":\"books\",\"Addr\":\"127.193.0.29:0\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":2,\
                 \"State\":\"ready\",\"ColdLeftMs\":0,\"DbRole\":\"replica\",\"Seq\":1,\"born\":1700000000000}";
     let announce = || lines::send_http(gateway, "PUT /instances/i-99", body);
     announce();
