Test a running fleet with odd heartbeats of another writer

Sends 94 bodies that must be refused and four of an undeclared service, each as an instance of its own, under the id of an instance and at the address of one, to all three control processes while both proxies serve reads and writes; odd ids in paths; and a body over the limit. Then every process is killed and started again in turn, so that control reads its log anew; a drain must still be seen, and a new instance be asked.

--- /dev/null
+++ b/tests/platform_odd_entries.rs
@@ -0,0 +1,308 @@
+//! Tests the real binary with heartbeats that another writer sends among those of the instances: deeply nested, with
+//! numbers out of range, or with addresses that accept no connections.
+
+mod lines;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use lines::{Fleet, METRICS_PORT, PROXIES};
+
+const CONTROL_PORT: u16 = 17_303;
+const INSTANCE_PORT: u16 = 17_306;
+const VOTERS: [u8; 3] = [1, 2, 3];
+
+/// The greatest start time of an instance that is accepted, in milliseconds since 1970.
+const MAX_BORN_MS: u64 = 4_102_444_800_000;
+
+/// The greatest sequence number of a heartbeat that is accepted.
+const MAX_SEQUENCE: u64 = (1 << 53) - 1;
+
+/// A heartbeat that another writer sends.
+struct Entry {
+    id: String,
+    body: Vec<u8>,
+}
+
+/// Sends a request whose body may be any bytes, and returns the status of the answer.
+fn send(address: SocketAddr, request_line: &str, body: &[u8]) -> Option<u16> {
+    let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
+    socket.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
+    let length = body.len();
+    let head = format!(
+        "{request_line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
+    );
+    // The answer to a body over the limit may come before all of it is sent.
+    let _ = socket.write_all(&[head.as_bytes(), body].concat());
+    let mut line = String::new();
+    BufReader::new(socket).read_line(&mut line).ok()?;
+    line.split(' ').nth(1)?.parse().ok()
+}
+
+/// Returns a heartbeat of an instance in which `edits` are replaced.
+fn heartbeat(address: SocketAddr, edits: &[(&str, &str)]) -> String {
+    let body = format!(
+        "{{\"Service\":\"books\",\"Addr\":\"{address}\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":2,\
+         \"State\":\"ready\",\"ColdLeftMs\":0,\"DbRole\":\"replica\",\"Seq\":1000000,\"born\":1700000000000}}"
+    );
+    edits.iter().fold(body, |body, (from, to)| {
+        let edited = body.replacen(from, to, 1);
+        assert_ne!(edited, body, "{from} is not there");
+        edited
+    })
+}
+
+/// Values of numeric fields that no instance sends.
+const ODD_NUMBERS: [&str; 13] = [
+    "18446744073709551615",
+    "18446744073709551616",
+    "9007199254740992",
+    "-1",
+    "-9223372036854775808",
+    "1e30",
+    "1e999",
+    "1.5",
+    "NaN",
+    "Infinity",
+    "\"7\"",
+    "null",
+    "true",
+];
+
+/// Parts of a heartbeat that must be refused, each with the part that it replaces.
+fn odd_fields(address: SocketAddr) -> Vec<(String, String)> {
+    let (own, ip) = (address.to_string(), address.ip());
+    let mut fields: Vec<(String, String)> = Vec::new();
+    for port in ["0", "65536", "99999", "-1", "1e3", "18446744073709551616", ""] {
+        fields.push((own.clone(), format!("{ip}:{port}")));
+    }
+    for host in ["0.0.0.0:80", "255.255.255.255:80", "224.0.0.1:80", "[::]:80", "[ff02::1]:80"] {
+        fields.push((own.clone(), host.to_owned()));
+    }
+    let mut replace = |from: &str, to: String| fields.push((from.to_owned(), to));
+    for number in ODD_NUMBERS {
+        replace("\"Seq\":1000000", format!("\"Seq\":{number}"));
+        replace("1700000000000", number.to_owned());
+    }
+    for number in ["4294967296", "-1", "1e400", "2.5", "{}"] {
+        replace("\"Slots\":2", format!("\"Slots\":{number}"));
+    }
+    for number in ["18446744073709551616", "-1", "1e400", "[]"] {
+        replace("\"ColdLeftMs\":0", format!("\"ColdLeftMs\":{number}"));
+    }
+    for depth in DEPTHS {
+        for value in [nested_lists(depth), nested_objects(depth), "[".repeat(depth)] {
+            replace("\"books\"", value.clone());
+            replace("\"Seq\":1000000", format!("\"Seq\":{value}"));
+        }
+        for value in [nested_lists(depth), nested_objects(depth), "[".repeat(depth)] {
+            replace("\"Slots\":2", format!("\"Slots\":2,\"more\":{value}"));
+        }
+    }
+    replace("\"ready\"", "\"resting\"".to_owned());
+    replace("\"ready\"", format!("\"{}\"", "x".repeat(30_000)));
+    replace("\"books\"", format!("\"{}\"", "x".repeat(129)));
+    replace("\"replica\"", "\"witness\"".to_owned());
+    replace("\"Zone\":\"a\",", String::new());
+    replace("\"Seq\":1000000", "\"Seq\":1000000,\"Seq\":1000001".to_owned());
+    fields
+}
+
+/// Depths of nesting around the limits of parsers.
+const DEPTHS: [usize; 3] = [128, 1_000, 30_000];
+
+fn nested_lists(depth: usize) -> String {
+    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
+}
+
+fn nested_objects(depth: usize) -> String {
+    format!("{}1{}", "{\"a\":".repeat(depth), "}".repeat(depth))
+}
+
+/// Returns the entries that must be refused, for the given instance and address.
+fn refused_entries(id: &str, address: SocketAddr) -> Vec<Entry> {
+    let fields = odd_fields(address);
+    let edited = fields.iter().map(|(from, to)| heartbeat(address, &[(from, to)]).into_bytes());
+    let mut bodies: Vec<Vec<u8>> = edited.collect();
+    bodies.extend(DEPTHS.map(|depth| nested_lists(depth).into_bytes()));
+    bodies.extend(DEPTHS.map(|depth| nested_objects(depth).into_bytes()));
+    bodies.extend([&b""[..], b"\xff\xfe", b"{", b"null", b"[]", b"7"].map(<[u8]>::to_vec));
+    let mut not_utf8 = heartbeat(address, &[]).into_bytes();
+    let at = not_utf8.iter().position(|byte| *byte == b'v').unwrap();
+    not_utf8[at] = 0xff;
+    bodies.push(not_utf8);
+    let mut cut = heartbeat(address, &[]).into_bytes();
+    cut.truncate(cut.len() / 2);
+    bodies.push(cut);
+    bodies.into_iter().map(|body| Entry { id: id.to_owned(), body }).collect()
+}
+
+/// Returns entries that are acknowledged and must change nothing: their service isn't declared, or what is odd is in a
+/// field that has no meaning.
+fn ignored_entries(id: &str, address: SocketAddr) -> Vec<Entry> {
+    let entry = |edits: &[(&str, &str)]| Entry {
+        id: id.to_owned(),
+        body: heartbeat(address, edits).into_bytes(),
+    };
+    vec![
+        entry(&[("books", "nosuch")]),
+        entry(&[("books", "nosuch"), ("ready", "draining")]),
+        entry(&[("books", "nosuch"), ("\"Seq\":1000000", &format!("\"Seq\":{MAX_SEQUENCE}"))]),
+        entry(&[("books", "nosuch"), ("1700000000000", &MAX_BORN_MS.to_string())]),
+    ]
+}
+
+/// Sends an entry to each control process, and returns the statuses.
+fn send_entry(fleet: &Fleet, entry: &Entry) -> Vec<u16> {
+    let request_line = format!("PUT /instances/{}", entry.id);
+    let sent = VOTERS.iter().map(|vm| {
+        send(fleet.address(*vm, CONTROL_PORT), &request_line, &entry.body).expect("an answer")
+    });
+    sent.collect()
+}
+
+fn describe(entry: &Entry) -> String {
+    let text = String::from_utf8_lossy(&entry.body);
+    format!("{}: {}", entry.id, text.chars().take(300).collect::<String>())
+}
+
+fn assert_all_run(fleet: &Fleet) {
+    for vm in VOTERS.iter().chain(&PROXIES) {
+        let status = send(fleet.address(*vm, METRICS_PORT), "GET /metrics", b"");
+        assert_eq!(status, Some(200), "the process on VM {vm} answers");
+    }
+    let logs = fleet.logs();
+    let panics: Vec<&str> = logs.lines().filter(|line| line.contains("panicked")).collect();
+    assert!(panics.is_empty(), "{panics:?}");
+}
+
+fn restart(fleet: &mut Fleet, vm: u8) {
+    fleet.signal(vm, "-KILL");
+    fleet.wait_for_exit(vm);
+    fleet.start_process(vm, false);
+    fleet.wait_until("the process answers", |fleet| {
+        send(fleet.address(vm, METRICS_PORT), "GET /metrics", b"") == Some(200)
+    });
+}
+
+fn read_on_each_proxy(fleet: &Fleet) {
+    for vm in PROXIES {
+        fleet.wait_until("the proxy is ready", |fleet| fleet.is_ready(vm));
+        fleet.connect(vm, "menu").query_until_done("FETCH a");
+        fleet.connect(vm, "desk").query_until_done("PUT a b");
+    }
+}
+
+/// Serves nothing, and counts the connections on which an instance of this name is asked for.
+fn listen_as(address: SocketAddr, id: &'static str) -> Arc<AtomicUsize> {
+    let listener = TcpListener::bind(address).expect("the instance's address");
+    let asked = Arc::new(AtomicUsize::new(0));
+    let counter = Arc::clone(&asked);
+    std::thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let counter = Arc::clone(&counter);
+            std::thread::spawn(move || {
+                let mut lines = BufReader::new(socket);
+                let mut line = String::new();
+                let _ = lines.read_line(&mut line);
+                if line.starts_with("CONNECT books ") && line.trim_end().ends_with(id) {
+                    counter.fetch_add(1, Ordering::SeqCst);
+                }
+                let _ = lines.read_to_end(&mut Vec::new());
+            });
+        }
+    });
+    asked
+}
+
+/// Sends bounded reads and writes on both proxies until the returned handle is told to stop, and counts those that
+/// were served.
+fn start_traffic(fleet: &Fleet, stop: &Arc<AtomicBool>) -> Vec<std::thread::JoinHandle<usize>> {
+    let sessions = PROXIES.iter().flat_map(|vm| {
+        [(fleet.connect(*vm, "menu"), "FETCH a"), (fleet.connect(*vm, "desk"), "PUT a b")]
+    });
+    let sessions: Vec<_> = sessions.collect();
+    let run = |(mut session, text): (lines::Caller, &'static str)| {
+        let stop = Arc::clone(stop);
+        std::thread::spawn(move || {
+            let mut served = 0;
+            while !stop.load(Ordering::SeqCst) {
+                session.query_until_done(text);
+                served += 1;
+                std::thread::sleep(Duration::from_millis(5));
+            }
+            served
+        })
+    };
+    sessions.into_iter().map(run).collect()
+}
+
+/// Guards against control processes or proxies that end, or that stop following the instances, because of one entry
+/// that they can't use: at once, or when they read the log again.
+#[test]
+fn odd_entries_of_another_writer_change_nothing() {
+    let mut fleet = Fleet::up(191);
+    let instance = fleet.address(22, INSTANCE_PORT);
+    let unused = fleet.address(29, INSTANCE_PORT);
+    let stop = Arc::new(AtomicBool::new(false));
+    let traffic = start_traffic(&fleet, &stop);
+    let mut wrong = Vec::new();
+    // As an instance of its own, under the id of an instance, and at the address of one.
+    for (id, address) in [("i-99", unused), ("i-22", instance), ("i-98", instance)] {
+        let refused = refused_entries(id, address).into_iter().map(|entry| (entry, 400));
+        let ignored = ignored_entries(id, address).into_iter().map(|entry| (entry, 200));
+        for (entry, expected) in refused.chain(ignored) {
+            let statuses = send_entry(&fleet, &entry);
+            if statuses != [expected; 3] {
+                wrong.push(format!("{statuses:?} for {}", describe(&entry)));
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{}", wrong.join("\n"));
+    for id in ["", "%00", "i%2D22", "i-22/..", "i-22%0d%0a", &"x".repeat(129), "%ff"] {
+        let entry = Entry { id: id.to_owned(), body: heartbeat(instance, &[]).into_bytes() };
+        assert_eq!(send_entry(&fleet, &entry), [400; 3], "{id}");
+        for vm in VOTERS {
+            let request_line = format!("DELETE /instances/{id}");
+            let status = send(fleet.address(vm, CONTROL_PORT), &request_line, b"");
+            assert_eq!(status, Some(400), "{id}");
+        }
+    }
+    let long = vec![b' '; 4 * 1024 * 1024 + 1];
+    let long = Entry { id: "i-22".to_owned(), body: long };
+    assert!(send_entry(&fleet, &long).iter().all(|status| (400..500).contains(status)));
+    stop.store(true, Ordering::SeqCst);
+    for thread in traffic {
+        assert!(thread.join().expect("statements are served meanwhile") > 10);
+    }
+    assert_all_run(&fleet);
+    assert!(!fleet.logs().contains("i-99 of"), "no odd entry is taken");
+    assert!(!fleet.logs().contains("i-98 of"), "no odd entry is taken");
+
+    VOTERS.into_iter().for_each(|vm| restart(&mut fleet, vm));
+    PROXIES.into_iter().for_each(|vm| restart(&mut fleet, vm));
+    read_on_each_proxy(&fleet);
+    assert_all_run(&fleet);
+
+    // Later heartbeats of the instances still take effect.
+    fleet.group.drain("i-22");
+    fleet.wait_until("the drain is known", |fleet| {
+        fleet.logs().contains("i-22 of books is Leaving")
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    let before = fleet.group.executed("i-22").len();
+    for vm in PROXIES {
+        let mut session = fleet.connect(vm, "menu");
+        (0..20).for_each(|_| drop(session.query_until_done("FETCH a")));
+    }
+    assert_eq!(fleet.group.executed("i-22").len(), before);
+    let asked = listen_as(fleet.address(24, INSTANCE_PORT), "i-24");
+    let joined = heartbeat(fleet.address(24, INSTANCE_PORT), &[]);
+    let joined = Entry { id: "i-24".to_owned(), body: joined.into_bytes() };
+    assert_eq!(send_entry(&fleet, &joined), [200; 3]);
+    fleet.wait_until("the new instance is asked", |_| asked.load(Ordering::SeqCst) > 0);
+    assert_all_run(&fleet);
+}
