--- a/tests/platform_odd_entries.rs
+++ b/tests/platform_odd_entries.rs
@@ -240,6 +240,21 @@
     sessions.into_iter().map(run).collect()
 }
 
+/// An instance expects a short answer, and each refusal is logged.
+#[test]
+fn the_refusal_of_a_long_heartbeat_is_short() {
+    let fleet = Fleet::up(192);
+    let word = "x".repeat(60_000);
+    let body = heartbeat(fleet.address(29, INSTANCE_PORT), &[("ready", &word)]);
+    let gateway = fleet.address(1, CONTROL_PORT);
+    let answer = lines::send_http(gateway, "PUT /instances/i-99", &body).expect("an answer");
+    assert_eq!(answer.0, 400);
+    assert!(answer.1.contains("unknown variant"), "{}", answer.1);
+    assert!(answer.1.len() < 1_000, "{} bytes", answer.1.len());
+    fleet.wait_until("the refusal is logged", |fleet| fleet.logs().contains("unknown variant"));
+    assert!(fleet.logs().lines().all(|line| line.len() < 4_000));
+}
+
 /// Guards against control processes or proxies that end, or that stop following the instances, because of one entry
 /// that they can't use: at once, or when they read the log again.
 #[test]
