Refuse terms of instances that leave no room for the next one

An instance, or whatever answers at its address, could report a term at the limit of its type. As the primary's term it would have gone into the log as the group's epoch, and the next failover adds one to it: a debug build panics there, with the lock of the process held and again after each start; a release build orders term 0, which every replica refuses, so that the group has no failover.

The failover itself was read, not run.

--- a/src/upstream/status.rs
+++ b/src/upstream/status.rs
@@ -11,6 +11,15 @@
 pub const STATUS_QUERY: &str =
     "SELECT role, term, position, received, durable, start FROM cactushatch_status";
 
+/// The greatest term that an instance can be on. Each promotion adds one to it, so no instance gets near, and the next
+/// term always exists.
+pub const MAX_TERM: id::Term = id::Term((1 << 53) - 1);
+
+/// Parses a term that an instance reports. Returns `None` if it is not a number up to [`MAX_TERM`].
+pub fn parse_term(text: &str) -> Option<id::Term> {
+    text.parse().ok().filter(|term| *term <= MAX_TERM)
+}
+
 /// The status that an instance reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Status {
@@ -64,7 +73,7 @@
     };
     Some(Status {
         role,
-        term: term.as_deref()?.parse().ok()?,
+        term: parse_term(term.as_deref()?)?,
         position: position.as_deref()?.parse().ok()?,
         received: received.as_deref()?.parse().ok()?,
         durable: durable.as_deref()?.parse().ok()?,
--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -12,6 +12,7 @@
 use cactushatch::proxy::floor::Floor;
 use cactushatch::proxy::{classify, setting};
 use cactushatch::upstream::announcement::Announcement;
+use cactushatch::upstream::status::{MAX_TERM, Status};
 use cactushatch::wire::{Body, Error, Frame};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -264,3 +265,19 @@
         assert!(Announcement::decode(body.as_bytes()).is_err(), "{from} -> {to:.40}");
     }
 }
+
+/// Control adds one to the term of a group at each failover.
+#[test]
+fn a_status_with_a_number_out_of_range_is_refused() {
+    let status = |term: &str, position: &str| {
+        let fields = ["primary", term, position, position, position, "0"];
+        Status::try_from(fields.map(|field| Some(field.to_owned())).to_vec())
+    };
+    assert!(status(&MAX_TERM.to_string(), "7").is_ok());
+    for odd in ["18446744073709551615", "9007199254740992", "18446744073709551616", "-1", "1e3"] {
+        assert!(status(odd, "7").is_err(), "{odd}");
+    }
+    for odd in ["18446744073709551616", "-1", "1e3", ""] {
+        assert!(status("7", odd).is_err(), "{odd}");
+    }
+}
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -16,6 +16,7 @@
     Access, Answer, Code, Codec, Command, DecodeError, Id, MAX_LINE_BYTES, Request, State,
     Statement,
 };
+use cactushatch::upstream::status::MAX_TERM;
 use cactushatch::wire::{Availability, Role};
 use line::LineCodec;
 use proptest::prelude::*;
@@ -122,6 +123,34 @@
     assert_eq!(LineCodec.decode_status("replica 3"), Err(DecodeError::Field));
 }
 
+/// Control adds one to the term of a group at each failover: a term at the limit of its type would end the process at the
+/// next one, and again at each start, since it is in the log.
+#[test]
+fn numbers_of_instances_out_of_range_are_refused() {
+    let greatest = MAX_TERM.0;
+    assert!(LineCodec.decode_status(&format!("primary {greatest} {greatest}.7 0 0 0 1")).is_ok());
+    for (term, position) in [
+        ("18446744073709551615", "1.7"),
+        ("1", "18446744073709551615.7"),
+        ("9007199254740992", "1.7"),
+        ("18446744073709551616", "1.7"),
+        ("1", "1.18446744073709551616"),
+        ("-1", "1.7"),
+        ("1e3", "1.7"),
+        ("1", "1.7.7"),
+        ("1", "1.-7"),
+        ("1", "."),
+    ] {
+        let row = format!("primary {term} {position} 0 0 0 1");
+        assert_eq!(LineCodec.decode_status(&row), Err(DecodeError::Field), "{row}");
+    }
+    for position in ["18446744073709551615.7", "1.18446744073709551616", "-1.7", "1e3.7"] {
+        assert_eq!(decode_answer(&format!("READY I {position}")), Err(DecodeError::Field));
+    }
+    // Fields that have no meaning here may hold anything.
+    assert!(LineCodec.decode_status("replica 1 1.7 18446744073709551616 1e400 -1 x").is_ok());
+}
+
 const HEARTBEAT: &str = r#"{"Service":"huvo11a","Addr":"10.128.0.9:8080","Zone":"a","Version":"v1","Slots":2,
     "State":"draining","ColdLeftMs":0,"DbRole":"replica","Seq":4,"born":1700000000000}"#;
 
