--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -365,6 +365,25 @@
     }
 }
 
+/// A configuration is valid with any limit above zero, and must not be refused because declarations allow fewer.
+#[test]
+fn limits_beyond_those_of_declarations_are_clamped() {
+    for (connections, idle_ms, clamped) in [
+        (u32::MAX, u64::MAX, (10_000, 3_600_000)),
+        (100_001, 3_600_001, (10_000, 3_600_000)),
+        (1, 1, (3, 10)),
+        (16, 3_000, (16, 3_000)),
+    ] {
+        let body = CONFIGURATION.replace("\"MaxConns\":16", &format!("\"MaxConns\":{connections}"));
+        let body = body.replace("\"TxIdleMs\":3000", &format!("\"TxIdleMs\":{idle_ms}"));
+        let declaration = declaration::decode(body.as_bytes()).unwrap();
+        let fleet = Fleet::parse("declarations", &declaration.text).unwrap();
+        let group = &fleet.group[&"huvo11a".parse::<id::Group>().unwrap()];
+        let idle_transaction = Some(Span(Duration::from_millis(clamped.1)));
+        assert_eq!((group.connections, fleet.idle_transaction), (clamped.0, idle_transaction));
+    }
+}
+
 #[test]
 fn an_invalid_configuration_is_refused() {
     for (from, to) in [
--- a/tests/platform_odd_entries.rs
+++ b/tests/platform_odd_entries.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use lines::{Fleet, METRICS_PORT, PROXIES};
 
@@ -321,3 +321,39 @@
     fleet.wait_until("the new instance is asked", |_| asked.load(Ordering::SeqCst) > 0);
     assert_all_run(&fleet);
 }
+
+/// The greatest numbers of a valid configuration must neither end a process, at once or when it reads the log again, nor
+/// keep control from its other work.
+#[test]
+fn a_configuration_with_the_greatest_numbers_takes_effect() {
+    let mut fleet = Fleet::up(194);
+    let plain = lines::configuration(2, u64::MAX, u32::MAX as usize);
+    let nested = format!("\"more\":{},", nested_lists(30_000));
+    let edits = [
+        ("\"TargetLatencyMs\":200", "\"TargetLatencyMs\":18446744073709551615"),
+        ("\"MaxStaleMs\":2000", "\"MaxStaleMs\":18446744073709551615"),
+        ("\"TxIdleMs\":3000", "\"TxIdleMs\":18446744073709551615"),
+        ("\"SyncCount\":1", "\"SyncCount\":4294967295"),
+        ("\"Priority\":1", "\"Priority\":255"),
+        ("\"Routes\"", &format!("{nested}\"Routes\"")),
+    ];
+    let greatest = edits.iter().fold(plain, |body, (from, to)| {
+        assert!(body.contains(from), "{from} is not there");
+        body.replace(from, to)
+    });
+    assert_eq!(fleet.put_configuration_text(&greatest), 200);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(2) {
+        read_on_each_proxy(&fleet);
+    }
+    VOTERS.into_iter().for_each(|vm| restart(&mut fleet, vm));
+    PROXIES.into_iter().for_each(|vm| restart(&mut fleet, vm));
+    read_on_each_proxy(&fleet);
+    assert_eq!(fleet.put_configuration(3, 800), 200);
+    fleet.group.drain("i-22");
+    fleet.wait_until("the drain is known", |fleet| {
+        fleet.logs().contains("i-22 of books is Leaving")
+    });
+    read_on_each_proxy(&fleet);
+    assert_all_run(&fleet);
+}
