Test that an odd settings file changes nothing in running processes

Deep nesting, numbers out of range, bytes that are not UTF-8, an empty and a 4 MiB file, each followed by SIGHUP, on a control process and a proxy while both proxies serve.

--- a/tests/platform_odd_entries.rs
+++ b/tests/platform_odd_entries.rs
@@ -357,3 +357,40 @@
     read_on_each_proxy(&fleet);
     assert_all_run(&fleet);
 }
+
+/// A settings file is read again when it changes. One that can't be read must not end the process.
+#[test]
+fn an_odd_settings_file_changes_nothing_in_running_processes() {
+    let fleet = Fleet::up(195);
+    let odd: [Vec<u8>; 8] = [
+        format!("domain = {}{}", "[".repeat(100_000), "]".repeat(100_000)).into_bytes(),
+        format!("domain = {}1{}", "{a=".repeat(100_000), "}".repeat(100_000)).into_bytes(),
+        format!("[a{}]", ".a".repeat(100_000)).into_bytes(),
+        b"[seeds]\nport = 99999\nlosses = 18446744073709551616\n".to_vec(),
+        b"[proxy]\ngrace = \"18446744073709551615d\"\n[log]\nrate = 1e999\n".to_vec(),
+        b"domain = \"\xff\xfe\"\n".to_vec(),
+        Vec::new(),
+        vec![b'x'; 4 * 1024 * 1024],
+    ];
+    for vm in [VOTERS[0], PROXIES[0]] {
+        let path = fleet.log_file(vm).with_extension("toml");
+        let settings = std::fs::read_to_string(&path).expect("the settings of the process");
+        for text in &odd {
+            std::fs::write(&path, text).unwrap();
+            fleet.signal(vm, "-HUP");
+            std::thread::sleep(Duration::from_millis(200));
+            read_on_each_proxy(&fleet);
+        }
+        for (from, to) in
+            [("9", "99999999999999999999"), ("1", "-1"), ("true", "[[[[[[[[{}]]]]]]]]")]
+        {
+            std::fs::write(&path, settings.replace(from, to)).unwrap();
+            fleet.signal(vm, "-HUP");
+            std::thread::sleep(Duration::from_millis(200));
+        }
+        std::fs::write(&path, settings).unwrap();
+        fleet.signal(vm, "-HUP");
+    }
+    read_on_each_proxy(&fleet);
+    assert_all_run(&fleet);
+}
