Don't run a forwarded statement that was given up

What callers saw: a write or a COMMIT that was answered with UNKNOWN after its timeout was run and committed seconds later, whenever the proxy that serves the group went on or the path was back.

Cause: the forwarding proxy closed the stream of a statement that it gave up. A close doesn't take bytes back: those in its own kernel are still sent, and those that have arrived are still read. The serving proxy gave what it read a new deadline.

Change: the forwarding proxy sets SO_LINGER 0 on these streams, so that its kernel discards what is not delivered, also when it is killed. The serving proxy looks whether the stream has ended before it runs what it has read; a forwarding proxy keeps the stream open until it has the answer. A statement that can't be sent twice isn't sent after its deadline any more.

Not covered: bytes that a device on the path has acknowledged, if the reset doesn't reach the serving proxy through the same device.

--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -114,6 +114,10 @@
         let clock = self.shared.clock.clone();
         self.reusable = false;
         let mut stream = self.take_stream(deadline, is_unsafe).await?;
+        if is_unsafe && clock.now() >= deadline {
+            // This process may have been suspended. What is sent now can't be taken back.
+            return Err(Failure::Timeout);
+        }
         *sent = true;
         let frame = self.shared.frame(Body::Forward(forward));
         let sending = stream.send(&frame);
@@ -163,6 +167,8 @@
         let left = CONNECT_TIMEOUT.min(deadline.since(clock.now()));
         let connecting = Stream::connect(self.server.address);
         let stream = clock.timeout(left, connecting).await.ok_or(Failure::Silent)??;
+        // A statement that is given up must not arrive later.
+        stream.reset_on_close()?;
         Ok(stream.with_seal(&self.shared.credentials.seal))
     }
 }
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -1,7 +1,7 @@
 //! Runs the statements that other proxies forward to this one.
 //!
 //! A stream carries one statement at a time, and belongs to a transaction from its first statement to its end. When the
-//! stream ends, the transaction is rolled back.
+//! stream ends, the transaction is rolled back. A statement whose stream has ended when it is read is not run.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -76,6 +76,14 @@
         let mut stream = Stream::from_accepted(socket)?.with_seal(&self.shared.credentials.seal);
         while let Some(frame) = self.receive(&mut stream).await? {
             let answer = match frame.body {
+                // The forwarding proxy has given the statement up and may have answered its caller. The stream was held up,
+                // or this process was suspended.
+                Body::Forward(_) if stream.is_closed().await => {
+                    log::info!(
+                        "a forwarded statement was given up before it arrived, and is not run"
+                    );
+                    return Ok(());
+                }
                 Body::Forward(forward) => {
                     Body::Forwarded(self.handle_with_progress(&mut stream, forward).await)
                 }
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -1,9 +1,11 @@
 //! Frames over TCP, each prefixed with its length as four bytes, big-endian.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
+use socket2::SockRef;
 
 use super::frame::check_length;
 use super::{Error, Frame, MAX_FRAME_BYTES, SEAL_BYTES, Seal};
@@ -52,6 +54,17 @@
         Self { seal: seal.clone(), ..self }
     }
 
+    /// Resets the connection when the stream is dropped or the process ends, so that the kernel discards what it has not
+    /// delivered. After a plain close it goes on sending.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the socket option can't be set.
+    pub fn reset_on_close(&self) -> Result<(), Error> {
+        SockRef::from(&self.socket).set_linger(Some(Duration::ZERO))?;
+        Ok(())
+    }
+
     /// Returns whether the peer has closed the connection, or has sent something that nobody asked for.
     pub async fn is_closed(&self) -> bool {
         let mut buffer = [0; 1];
--- a/tests/platform_late_effects.rs
+++ b/tests/platform_late_effects.rs
@@ -1,11 +1,17 @@
-//! Tests on separate processes that nothing takes effect under an authority that has ended: a write whose time is
-//! over, a commit without a lease.
+//! Tests on separate processes that nothing takes effect under an authority that has ended: a statement whose time is over,
+//! a commit without a lease, a forwarded statement that was given up.
 
 mod lines;
 
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
-use lines::{Caller, Fleet};
+use lines::{Caller, Fleet, INTERNAL_PORT};
+
+const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
+
+/// Fewer than one for each of [`MANY_PROXIES`], so that only some of them serve the group.
+const FEW_CONNECTIONS: usize = 8;
 
 const VOTERS: [u8; 3] = [1, 2, 3];
 
@@ -91,3 +97,76 @@
     session.query_until_done("COMMIT");
     assert_eq!(fleet.group.values_of("kept"), ["y"]);
 }
+
+/// Waits until some proxies serve the group, and returns them, by the newest line that each has on its share.
+fn serving(fleet: &Fleet) -> Vec<u8> {
+    let read = |fleet: &Fleet| -> Vec<u8> {
+        let serves = |vm: &&u8| {
+            let log = std::fs::read_to_string(fleet.log_file(**vm)).unwrap_or_default();
+            let newest = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
+            newest.is_some_and(|line| !line.contains("\"permits\":0"))
+        };
+        fleet.proxies.iter().filter(serves).copied().collect()
+    };
+    fleet.wait_until("some proxies serve the group", |fleet| !read(fleet).is_empty());
+    read(fleet)
+}
+
+/// Returns how many closed connections to these addresses, on 127.0.0.0/8, have data that the kernel still sends.
+fn unsent_after_close(addresses: &[SocketAddr]) -> usize {
+    const FIN_WAIT_1: &str = "04";
+    let listed: Vec<String> = addresses
+        .iter()
+        .map(|address| {
+            let IpAddr::V4(ip) = address.ip() else { unreachable!("an IPv4 address") };
+            format!("{:08X}:{:04X}", u32::from_le_bytes(ip.octets()), address.port())
+        })
+        .collect();
+    let sockets = std::fs::read_to_string("/proc/net/tcp").expect("the sockets");
+    let unsent = sockets.lines().skip(1).filter(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let (queued, _) = fields[4].split_once(':').expect("two queues");
+        let queued = u64::from_str_radix(queued, 16).expect("a number");
+        // The end of the stream counts as 1.
+        fields[3] == FIN_WAIT_1 && queued > 1 && listed.iter().any(|address| address == fields[2])
+    });
+    unsent.count()
+}
+
+/// The proxies that serve the group are frozen, and another one forwards writes to them, which it gives up. They ran when
+/// the proxies went on, long after the callers had their answer.
+#[test]
+fn forwarded_writes_that_were_given_up_do_not_run() {
+    // A statement that the other kernel takes, and one of which it takes only a part. Frames are compressed.
+    let mut random = fastrand::Rng::with_seed(50);
+    let values = ["x".to_owned(), (0..200_000).map(|_| random.alphanumeric()).collect()];
+    let fleet = Fleet::up_with(173, &MANY_PROXIES, FEW_CONNECTIONS);
+    let serving = serving(&fleet);
+    let vm = *fleet.proxies.iter().find(|vm| !serving.contains(vm)).expect("one that forwards");
+    let mut writers = [fleet.connect(vm, "desk"), fleet.connect(vm, "desk")];
+    writers.iter_mut().for_each(|writer| drop(writer.query_until_done("PUT before x")));
+    let mut committer = fleet.connect(vm, "desk");
+    begin_with(&mut committer, "PUT committed x");
+    serving.iter().for_each(|vm| fleet.signal(*vm, "-STOP"));
+    for (writer, value) in writers.iter_mut().zip(&values) {
+        writer.send(&format!("QUERY late1 PUT late {value}"));
+    }
+    committer.send("QUERY late2 COMMIT");
+    let mut results: Vec<String> = writers.iter_mut().map(receive_result).collect();
+    results.push(receive_result(&mut committer));
+    let unknown = |result: &String| result.starts_with("ERR UNKNOWN");
+    assert!(results.iter().all(unknown), "{results:?}\n{}", fleet.logs());
+    let addresses: Vec<SocketAddr> =
+        serving.iter().map(|vm| fleet.address(*vm, INTERNAL_PORT)).collect();
+    let unsent = unsent_after_close(&addresses);
+    sleep(FREEZE);
+    serving.iter().for_each(|vm| fleet.signal(*vm, "-CONT"));
+    sleep(SETTLE);
+    writers[0].query_until_done("PUT after x");
+    let lengths = |item: &str| -> Vec<usize> {
+        fleet.group.values_of(item).iter().map(String::len).collect()
+    };
+    let late = (lengths("late"), lengths("committed"), unsent);
+    assert_eq!(late, (vec![], vec![], 0), "{}", fleet.logs());
+    assert_eq!(lengths("after"), [1]);
+}
