Freeze a group at once when an instance was promoted without an order in force, and promote the old primary again

What callers saw: an order to promote that a replaced leader had given up was carried out long afterwards; acknowledged commits were gone, and the group went on under the instance that had been promoted by chance.

Cause: an instance that leads a later term than the epoch's was only ordered to follow, which demotes a primary of a lower term and so changed nothing. The group was frozen when the old primary had rolled back (a second after it reaches the other), and damped then; by that time nobody held the commits, and the readings of rolled back replicas counted as proof that the unordered primary lacked nothing. A stale promotion between the freeze and the promotion of the claimed instance rolled that one back, and it was put in force without another look at the old primary.

Now such a promotion is looked for in the answers to probes, in force and frozen. It freezes the epoch without damping, is counted (unordered_promotions) and logged (unordered_promotion), and all instances are probed at once. As long as the old primary leads its term it holds all that was acknowledged in it, so it is claimed and promoted again, also before the fence holds; it isn't thawed, since the service has another primary. Once the old primary has rolled back, the instance that holds most is taken; instances that don't answer are waited for during UNORDERED_WAIT. An instance that leads a later term already gets just that term reserved: a reserved term above the epoch's would make the next failover wait for it. Groups that are promoted by a statement are handled as before.

Evidence: tests/failover_unordered.rs with a model of such a service (tests/machine/outside.rs).

Not saved: writes of an old primary that rolls back before it was found or promoted, or that nobody reaches.

--- a/src/control/failover/candidate.rs
+++ b/src/control/failover/candidate.rs
@@ -37,16 +37,18 @@
     pub(super) promoted_outside: bool,
     /// Whether control has waited long enough for instances that have not answered yet.
     pub(super) waited: bool,
+    /// Whether instances that may hold acknowledged writes may still answer, after an unordered promotion.
+    pub(super) misses_answers: bool,
 }
 
 /// How much of the epoch's history an instance holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Progress {
+pub(super) struct Progress {
     /// The position up to which the instance holds the epoch's history.
-    position: id::Position,
+    pub(super) position: id::Position,
     term: id::Term,
     /// Whether the instance holds other data beyond that position.
-    diverged: bool,
+    pub(super) diverged: bool,
 }
 
 impl<'a> Candidates<'a> {
@@ -147,7 +149,7 @@
 
     /// Returns how much of the epoch's history an instance holds. A replica adopts a term before it has received
     /// the history up to that term's start, so its term alone doesn't show what it holds.
-    fn progress(&self, reading: &Reading<'_>) -> Progress {
+    pub(super) fn progress(&self, reading: &Reading<'_>) -> Progress {
         let Status { term, received, start, .. } = *reading.status;
         let mut end = received;
         if term < self.epoch.term {
--- a/src/control/failover/message.rs
+++ b/src/control/failover/message.rs
@@ -124,4 +124,17 @@
         /// The primary's term.
         term: id::Term,
     },
+    /// Count and log a promotion that no order in force asked for.
+    ReportUnordered {
+        /// The group.
+        group: id::Group,
+        /// The instance that was promoted.
+        instance: id::Instance,
+        /// The term that it leads.
+        term: id::Term,
+        /// The term of the epoch.
+        epoch: id::Term,
+        /// The primary of the epoch.
+        primary: id::Instance,
+    },
 }
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -9,6 +9,7 @@
 mod message;
 mod reports;
 mod switchover;
+mod unordered;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -21,6 +22,8 @@
 use self::reports::{Reports, Verdict};
 use self::switchover::Switchover;
 pub use self::switchover::{FREEZE_DELAY, SWITCHOVER_RETRY_DELAY, SWITCHOVER_TIMEOUT};
+pub use self::unordered::UNORDERED_WAIT;
+use self::unordered::Unordered;
 use super::state::{Action, Claim};
 use crate::clock::Instant;
 use crate::id;
@@ -79,6 +82,7 @@
     declined: Option<id::Instance>,
     /// The statuses of replicas that have stopped receiving since the epoch was frozen.
     paused: BTreeMap<id::Instance, Status>,
+    unordered: Unordered,
 }
 
 #[derive(Debug)]
@@ -105,6 +109,7 @@
             promoted_outside: false,
             declined: None,
             paused: BTreeMap::new(),
+            unordered: Unordered::default(),
         }
     }
 
@@ -154,17 +159,22 @@
             return self.bootstrap(now, view);
         };
         let since = self.record_phase(now, epoch);
-        match epoch.phase {
+        let mut outputs = self.find_unordered(now, epoch, since, view);
+        outputs.extend(match epoch.phase {
+            // Each write that the epoch's primary acknowledges from now on is lost, so the damper doesn't apply.
+            Phase::Active if self.unordered.is_found() => self.freeze(now, epoch),
             Phase::Active => self.tick_active(now, epoch, since, view),
             Phase::Frozen => self.tick_frozen(now, epoch, view),
-        }
+        });
+        outputs
     }
 
     /// Records a new term or phase, and returns since when it is known.
     fn record_phase(&mut self, now: Instant, epoch: &Epoch) -> Instant {
         match self.last_phase {
             Some((term, phase, at)) if (term, phase) == (epoch.term, epoch.phase) => at,
-            _ => {
+            last => {
+                self.unordered.record_phase(last.is_none_or(|(term, ..)| term != epoch.term));
                 self.last_phase = Some((epoch.term, epoch.phase, now));
                 self.fenced_at = None;
                 self.attempt = None;
@@ -258,7 +268,11 @@
             return known.map(|instance| Output::Probe { instance }).collect();
         };
         match view.claim.filter(|claim| claim.term > epoch.term) {
-            Some(claim) if !self.is_timed_out(now, claim) => self.complete(now, epoch, claim),
+            Some(claim)
+                if !self.is_timed_out(now, claim) && !self.is_outdone(now, epoch, claim, view) =>
+            {
+                self.complete(now, epoch, claim)
+            }
             claim => self.choose(now, epoch, claim, fenced_at, view),
         }
     }
@@ -288,11 +302,15 @@
     /// can be acknowledged and the replicas' positions are final. The epoch of the promoted instance still waits for
     /// the fence, because proxies may read and release answers under the old epoch until then.
     fn prepare(&mut self, now: Instant, epoch: &Epoch, view: View<'_>) -> Vec<Output> {
-        if let Some(claim) = view.claim.filter(|claim| claim.term > epoch.term) {
+        let claim = view.claim.filter(|claim| claim.term > epoch.term);
+        if let Some(claim) = claim.filter(|claim| !self.is_outdone(now, epoch, claim, view)) {
             let promoted = self.promoted_status(now, epoch, claim).is_some();
             let wait = promoted || self.is_timed_out(now, claim);
             return if wait { Vec::new() } else { self.promote(now, claim) };
         }
+        if self.unordered.is_found() {
+            return self.keep_primary(now, epoch, view);
+        }
         let term = epoch.term.next();
         let others = view.known_instances.iter().filter(|instance| **instance != epoch.primary);
         let missing = others.filter(|instance| !self.paused.contains_key(*instance));
@@ -363,21 +381,22 @@
             valid.then_some((instance, status))
         });
         let waited = now.since(fenced_at) >= MISSING_WAIT;
-        let candidates = self.candidates(now, epoch, view, after_fence, waited);
-        let Some(chosen) = candidates.choose() else {
+        let mut candidates = self.candidates(now, epoch, view, after_fence, waited);
+        candidates.misses_answers = self.misses_answers(now, fenced_at, view);
+        let unordered = self.unordered.is_found();
+        let chosen =
+            if unordered { candidates.choose_after_unordered() } else { candidates.choose() };
+        let Some(chosen) = chosen else {
             let behind = candidates.behind_returned_primary();
             return self.resume(now, behind);
         };
-        if self.promoted_outside && *chosen.instance == epoch.primary {
+        if self.promoted_outside && *chosen.instance == epoch.primary && !unordered {
             // An outside service doesn't promote an instance that is primary already, so the old epoch is put in force
             // again.
             let action = Action::Thaw { group: self.group.clone(), term: epoch.term };
             return self.order(now, Output::Submit(action));
         }
-        let newest = claim.map_or(epoch.term, |claim| claim.term);
-        let term = newest.max(epoch.term).max(chosen.status.term).next();
-        let primary = chosen.instance.clone();
-        let action = Action::Claim { group: self.group.clone(), term, primary };
+        let action = self.claim_action(epoch, claim, &chosen);
         self.order(now, Output::Submit(action))
     }
 
@@ -411,6 +430,7 @@
             draining: view.draining,
             promoted_outside: self.promoted_outside,
             waited,
+            misses_answers: false,
         }
     }
 
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -171,6 +171,12 @@
                     self.order(term, &instance, Order::Follow(address, epoch));
                 }
             }
+            Output::ReportUnordered { group, instance, term, epoch, primary } => {
+                self.metrics.record_unordered_promotion();
+                let (group, instance, primary) = (&group, &instance, &primary);
+                let event = Event::UnorderedPromotion { group, instance, term, epoch, primary };
+                event.log(Level::Error);
+            }
         }
     }
 
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -165,6 +165,19 @@
         /// the token's term; absent if it no longer leads in that term.
         confirmed_ago_ms: Option<u64>,
     },
+    /// An external service has promoted an instance without an order in force, maybe on one that control had given up.
+    UnorderedPromotion {
+        /// The group.
+        group: &'a id::Group,
+        /// The instance that was promoted.
+        instance: &'a id::Instance,
+        /// The term that it leads.
+        term: id::Term,
+        /// The term of the group's epoch.
+        epoch: id::Term,
+        /// The primary of the group's epoch.
+        primary: &'a id::Instance,
+    },
     /// A process that became the leader found a term reserved by an earlier leader, whose order to promote the instance
     /// may still be open.
     Inherited {
@@ -270,6 +283,7 @@
             Self::Session { .. } => "event.session",
             Self::Decision { .. } => "event.decision",
             Self::Promotion { .. } => "event.promotion",
+            Self::UnorderedPromotion { .. } => "event.unordered_promotion",
             Self::Inherited { .. } => "event.inherited",
             Self::Leader { .. } => "event.leader",
         }
--- a/src/report/metrics.rs
+++ b/src/report/metrics.rs
@@ -65,6 +65,7 @@
     epochs_frozen: Counter,
     epochs_promoted: Counter,
     promotion_calls: Family<PromotionLabels, Counter>,
+    unordered_promotions: Counter,
     elections: Counter,
     log_sync_seconds: Histogram,
     announcements: Counter,
@@ -117,6 +118,7 @@
             epochs_frozen: Counter::default(),
             epochs_promoted: Counter::default(),
             promotion_calls: Family::default(),
+            unordered_promotions: Counter::default(),
             elections: Counter::default(),
             log_sync_seconds: request_histogram(),
             announcements: Counter::default(),
@@ -271,6 +273,11 @@
             "Calls to an outside service that promotes, by its answer",
             self.promotion_calls.clone(),
         );
+        registry.register(
+            "unordered_promotions",
+            "Promotions by an outside service that no order in force asked for",
+            self.unordered_promotions.clone(),
+        );
         registry.register("elections", "Elections of control won here", self.elections.clone());
         registry.register_with_unit(
             "log_sync",
@@ -507,6 +514,11 @@
         self.promotion_calls.get_or_create(&PromotionLabels { answer }).inc();
     }
 
+    /// Counts a promotion that no order in force asked for.
+    pub fn record_unordered_promotion(&self) {
+        self.unordered_promotions.inc();
+    }
+
     /// Counts an election that this process won.
     pub fn record_election(&self) {
         self.elections.inc();
--- a/tests/explorer/simulation.rs
+++ b/tests/explorer/simulation.rs
@@ -440,7 +440,7 @@
             Output::Follow { instance, primary, term } => {
                 (instance, Command::Follow(instance_number(&primary), term.0))
             }
-            Output::Pause { .. } | Output::Resume { .. } => {
+            Output::Pause { .. } | Output::Resume { .. } | Output::ReportUnordered { .. } => {
                 panic!(
                     "unexpected {output:?}: the instances of this group are promoted by a statement"
                 )
--- a/tests/failover_returns.rs
+++ b/tests/failover_returns.rs
@@ -250,6 +250,9 @@
             }
             Output::Probe { .. } => self.probe(at(ms)),
             Output::Demote { .. } | Output::Follow { .. } => {}
+            Output::ReportUnordered { .. } => {
+                panic!("unexpected {output:?}: each promotion was ordered")
+            }
         }
     }
 
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -117,6 +117,7 @@
             elapsed_ms: None,
             confirmed_ago_ms: Some(1),
         },
+        Event::UnorderedPromotion { group, instance, term, epoch: term, primary: instance },
         Event::Inherited { group, instance, term },
         Event::Leader { leads: true, term },
     ];
@@ -135,6 +136,7 @@
         | Event::Session { .. }
         | Event::Decision { .. }
         | Event::Promotion { .. }
+        | Event::UnorderedPromotion { .. }
         | Event::Inherited { .. }
         | Event::Leader { .. } => true,
     };
--- a/tests/machine/mod.rs
+++ b/tests/machine/mod.rs
@@ -2,6 +2,8 @@
 //! with its fence.
 #![allow(dead_code, reason = "each test crate uses a subset")]
 
+pub mod outside;
+
 use std::time::Duration;
 
 use cactushatch::clock::Instant;
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -23,6 +23,7 @@
     metrics.record_announcement();
     metrics.record_promotion_call(PromotionAnswer::Declined);
     metrics.record_promotion_call(PromotionAnswer::Unanswered);
+    metrics.record_unordered_promotion();
     metrics.set_revision(id::Revision(3));
     let text = metrics.encode();
     for line in [
@@ -44,6 +45,7 @@
         "cactushatch_announcements_total 1",
         "cactushatch_promotion_calls_total{answer=\"declined\"} 1",
         "cactushatch_promotion_calls_total{answer=\"unanswered\"} 1",
+        "cactushatch_unordered_promotions_total 1",
         "cactushatch_configuration_revision 3",
     ] {
         assert!(text.lines().any(|found| found == line), "{line} is not in:\n{text}");
