Drop an order to promote once its group has chosen another instance

Callers lost acknowledged writes though one process led throughout: it gave up an instance that had not taken its term after 4 s and promoted another one, while a call for the first was still open, and further ones waited in the queue of that instance. A call that arrived after the second one promoted an instance without the commits since.

The order was tied to the leadership of its author, and not to the decision that it carried out. The authority now also ends when the group's reserved term changes or its epoch is in force, and calls look again as soon as entries are applied, before the next instance is ordered.

--- a/src/control/promotion/authority.rs
+++ b/src/control/promotion/authority.rs
@@ -1,8 +1,9 @@
-//! The authority of a leader to give orders, which ends as soon as another process may have been elected.
+//! The authority of a leader to give an order, which ends as soon as another process may have been elected or the
+//! decision that the order carries out has been replaced.
 //!
-//! An order that outlives the authority under which it was given may take effect after an order of a later leader. So
-//! an order is abandoned when the authority ends, and an order that an outside service carries out is not complete until
-//! a majority has confirmed the leader once more. See `docs/DESIGN.md`, "Orders".
+//! An order that outlives its authority may take effect after a later one. So an order is abandoned when its authority
+//! ends, and an order that an outside service carries out is not complete until a majority has confirmed the leader once
+//! more. See `docs/DESIGN.md`, "Orders".
 
 use std::fmt;
 use std::future::poll_fn;
@@ -14,27 +15,40 @@
 
 use crate::admin::Withheld;
 use crate::clock::Instant;
+use crate::control::core::Core;
 use crate::control::raft::Input;
 use crate::control::server::Shared;
+use crate::control::state::Claim;
 use crate::id;
+use crate::wire::Phase;
 
-/// The authority to complete one order.
+/// The authority to give one order.
 #[derive(Clone)]
 pub struct Authority {
     shared: Arc<Shared>,
+    /// The term of the control log in which the order was given.
     term: id::Term,
+    /// The reserved term of a group that the order carries out, if it is a promotion.
+    claim: Option<(id::Group, Claim)>,
     complete: Arc<AtomicBool>,
 }
 
 impl fmt::Debug for Authority {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Authority").field("term", &self.term).finish_non_exhaustive()
+        let mut debug = f.debug_struct("Authority");
+        debug.field("term", &self.term).field("claim", &self.claim).finish_non_exhaustive()
     }
 }
 
 impl Authority {
+    /// Creates the authority of the leader in `term`.
     pub(super) fn new(shared: Arc<Shared>, term: id::Term) -> Self {
-        Self { shared, term, complete: Arc::default() }
+        Self { shared, term, claim: None, complete: Arc::default() }
+    }
+
+    /// Ends the authority also when the group no longer has `claim` to carry out.
+    pub(super) fn with_claim(self, group: id::Group, claim: Claim) -> Self {
+        Self { claim: Some((group, claim)), ..self }
     }
 
     /// Waits until a majority has confirmed the leader in response to a message sent after this call. The order is to be
@@ -42,14 +56,13 @@
     ///
     /// # Errors
     ///
-    /// Fails if another process may have been elected.
+    /// Fails if the authority has ended.
     pub async fn confirm(self) -> Result<(), Withheld> {
         let asked_at = self.shared.clock.now();
         self.shared.step(Input::Confirm);
         loop {
             let answered = self.shared.voter_answered.listen();
-            let confirmed_at =
-                self.shared.confirmed_at(self.shared.clock.now(), self.term).ok_or(Withheld)?;
+            let confirmed_at = self.confirmed_at(self.shared.clock.now()).ok_or(Withheld)?;
             if confirmed_at >= asked_at {
                 self.complete.store(true, Ordering::Relaxed);
                 return Ok(());
@@ -58,56 +71,62 @@
         }
     }
 
+    /// Runs an order as long as the authority lasts, and drops it after that. The authority is checked before each step of
+    /// the order, since the process may have been suspended between two steps.
+    pub(super) async fn run<T>(&self, order: impl Future<Output = T>) -> Option<T> {
+        let end = async {
+            loop {
+                let applied = self.shared.entries_applied.listen();
+                let Some(until) = self.ends_at(self.shared.clock.now()) else { return };
+                smol::future::or(self.shared.clock.sleep_until(until), applied).await;
+            }
+        };
+        let (mut order, mut end) = (pin!(order), pin!(end));
+        poll_fn(|context| {
+            let ended = end.as_mut().poll(context).is_ready();
+            if ended || self.ends_at(self.shared.clock.now()).is_none() {
+                return Poll::Ready(None);
+            }
+            order.as_mut().poll(context).map(Some)
+        })
+        .await
+    }
+
+    /// Returns the term of the control log in which the order was given.
+    pub(super) fn term(&self) -> id::Term {
+        self.term
+    }
+
     /// Returns whether the order was allowed to be completed, so that it may take effect.
     pub(super) fn is_complete(&self) -> bool {
         self.complete.load(Ordering::Relaxed)
     }
-}
 
-impl Shared {
-    /// Returns when this process sent the message in response to which a majority last confirmed it as the leader in
-    /// `term`, or `None` if another process may have been elected since.
-    fn confirmed_at(&self, now: Instant, term: id::Term) -> Option<Instant> {
-        let core = self.core();
-        let leads = core.is_confirmed_leader(now) && core.raft.term() == term;
-        if leads { core.raft.last_majority_contact(now) } else { None }
+    /// Returns the time since this process sent the message in response to which a majority last confirmed it as the leader
+    /// in the term of the order, or `None` if the authority has ended.
+    pub(super) fn time_since_confirmation(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at(now).map(|at| now.since(at))
     }
 
-    /// Returns the time since [`Self::confirmed_at`].
-    pub(super) fn time_since_confirmation(&self, now: Instant, term: id::Term) -> Option<Duration> {
-        self.confirmed_at(now, term).map(|at| now.since(at))
+    fn confirmed_at(&self, now: Instant) -> Option<Instant> {
+        let core = self.shared.core();
+        if self.is_valid(now, &core) { core.raft.last_majority_contact(now) } else { None }
     }
 
-    /// Runs an order as long as no other process can have been elected, and drops it after that. The authority is checked
-    /// before each step of the order, since the process may have been suspended between two steps.
-    pub(super) async fn while_leading<T>(
-        &self,
-        term: id::Term,
-        order: impl Future<Output = T>,
-    ) -> Option<T> {
-        let authority_end = async {
-            while let Some(until) = self.leads_until(term) {
-                self.clock.sleep_until(until).await;
-            }
-        };
-        let (mut order, mut authority_end) = (pin!(order), pin!(authority_end));
-        poll_fn(|context| {
-            let ended = authority_end.as_mut().poll(context).is_ready();
-            if ended || self.leads_until(term).is_none() {
-                return Poll::Ready(None);
-            }
-            order.as_mut().poll(context).map(Some)
-        })
-        .await
+    /// Returns when the authority ends without another confirmation, or `None` if it has ended.
+    fn ends_at(&self, now: Instant) -> Option<Instant> {
+        let core = self.shared.core();
+        if self.is_valid(now, &core) { core.raft.confirmed_until(now) } else { None }
     }
 
-    fn leads_until(&self, term: id::Term) -> Option<Instant> {
-        let now = self.clock.now();
-        let core = self.core();
-        if core.is_confirmed_leader(now) && core.raft.term() == term {
-            core.raft.confirmed_until(now)
-        } else {
-            None
-        }
+    fn is_valid(&self, now: Instant, core: &Core) -> bool {
+        let leads = core.is_confirmed_leader(now) && core.raft.term() == self.term;
+        leads && self.claim.as_ref().is_none_or(|(group, claim)| is_pending(core, group, claim))
     }
 }
+
+/// Returns whether a group is frozen and waits for the instance that has this term reserved.
+fn is_pending(core: &Core, group: &id::Group, claim: &Claim) -> bool {
+    let frozen = core.state.epochs.get(group).is_none_or(|epoch| epoch.phase == Phase::Frozen);
+    frozen && core.state.claims.get(group) == Some(claim)
+}
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -9,11 +9,11 @@
 
 use super::client::Client;
 use super::outside::run_outside;
-use super::{Promoter, Protocol};
+use super::{Authority, Promoter, Protocol};
 use crate::clock::Instant;
 use crate::control::failover::{Input, Output};
 use crate::control::server::Shared;
-use crate::control::state::{Action, Command};
+use crate::control::state::{Action, Claim, Command};
 use crate::id;
 use crate::pgsql;
 use crate::report::Event;
@@ -110,17 +110,20 @@
         replica: &Replica,
         order: Order,
     ) -> Option<Option<Input<'static>>> {
+        let authority = Authority::new(Arc::clone(self), term);
         match (transport, order) {
-            (Transport::Outside(_, promoter), Order::Promote(_)) => {
-                Some(self.promote(term, replica, &**promoter).await)
+            (Transport::Outside(_, promoter), Order::Promote(promotion)) => {
+                let claim = Claim { term: promotion, primary: replica.instance.clone() };
+                let authority = authority.with_claim(replica.group.clone(), claim);
+                Some(self.promote(authority, replica, &**promoter).await)
             }
             (Transport::Outside(client, _), order) => {
-                self.while_leading(term, run_outside(client, replica, order)).await
+                authority.run(run_outside(client, replica, order)).await
             }
             (Transport::Pgsql(probe), order) => {
                 let requested_at = self.clock.now();
                 let run = run_pgsql(probe, &replica.instance, requested_at, order);
-                self.while_leading(term, run).await
+                authority.run(run).await
             }
         }
     }
--- a/src/control/promotion/outside.rs
+++ b/src/control/promotion/outside.rs
@@ -1,7 +1,5 @@
 //! Orders where an outside service promotes.
 
-use std::sync::Arc;
-
 use log::Level;
 
 use super::client::Client;
@@ -9,7 +7,6 @@
 use super::{Authority, Promoter, Promotion, Refusal};
 use crate::control::failover::Input;
 use crate::control::server::Shared;
-use crate::id;
 use crate::report::event::millis;
 use crate::report::{Event, PromotionAnswer};
 use crate::statement;
@@ -18,30 +15,29 @@
 impl Shared {
     /// Asks an outside service to promote an instance.
     pub(super) async fn promote(
-        self: &Arc<Self>,
-        token: id::Term,
+        &self,
+        authority: Authority,
         replica: &Replica,
         promoter: &dyn Promoter,
     ) -> Option<Input<'static>> {
-        let (group, instance) = (&replica.group, &replica.instance);
+        let (group, instance, token) = (&replica.group, &replica.instance, authority.term());
         let promotion = Promotion {
             group: group.clone(),
             instance: instance.clone(),
             holder: self.me().node.clone(),
             token,
         };
-        let authority = Authority::new(Arc::clone(self), token);
         let sent_at = self.clock.now();
         let log = |answer: Option<String>, level| {
             let now = self.clock.now();
             let elapsed_ms = answer.is_some().then(|| millis(now.since(sent_at)));
-            let confirmed_ago_ms = self.time_since_confirmation(now, token).map(millis);
+            let confirmed_ago_ms = authority.time_since_confirmation(now).map(millis);
             Event::Promotion { group, instance, token, answer, elapsed_ms, confirmed_ago_ms }
                 .log(level);
         };
         log(None, Level::Info);
         let call = promoter.promote(promotion, authority.clone());
-        let result = self.while_leading(token, call).await;
+        let result = authority.run(call).await;
         let label = match &result {
             Some(Ok(())) => PromotionAnswer::Accepted,
             Some(Err(Refusal::NotRunning | Refusal::Failed(_))) => PromotionAnswer::Declined,
@@ -62,7 +58,10 @@
                 not_running.then(|| Input::PromotionDeclined { instance: instance.clone() })
             }
             None => {
-                log(Some("taken back, another process may lead".to_owned()), Level::Warn);
+                log(
+                    Some("taken back, another process or instance may lead".to_owned()),
+                    Level::Warn,
+                );
                 None
             }
         }
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -59,6 +59,8 @@
     pub(super) watched: Mutex<Option<(id::Term, u64)>>,
     links: Mutex<BTreeMap<id::Node, Link>>,
     pub(super) leader_streams: Mutex<leader_stream::Pool>,
+    /// Notified when entries of the log have been applied.
+    pub(super) entries_applied: event_listener::Event,
     /// Notified of each Raft message that has been handled.
     pub(super) voter_answered: event_listener::Event,
     /// When a Raft message last arrived from each control process.
@@ -147,6 +149,7 @@
         voters: settings.voters.clone(),
         core: Mutex::new(core),
         order_queues: Mutex::default(),
+        entries_applied: event_listener::Event::new(),
         voter_answered: event_listener::Event::new(),
         watched: Mutex::default(),
         links: Mutex::default(),
@@ -285,6 +288,9 @@
                     let _ = self.jobs.send(Job::Persist(ticket, change));
                 }
                 Output::Proposed(entry) => proposed = Some(entry),
+                Output::Apply(_) => {
+                    self.entries_applied.notify(usize::MAX);
+                }
                 _ => {}
             }
         }
--- a/tests/lines/path.rs
+++ b/tests/lines/path.rs
@@ -62,6 +62,8 @@
 struct State {
     mode: Mode,
     hook: Option<Hook>,
+    /// Only complete orders whose body contains this text stay held.
+    only: Option<String>,
     on_reset: OnReset,
     accepts: bool,
     fillers: Vec<TcpStream>,
@@ -90,6 +92,7 @@
         let state = Arc::new(Mutex::new(State {
             mode: Mode::Pass,
             hook: None,
+            only: None,
             on_reset: OnReset::Drop,
             accepts: true,
             fillers: Vec::new(),
@@ -123,6 +126,11 @@
         state.hook = Some(Box::new(hook));
     }
 
+    /// Delivers complete orders whose body doesn't contain `text`, even while others are held.
+    pub fn hold_only(&self, text: &str) {
+        lock(&self.state).only = Some(text.to_owned());
+    }
+
     /// Delivers what is held, and passes further bytes.
     pub fn release(&self) {
         lock(&self.state).mode = Mode::Pass;
@@ -206,7 +214,10 @@
             self.read_client();
             let (ended, holds, on_reset) = {
                 let state = lock(&self.state);
-                (state.ended, state.mode == Mode::Hold, state.on_reset)
+                let passes = state.only.as_ref().is_some_and(|only| {
+                    complete_body(&self.sent).is_some_and(|body| !body.contains(only.as_str()))
+                });
+                (state.ended, state.mode == Mode::Hold && !passes, state.on_reset)
             };
             let dropped = self.end == Some(End::Reset) && on_reset == OnReset::Drop;
             if dropped && self.delivered < self.sent.len() {
--- a/tests/platform_late_order.rs
+++ b/tests/platform_late_order.rs
@@ -253,6 +253,30 @@
     scene.check();
 }
 
+/// A leader gives an instance up that has not taken its term, and chooses another one. An order for the first that is still
+/// open then must not take effect after the order for the second, although its author leads throughout.
+#[test]
+fn an_order_for_an_instance_that_was_given_up_has_no_effect_after_the_order_for_another() {
+    let scene = Scene::up(141);
+    scene.hold_an_order();
+    scene.fleet.wait_until("an order is complete", |_| !scene.path().orders().held.is_empty());
+    let body: serde_json::Value = serde_json::from_str(&scene.path().orders().held[0]).unwrap();
+    let given_up = body["Id"].as_str().unwrap().to_owned();
+    scene.path().hold_only(&given_up);
+    scene.fleet.group.detach(&given_up);
+    scene.fleet.group.attach(FIRST_PRIMARY);
+    scene.fleet.wait_until("another instance is ordered", |_| !scene.tokens().is_empty());
+    scene.wait_for_writes();
+    scene.path().release();
+    std::thread::sleep(EFFECT_DURATION);
+    let promotions = scene.fleet.group.promotions.lock().unwrap().clone();
+    eprintln!("{given_up} was given up; {promotions:?}");
+    let after_another = promotions.iter().skip_while(|(instance, ..)| *instance == given_up);
+    let is_late = after_another.into_iter().any(|(instance, ..)| *instance == given_up);
+    scene.check();
+    assert!(!is_late, "{promotions:?}");
+}
+
 /// Time after an order at which its author is frozen, at which the path accepts connections again, and at which the author
 /// wakes. It wakes before the order's time limit, and after the kernel has sent the first packet of the connection again.
 const FROZEN_AT: Duration = Duration::from_millis(50);
