Resume all replicas of a thawed epoch, also those whose pause was not answered

A replica may carry out a pause whose answer is lost, or which an earlier leader ordered before it was replaced; orders that are dropped with the leadership of their author make that more frequent. Only replicas whose pause was answered to the present leader were resumed after a thaw. The others received nothing until they restarted, and commits could wait for them without end.

Evidence: replicas_whose_pause_was_not_answered_are_resumed_after_a_thaw failed before and passes. Not covered: a leader that is replaced between the thaw and the resumption.

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -82,6 +82,8 @@
     declined: Option<id::Instance>,
     /// The statuses of replicas that have stopped receiving since the epoch was frozen.
     paused: BTreeMap<id::Instance, Status>,
+    /// Whether the epoch was put in force again after a freeze, so that replicas may still be paused.
+    thawed: bool,
     unordered: Unordered,
 }
 
@@ -109,6 +111,7 @@
             promoted_outside: false,
             declined: None,
             paused: BTreeMap::new(),
+            thawed: false,
             unordered: Unordered::default(),
         }
     }
@@ -178,6 +181,10 @@
                 self.last_phase = Some((epoch.term, epoch.phase, now));
                 self.fenced_at = None;
                 self.attempt = None;
+                self.thawed = epoch.phase == Phase::Active
+                    && last.is_some_and(|(term, phase, _)| {
+                        (term, phase) == (epoch.term, Phase::Frozen)
+                    });
                 if epoch.phase == Phase::Active {
                     self.switchover.finish(now, &epoch.primary);
                 }
@@ -222,9 +229,16 @@
         }
         let mut outputs = self.switch_over(now, epoch, view);
         outputs.extend(self.rejoin(now, epoch));
-        // A promotion ends the pauses of replicas by itself; an epoch that was thawed does not.
-        let paused = std::mem::take(&mut self.paused).into_keys();
-        outputs.extend(paused.map(|instance| Output::Resume { instance }));
+        // A promotion ends the pauses of replicas by itself; an epoch that was thawed does not. A replica may have carried
+        // out a pause that was not answered, or that an earlier leader ordered.
+        let mut paused: Replicas = std::mem::take(&mut self.paused).into_keys().collect();
+        if std::mem::take(&mut self.thawed) && self.promoted_outside {
+            let known = view.known_instances.iter().filter(|known| **known != epoch.primary);
+            let unanswered: Replicas =
+                known.filter(|known| !paused.contains(known)).cloned().collect();
+            paused.extend(unanswered);
+        }
+        outputs.extend(paused.into_iter().map(|instance| Output::Resume { instance }));
         outputs
     }
 
--- a/tests/failover_outside.rs
+++ b/tests/failover_outside.rs
@@ -164,3 +164,24 @@
     }
     panic!("the epoch was not thawed");
 }
+
+/// An instance may have carried out a pause whose answer was lost, or which an earlier leader ordered.
+#[test]
+fn replicas_whose_pause_was_not_answered_are_resumed_after_a_thaw() {
+    let mut rig = Rig::frozen();
+    assert!(rig.tick(at(10)).contains(&pause("i2")));
+    rig.fenced = true;
+    rig.tick(at(30));
+    let mut resumed = false;
+    for ms in (40..5_000).step_by(50) {
+        rig.probe(at(ms), "i1", status(Role::Primary, 3, 9, 0));
+        rig.probe(at(ms), "i2", status(Role::Replica, 3, 7, 0));
+        let outputs = rig.tick(at(ms));
+        if outputs.contains(&Output::Submit(Action::Thaw { group: group(), term: id::Term(3) })) {
+            rig.epoch.phase = Phase::Active;
+        }
+        resumed |= outputs.contains(&Output::Resume { instance: name("i2") });
+    }
+    assert_eq!(rig.epoch.phase, Phase::Active, "the epoch was not thawed");
+    assert!(resumed, "i2 may receive nothing for good");
+}
