--- a/src/admin/guarded.rs
+++ b/src/admin/guarded.rs
@@ -49,8 +49,10 @@
         let connection = TcpStream::connect(address).await.map_err(Error::Connect)?;
         socket::withdraw_on_close(&connection, validity).map_err(Error::Connect)?;
         let response = exchange(connection.clone(), request).await;
-        if !matches!(response, Err(Error::Http(_) | Error::Io(_))) {
-            socket::deliver_on_close(&connection)?;
+        if response.is_ok()
+            && let Err(error) = socket::deliver_on_close(&connection)
+        {
+            log::debug!("the connection to {address} will be reset: {error}");
         }
         response
     }
