Don't report a once request as not run when an attempt may be committed

What callers saw: "57P03 outcome=not_run reason=failover" for a once request that was committed. Callers count on it that nothing was kept, and may give up or use another key.

Cause: a once request is tried again when the answer to its commit is lost. If the primary has been demoted meanwhile it refuses the second attempt, and the wait for its successor ended with the outcome of that attempt alone. Only the wait for a connection considered the attempt before. An error of the database while the key is looked up was passed on in the same way.

Change: no outcome of a once request says that it didn't run, or that it failed before its key was looked up, once a commit was sent.

The error of the database was found by reading; no run shows it.

--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -43,19 +43,22 @@
     /// Runs a `once` request in its own transaction, and retries until its outcome is known or the retry budget is
     /// used up.
     pub(super) async fn run_once(&mut self, request: &Request) -> Result<(), RequestError> {
+        match self.try_until_known(request).await {
+            // An earlier attempt may have been committed, so the request can't be reported as not run.
+            Err(RequestError::Outcome(Outcome::NotRun { reason, .. }))
+                if self.may_be_committed() =>
+            {
+                Err(unknown_outcome(reason))
+            }
+            result => result,
+        }
+    }
+
+    async fn try_until_known(&mut self, request: &Request) -> Result<(), RequestError> {
         let record = self.key_record(request)?;
         let mut created = false;
         loop {
-            let (pooled, epoch) = match self.acquire_primary(request).await {
-                Ok(acquired) => acquired,
-                // An earlier attempt may have been committed, so the request can't be reported as not run.
-                Err(RequestError::Outcome(Outcome::NotRun { reason, .. }))
-                    if self.may_be_committed() =>
-                {
-                    return Err(unknown_outcome(reason));
-                }
-                Err(error) => return Err(error),
-            };
+            let (pooled, epoch) = self.acquire_primary(request).await?;
             match self.try_once(request, &record, pooled, epoch.term).await? {
                 Attempt::Answered => return Ok(()),
                 Attempt::KeyTableMissing if !std::mem::replace(&mut created, true) => {
@@ -141,6 +144,10 @@
                 if self.shared.has_key_table(&self.group) {
                     return Ok(Attempt::KeyTableMissing);
                 }
+                if self.may_be_committed() {
+                    // The key could not be looked up, so this error says nothing of an earlier attempt.
+                    return Err(unknown_outcome(Reason::ConnectionLost));
+                }
                 write_error("ERROR", &code, &message, "", &mut self.writer.out);
                 Ok(Attempt::Answered)
             }
--- /dev/null
+++ b/tests/request_late_effects.rs
@@ -0,0 +1,77 @@
+//! Tests on separate processes of requests that may have taken effect before they are tried again.
+
+mod env;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use env::Fleet;
+use postgres::{Config, NoTls, SimpleQueryMessage};
+
+/// Time after which an expected event counts as missing.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+fn upstream_address(fleet: &Fleet, instance: &str) -> SocketAddr {
+    let upstreams = std::fs::read_to_string(fleet.path().join("upstreams")).expect("the list");
+    let line = upstreams.lines().find_map(|line| line.strip_prefix(&format!("{instance} ")));
+    line.expect("the instance is listed").parse().expect("an address")
+}
+
+/// Returns the term and the position of an instance, by its port for faults.
+fn report(fleet: &Fleet, instance: &str) -> (u64, u64) {
+    let mut address = upstream_address(fleet, instance);
+    address.set_port(address.port() + 2);
+    let mut stream = TcpStream::connect(address).expect("the port for faults");
+    stream.write_all(b"{\"counters\":true}\n").expect("a sent line");
+    let mut line = String::new();
+    BufReader::new(stream).read_line(&mut line).expect("a report");
+    let report: serde_json::Value = serde_json::from_str(&line).expect("a report in JSON");
+    let number = |field: &str| report[field].as_u64().expect("a number");
+    (number("term"), number("position"))
+}
+
+/// The answer to the commit of a `once` request is lost, and the primary is demoted before the request is tried again. Its
+/// refusal says nothing of the first attempt, but the caller was told that the request had not run.
+#[test]
+fn a_once_request_that_may_be_committed_is_not_reported_as_not_run() {
+    let fleet = Fleet::up();
+    let mut client = fleet.connect(0, "ops-1");
+    client.batch_execute("CREATE TABLE fault (room TEXT)").unwrap();
+    let first = "INSERT INTO fault VALUES ('4a') /*request='fault_report',key='d0'*/";
+    client.simple_query(first).unwrap();
+    let address = upstream_address(&fleet, "ops-1-1");
+    let mut direct = Config::new()
+        .host(&address.ip().to_string())
+        .port(address.port())
+        .user("test")
+        .dbname("ops-1")
+        .connect(NoTls)
+        .expect("the instance accepts the connection");
+    let (term, position) = report(&fleet, "ops-1-1");
+    // The answers are late, so that there is time between the two attempts.
+    fleet.set_faults("ops-1-1", r#"{"lose_after_commit":1,"late_ms":250}"#);
+    let demoting = std::thread::spawn(move || {
+        let start = Instant::now();
+        while report(&fleet, "ops-1-1") == (term, position) {
+            assert!(start.elapsed() < TIMEOUT, "the request was not committed");
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        let demoted = direct.simple_query(&format!("SELECT * FROM cactushatch_demote({term})"));
+        (fleet, demoted.map(|_| ()))
+    });
+    let sql = "INSERT INTO fault VALUES ('4b') /*request='fault_report',key='d1'*/";
+    let answer = client.simple_query(sql);
+    let (_fleet, demoted) = demoting.join().expect("the instance is demoted");
+    demoted.expect("the instance is demoted");
+    match answer {
+        Ok(messages) => {
+            assert!(messages.iter().any(|m| matches!(m, SimpleQueryMessage::CommandComplete(1))));
+        }
+        Err(error) => {
+            let error = error.as_db_error().expect("an error from the proxy");
+            let detail = error.detail().unwrap_or_default();
+            assert!(detail.starts_with("outcome=unknown"), "{error:?}");
+        }
+    }
+}
