Send the commit of a PostgreSQL caller only under its epoch

What callers saw: after a proxy was suspended without contact to control, a COMMIT got "outcome=unknown effect=possible", and it was committed. A caller has to look before it goes on.

Cause: a transaction keeps the connection and the term of its begin. Its commit was sent whatever had become of the lease and the epoch; they were checked only before the answer.

Change: `check_commit` looks at the fence before the commit is sent, and without a lease waits for one until the deadline. If it may not be sent, the connection is closed, which rolls back, and the outcome says "effect=rolled_back". The check before the answer stays.

--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -145,6 +145,9 @@
         if ends_transaction {
             self.transaction = Transaction::None;
         }
+        if commits {
+            self.check_commit(request, term).await?;
+        }
         let completion = self.run_fenced(pooled, &mut exchange, term, effect).await?;
         let Some((pooled, completion)) = completion else {
             return Ok(String::new());
@@ -153,6 +156,32 @@
         Ok(completion.command_tag)
     }
 
+    /// Checks that the epoch of a transaction is in force before its commit is sent. The process may have been suspended
+    /// since its last statement, and what it sends now can't be taken back. Without a lease it waits for the next one,
+    /// without which no answer could be released either. After a failure the connection is closed, which rolls back.
+    async fn check_commit(
+        &mut self,
+        request: &Request,
+        term: id::Term,
+    ) -> Result<(), RequestError> {
+        let effect = Effect::RolledBack;
+        self.progress = Progress::Sent(effect);
+        loop {
+            let changed = self.shared.group_changed(&self.group);
+            let left = request.deadline.since(self.shared.clock.now());
+            let reason = match self.shared.verdict(&self.group, term) {
+                _ if left.is_zero() => Reason::Deadline,
+                Verdict::Release => return Ok(()),
+                Verdict::Replaced => Reason::Failover,
+                Verdict::NoLease => {
+                    self.shared.clock.timeout(left, changed).await;
+                    continue;
+                }
+            };
+            return Err(Outcome::Unknown { reason, effect }.into());
+        }
+    }
+
     /// Runs an exchange. If it acknowledges a write, the connection returns to the pool at once and the answer is
     /// held back until the fence releases it. Otherwise returns the connection.
     pub(super) async fn run_fenced(
--- a/tests/request_late_effects.rs
+++ b/tests/request_late_effects.rs
@@ -1,4 +1,5 @@
-//! Tests on separate processes of requests that may have taken effect before they are tried again.
+//! Tests on separate processes that no request takes effect under an authority that has ended, or is reported as not run
+//! although it may have taken effect.
 
 mod env;
 
@@ -31,6 +32,38 @@
     (number("term"), number("position"))
 }
 
+/// How long what was sent late may take to be committed.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+fn detail(error: &postgres::Error) -> String {
+    let error = error.as_db_error().expect("an error from the proxy");
+    error.detail().unwrap_or_default().to_owned()
+}
+
+/// A proxy is frozen while a caller commits, and control can't be reached when it goes on. It sent the commit without a
+/// lease, although no answer to it could be released.
+#[test]
+fn a_commit_is_not_sent_without_a_lease() {
+    let fleet = Fleet::up();
+    let mut client = fleet.connect(0, "ops-1");
+    client.batch_execute("CREATE TABLE fault (room TEXT)").unwrap();
+    client.batch_execute("BEGIN").unwrap();
+    client.batch_execute("INSERT INTO fault VALUES ('4b')").unwrap();
+    let before = report(&fleet, "ops-1-1");
+    fleet.signal("proxy-1", "-STOP");
+    let committing = std::thread::spawn(move || client.batch_execute("COMMIT"));
+    std::thread::sleep(SETTLE);
+    fleet.signal("control-1", "-STOP");
+    fleet.signal("proxy-1", "-CONT");
+    let error = committing.join().expect("an answer").expect_err("no lease");
+    std::thread::sleep(SETTLE);
+    assert_eq!(report(&fleet, "ops-1-1"), before, "{error:?}");
+    let detail = detail(&error);
+    assert!(detail.starts_with("outcome=unknown"), "{detail}");
+    assert!(detail.ends_with("effect=rolled_back"), "{detail}");
+    fleet.signal("control-1", "-CONT");
+}
+
 /// The answer to the commit of a `once` request is lost, and the primary is demoted before the request is tried again. Its
 /// refusal says nothing of the first attempt, but the caller was told that the request had not run.
 #[test]
@@ -68,10 +101,6 @@
         Ok(messages) => {
             assert!(messages.iter().any(|m| matches!(m, SimpleQueryMessage::CommandComplete(1))));
         }
-        Err(error) => {
-            let error = error.as_db_error().expect("an error from the proxy");
-            let detail = error.detail().unwrap_or_default();
-            assert!(detail.starts_with("outcome=unknown"), "{error:?}");
-        }
+        Err(error) => assert!(detail(&error).starts_with("outcome=unknown"), "{error:?}"),
     }
 }
