--- a/tests/platform_odd_entries.rs
+++ b/tests/platform_odd_entries.rs
@@ -2,18 +2,18 @@
 //! numbers out of range, or with addresses that accept no connections.
 
 mod lines;
+mod odd;
 
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader, Read};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use lines::{Fleet, METRICS_PORT, PROXIES};
+use lines::{Fleet, PROXIES};
+use odd::{CONTROL_PORT, VOTERS, assert_all_run, nested_lists, read_on_each_proxy, restart, send};
 
-const CONTROL_PORT: u16 = 17_303;
 const INSTANCE_PORT: u16 = 17_306;
-const VOTERS: [u8; 3] = [1, 2, 3];
 
 /// The greatest start time of an instance that is accepted, in milliseconds since 1970.
 const MAX_BORN_MS: u64 = 4_102_444_800_000;
@@ -27,21 +27,6 @@
     body: Vec<u8>,
 }
 
-/// Sends a request whose body may be any bytes, and returns the status of the answer.
-fn send(address: SocketAddr, request_line: &str, body: &[u8]) -> Option<u16> {
-    let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
-    socket.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
-    let length = body.len();
-    let head = format!(
-        "{request_line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n"
-    );
-    // The answer to a body over the limit may come before all of it is sent.
-    let _ = socket.write_all(&[head.as_bytes(), body].concat());
-    let mut line = String::new();
-    BufReader::new(socket).read_line(&mut line).ok()?;
-    line.split(' ').nth(1)?.parse().ok()
-}
-
 /// Returns a heartbeat of an instance in which `edits` are replaced.
 fn heartbeat(address: SocketAddr, edits: &[(&str, &str)]) -> String {
     let body = format!(
@@ -114,10 +99,6 @@
 /// Depths of nesting around the limits of parsers.
 const DEPTHS: [usize; 3] = [128, 1_000, 30_000];
 
-fn nested_lists(depth: usize) -> String {
-    format!("{}{}", "[".repeat(depth), "]".repeat(depth))
-}
-
 fn nested_objects(depth: usize) -> String {
     format!("{}1{}", "{\"a\":".repeat(depth), "}".repeat(depth))
 }
@@ -169,33 +150,6 @@
     format!("{}: {}", entry.id, text.chars().take(300).collect::<String>())
 }
 
-fn assert_all_run(fleet: &Fleet) {
-    for vm in VOTERS.iter().chain(&PROXIES) {
-        let status = send(fleet.address(*vm, METRICS_PORT), "GET /metrics", b"");
-        assert_eq!(status, Some(200), "the process on VM {vm} answers");
-    }
-    let logs = fleet.logs();
-    let panics: Vec<&str> = logs.lines().filter(|line| line.contains("panicked")).collect();
-    assert!(panics.is_empty(), "{panics:?}");
-}
-
-fn restart(fleet: &mut Fleet, vm: u8) {
-    fleet.signal(vm, "-KILL");
-    fleet.wait_for_exit(vm);
-    fleet.start_process(vm, false);
-    fleet.wait_until("the process answers", |fleet| {
-        send(fleet.address(vm, METRICS_PORT), "GET /metrics", b"") == Some(200)
-    });
-}
-
-fn read_on_each_proxy(fleet: &Fleet) {
-    for vm in PROXIES {
-        fleet.wait_until("the proxy is ready", |fleet| fleet.is_ready(vm));
-        fleet.connect(vm, "menu").query_until_done("FETCH a");
-        fleet.connect(vm, "desk").query_until_done("PUT a b");
-    }
-}
-
 /// Serves nothing, and counts the connections on which an instance of this name is asked for.
 fn listen_as(address: SocketAddr, id: &'static str) -> Arc<AtomicUsize> {
     let listener = TcpListener::bind(address).expect("the instance's address");
@@ -321,76 +275,3 @@
     fleet.wait_until("the new instance is asked", |_| asked.load(Ordering::SeqCst) > 0);
     assert_all_run(&fleet);
 }
-
-/// The greatest numbers of a valid configuration must neither end a process, at once or when it reads the log again, nor
-/// keep control from its other work.
-#[test]
-fn a_configuration_with_the_greatest_numbers_takes_effect() {
-    let mut fleet = Fleet::up(194);
-    let plain = lines::configuration(2, u64::MAX, u32::MAX as usize);
-    let nested = format!("\"more\":{},", nested_lists(30_000));
-    let edits = [
-        ("\"TargetLatencyMs\":200", "\"TargetLatencyMs\":18446744073709551615"),
-        ("\"MaxStaleMs\":2000", "\"MaxStaleMs\":18446744073709551615"),
-        ("\"TxIdleMs\":3000", "\"TxIdleMs\":18446744073709551615"),
-        ("\"SyncCount\":1", "\"SyncCount\":4294967295"),
-        ("\"Priority\":1", "\"Priority\":255"),
-        ("\"Routes\"", &format!("{nested}\"Routes\"")),
-    ];
-    let greatest = edits.iter().fold(plain, |body, (from, to)| {
-        assert!(body.contains(from), "{from} is not there");
-        body.replace(from, to)
-    });
-    assert_eq!(fleet.put_configuration_text(&greatest), 200);
-    let start = Instant::now();
-    while start.elapsed() < Duration::from_secs(2) {
-        read_on_each_proxy(&fleet);
-    }
-    VOTERS.into_iter().for_each(|vm| restart(&mut fleet, vm));
-    PROXIES.into_iter().for_each(|vm| restart(&mut fleet, vm));
-    read_on_each_proxy(&fleet);
-    assert_eq!(fleet.put_configuration(3, 800), 200);
-    fleet.group.drain("i-22");
-    fleet.wait_until("the drain is known", |fleet| {
-        fleet.logs().contains("i-22 of books is Leaving")
-    });
-    read_on_each_proxy(&fleet);
-    assert_all_run(&fleet);
-}
-
-/// A settings file is read again when it changes. One that can't be read must not end the process.
-#[test]
-fn an_odd_settings_file_changes_nothing_in_running_processes() {
-    let fleet = Fleet::up(195);
-    let odd: [Vec<u8>; 8] = [
-        format!("domain = {}{}", "[".repeat(100_000), "]".repeat(100_000)).into_bytes(),
-        format!("domain = {}1{}", "{a=".repeat(100_000), "}".repeat(100_000)).into_bytes(),
-        format!("[a{}]", ".a".repeat(100_000)).into_bytes(),
-        b"[seeds]\nport = 99999\nlosses = 18446744073709551616\n".to_vec(),
-        b"[proxy]\ngrace = \"18446744073709551615d\"\n[log]\nrate = 1e999\n".to_vec(),
-        b"domain = \"\xff\xfe\"\n".to_vec(),
-        Vec::new(),
-        vec![b'x'; 4 * 1024 * 1024],
-    ];
-    for vm in [VOTERS[0], PROXIES[0]] {
-        let path = fleet.log_file(vm).with_extension("toml");
-        let settings = std::fs::read_to_string(&path).expect("the settings of the process");
-        for text in &odd {
-            std::fs::write(&path, text).unwrap();
-            fleet.signal(vm, "-HUP");
-            std::thread::sleep(Duration::from_millis(200));
-            read_on_each_proxy(&fleet);
-        }
-        for (from, to) in
-            [("9", "99999999999999999999"), ("1", "-1"), ("true", "[[[[[[[[{}]]]]]]]]")]
-        {
-            std::fs::write(&path, settings.replace(from, to)).unwrap();
-            fleet.signal(vm, "-HUP");
-            std::thread::sleep(Duration::from_millis(200));
-        }
-        std::fs::write(&path, settings).unwrap();
-        fleet.signal(vm, "-HUP");
-    }
-    read_on_each_proxy(&fleet);
-    assert_all_run(&fleet);
-}
