Test frames with counts and lengths at the limits of their types

At each place of four frames stands a number of 16, 32, 41 or 64 bits in turn, with the rest of the frame and without.

--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -6,6 +6,7 @@
 
 use bytes::BytesMut;
 use cactushatch::config::{Change, Fleet};
+use cactushatch::control::state::{Action, Command};
 use cactushatch::control::store::Store;
 use cactushatch::id;
 use cactushatch::pgsql::{MAX_MESSAGE_BYTES, MAX_STARTUP_BYTES, read_message, read_startup};
@@ -13,7 +14,9 @@
 use cactushatch::proxy::{classify, setting};
 use cactushatch::upstream::announcement::Announcement;
 use cactushatch::upstream::status::{MAX_TERM, Status};
-use cactushatch::wire::{Body, Error, Frame};
+use cactushatch::wire::{
+    self, Availability, Body, Delta, Error, Frame, Grant, Replica, Route, Serving, Stamp,
+};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -189,6 +192,67 @@
     }
 }
 
+/// A count or a length near the limit of its type stands at each place of a frame in turn.
+#[test]
+fn counts_and_lengths_in_frames_are_not_trusted() {
+    let replica = Replica {
+        group: "ops-1".parse().expect("valid name"),
+        instance: "ops-1-a".parse().expect("valid name"),
+        address: "10.0.0.9:0".parse().expect("an address"),
+        domain: "a".parse().expect("valid name"),
+    };
+    let announcement = wire::Announcement {
+        replica: replica.clone(),
+        born: id::Incarnation(u64::MAX),
+        sequence: id::Sequence(u64::MAX),
+        standing: Availability::Ready,
+    };
+    let route = Route {
+        group: replica.group.clone(),
+        epoch: None,
+        replicas: vec![replica],
+        draining: Vec::new(),
+        share: u32::MAX,
+        serving: Serving::Every,
+        peaks: Vec::new(),
+    };
+    let grant = Grant {
+        stamp: Stamp::default(),
+        incarnation: id::Incarnation(u64::MAX),
+        sequence: None,
+        lease_ms: u32::MAX,
+        version: u64::MAX,
+        delta: Some(Delta { since: u64::MAX, routes: vec![route] }),
+        revision: id::Revision(u64::MAX),
+        quota: Vec::new(),
+        positions: Vec::new(),
+    };
+    let action = Action::Announce(announcement.clone());
+    let bodies = [
+        Body::Announce(announcement),
+        Body::Submit(Command { origin: None, action }),
+        Body::Grant(grant),
+        frame_with_many_databases(1).body,
+    ];
+    let encoded = bodies.map(|body| Frame {
+        sender: "control-1".parse().expect("valid name"),
+        incarnation: id::Incarnation(7),
+        body,
+    });
+    for frame in encoded {
+        let bytes = frame.encode().expect("the frame is within the length limit");
+        assert_eq!(Frame::decode(&bytes).expect("the same frame"), frame);
+        for at in 2..bytes.len() {
+            for number in [u64::from(u16::MAX), u64::from(u32::MAX), 1 << 40, u64::MAX] {
+                let number = postcard::to_allocvec(&number).expect("a number");
+                let odd = [&bytes[..at], &number, &bytes[at + 1..]].concat();
+                let _ = Frame::decode(&odd);
+                let _ = Frame::decode(&odd[..at + number.len()]);
+            }
+        }
+    }
+}
+
 /// Statements with a nesting too deep for a recursive parser must be rejected like other unparsable statements.
 static COMPRESSED: LazyLock<Vec<u8>> =
     LazyLock::new(|| frame_with_many_databases(60).encode().expect("it is short enough"));
