--- a/tests/decoders.rs
+++ b/tests/decoders.rs
@@ -48,7 +48,7 @@
 
 fn encoded_frame() -> Vec<u8> {
     let fleet = Fleet::parse("fleet", "[class.push]\npriority = 0\ndeadline = \"2s\"\n");
-    let configuration = cactushatch::wire::Configuration {
+    let configuration = wire::Configuration {
         since: id::Revision(0),
         revision: id::Revision(3),
         change: Change::between(&Fleet::default(), &fleet.expect("valid declarations")),
@@ -270,7 +270,7 @@
         );
     }
     let fleet = Fleet::parse("fleet", &text).expect("valid declarations");
-    let configuration = cactushatch::wire::Configuration {
+    let configuration = wire::Configuration {
         since: id::Revision(0),
         revision: id::Revision(3),
         change: Change::between(&Fleet::default(), &fleet),
