Keep serving HTTP after a connection could not be accepted

Found while odd input was tried. The HTTP server of the gateway, the metrics and the operator's address ended at the first error of accept, as when the process has no file descriptor left for a moment. The process ran on, and instances and the operator got no answer any more: in a trial with few descriptors and 60 open connections, all three control processes never answered again.

--- a/src/admin/server.rs
+++ b/src/admin/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server.
 
 use std::convert::Infallible;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
@@ -13,8 +14,12 @@
 use smol_hyper::rt::FuturesIo;
 
 use super::MAX_BODY_BYTES;
+use crate::clock::Clock;
 use crate::report::Metrics;
 
+/// The delay before the next accept after a failed one.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+
 /// A request with its complete body.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -88,8 +93,15 @@
     F: Future<Output = Reply> + Send + 'static,
 {
     loop {
-        let (socket, _) = listener.accept().await?;
-        smol::spawn(serve_connection(socket, handle.clone())).detach();
+        match listener.accept().await {
+            Ok((socket, _)) => smol::spawn(serve_connection(socket, handle.clone())).detach(),
+            Err(error) => {
+                log::warn!(
+                    "a connection could not be accepted: {error}; retrying in {ACCEPT_RETRY_DELAY:?}"
+                );
+                Clock::system().sleep(ACCEPT_RETRY_DELAY).await;
+            }
+        }
     }
 }
 
