Don't wait for a reserved term that is left over from the promotion of the primary that has failed

What callers saw: a failover of 4 s more (OUTSIDE_PROMOTION_TIMEOUT) in groups whose last promotion needed two attempts.

Cause: an outside service gives terms itself. If it doesn't act on a first reservation, the instance with the second one takes the first's term, and the reservation stays above the epoch's term. At the next failover that counted as an open attempt to promote the failed primary.

Now a reservation for the epoch's own primary is passed over once that primary has failed, unless an unordered promotion was found. New reservations are above it. Evidence: the test in tests/failover_outside.rs got an order to promote the failed primary before, and the pauses of the replicas now.

Not changed: such a reservation also keeps the epoch from being thawed (State::thaw), which would be a change of how entries of the log are applied.

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -281,13 +281,13 @@
             let known = view.known_instances.iter().cloned();
             return known.map(|instance| Output::Probe { instance }).collect();
         };
-        match view.claim.filter(|claim| claim.term > epoch.term) {
+        match self.open_claim(now, epoch, view) {
             Some(claim)
                 if !self.is_timed_out(now, claim) && !self.is_outdone(now, epoch, claim, view) =>
             {
                 self.complete(now, epoch, claim)
             }
-            claim => self.choose(now, epoch, claim, fenced_at, view),
+            _ => self.choose(now, epoch, fenced_at, view),
         }
     }
 
@@ -316,7 +316,7 @@
     /// can be acknowledged and the replicas' positions are final. The epoch of the promoted instance still waits for
     /// the fence, because proxies may read and release answers under the old epoch until then.
     fn prepare(&mut self, now: Instant, epoch: &Epoch, view: View<'_>) -> Vec<Output> {
-        let claim = view.claim.filter(|claim| claim.term > epoch.term);
+        let claim = self.open_claim(now, epoch, view);
         if let Some(claim) = claim.filter(|claim| !self.is_outdone(now, epoch, claim, view)) {
             let promoted = self.promoted_status(now, epoch, claim).is_some();
             let wait = promoted || self.is_timed_out(now, claim);
@@ -338,11 +338,22 @@
         else {
             return Vec::new();
         };
-        let primary = chosen.instance.clone();
-        let action = Action::Claim { group: self.group.clone(), term, primary };
+        let action = self.claim_action(epoch, view.claim, &chosen);
         self.order(now, Output::Submit(action))
     }
 
+    /// Returns the reserved term that an instance may still take. An outside service gives terms itself, so an epoch may
+    /// come into force on a lower term than the one reserved for its primary. Once that primary has failed, such a
+    /// reservation is left over.
+    fn open_claim<'a>(&self, now: Instant, epoch: &Epoch, view: View<'a>) -> Option<&'a Claim> {
+        let claim = view.claim.filter(|claim| claim.term > epoch.term)?;
+        let is_left_over = self.promoted_outside
+            && claim.primary == epoch.primary
+            && !self.unordered.is_found()
+            && self.verdict(now, &epoch.primary) != Verdict::Usable;
+        (!is_left_over).then_some(claim)
+    }
+
     /// Orders the instance that has the term reserved to become its primary.
     fn promote(&mut self, now: Instant, claim: &Claim) -> Vec<Output> {
         let promote = Output::Promote { instance: claim.primary.clone(), term: claim.term };
@@ -384,7 +395,6 @@
         &mut self,
         now: Instant,
         epoch: &Epoch,
-        claim: Option<&Claim>,
         fenced_at: Instant,
         view: View<'_>,
     ) -> Vec<Output> {
@@ -410,7 +420,7 @@
             let action = Action::Thaw { group: self.group.clone(), term: epoch.term };
             return self.order(now, Output::Submit(action));
         }
-        let action = self.claim_action(epoch, claim, &chosen);
+        let action = self.claim_action(epoch, view.claim, &chosen);
         self.order(now, Output::Submit(action))
     }
 
--- a/tests/failover_outside.rs
+++ b/tests/failover_outside.rs
@@ -13,7 +13,7 @@
 use cactushatch::control::state::{Action, Claim};
 use cactushatch::id;
 use cactushatch::upstream::status::Status;
-use cactushatch::wire::{Epoch, Phase, Role};
+use cactushatch::wire::{Epoch, Health, Phase, Role};
 use machine::{at, epoch, group, name, status};
 
 /// A frozen group with the primary `i1` and two replicas, and the inputs of its ticks.
@@ -23,6 +23,7 @@
     claim: Option<Claim>,
     fenced: bool,
     known_instances: Vec<id::Instance>,
+    live_proxies: BTreeSet<id::Node>,
 }
 
 impl Rig {
@@ -35,11 +36,12 @@
             claim: None,
             fenced: false,
             known_instances: ["i1", "i2", "i3"].map(name).into(),
+            live_proxies: BTreeSet::new(),
         }
     }
 
     fn tick(&mut self, now: Instant) -> Vec<Output> {
-        let (live_proxies, draining) = (BTreeSet::new(), BTreeSet::new());
+        let draining = BTreeSet::new();
         let view = View {
             epoch: Some(&self.epoch),
             claim: self.claim.as_ref(),
@@ -47,7 +49,7 @@
             declared_instances: 3,
             known_instances: &self.known_instances,
             durability: Durability::Majority,
-            live_proxies: &live_proxies,
+            live_proxies: &self.live_proxies,
             draining: &draining,
         };
         self.group.step(now, Input::Tick(view))
@@ -185,3 +187,21 @@
     assert_eq!(rig.epoch.phase, Phase::Active, "the epoch was not thawed");
     assert!(resumed, "i2 may receive nothing for good");
 }
+
+/// The service gives terms itself: after a first reservation that it did not act on, the instance with the second takes
+/// the first's term.
+#[test]
+fn a_term_left_over_from_the_promotion_of_a_failed_primary_is_not_waited_for() {
+    let mut rig = Rig::frozen();
+    rig.claim = Some(Claim { term: id::Term(5), primary: name("i1") });
+    for node in ["p1", "p2"].map(name) {
+        let (instance, health) = (name("i1"), Health::Silent);
+        rig.live_proxies.insert(id::Node::clone(&node));
+        rig.group.step(at(5), Input::Reported { node, instance, health });
+    }
+    assert_eq!(rig.tick(at(10)), [pause("i2"), pause("i3")]);
+    rig.report_paused(at(20), "i2", 7);
+    rig.report_paused(at(20), "i3", 9);
+    let claim = Action::Claim { group: group(), term: id::Term(6), primary: name("i3") };
+    assert_eq!(rig.tick(at(20)), [Output::Submit(claim)]);
+}
