--- a/tests/machine/outside.rs
+++ b/tests/machine/outside.rs
@@ -394,6 +394,12 @@
         self.lost_of(&self.acknowledged)
     }
 
+    /// Returns the acknowledged writes that the epoch's primary holds.
+    pub fn held(&self) -> BTreeSet<Write> {
+        let primary = &self.upstreams[&self.epoch().expect("an epoch").primary];
+        primary.log.iter().filter(|write| self.acknowledged.contains(write)).copied().collect()
+    }
+
     /// Returns how many of `writes` the epoch's primary lacks.
     pub fn lost_of(&self, writes: &BTreeSet<Write>) -> usize {
         self.upstreams[&self.epoch().expect("an epoch").primary].lacking(writes.iter())
