Reset the connection of a commit or a write that is given up

What callers saw: a write that was answered with UNKNOWN at its timeout could still run up to 3 s later (TCP_USER_TIMEOUT), after the caller had looked whether it ran.

Cause: the proxy closed the connection. A close doesn't take bytes back; the kernel goes on sending what the instance hasn't taken.

Other connections are closed as before, also in a transaction: nothing of it is kept, and an instance learns of a close sooner than of a reset that a cut swallows.

Evidence: a_statement_does_not_arrive_after_a_reset, with an instance that takes a part of the statement: after a close it reads the rest and the end of the stream, after a reset it gets ECONNRESET and no complete statement. Not covered: what a device on the path has acknowledged.

--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -104,6 +104,7 @@
                 Ok(outcome) => outcome,
                 Err(failure) => {
                     self.record_failure(&instance, &failure);
+                    checkout.connection.upstream.reset();
                     return Err(Refusal::new(Code::Unknown, format!("{instance}: {failure}")));
                 }
             };
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -254,6 +254,9 @@
                 Ok(outcome) => outcome,
                 Err(failure) => {
                     self.record_failure(&instance, &failure);
+                    if wrote {
+                        checkout.connection.upstream.reset();
+                    }
                     let code = if wrote { Code::Unknown } else { Code::Aborted };
                     return Err(Refusal::new(code, format!("{instance}: {failure}")));
                 }
--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -142,6 +142,15 @@
         socket::withdraw_on_close(&self.socket, validity)
     }
 
+    /// Closes the connection and discards what was sent on it but not delivered. After a plain close the kernel goes on
+    /// sending, so that a statement which was given up could run when the path is back. The instance may learn of a reset
+    /// later than of a close, as it is sent once only.
+    pub fn reset(self) {
+        if let Err(error) = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)) {
+            log::debug!("a connection is closed and not reset: {error}");
+        }
+    }
+
     /// Queues a command, which the next [`Connection::flush`] sends.
     pub fn queue(&mut self, command: &Command<'_>) {
         self.codec.encode_command(command, &mut self.output);
--- a/tests/platform_late_effects.rs
+++ b/tests/platform_late_effects.rs
@@ -1,11 +1,20 @@
 //! Tests on separate processes that nothing takes effect under an authority that has ended: a statement whose time is over,
 //! a commit without a lease, a forwarded statement that was given up.
 
+#[path = "../platform/line.rs"]
+#[allow(dead_code, reason = "only a client is needed")]
+mod line;
 mod lines;
 
-use std::net::{IpAddr, SocketAddr};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
+use cactushatch::clock::Clock;
+use cactushatch::statement::{Command, Id};
+use cactushatch::upstream::connection::{Connection, Error};
+use cactushatch::wire::Replica;
+use line::LineCodec;
 use lines::{Caller, Fleet, INTERNAL_PORT};
 
 const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
@@ -170,3 +179,56 @@
     assert_eq!(late, (vec![], vec![], 0), "{}", fleet.logs());
     assert_eq!(lengths("after"), [1]);
 }
+
+/// Sends a statement to an instance that takes only a part of it, and gives it up. Returns what the instance reads after
+/// that, and how the connection ends.
+fn read_after_giving_up(give_up: impl FnOnce(Connection)) -> (String, Option<ErrorKind>) {
+    const LENGTH: usize = 12_000;
+    let listener =
+        socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    listener.set_recv_buffer_size(4_096).expect("a small buffer");
+    listener.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into()).expect("an address");
+    listener.listen(1).expect("a listener");
+    let address = listener.local_addr().expect("an address").as_socket().expect("an IP address");
+    let (give_up_done, given_up) = std::sync::mpsc::channel();
+    let instance = std::thread::spawn(move || {
+        let (mut socket, _) = listener.accept().expect("a connection");
+        let _ = socket.read(&mut [0; 256]).expect("the request to open a session");
+        socket.write_all(b"READY I 1.1\r\n").expect("the answer is sent");
+        given_up.recv().expect("the statement is given up");
+        let mut text = Vec::new();
+        let end = socket.read_to_end(&mut text).err().map(|error| error.kind());
+        (String::from_utf8(text).expect("text"), end)
+    });
+    let replica = Replica {
+        group: "books".parse().unwrap(),
+        instance: "i-21".parse().unwrap(),
+        address,
+        domain: "a".parse().unwrap(),
+    };
+    smol::block_on(async {
+        let clock = Clock::system();
+        let soon = || clock.now() + Duration::from_millis(500);
+        let connected = Connection::connect(&clock, &LineCodec, &replica, None, soon()).await;
+        let (mut connection, _) = connected.expect("a connection");
+        let text = format!("PUT item {}", "x".repeat(LENGTH));
+        let command = Command::Data { id: &Id::new("late1"), after: None, text: &text };
+        connection.queue(&command);
+        connection.flush(&clock, soon()).await.expect("the kernel takes the statement");
+        let outcome = connection.receive_outcome(&clock, soon()).await;
+        assert!(matches!(outcome, Err(Error::Timeout)), "{outcome:?}");
+        give_up(connection);
+    });
+    give_up_done.send(()).expect("the instance waits");
+    instance.join().expect("what the instance read")
+}
+
+/// The kernel goes on sending after a close, but not after a reset.
+#[test]
+fn a_statement_does_not_arrive_after_a_reset() {
+    let (text, end) = read_after_giving_up(drop);
+    assert!(text.ends_with("\r\n") && end.is_none(), "{} bytes, {end:?}", text.len());
+    let (text, end) = read_after_giving_up(Connection::reset);
+    assert!(!text.contains("\r\n"), "{} bytes", text.len());
+    assert_eq!(end, Some(ErrorKind::ConnectionReset));
+}
