Test that forwarded writes of a killed proxy do not run

A proxy is killed while the proxies that serve the group are frozen with its write and its commit in their buffers.

--- a/tests/platform_late_effects.rs
+++ b/tests/platform_late_effects.rs
@@ -180,6 +180,32 @@
     assert_eq!(lengths("after"), [1]);
 }
 
+/// A proxy is killed after it forwarded a write and a commit to frozen proxies.
+#[test]
+fn forwarded_writes_of_a_killed_proxy_do_not_run() {
+    let mut fleet = Fleet::up_with(174, &MANY_PROXIES, FEW_CONNECTIONS);
+    let serving = serving(&fleet);
+    let others: Vec<u8> =
+        fleet.proxies.iter().filter(|vm| !serving.contains(vm)).copied().collect();
+    let [vm, other, ..] = others[..] else { panic!("two that forward: {others:?}") };
+    let mut writer = fleet.connect(vm, "desk");
+    writer.query_until_done("PUT before x");
+    let mut committer = fleet.connect(vm, "desk");
+    begin_with(&mut committer, "PUT committed x");
+    serving.iter().for_each(|vm| fleet.signal(*vm, "-STOP"));
+    writer.send("QUERY late1 PUT late x");
+    committer.send("QUERY late2 COMMIT");
+    sleep(Duration::from_millis(400));
+    fleet.signal(vm, "-KILL");
+    fleet.wait_for_exit(vm);
+    serving.iter().for_each(|vm| fleet.signal(*vm, "-CONT"));
+    sleep(SETTLE);
+    fleet.connect(other, "desk").query_until_done("PUT after x");
+    let late = [fleet.group.values_of("late"), fleet.group.values_of("committed")];
+    assert!(late.iter().all(Vec::is_empty), "{late:?}\n{}", fleet.logs());
+    assert_eq!(fleet.group.values_of("after"), ["x"]);
+}
+
 /// Sends a statement to an instance that takes only a part of it, and gives it up. Returns what the instance reads after
 /// that, and how the connection ends.
 fn read_after_giving_up(give_up: impl FnOnce(Connection)) -> (String, Option<ErrorKind>) {
