--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -459,6 +459,12 @@
                     let node = live.peer.node.clone();
                     let known = self.leaders.insert(live.raft.term(), node.clone());
                     assert!(known.is_none_or(|known| known == node), "a term has two leaders");
+                    let acts = |(other, node): (usize, &Node)| {
+                        let live = node.live.as_ref();
+                        other != at && live.is_some_and(|l| l.raft.is_confirmed_leader(now))
+                    };
+                    let acting = self.nodes.iter().enumerate().any(acts);
+                    assert!(!acting, "elected while another leader may act");
                 }
                 Output::Proposed((_, index)) => proposed = Some(index),
                 Output::ProposalRefused | Output::SteppedDown => {}
