--- a/tests/platform_late_order.rs
+++ b/tests/platform_late_order.rs
@@ -241,6 +241,22 @@
     scene.check_after_the_cut();
 }
 
+/// The cut ends after the successor's order, and before the time limit of the held one.
+#[test]
+fn a_held_order_has_no_effect_after_its_successors_order_even_within_its_time_limit() {
+    let scene = Scene::up(142);
+    scene.hold_an_order();
+    scene.isolate_leader();
+    let held_at = Instant::now();
+    scene.fleet.wait_until("the successor's order", |_| !scene.tokens().is_empty());
+    let elapsed = held_at.elapsed();
+    scene.path().release();
+    scene.peers().heal(&scene.leader_node());
+    eprintln!("released after {elapsed:?}");
+    scene.wait_for_successor();
+    scene.check();
+}
+
 /// An order that its author has given up arrives later, when its author may have chosen another instance.
 #[test]
 fn an_order_that_was_given_up_is_not_delivered_later() {
