--- a/tests/platform_unordered.rs
+++ b/tests/platform_unordered.rs
@@ -43,7 +43,7 @@
 
 #[test]
 fn a_late_promotion_of_a_replica_that_lags_is_counted_and_the_group_is_served_again() {
-    let fleet = Fleet::up_behind_paths(143);
+    let fleet = Fleet::up_behind_paths(157);
     let mut caller = fleet.connect(PROXIES[0], "desk");
     for number in 0..10 {
         caller.query_until_done(&format!("PUT book a{number}"));
