--- a/tests/env/mod.rs
+++ b/tests/env/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses some of the helpers")]
 
+#[path = "../process/mod.rs"]
+mod process;
+
 use std::fs::{File, OpenOptions};
 use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
@@ -150,7 +153,7 @@
         self.signal(name, "-9");
     }
 
-    /// Sends a signal to the last process that was started under this name.
+    /// Sends a signal to the last process that was started under this name. After `-STOP` the process has stopped.
     pub fn signal(&self, name: &str, signal: &str) {
         let names = std::fs::read_to_string(self.path().join("names"))
             .expect("the list of names is readable");
@@ -161,6 +164,9 @@
             .0;
         let status = Command::new("kill").args([signal, pid]).status().expect("kill runs");
         assert!(status.success(), "{name} was not running");
+        if signal == "-STOP" {
+            process::wait_until_stopped(pid.parse().expect("an id"));
+        }
     }
 }
 
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -8,6 +8,8 @@
 pub mod load;
 pub mod path;
 pub mod peers;
+#[path = "../process/mod.rs"]
+mod process;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -783,10 +785,13 @@
         self.processes.insert(vm, child);
     }
 
-    /// Sends a signal, such as `-TERM`, to the process on a VM.
+    /// Sends a signal, such as `-TERM`, to the process on a VM. After `-STOP` the process has stopped.
     pub fn signal(&self, vm: u8, signal: &str) {
-        let id = self.processes[&vm].id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        let id = self.processes[&vm].id();
+        assert!(Command::new("kill").args([signal, &id.to_string()]).status().unwrap().success());
+        if signal == "-STOP" {
+            process::wait_until_stopped(id);
+        }
     }
 
     /// Waits for a process to exit and returns whether its status was 0.
