--- a/src/upstream/connection.rs
+++ b/src/upstream/connection.rs
@@ -146,7 +146,7 @@
     /// sending, so that a statement which was given up could run when the path is back. The instance may learn of a reset
     /// later than of a close, as it is sent once only.
     pub fn reset(self) {
-        if let Err(error) = SockRef::from(&self.socket).set_linger(Some(Duration::ZERO)) {
+        if let Err(error) = socket::reset_on_close(&self.socket) {
             log::debug!("a connection is closed and not reset: {error}");
         }
     }
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -1,14 +1,13 @@
 //! Frames over TCP, each prefixed with its length as four bytes, big-endian.
 
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
-use socket2::SockRef;
 
 use super::frame::check_length;
 use super::{Error, Frame, MAX_FRAME_BYTES, SEAL_BYTES, Seal};
+use crate::socket;
 
 /// A TCP connection that carries frames.
 #[derive(Debug, Clone)]
@@ -61,8 +60,7 @@
     ///
     /// Returns an error if the socket option can't be set.
     pub fn reset_on_close(&self) -> Result<(), Error> {
-        SockRef::from(&self.socket).set_linger(Some(Duration::ZERO))?;
-        Ok(())
+        Ok(socket::reset_on_close(&self.socket)?)
     }
 
     /// Returns whether the peer has closed the connection, or has sent something that nobody asked for.
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -2,9 +2,11 @@
 //! the line protocol, and the HTTP service that promotes them. Starts processes of the real binary, and acts as their
 //! callers and operator.
 
-#![allow(dead_code, reason = "each test file uses only some of these items")]
+#![allow(dead_code, unused_imports, reason = "each test file uses only some of these items")]
 
+mod caller;
 pub mod disturber;
+mod http;
 pub mod load;
 pub mod path;
 pub mod peers;
@@ -12,13 +14,15 @@
 mod process;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufRead, BufReader, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+pub use caller::{Answer, Caller};
+pub use http::send as send_http;
 use path::Path;
 use peers::{Peers, Route};
 
@@ -487,7 +491,7 @@
         for mut socket in listener.incoming().flatten() {
             let group = Arc::clone(&self);
             std::thread::spawn(move || {
-                let (head, body) = read_http_message(&mut socket)?;
+                let (head, body) = http::read_message(&mut socket)?;
                 group.order_promotion(&mut socket, &head, &body);
                 Some(())
             });
@@ -548,47 +552,6 @@
     }
 }
 
-fn read_http_message(socket: &mut TcpStream) -> Option<(String, Vec<u8>)> {
-    let mut reader = BufReader::new(socket.try_clone().ok()?);
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if reader.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    let length = head.lines().find_map(|line| {
-        line.to_lowercase()
-            .strip_prefix("content-length:")
-            .map(|v| v.trim().parse::<usize>().unwrap())
-    });
-    let mut body = vec![0; length.unwrap_or(0)];
-    reader.read_exact(&mut body).ok()?;
-    Some((head, body))
-}
-
-/// Sends a request over HTTP and returns the status and body of the answer, or `None` if there is none.
-pub fn send_http(address: SocketAddr, request_line: &str, body: &str) -> Option<(u16, String)> {
-    send_http_within(Duration::from_secs(6), address, request_line, body)
-}
-
-fn send_http_within(
-    timeout: Duration,
-    address: SocketAddr,
-    request_line: &str,
-    body: &str,
-) -> Option<(u16, String)> {
-    let mut socket = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
-    socket.set_read_timeout(Some(timeout)).ok()?;
-    let head = format!(
-        "{request_line} HTTP/1.1\r\nhost: x\r\nconnection: close\r\ncontent-length: {}\r\n\r\n",
-        body.len()
-    );
-    socket.write_all(format!("{head}{body}").as_bytes()).ok()?;
-    let (head, body) = read_http_message(&mut socket)?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some((status, String::from_utf8(body).ok()?))
-}
-
 /// Three control processes and two proxies, which run the real binary, and one group. Each has an address of its own.
 pub struct Fleet {
     subnet: u8,
@@ -826,7 +789,7 @@
                     for _ in 0..addresses.len() {
                         let address = addresses[next % addresses.len()];
                         let answer =
-                            send_http_within(HEARTBEAT_TIMEOUT, address, &request_line, &body);
+                            http::send_within(HEARTBEAT_TIMEOUT, address, &request_line, &body);
                         if answer.is_some_and(|(status, _)| status == 200) {
                             break;
                         }
@@ -849,7 +812,7 @@
         let start = Instant::now();
         loop {
             let status = VOTERS.iter().find_map(|vm| {
-                let answer = send_http(self.address(*vm, CONTROL_PORT), "PUT /config", body);
+                let answer = http::send(self.address(*vm, CONTROL_PORT), "PUT /config", body);
                 answer.map(|(status, _)| status).filter(|status| *status < 500)
             });
             if let Some(status) = status {
@@ -861,7 +824,7 @@
     }
 
     pub fn is_ready(&self, vm: u8) -> bool {
-        let answer = send_http(self.address(vm, READY_PORT), "GET /readyz", "");
+        let answer = http::send(self.address(vm, READY_PORT), "GET /readyz", "");
         answer.is_some_and(|(status, _)| status == 200)
     }
 
@@ -951,88 +914,3 @@
         routes.join(",")
     )
 }
-
-/// A caller with one session.
-pub struct Caller {
-    socket: TcpStream,
-    lines: BufReader<TcpStream>,
-    next_id: u64,
-    /// The answer to `CONNECT`.
-    pub connect_answer: String,
-}
-
-/// The answer to a statement.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Answer {
-    pub rows: Vec<String>,
-    /// The line with `DONE` or `ERR`.
-    pub result: String,
-    /// The state of the transaction: `I`, `T` or `E`.
-    pub state: String,
-}
-
-impl Caller {
-    pub fn connect(address: SocketAddr, database: &str, key: &str) -> Self {
-        let socket = TcpStream::connect(address).expect("a proxy");
-        socket.set_read_timeout(Some(TIMEOUT)).unwrap();
-        let lines = BufReader::new(socket.try_clone().unwrap());
-        let mut caller = Self { socket, lines, next_id: 0, connect_answer: String::new() };
-        caller.send(&format!("CONNECT {database} {key}"));
-        caller.connect_answer = caller.line().expect("an answer");
-        caller
-    }
-
-    pub fn send(&mut self, line: &str) {
-        self.socket.write_all(format!("{line}\r\n").as_bytes()).unwrap();
-    }
-
-    /// Returns the next line, or `None` at the end of the connection.
-    pub fn line(&mut self) -> Option<String> {
-        let mut line = String::new();
-        match self.lines.read_line(&mut line) {
-            Ok(0) | Err(_) => None,
-            Ok(_) => Some(line.trim_end().to_owned()),
-        }
-    }
-
-    /// Sends a statement and returns the answer, or `None` if the connection ended.
-    pub fn query(&mut self, text: &str) -> Option<Answer> {
-        self.next_id += 1;
-        let id = format!("id{:x}{}", std::process::id(), self.next_id);
-        self.query_with_id(&id, text)
-    }
-
-    /// Sends a statement under this id; see [`Caller::query`].
-    pub fn query_with_id(&mut self, id: &str, text: &str) -> Option<Answer> {
-        self.send(&format!("QUERY {id} {text}"));
-        let mut rows = Vec::new();
-        let mut result = String::new();
-        loop {
-            let line = self.line()?;
-            if let Some(row) = line.strip_prefix("ROW ") {
-                rows.push(row.to_owned());
-            } else if let Some(state) = line.strip_prefix("READY ") {
-                let state = state.split(' ').next().unwrap().to_owned();
-                return Some(Answer { rows, result, state });
-            } else {
-                result = line;
-            }
-        }
-    }
-
-    /// Sends a statement until it is answered with `DONE`. Retries only after answers which promise that the statement
-    /// has no effect.
-    pub fn query_until_done(&mut self, text: &str) -> Answer {
-        let start = Instant::now();
-        loop {
-            let answer = self.query(text).expect("the session goes on");
-            if answer.result.starts_with("DONE") {
-                return answer;
-            }
-            let not_executed =
-                ["ERR BUSY", "ERR ABORTED"].iter().any(|p| answer.result.starts_with(p));
-            assert!(not_executed && start.elapsed() < TIMEOUT, "{text}: {answer:?}");
-            std::thread::sleep(Duration::from_millis(50));
-        }
-    }
-}
