Start the voters of tests on a loopback host of their own

The port was from the range of outgoing connections, of which other processes opened many on 127.0.0.1; that one of them had it is inferred.

--- a/tests/control/server.rs
+++ b/tests/control/server.rs
@@ -1,7 +1,7 @@
 //! Voters with sockets, all in one process, on disks with injected faults.
 
 use std::fs::Permissions;
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, TcpListener};
 use std::os::unix::fs::PermissionsExt;
 use std::time::{Duration, Instant};
 
@@ -132,9 +132,12 @@
 }
 
 /// Returns loopback addresses with free ports.
+/// Returns addresses on a loopback host of their own: on 127.0.0.1, a port that is free for a moment may be given to an outgoing
+/// connection of another process before a voter binds it.
 fn free_addresses(count: usize) -> Vec<String> {
+    let host = Ipv4Addr::new(127, fastrand::u8(..), fastrand::u8(1..), fastrand::u8(1..u8::MAX));
     let bound: Vec<TcpListener> =
-        (0..count).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+        (0..count).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
     bound.iter().map(|port| port.local_addr().unwrap().to_string()).collect()
 }
 
