--- a/tests/platform_odd_entries.rs
+++ b/tests/platform_odd_entries.rs
@@ -245,7 +245,8 @@
     assert!(send_entry(&fleet, &long).iter().all(|status| (400..500).contains(status)));
     stop.store(true, Ordering::SeqCst);
     for thread in traffic {
-        assert!(thread.join().expect("statements are served meanwhile") > 10);
+        let served = thread.join().expect("statements are served meanwhile");
+        assert!(served > 10, "{served} statements were served\n{}", fleet.logs());
     }
     assert_all_run(&fleet);
     assert!(!fleet.logs().contains("i-99 of"), "no odd entry is taken");
