--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod datagram;
 pub mod discovery;
 pub mod failover;
+mod frames;
 mod gateway;
 mod greet;
 mod journal;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, mpsc};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use smol::net::{TcpListener, TcpStream, UdpSocket};
+use smol::net::{TcpListener, UdpSocket};
 
 use super::core::Core;
 use super::discovery::Discovery;
@@ -16,13 +16,13 @@
 use super::raft::{Bootstrap, Input, Members, Message, Output, Peer, Raft};
 use super::state::{Command, State, Voter};
 use super::store::{Disk, Folder, Recovery, Store};
-use super::{Error, operator, promotion};
+use super::{Error, frames, operator, promotion};
 use crate::clock::{Clock, Instant};
 use crate::config;
 use crate::id;
-use crate::report::{self, Metrics};
+use crate::report::Metrics;
 use crate::security::Credentials;
-use crate::wire::{Answer, Body, Frame, Replica, Role, Stream};
+use crate::wire::{Answer, Body, Frame, Replica, Role};
 
 /// The interval at which the state machines are advanced.
 const TICK_INTERVAL: Duration = Duration::from_millis(10);
@@ -64,8 +64,8 @@
     /// Notified of each Raft message that has been handled.
     pub(super) voter_answered: event_listener::Event,
     /// When a Raft message last arrived from each control process.
-    last_contact: Mutex<BTreeMap<id::Node, Instant>>,
-    jobs: mpsc::Sender<Job>,
+    pub(super) last_contact: Mutex<BTreeMap<id::Node, Instant>>,
+    pub(super) jobs: mpsc::Sender<Job>,
     pub(super) udp: UdpSocket,
 }
 
@@ -168,7 +168,7 @@
     if settings.seeds.is_some() {
         smol::spawn(Arc::clone(&shared).greet_peers()).detach();
     }
-    smol::spawn(accept(Arc::clone(&shared), tcp)).detach();
+    smol::spawn(frames::accept(Arc::clone(&shared), tcp)).detach();
     smol::spawn(operator::serve(Arc::clone(&shared), admin)).detach();
     Ok(Server { shared })
 }
@@ -316,7 +316,7 @@
     }
 
     /// Queues a message to another control process, or drops it if the address of the process is unknown.
-    fn send(self: &Arc<Self>, core: &Core, to: &id::Node, message: Message) {
+    pub(super) fn send(self: &Arc<Self>, core: &Core, to: &id::Node, message: Message) {
         let from_settings =
             || self.voters.iter().find(|voter| voter.node == *to).map(|v| v.address);
         let reported =
@@ -397,108 +397,6 @@
             self.clock.sleep(HELLO_INTERVAL).await;
         }
     }
-
-    /// Handles a Raft message from another control process.
-    fn handle_peer_message(self: &Arc<Self>, from: Peer, message: Message) {
-        let now = self.clock.now();
-        self.last_contact
-            .lock()
-            .expect("no thread panics while holding this lock")
-            .insert(from.node.clone(), now);
-        let mut core = self.core();
-        match message {
-            Message::Hello { members } => {
-                let (initial, answer) = core.handle_hello(&from, members);
-                if let Some(members) = initial {
-                    self.step_locked(&mut core, Input::Bootstrap(members));
-                }
-                if let Some(answer) = answer {
-                    self.send(&core, &from.node, answer);
-                }
-            }
-            Message::Outdated { known } => {
-                if core.raft.me().is_outdated_by(&known) {
-                    drop(core);
-                    let _ = self.jobs.send(Job::MarkRefused(known.clone()));
-                    self.stop(&format!(
-                        "its disk is a copy from before: control knows incarnation {} at start {}",
-                        known.incarnation, known.start.count
-                    ));
-                }
-            }
-            message => {
-                let newest =
-                    core.peers.newest_runs.entry(from.node.clone()).or_insert(from.clone());
-                *newest = from.clone().max(newest.clone());
-                self.step_locked(&mut core, Input::Message { from, message });
-                drop(core);
-                self.voter_answered.notify(usize::MAX);
-            }
-        }
-    }
-
-    /// Handles a frame that arrived over a connection, and returns the answer if there is one.
-    async fn handle_frame(self: &Arc<Self>, frame: Frame) -> Option<Body> {
-        match frame.body {
-            Body::Raft { start, message } => {
-                let peer = Peer { node: frame.sender, incarnation: frame.incarnation, start };
-                self.handle_peer_message(peer, message);
-                None
-            }
-            Body::Fetch { revision } => {
-                let core = self.core();
-                if !core.is_confirmed_leader(self.clock.now()) {
-                    return Some(Body::Redirect(core.raft.leader().cloned()));
-                }
-                Some(Body::Configuration(core.configuration_since(revision)))
-            }
-            Body::Submit(command) => Some(Body::Answer(self.submit_locally(command).await)),
-            Body::Announce(announcement) => {
-                Some(Body::Answer(self.announce_locally(announcement).await))
-            }
-            Body::Declarations => Some(match self.declarations_if_leader() {
-                Some(declaration) => Body::Declared(declaration),
-                None => Body::Redirect(self.core().raft.leader().cloned()),
-            }),
-            Body::Meet(greeting) => {
-                self.handle_greeting(&greeting);
-                Some(Body::Meet(self.greeting(&self.core())))
-            }
-            _ => None,
-        }
-    }
-}
-
-async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    loop {
-        let Ok((socket, from)) = listener.accept().await else {
-            continue;
-        };
-        let shared = Arc::clone(&shared);
-        let serve = async move {
-            if let Err(error) = serve_connection(&shared, socket).await {
-                let is_io_error = matches!(error, crate::wire::Error::Io(_));
-                if !is_io_error {
-                    shared.metrics.record_protocol_error(report::Peer::Process, error.kind());
-                }
-                log::debug!("the connection from {from} ended: {error}");
-            }
-        };
-        smol::spawn(serve).detach();
-    }
-}
-
-async fn serve_connection(
-    shared: &Arc<Shared>,
-    socket: TcpStream,
-) -> Result<(), crate::wire::Error> {
-    let mut stream = Stream::from_accepted(socket)?.with_seal(&shared.credentials.seal);
-    loop {
-        let frame = stream.receive().await?;
-        if let Some(answer) = shared.handle_frame(frame).await {
-            stream.send(&shared.frame(answer)).await?;
-        }
-    }
 }
 
 /// Returns the role of an instance, for operators.
