--- a/tests/failover_unordered.rs
+++ b/tests/failover_unordered.rs
@@ -29,6 +29,16 @@
 }
 
 impl Rig {
+    /// Creates a group whose epoch was frozen at 10 ms after a late promotion, and fenced at 20 ms.
+    fn fenced_after_late_promotion() -> Self {
+        let mut rig = Self::new(true);
+        rig.promote_late(10);
+        rig.freeze(10);
+        rig.fenced = true;
+        rig.tick(20);
+        rig
+    }
+
     fn new(promoted_outside: bool) -> Self {
         let mut machine = Group::new(at(0), group());
         machine.set_promoted_outside(promoted_outside);
@@ -147,11 +157,7 @@
 
 #[test]
 fn the_old_primary_is_promoted_and_not_thawed_while_another_instance_leads() {
-    let mut rig = Rig::new(true);
-    rig.promote_late(10);
-    rig.freeze(10);
-    rig.fenced = true;
-    rig.tick(20);
+    let mut rig = Rig::fenced_after_late_promotion();
     rig.promote_late(30);
     let outputs = rig.tick(30);
     assert_eq!(claimed(&outputs), Some((4, "i1")), "{outputs:?}");
@@ -184,11 +190,7 @@
 /// Replicas were rolled back with the promotion, so what they hold proves nothing about the writes acknowledged before.
 #[test]
 fn the_unordered_primary_is_not_chosen_before_the_old_one_has_answered() {
-    let mut rig = Rig::new(true);
-    rig.promote_late(10);
-    rig.freeze(10);
-    rig.fenced = true;
-    rig.tick(20);
+    let mut rig = Rig::fenced_after_late_promotion();
     rig.probe(30, "i2", Role::Primary, 4, 7, 7);
     rig.probe(30, "i3", Role::Replica, 4, 7, 7);
     assert_eq!(claimed(&rig.tick(30)), None);
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -836,6 +836,20 @@
         }
     }
 
+    /// Waits until some proxies serve the group, and returns them, by the newest line that each has on its share.
+    pub fn serving(&self) -> Vec<u8> {
+        let read = |fleet: &Self| -> Vec<u8> {
+            let serves = |vm: &&u8| {
+                let log = std::fs::read_to_string(fleet.log_file(**vm)).unwrap_or_default();
+                let newest = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
+                newest.is_some_and(|line| !line.contains("\"permits\":0"))
+            };
+            fleet.proxies.iter().filter(serves).copied().collect()
+        };
+        self.wait_until("some proxies serve the group", |fleet| !read(fleet).is_empty());
+        read(self)
+    }
+
     /// Returns the path of the log of the process on a VM.
     pub fn log_file(&self, vm: u8) -> PathBuf {
         self.dir.path().join(format!("{vm}.log"))
--- a/tests/platform_late_effects.rs
+++ b/tests/platform_late_effects.rs
@@ -107,20 +107,6 @@
     assert_eq!(fleet.group.values_of("kept"), ["y"]);
 }
 
-/// Waits until some proxies serve the group, and returns them, by the newest line that each has on its share.
-fn serving(fleet: &Fleet) -> Vec<u8> {
-    let read = |fleet: &Fleet| -> Vec<u8> {
-        let serves = |vm: &&u8| {
-            let log = std::fs::read_to_string(fleet.log_file(**vm)).unwrap_or_default();
-            let newest = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
-            newest.is_some_and(|line| !line.contains("\"permits\":0"))
-        };
-        fleet.proxies.iter().filter(serves).copied().collect()
-    };
-    fleet.wait_until("some proxies serve the group", |fleet| !read(fleet).is_empty());
-    read(fleet)
-}
-
 /// Returns how many closed connections to these addresses, on 127.0.0.0/8, have data that the kernel still sends.
 fn unsent_after_close(addresses: &[SocketAddr]) -> usize {
     const FIN_WAIT_1: &str = "04";
@@ -150,7 +136,7 @@
     let mut random = fastrand::Rng::with_seed(50);
     let values = ["x".to_owned(), (0..200_000).map(|_| random.alphanumeric()).collect()];
     let fleet = Fleet::up_with(173, &MANY_PROXIES, FEW_CONNECTIONS);
-    let serving = serving(&fleet);
+    let serving = fleet.serving();
     let vm = *fleet.proxies.iter().find(|vm| !serving.contains(vm)).expect("one that forwards");
     let mut writers = [fleet.connect(vm, "desk"), fleet.connect(vm, "desk")];
     writers.iter_mut().for_each(|writer| drop(writer.query_until_done("PUT before x")));
@@ -184,7 +170,7 @@
 #[test]
 fn forwarded_writes_of_a_killed_proxy_do_not_run() {
     let mut fleet = Fleet::up_with(174, &MANY_PROXIES, FEW_CONNECTIONS);
-    let serving = serving(&fleet);
+    let serving = fleet.serving();
     let others: Vec<u8> =
         fleet.proxies.iter().filter(|vm| !serving.contains(vm)).copied().collect();
     let [vm, other, ..] = others[..] else { panic!("two that forward: {others:?}") };
--- a/tests/platform_late_order.rs
+++ b/tests/platform_late_order.rs
@@ -112,6 +112,16 @@
         self.wait_for_writes();
     }
 
+    /// Kills the leader while its order is held, starts it again, and lets the successor replace the primary twice.
+    fn kill_leader_in_an_order(&mut self) {
+        self.hold_an_order();
+        self.fleet.signal(self.leader, "-KILL");
+        self.fleet.wait_for_exit(self.leader);
+        let primary = self.wait_for_successor();
+        self.fleet.start_process(self.leader, false);
+        self.replace(&primary);
+    }
+
     /// Checks that tokens never fell, that no order was delivered that its author had given up, and that each acknowledged
     /// write is in the log of the primary once.
     fn check(self) {
@@ -131,12 +141,7 @@
 #[test]
 fn a_held_order_of_a_leader_that_was_killed_has_no_effect_after_its_successors_order() {
     let mut scene = Scene::up(131);
-    scene.hold_an_order();
-    scene.fleet.signal(scene.leader, "-KILL");
-    scene.fleet.wait_for_exit(scene.leader);
-    let primary = scene.wait_for_successor();
-    scene.fleet.start_process(scene.leader, false);
-    scene.replace(&primary);
+    scene.kill_leader_in_an_order();
     scene.path().release();
     scene.check();
 }
@@ -145,12 +150,7 @@
 #[test]
 fn failures_of_a_leader_and_two_primaries_lose_nothing_while_its_order_is_held() {
     let mut scene = Scene::up(138);
-    scene.hold_an_order();
-    scene.fleet.signal(scene.leader, "-KILL");
-    scene.fleet.wait_for_exit(scene.leader);
-    let primary = scene.wait_for_successor();
-    scene.fleet.start_process(scene.leader, false);
-    scene.replace(&primary);
+    scene.kill_leader_in_an_order();
     scene.check();
 }
 
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -115,16 +115,7 @@
 
 /// Waits until proxies serve the group, and returns them, by the newest line that each has on its share.
 fn serving(fleet: &Fleet) -> Vec<u8> {
-    let read = |fleet: &Fleet| -> Vec<u8> {
-        let serves = |vm: &&u8| {
-            let log = std::fs::read_to_string(fleet.log_file(**vm)).unwrap_or_default();
-            let newest = log.lines().rfind(|line| line.contains("\"event\":\"share\""));
-            newest.is_some_and(|line| !line.contains("\"permits\":0"))
-        };
-        fleet.proxies.iter().filter(serves).copied().collect()
-    };
-    fleet.wait_until("some proxies serve the group", |fleet| !read(fleet).is_empty());
-    let serving = read(fleet);
+    let serving = fleet.serving();
     assert!(serving.len() < fleet.proxies.len(), "{serving:?}\n{}", fleet.logs());
     serving
 }
