--- /dev/null
+++ b/tests/lines/group.rs
@@ -0,0 +1,531 @@
+//! The database instances of one group, which speak the line protocol, and the service that promotes them.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use super::{COMMIT_TIMEOUT, PROMOTION_DURATION, STEP_DOWN_DURATION, TIMEOUT, http};
+
+pub(super) struct Instance {
+    pub(super) id: String,
+    pub(super) address: SocketAddr,
+    pub(super) primary: bool,
+    pub(super) term: u64,
+    /// Committed writes, oldest first: the term, the item and the data.
+    pub(super) log: Vec<(u64, String, String)>,
+    pub(super) running: bool,
+    /// Number of crashes. Connections from before a crash end.
+    pub(super) crashes: usize,
+    /// Whether the instance can't reach the others: it receives nothing, and follows no new primary.
+    pub(super) detached: bool,
+    /// Whether the instance has stopped receiving writes from the primary.
+    pub(super) paused: bool,
+    pub(super) state: &'static str,
+    pub(super) sequence: u64,
+    /// Whether the instance reads statements without answering them.
+    pub(super) unresponsive: bool,
+    /// Time until a new connection is answered.
+    pub(super) connect_delay: Duration,
+    /// Number of connections that the instance accepts.
+    pub(super) max_connections: usize,
+    /// Number of open connections.
+    pub(super) connections: usize,
+    /// Number of connections that were refused because there were too many.
+    pub(super) refused_connections: usize,
+    /// Executed statements, oldest first, with the session values that were set on the connection.
+    pub(super) executed: Vec<(String, BTreeMap<String, String>)>,
+    /// The account of the connection on which each of these statements arrived.
+    pub(super) accounts: Vec<String>,
+}
+
+/// A group of instances, and the service that promotes them.
+pub struct Group {
+    pub(super) instances: Mutex<Vec<Instance>>,
+    /// Number of connections that each instance accepts.
+    pub(super) max_connections: usize,
+    /// Whether a commit is acknowledged only once a replica has received it.
+    pub(super) synchronous: bool,
+    /// Promotion requests, oldest first: the instance, the holder and the token.
+    pub promotions: Mutex<Vec<(String, String, u64)>>,
+}
+
+impl Group {
+    pub(super) fn lock(&self) -> MutexGuard<'_, Vec<Instance>> {
+        self.instances.lock().unwrap()
+    }
+
+    /// Stops an instance as a crash does.
+    pub fn crash(&self, id: &str) {
+        let mut instances = self.lock();
+        let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        instance.running = false;
+        instance.crashes += 1;
+        let _ = TcpStream::connect(instance.address);
+    }
+
+    /// Starts a crashed instance again with its log; as a replica if another one has been promoted meanwhile.
+    pub fn recover(self: &Arc<Self>, id: &str) {
+        let start = Instant::now();
+        let (index, address) = {
+            let instances = self.lock();
+            let index = instances.iter().position(|instance| instance.id == id).unwrap();
+            (index, instances[index].address)
+        };
+        let listener = loop {
+            match TcpListener::bind(address) {
+                Ok(listener) => break listener,
+                Err(error) => assert!(start.elapsed() < TIMEOUT, "{address}: {error}"),
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        };
+        {
+            let mut instances = self.lock();
+            instances[index].running = true;
+            instances[index].paused = false;
+            let term = instances[index].term;
+            if instances.iter().any(|other| other.primary && other.term > term) {
+                instances[index].primary = false;
+            }
+            replicate_newest(&mut instances);
+        }
+        let group = Arc::clone(self);
+        std::thread::spawn(move || group.accept_connections(index, listener));
+    }
+
+    /// Cuts an instance off from callers and from the other instances. It stays reachable for the service that promotes.
+    pub fn detach(&self, id: &str) {
+        let mut instances = self.lock();
+        let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        (instance.unresponsive, instance.detached) = (true, true);
+    }
+
+    /// Makes an instance answer again. It receives what it has missed only after [`Self::attach`].
+    pub fn answer_again(&self, id: &str) {
+        let mut instances = self.lock();
+        instances.iter_mut().find(|instance| instance.id == id).unwrap().unresponsive = false;
+    }
+
+    /// Ends a cut of an instance entirely.
+    pub fn attach(&self, id: &str) {
+        let mut instances = self.lock();
+        let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        (instance.unresponsive, instance.detached) = (false, false);
+        replicate_newest(&mut instances);
+    }
+
+    /// Returns whether all instances run and follow one primary without a pause.
+    pub fn is_settled(&self) -> bool {
+        let instances = self.lock();
+        let primary = instances.iter().find(|instance| instance.primary);
+        let follows = |i: &Instance, primary: &Instance| {
+            i.running
+                && !i.detached
+                && !i.paused
+                && i.term == primary.term
+                && i.log.len() == primary.log.len()
+        };
+        primary.is_some_and(|primary| instances.iter().all(|i| follows(i, primary)))
+            && instances.iter().filter(|instance| instance.primary).count() == 1
+    }
+
+    /// Makes an instance leave all further statements unanswered.
+    pub fn stop_answering(&self, id: &str) {
+        let mut instances = self.lock();
+        instances.iter_mut().find(|instance| instance.id == id).unwrap().unresponsive = true;
+    }
+
+    /// Delays the answer to new connections to all instances.
+    pub fn set_connect_delay(&self, connect_delay: Duration) {
+        self.lock().iter_mut().for_each(|instance| instance.connect_delay = connect_delay);
+    }
+
+    pub fn drain(&self, id: &str) {
+        let mut instances = self.lock();
+        instances.iter_mut().find(|instance| instance.id == id).unwrap().state = "draining";
+    }
+
+    pub fn primary(&self) -> String {
+        let instances = self.lock();
+        let primaries = instances.iter().filter(|instance| instance.primary && instance.running);
+        primaries.max_by_key(|instance| instance.term).expect("a running primary").id.clone()
+    }
+
+    /// Returns the statements that an instance executed, oldest first, with their session values.
+    pub fn executed(&self, id: &str) -> Vec<(String, BTreeMap<String, String>)> {
+        self.lock().iter().find(|instance| instance.id == id).unwrap().executed.clone()
+    }
+
+    /// Returns the statements that all instances executed, each with the account of the connection that it arrived on.
+    pub fn executed_for(&self) -> Vec<(String, String)> {
+        let instances = self.lock();
+        let executed = instances.iter().flat_map(|i| i.accounts.iter().zip(&i.executed));
+        executed.map(|(account, (text, _))| (account.clone(), text.clone())).collect()
+    }
+
+    /// Makes an instance refuse new connections, as one does that still counts those of VMs that lost power.
+    pub fn refuse_connections(&self, id: &str) {
+        let mut instances = self.lock();
+        instances.iter_mut().find(|instance| instance.id == id).unwrap().max_connections = 0;
+    }
+
+    /// Returns the number of open connections to an instance.
+    pub fn connections(&self, id: &str) -> usize {
+        self.lock().iter().find(|instance| instance.id == id).unwrap().connections
+    }
+
+    /// Returns the number of connections that instances refused because there were too many.
+    pub fn refused_connections(&self) -> usize {
+        self.lock().iter().map(|instance| instance.refused_connections).sum()
+    }
+
+    /// Returns all data that the primary has committed for an item, oldest first.
+    pub fn values_of(&self, item: &str) -> Vec<String> {
+        let primary = self.primary();
+        let instances = self.lock();
+        let log = &instances.iter().find(|instance| instance.id == primary).unwrap().log;
+        log.iter().filter(|(_, known, _)| known == item).map(|(.., data)| data.clone()).collect()
+    }
+}
+
+fn last_position(log: &[(u64, String, String)]) -> String {
+    log.last().map_or_else(|| "1.0".to_owned(), |(term, ..)| format!("{term}.{}", log.len()))
+}
+
+fn parse_position(position: &str) -> (u64, usize) {
+    let (term, number) = position.split_once('.').expect("a position");
+    (term.parse().unwrap(), number.parse().unwrap())
+}
+
+/// Copies the log of an instance to every running replica that receives from it.
+fn replicate(instances: &mut [Instance], index: usize) {
+    let (term, detached) = (instances[index].term, instances[index].detached);
+    let log = instances[index].log.clone();
+    let receives = |i: &&mut Instance| {
+        i.running && !i.paused && !i.detached && !detached && !i.primary && i.term <= term
+    };
+    for instance in instances.iter_mut().filter(receives) {
+        instance.term = term;
+        instance.log.clone_from(&log);
+    }
+}
+
+/// Copies the log of the newest primary to the replicas that receive from it.
+fn replicate_newest(instances: &mut [Instance]) {
+    let primaries = (0..instances.len()).filter(|i| instances[*i].primary && instances[*i].running);
+    if let Some(newest) = primaries.max_by_key(|index| instances[*index].term) {
+        replicate(instances, newest);
+    }
+}
+
+/// The state of a connection to an instance.
+#[derive(Default)]
+struct Session {
+    /// The length of the log after a commit that waits for its acknowledgement.
+    committed: Option<usize>,
+    /// The account that the connection was opened for.
+    account: String,
+    values: BTreeMap<String, String>,
+    prepared: BTreeMap<String, (String, String)>,
+    transaction: Option<Vec<(String, String)>>,
+}
+
+impl Group {
+    fn execute(
+        &self,
+        index: usize,
+        session: &mut Session,
+        text: &str,
+    ) -> (Vec<String>, Result<String, String>) {
+        let (text, after) = match text.strip_prefix("AFTER ") {
+            Some(rest) => {
+                let (mark, text) = rest.split_once(' ').unwrap();
+                (text, Some(parse_position(mark)))
+            }
+            None => (text, None),
+        };
+        let mut instances = self.lock();
+        let behind =
+            after.is_some_and(|mark| mark > parse_position(&last_position(&instances[index].log)));
+        if behind {
+            return (vec![], Err("LAGGING".to_owned()));
+        }
+        let words: Vec<&str> = text.split(' ').collect();
+        let prepared = match words.as_slice() {
+            ["EXEC", name, rest @ ..] => match session.prepared.get(*name) {
+                Some((verb, _)) => Some([&[verb.as_str()], rest].concat().join(" ")),
+                None => return (vec![], Err("NOSTMT".to_owned())),
+            },
+            _ => None,
+        };
+        let text = prepared.as_deref().unwrap_or(text);
+        let words: Vec<&str> = text.split(' ').collect();
+        let account = session.account.clone();
+        let record = |instances: &mut Vec<Instance>, values: &BTreeMap<String, String>| {
+            instances[index].executed.push((text.to_owned(), values.clone()));
+            instances[index].accounts.push(account.clone());
+            Ok(format!("signature-{}", instances[index].id))
+        };
+        match words.as_slice() {
+            ["STATUS"] | ["DEMOTE", _] | ["PAUSE", _] | ["RESUME"] => {
+                match words.as_slice() {
+                    ["PAUSE", term] if term.parse::<u64>().unwrap() > instances[index].term => {
+                        instances[index].paused = true;
+                    }
+                    ["RESUME"] => instances[index].paused = false,
+                    _ => {}
+                }
+                if let ["DEMOTE", term] = words.as_slice()
+                    && term.parse::<u64>().unwrap() > instances[index].term
+                {
+                    instances[index].primary = false;
+                }
+                if matches!(words.as_slice(), ["RESUME"] | ["DEMOTE", _]) {
+                    replicate_newest(&mut instances);
+                }
+                let instance = &instances[index];
+                let role = if instance.primary { "primary" } else { "replica" };
+                let row =
+                    format!("{role} {} {} 0 0 0 1", instance.term, last_position(&instance.log));
+                (vec![row], Ok("-".to_owned()))
+            }
+            ["RESET"] => {
+                session.values.clear();
+                session.prepared.clear();
+                (vec![], Ok("-".to_owned()))
+            }
+            ["SET", name, value @ ..] => {
+                session.values.insert((*name).to_owned(), value.join(" "));
+                (vec![], Ok("-".to_owned()))
+            }
+            ["PREPARE", name, verb, template] => {
+                session
+                    .prepared
+                    .insert((*name).to_owned(), ((*verb).to_owned(), (*template).to_owned()));
+                (vec![], Ok("-".to_owned()))
+            }
+            ["BEGIN"] if !instances[index].primary => (vec![], Err("READONLY".to_owned())),
+            ["BEGIN"] | ["BEGIN", "FETCH"] => {
+                session.transaction = Some(Vec::new());
+                (vec![], Ok("-".to_owned()))
+            }
+            ["ROLLBACK"] => {
+                session.transaction = None;
+                (vec![], Ok("-".to_owned()))
+            }
+            ["FETCH", item, ..] => {
+                let log = &instances[index].log;
+                let row = log.iter().rev().find(|(_, known, _)| known == item);
+                let row = row.map_or_else(|| "nothing".to_owned(), |(.., data)| data.clone());
+                (vec![row], record(&mut instances, &session.values))
+            }
+            ["PUT", ..] if !instances[index].primary => (vec![], Err("READONLY".to_owned())),
+            ["PUT", item, data @ ..] => {
+                let write = ((*item).to_owned(), data.join(" "));
+                match &mut session.transaction {
+                    Some(writes) => writes.push(write),
+                    None => Self::commit(&mut instances, index, session, vec![write]),
+                }
+                (vec![], record(&mut instances, &session.values))
+            }
+            ["COMMIT"] => {
+                let writes = session.transaction.take().unwrap_or_default();
+                if !writes.is_empty() && !instances[index].primary {
+                    return (vec![], Err("READONLY".to_owned()));
+                }
+                Self::commit(&mut instances, index, session, writes);
+                (vec![], record(&mut instances, &session.values))
+            }
+            _ => (vec![], Err("MALFORMED".to_owned())),
+        }
+    }
+
+    /// Commits on the primary, and copies the log at once to every running replica that receives writes.
+    fn commit(
+        instances: &mut [Instance],
+        index: usize,
+        session: &mut Session,
+        writes: Vec<(String, String)>,
+    ) {
+        let term = instances[index].term;
+        session.committed = (!writes.is_empty()).then(|| instances[index].log.len() + writes.len());
+        instances[index].log.extend(writes.into_iter().map(|(item, data)| (term, item, data)));
+        replicate(instances, index);
+    }
+
+    /// Waits until a replica has received the first `len` entries of the instance's log. Returns `false` if the instance
+    /// has lost its lead or crashed, or the time is up.
+    fn wait_for_replica(&self, index: usize, len: usize) -> bool {
+        let start = Instant::now();
+        let (term, crashes) = {
+            let instances = self.lock();
+            (instances[index].term, instances[index].crashes)
+        };
+        while start.elapsed() < COMMIT_TIMEOUT {
+            {
+                let instances = self.lock();
+                let primary = &instances[index];
+                if !primary.primary || primary.crashes != crashes || primary.unresponsive {
+                    return false;
+                }
+                let has_received =
+                    |i: &Instance| !i.primary && i.term == term && i.log.len() >= len;
+                if instances.iter().any(has_received) {
+                    return true;
+                }
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+        false
+    }
+
+    fn serve_connection(self: Arc<Self>, index: usize, socket: TcpStream) -> std::io::Result<()> {
+        socket.set_nodelay(true)?;
+        let mut lines = BufReader::new(socket.try_clone()?);
+        let mut socket = socket;
+        let mut session = Session::default();
+        let mut line = String::new();
+        let crashes = self.lock()[index].crashes;
+        while lines.read_line(&mut line)? > 0 {
+            let text = line.trim_end().to_owned();
+            line.clear();
+            if !self.lock()[index].running || self.lock()[index].crashes != crashes {
+                return Ok(());
+            }
+            if let Some(rest) = text.strip_prefix("CONNECT ") {
+                let connect_delay = self.lock()[index].connect_delay;
+                std::thread::sleep(connect_delay);
+                let expected = rest.split(' ').nth(2).map(str::to_owned);
+                session.account = rest.split(' ').nth(1).unwrap_or_default().to_owned();
+                let instances = self.lock();
+                if expected.is_some_and(|id| id != instances[index].id) {
+                    return socket.write_all(b"ERR MISROUTED another one\r\n");
+                }
+                write!(socket, "READY I {}\r\n", last_position(&instances[index].log))?;
+                continue;
+            }
+            let Some((_, statement)) = text.strip_prefix("QUERY ").and_then(|q| q.split_once(' '))
+            else {
+                return Ok(());
+            };
+            if self.lock()[index].unresponsive {
+                continue;
+            }
+            let (rows, result) = self.execute(index, &mut session, statement);
+            let committed = session.committed.take().filter(|_| self.synchronous);
+            if committed.is_some_and(|len| !self.wait_for_replica(index, len)) {
+                return Ok(());
+            }
+            let rows: String = rows.iter().map(|row| format!("ROW {row}\r\n")).collect();
+            let result = match result {
+                Ok(signature) => format!("DONE {signature}\r\n"),
+                Err(code) => format!("ERR {code} no\r\n"),
+            };
+            let state = if session.transaction.is_some() { "T" } else { "I" };
+            let position = last_position(&self.lock()[index].log);
+            write!(socket, "{rows}{result}READY {state} {position}\r\n")?;
+        }
+        Ok(())
+    }
+
+    pub(super) fn accept_connections(self: Arc<Self>, index: usize, listener: TcpListener) {
+        for socket in listener.incoming().flatten() {
+            if !self.lock()[index].running {
+                return;
+            }
+            let group = Arc::clone(&self);
+            std::thread::spawn(move || {
+                {
+                    let mut instances = group.lock();
+                    if instances[index].connections >= instances[index].max_connections {
+                        instances[index].refused_connections += 1;
+                        drop(instances);
+                        BufReader::new(&socket).read_line(&mut String::new())?;
+                        return (&socket).write_all(b"ERR TOOMANY connections\r\n");
+                    }
+                    instances[index].connections += 1;
+                }
+                let served = Arc::clone(&group).serve_connection(index, socket);
+                group.lock()[index].connections -= 1;
+                served
+            });
+        }
+    }
+
+    /// Answers promotion requests over HTTP and promotes the instances that run. A request that ends early has no effect.
+    pub(super) fn serve_promotions(self: Arc<Self>, listener: TcpListener) {
+        for mut socket in listener.incoming().flatten() {
+            let group = Arc::clone(&self);
+            std::thread::spawn(move || {
+                let (head, body) = http::read_message(&mut socket)?;
+                group.order_promotion(&mut socket, &head, &body);
+                Some(())
+            });
+        }
+    }
+
+    fn order_promotion(self: &Arc<Self>, socket: &mut TcpStream, head: &str, body: &[u8]) {
+        let field = |name: &str| {
+            let line =
+                head.lines().find(|line| line.to_lowercase().starts_with(&format!("{name}:")));
+            line.and_then(|line| line.split_once(':'))
+                .map(|(_, v)| v.trim().to_owned())
+                .unwrap_or_default()
+        };
+        let body: serde_json::Value = serde_json::from_slice(body).unwrap();
+        let id = body["Id"].as_str().expect("an id").to_owned();
+        let token = field("fence-token").parse().expect("a token");
+        let running = {
+            let mut promotions = self.promotions.lock().unwrap();
+            promotions.push((id.clone(), field("holder"), token));
+            self.lock().iter().any(|instance| instance.id == id && instance.running)
+        };
+        let status = if running { "200 OK" } else { "409 Conflict" };
+        let _ = write!(socket, "HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        if running {
+            let group = Arc::clone(self);
+            std::thread::spawn(move || group.become_primary(&id));
+        }
+    }
+
+    /// Makes an instance lead the next term with the log that it has. Nothing changes if it leads the newest term.
+    fn become_primary(&self, id: &str) {
+        std::thread::sleep(PROMOTION_DURATION);
+        {
+            let mut instances = self.lock();
+            let index = instances.iter().position(|instance| instance.id == id).unwrap();
+            let primaries = instances.iter().filter(|i| i.primary && i.running);
+            let newest = primaries.max_by_key(|i| i.term).map(|i| i.id.clone());
+            if newest.as_deref() == Some(id) || !instances[index].running {
+                return;
+            }
+            let term = 1 + instances.iter().map(|instance| instance.term).max().unwrap();
+            instances.iter_mut().for_each(|instance| instance.paused = false);
+            // The others follow it; those that are ahead are rolled back.
+            instances[index].detached = false;
+            (instances[index].primary, instances[index].term) = (true, term);
+            replicate(&mut instances, index);
+        }
+        std::thread::sleep(STEP_DOWN_DURATION);
+        let mut instances = self.lock();
+        let newest = instances.iter().filter(|i| i.primary && i.running).map(|i| i.term).max();
+        for instance in instances.iter_mut().filter(|i| i.running && !i.detached) {
+            if Some(instance.term) < newest {
+                instance.primary = false;
+            }
+        }
+        replicate_newest(&mut instances);
+    }
+}
+
+pub(super) fn heartbeat(instance: &mut Instance) -> (String, String) {
+    instance.sequence += 1;
+    let role = if instance.primary { "primary" } else { "replica" };
+    let body = format!(
+        "{{\"Service\":\"books\",\"Addr\":\"{}\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":2,\
+         \"State\":\"{}\",\"ColdLeftMs\":0,\"DbRole\":\"{role}\",\"Seq\":{},\"born\":1700000000000}}",
+        instance.address, instance.state, instance.sequence
+    );
+    (instance.id.clone(), body)
+}
