--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -2,7 +2,7 @@
 //! the line protocol, and the HTTP service that promotes them. Starts processes of the real binary, and acts as their
 //! callers and operator.
 
-#![allow(dead_code, unused_imports, reason = "each test file uses only some of these items")]
+#![allow(dead_code, reason = "each test file uses only some of these items")]
 
 mod caller;
 pub mod disturber;
@@ -15,19 +15,19 @@
 mod process;
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+#[allow(unused_imports, reason = "each test file uses only some of these items")]
 pub use caller::{Answer, Caller};
-pub use group::Group;
 use group::{Instance, heartbeat};
-pub use http::send as send_http;
 use path::Path;
 use peers::{Peers, Route};
+#[allow(unused_imports, reason = "each test file uses only some of these items")]
+pub use {group::Group, http::send as send_http};
 
 /// Time between the answer to a promotion request and the new primary.
 const PROMOTION_DURATION: Duration = Duration::from_millis(300);
