Record in the stand-in what clients send and what instances read

Each client records a statement before it sends it, and how it ended; each instance records what it reads, with the transaction and the session values of the connection. The comparison names statements that nobody sent, that ran in another transaction, or that took effect twice or against a promise. Instances can be slow, stop to read, lose answers, and run or drop a line that is cut short.

A replica no longer copies its log to others when it commits a transaction that wrote nothing, and only what a replica lacks is copied.

--- a/tests/lines/caller.rs
+++ b/tests/lines/caller.rs
@@ -27,17 +27,32 @@
 
 impl Caller {
     pub fn connect(address: SocketAddr, database: &str, key: &str) -> Self {
-        let socket = TcpStream::connect(address).expect("a proxy");
-        socket.set_read_timeout(Some(TIMEOUT)).unwrap();
-        let lines = BufReader::new(socket.try_clone().unwrap());
+        Self::try_connect(address, database, key, TIMEOUT).expect("a session")
+    }
+
+    /// Opens a session whose answers may take this long, if the proxy answers.
+    pub fn try_connect(
+        address: SocketAddr,
+        database: &str,
+        key: &str,
+        timeout: Duration,
+    ) -> std::io::Result<Self> {
+        let socket = TcpStream::connect_timeout(&address, timeout)?;
+        socket.set_read_timeout(Some(timeout))?;
+        socket.set_write_timeout(Some(timeout))?;
+        let lines = BufReader::new(socket.try_clone()?);
         let mut caller = Self { socket, lines, next_id: 0, connect_answer: String::new() };
-        caller.send(&format!("CONNECT {database} {key}"));
-        caller.connect_answer = caller.line().expect("an answer");
-        caller
+        caller.try_send(&format!("CONNECT {database} {key}"))?;
+        caller.connect_answer = caller.line().ok_or(std::io::ErrorKind::UnexpectedEof)?;
+        Ok(caller)
     }
 
     pub fn send(&mut self, line: &str) {
-        self.socket.write_all(format!("{line}\r\n").as_bytes()).unwrap();
+        self.try_send(line).unwrap();
+    }
+
+    pub fn try_send(&mut self, line: &str) -> std::io::Result<()> {
+        self.socket.write_all(format!("{line}\r\n").as_bytes())
     }
 
     /// Returns the next line, or `None` at the end of the connection.
@@ -59,6 +74,11 @@
     /// Sends a statement under this id; see [`Caller::query`].
     pub fn query_with_id(&mut self, id: &str, text: &str) -> Option<Answer> {
         self.send(&format!("QUERY {id} {text}"));
+        self.receive()
+    }
+
+    /// Receives an answer, or returns `None` if the connection ended.
+    pub fn receive(&mut self) -> Option<Answer> {
         let mut rows = Vec::new();
         let mut result = String::new();
         loop {
--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -7,6 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use super::ledger::{Ledger, Read};
+use super::service::{Conditions, Delivery, Service};
 use super::{COMMIT_TIMEOUT, PROMOTION_DURATION, STEP_DOWN_DURATION, TIMEOUT, http};
 
 pub(super) struct Instance {
@@ -90,6 +92,9 @@
     pub(super) signatures: AtomicU64,
     /// Which statement each signature was given for.
     pub(super) signed: Mutex<BTreeMap<String, String>>,
+    /// What clients sent and what the instances read.
+    pub ledger: Ledger,
+    pub(super) service: Service,
 }
 
 impl Group {
@@ -97,6 +102,11 @@
         self.instances.lock().unwrap()
     }
 
+    /// Changes how the instances serve.
+    pub fn change_conditions(&self, change: impl FnOnce(&mut Conditions)) {
+        self.service.change(change);
+    }
+
     /// Makes the instances answer some commands twice, or none.
     pub fn answer_twice(&self, answers: Option<SecondAnswers>) {
         *self.seconds.lock().unwrap() = Seconds { answers, ..Seconds::default() };
@@ -316,14 +326,22 @@
 /// Copies the log of an instance to every running replica that receives from it.
 fn replicate(instances: &mut [Instance], index: usize) {
     let (term, detached) = (instances[index].term, instances[index].detached);
-    let log = instances[index].log.clone();
+    let log = std::mem::take(&mut instances[index].log);
     let receives = |i: &&mut Instance| {
         i.running && !i.paused && !i.detached && !detached && !i.primary && i.term <= term
     };
     for instance in instances.iter_mut().filter(receives) {
         instance.term = term;
-        instance.log.clone_from(&log);
+        let known = instance.log.len();
+        match known.checked_sub(1) {
+            // One primary appends in each term, so logs that agree at an index agree up to it.
+            Some(last) if log.get(last) == instance.log.last() => {
+                instance.log.extend_from_slice(&log[known..]);
+            }
+            _ => instance.log.clone_from(&log),
+        }
     }
+    instances[index].log = log;
 }
 
 /// Copies the log of the newest primary to the replicas that receive from it.
@@ -344,6 +362,25 @@
     values: BTreeMap<String, String>,
     prepared: BTreeMap<String, (String, String)>,
     transaction: Option<Vec<(String, String)>>,
+    /// The numbers of the connection and of the open transaction in the ledger.
+    connection: usize,
+    number: Option<usize>,
+}
+
+impl Session {
+    /// Returns a statement without the position that it waits for, and with the shape in place of a prepared name.
+    fn resolve(&self, statement: &str) -> String {
+        let text = match statement.strip_prefix("AFTER ") {
+            Some(rest) => rest.split_once(' ').map_or(rest, |(_, text)| text),
+            None => statement,
+        };
+        let Some(rest) = text.strip_prefix("EXEC ") else { return text.to_owned() };
+        let (name, arguments) = rest.split_once(' ').unwrap_or((rest, ""));
+        match self.prepared.get(name) {
+            Some((verb, shape)) => format!("EXEC {verb} {shape} {arguments}"),
+            None => text.to_owned(),
+        }
+    }
 }
 
 impl Group {
@@ -466,8 +503,12 @@
         session: &mut Session,
         writes: Vec<(String, String)>,
     ) {
+        // A replica may commit a transaction that wrote nothing.
+        if writes.is_empty() {
+            return;
+        }
         let term = instances[index].term;
-        session.committed = (!writes.is_empty()).then(|| instances[index].log.len() + writes.len());
+        session.committed = Some(instances[index].log.len() + writes.len());
         instances[index].log.extend(writes.into_iter().map(|(item, data)| (term, item, data)));
         replicate(instances, index);
     }
@@ -502,10 +543,17 @@
         socket.set_nodelay(true)?;
         let mut lines = BufReader::new(socket.try_clone()?);
         let socket = Arc::new(Mutex::new(socket));
-        let mut session = Session::default();
+        let connection = self.ledger.next_connection();
+        let mut session = Session { connection, ..Session::default() };
         let mut line = String::new();
         let crashes = self.lock()[index].crashes;
+        let instance = self.lock()[index].id.clone();
         while lines.read_line(&mut line)? > 0 {
+            self.service.wait_while_deaf(&instance);
+            let is_cut = !line.ends_with('\n');
+            if is_cut && self.service.drops_cut_lines() {
+                return Ok(());
+            }
             let text = line.trim_end().to_owned();
             line.clear();
             if !self.lock()[index].running || self.lock()[index].crashes != crashes {
@@ -525,7 +573,7 @@
                 self.answer(&socket, "CONNECT", &ready)?;
                 continue;
             }
-            let Some((_, statement)) = text.strip_prefix("QUERY ").and_then(|q| q.split_once(' '))
+            let Some((id, statement)) = text.strip_prefix("QUERY ").and_then(|q| q.split_once(' '))
             else {
                 return Ok(());
             };
@@ -535,15 +583,41 @@
             let word = statement.split(' ').find(|word| *word != "AFTER" && !word.contains('.'));
             let word = word.unwrap_or_default().to_owned();
             let is_data = matches!(word.as_str(), "FETCH" | "PUT" | "EXEC" | "BEGIN" | "COMMIT");
+            let slot = is_data.then(|| self.service.occupy(index));
+            let mut read = Read {
+                instance: instance.clone(),
+                connection: session.connection,
+                id: id.to_owned(),
+                text: session.resolve(statement),
+                transaction: session.number,
+                values: session.values.clone(),
+                at: Instant::now(),
+                rows: Vec::new(),
+                result: Err(String::new()),
+                is_cut,
+            };
             let (rows, result) = if is_data && self.seconds.lock().unwrap().is_next_busy() {
                 (vec![], Err("BUSY".to_owned()))
             } else {
                 self.execute(index, &mut session, statement)
             };
+            (read.rows, read.result) = (rows.clone(), result.clone());
+            self.ledger.read(read);
+            if session.transaction.is_none() {
+                session.number = None;
+            } else if word == "BEGIN" && result.is_ok() {
+                session.number = Some(self.ledger.next_transaction());
+            }
             let committed = session.committed.take().filter(|_| self.synchronous);
             if committed.is_some_and(|len| !self.wait_for_replica(index, len)) {
                 return Ok(());
             }
+            drop(slot);
+            match self.service.next_delivery() {
+                Delivery::Sent => {}
+                Delivery::Lost => continue,
+                Delivery::Closed => return Ok(()),
+            }
             let rows: String = rows.iter().map(|row| format!("ROW {row}\r\n")).collect();
             let result = match result {
                 Ok(signature) => format!("DONE {signature}\r\n"),
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -8,11 +8,15 @@
 pub mod disturber;
 mod group;
 mod http;
+pub mod ledger;
 pub mod load;
 pub mod path;
 pub mod peers;
 #[path = "../process/mod.rs"]
 mod process;
+mod service;
+pub mod sessions;
+pub mod unrest;
 
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
@@ -25,8 +29,10 @@
 #[allow(unused_imports, reason = "each test file uses only some of these items")]
 pub use caller::{Answer, Caller};
 use group::{Instance, heartbeat};
+use ledger::Ledger;
 use path::Path;
 use peers::{Peers, Route};
+use service::Service;
 #[allow(unused_imports, reason = "each test file uses only some of these items")]
 pub use {
     group::{Extent, Group, SecondAnswers},
@@ -112,6 +118,8 @@
             seconds: Mutex::default(),
             signatures: AtomicU64::default(),
             signed: Mutex::default(),
+            ledger: Ledger::default(),
+            service: Service::default(),
         });
         let dir = tempfile::tempdir().unwrap();
         let proxies = proxies.to_vec();
