Fail the transaction of a refused statement, and end a transaction by the route with which it began

Callers saw half of a transaction committed: a statement that the proxy refused (a prepared name that isn't known, a second BEGIN, an unknown statement) rolled the transaction back, but the session stayed open, so that later statements ran in another one. If the route was removed, statements of an open transaction got no answer, and the next transaction of the session ran inside it.

Now the state is E in 6 of 6, COMMIT gets ABORTED and nothing is kept; COMMIT after the removal is run and answered with its signature, and the next transaction is a new one.

A session fails its transaction with each refusal, and keeps the declaration of the database as long as it has a connection.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -66,6 +66,7 @@
         input: BytesMut::new(),
         output: BytesMut::new(),
         session: Session::default(),
+        database: None,
         credential: Credential::default(),
         quota_session: None,
         opened: shared.clock.now(),
@@ -92,6 +93,9 @@
     input: BytesMut,
     output: BytesMut,
     session: Session,
+    /// The declaration of the database when the session's last operation began. A transaction ends by the one with which
+    /// it began.
+    database: Option<Database>,
     /// The caller's key, and the account whose statements the session runs if the deployment has accounts.
     credential: Credential,
     /// Keeps a token in reserve for the account of the session.
@@ -227,23 +231,26 @@
             self.queue_reply(&reply);
             return true;
         }
-        let action = self.session.handle(statement);
-        let reply = match (action, self.shared.database(name)) {
-            (Action::Complete, _) => Reply::from_iter([Answer::Done("-".to_owned())]),
-            (Action::Refuse(code, text), _) => {
+        if !self.has_connection() {
+            self.database = self.shared.database(name);
+        }
+        let (action, database) = (self.session.handle(statement), self.database.clone());
+        let reply = match (step(action), database) {
+            (Ok(None), _) => Reply::from_iter([Answer::Done("-".to_owned())]),
+            (Err((code, text)), _) => {
                 self.roll_back();
                 Reply::from_iter([Answer::Failed { code, text: text.to_owned() }])
             }
-            (Action::Rollback, _) => {
+            (Ok(Some(Step::Rollback)), _) => {
                 self.roll_back();
                 Reply::from_iter([Answer::Done("-".to_owned())])
             }
-            (_, None) if !self.has_connection() => {
+            (Ok(Some(_)), None) => {
                 self.session.fail();
                 let text = "the database was removed".to_owned();
                 Reply::from_iter([Answer::Failed { code: Code::NoDatabase, text }])
             }
-            (action, database) => self.run_action((name, database.as_ref()), id, action).await,
+            (Ok(Some(step)), Some(database)) => self.run_step((name, &database), id, &step).await,
         };
         self.queue_reply(&reply);
         let is_rejection =
@@ -290,28 +297,17 @@
         LogEvent::Session { database, was_open, reason }.log(Level::Info);
     }
 
-    async fn run_action(
+    async fn run_step(
         &mut self,
-        (name, database): (&str, Option<&Database>),
+        (name, database): (&str, &Database),
         id: &Id,
-        action: Action,
+        step: &Step,
     ) -> Reply {
-        let Some(database) = database else {
-            return Reply::new();
-        };
-        let step = match action {
-            Action::Single(operation) => Step::Single(operation),
-            Action::InTransaction { operation, read_only } => {
-                Step::InTransaction { operation, read_only }
-            }
-            Action::Commit { read_only } => Step::Commit { read_only },
-            Action::Complete | Action::Refuse(..) | Action::Rollback => return Reply::new(),
-        };
         let values = self.session.values();
         let mut execution =
             self.runner.start_execution(id, values, (name, database), self.credential.identity());
         execution.revision = self.credential.revision();
-        let token = match self.take_token(&mut execution, &step).await {
+        let token = match self.take_token(&mut execution, step).await {
             Ok(token) => token,
             Err(refusal) => {
                 let reply = self.runner.conclude(&execution, Err(refusal));
@@ -322,9 +318,9 @@
         let is_served_here = !self.forwarder.has_transaction()
             && (self.runner.has_connection() || execution.wait_until_served(&self.shared).await);
         let (reply, is_open) = if is_served_here {
-            self.runner.run_step(execution, &step).await
+            self.runner.run_step(execution, step).await
         } else {
-            self.forwarder.run(&mut self.runner, execution, &step).await
+            self.forwarder.run(&mut self.runner, execution, step).await
         };
         if matches!(step, Step::InTransaction { .. }) && !is_open {
             self.session.fail();
@@ -403,3 +399,17 @@
         Ok(written.ok_or(Error::TooSlow)??)
     }
 }
+
+/// Returns what has to run for an action, if anything has to.
+fn step(action: Action) -> Result<Option<Step>, (Code, &'static str)> {
+    match action {
+        Action::Complete => Ok(None),
+        Action::Refuse(code, text) => Err((code, text)),
+        Action::Single(operation) => Ok(Some(Step::Single(operation))),
+        Action::InTransaction { operation, read_only } => {
+            Ok(Some(Step::InTransaction { operation, read_only }))
+        }
+        Action::Commit { read_only } => Ok(Some(Step::Commit { read_only })),
+        Action::Rollback => Ok(Some(Step::Rollback)),
+    }
+}
--- a/src/broker/session.rs
+++ b/src/broker/session.rs
@@ -81,8 +81,17 @@
 }
 
 impl Session {
-    /// Handles a statement and returns what has to be done for it.
+    /// Handles a statement and returns what has to be done for it. A refusal fails an open transaction, which the caller
+    /// of this function rolls back.
     pub fn handle(&mut self, statement: Statement) -> Action {
+        let action = self.decide(statement);
+        if matches!(action, Action::Refuse(..)) {
+            self.fail();
+        }
+        action
+    }
+
+    fn decide(&mut self, statement: Statement) -> Action {
         if self.phase == Phase::Failed
             && !matches!(statement, Statement::Commit | Statement::Rollback)
         {
@@ -146,7 +155,6 @@
         match self.phase {
             Phase::Idle => Action::Single(operation),
             Phase::Open { read_only: true } if operation.access == Access::Write => {
-                self.fail();
                 Action::Refuse(Code::ReadOnly, "the transaction only reads")
             }
             Phase::Open { read_only } => Action::InTransaction { operation, read_only },
--- a/tests/platform_unasked.rs
+++ b/tests/platform_unasked.rs
@@ -8,7 +8,7 @@
 use lines::ledger::{Fault, Report};
 use lines::sessions::{Habits, Sessions};
 use lines::unrest::{Kind, Unrest};
-use lines::{FRONT_PORT, Fleet, MAX_CONNECTIONS, PROXIES};
+use lines::{FRONT_PORT, Fleet, MAX_CONNECTIONS, PROXIES, configuration};
 
 const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
 
@@ -61,6 +61,57 @@
     }
 }
 
+/// A statement that the proxy refuses ended its transaction silently: the statements after it ran in another one, and
+/// `COMMIT` committed these alone.
+#[test]
+fn a_refused_statement_fails_its_transaction() {
+    let fleet = Fleet::up(197);
+    let refused = ["EXEC unknown x", "BEGIN", "DEALLOC unknown", "SET", "PREPARE p", "NONSENSE"];
+    let mut answers = Vec::new();
+    for (number, text) in refused.iter().enumerate() {
+        let mut session = fleet.connect(PROXIES[number % 2], "desk");
+        session.query_until_done("BEGIN");
+        session.query_until_done(&format!("PUT first {number}"));
+        let mut query = |text: &str| session.query(text).expect("the session goes on");
+        let states = [query(text), query(&format!("PUT second {number}"))].map(|a| a.state);
+        answers.push((states, query("COMMIT").result.starts_with("ERR ABORTED")));
+    }
+    let kept = [fleet.group.values_of("first"), fleet.group.values_of("second")];
+    assert!(kept.iter().all(Vec::is_empty), "{kept:?}, {answers:?}");
+    let failed = ["E", "E"].map(str::to_owned);
+    assert!(answers.iter().all(|answer| *answer == (failed.clone(), true)), "{answers:?}");
+}
+
+/// A transaction whose route was removed got no answer, and the next one of its session ran inside it.
+#[test]
+fn a_transaction_ends_by_the_route_with_which_it_began() {
+    let fleet = Fleet::up(198);
+    let vm = fleet.proxies[0];
+    let mut session = fleet.connect(vm, "desk");
+    session.query_until_done("BEGIN");
+    session.query_until_done("PUT first x");
+    let with_route = configuration(3, 800, MAX_CONNECTIONS);
+    let without_route = configuration(2, 800, MAX_CONNECTIONS).replace("desk", "till");
+    assert_eq!(fleet.put_configuration_text(&without_route), 200);
+    fleet.wait_until("the route is removed", |fleet| {
+        fleet.connect(vm, "desk").connect_answer.starts_with("ERR NODB")
+    });
+    let committed = session.query("COMMIT").expect("the session goes on");
+    let next = session.query("PUT second x").expect("the session goes on");
+    assert_eq!(fleet.put_configuration_text(&with_route), 200);
+    fleet.wait_until("the route is back", |fleet| {
+        fleet.connect(vm, "desk").connect_answer.starts_with("READY")
+    });
+    session.query_until_done("BEGIN");
+    session.query_until_done("PUT third x");
+    session.query("ROLLBACK").expect("the session goes on");
+    let kept = ["first", "second", "third"].map(|item| fleet.group.values_of(item).len());
+    let answers = (committed, next.result);
+    assert!(answers.0.result.starts_with("DONE signature"), "{answers:?}, {kept:?}");
+    assert!(answers.1.starts_with("ERR NODB"), "{answers:?}, {kept:?}");
+    assert_eq!(kept, [1, 0, 0], "{answers:?}");
+}
+
 fn variable(name: &str, default: u64) -> u64 {
     std::env::var(name).map_or(default, |value| value.parse().expect("a number"))
 }
