Do not send a statement whose caller has left while it waited

A statement that waited for an instance, or for one at the proxy to which it was forwarded, was sent although its caller had closed the connection meanwhile: nobody had asked for it any more, and it took the place of others.

A statement that waits for a permit looks for the end of the connection on which its answer is expected, of its caller or of the proxy that forwards it, and once more after a new connection was opened. A forwarded read, or a forwarded statement of a transaction before its commit, is given up, which ends the stream. What was sent to an instance runs to its end.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -10,15 +10,16 @@
 
 use super::forward::Forwarder;
 use super::identity::Credential;
+use super::presence::Presence;
 use super::run::{Execution, Refusal, Reply, Runner};
 use super::server::Shared;
-use super::session::{Action, Session};
+use super::session::{Action, Operation, Session};
 use super::spend::{OpenSession, Spend};
 use crate::clock::Instant;
 use crate::config::{Database, KeyDigest};
 use crate::proxy::shutdown::Stage;
 use crate::report::{Event as LogEvent, Peer};
-use crate::statement::{Answer, Code, DecodeError, Id, Request, State, Statement};
+use crate::statement::{Access, Answer, Code, DecodeError, Id, Request, State, Statement};
 use crate::wire::Step;
 
 /// How long a caller may take to open its session.
@@ -307,6 +308,7 @@
         let mut execution =
             self.runner.start_execution(id, values, (name, database), self.credential.identity());
         execution.revision = self.credential.revision();
+        execution.presence = Presence::new(self.socket.clone());
         let token = match self.take_token(&mut execution, step).await {
             Ok(token) => token,
             Err(refusal) => {
@@ -320,7 +322,16 @@
         let (reply, is_open) = if is_served_here {
             self.runner.run_step(execution, step).await
         } else {
-            self.forwarder.run(&mut self.runner, execution, step).await
+            let presence = execution.presence.clone();
+            let forwarding = self.forwarder.run(&mut self.runner, execution, step);
+            match step {
+                // Nothing of these can be kept, so they can be given up wherever they are.
+                Step::Single(Operation { access: Access::Read, .. })
+                | Step::InTransaction { .. } => {
+                    presence.unless_left(forwarding).await.unwrap_or_default()
+                }
+                Step::Single(_) | Step::Commit { .. } | Step::Rollback => forwarding.await,
+            }
         };
         if matches!(step, Step::InTransaction { .. }) && !is_open {
             self.session.fail();
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -27,6 +27,7 @@
 mod permits;
 pub mod pool;
 pub mod position;
+mod presence;
 pub mod quota;
 pub mod recovery;
 mod run;
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -9,6 +9,7 @@
 use crate::broker::server::Shared;
 use crate::id;
 use crate::schedule::Reason;
+use crate::statement::Code;
 
 /// The number of instances on which a statement may fail.
 const MAX_INSTANCES: usize = 3;
@@ -16,6 +17,9 @@
 /// How long a statement waits for capacity, in percent of its target latency. The rest is left for running it.
 const MAX_WAIT_PERCENT: u32 = 60;
 
+/// The text for a caller that closed its connection while its statement waited. It reaches only the log.
+const CALLER_LEFT: &str = "the caller has left";
+
 /// How long a statement waits for a primary that is being promoted, in percent of its timeout.
 const MAX_PROMOTION_WAIT_PERCENT: u32 = 70;
 
@@ -56,8 +60,10 @@
                 warm: warm.unwrap_or_default(),
             };
             execution.need = Some(need);
-            let permit = self.shared.acquire_permit(&execution.database.group, request).await;
+            let acquiring = self.shared.acquire_permit(&execution.database.group, request);
+            let permit = execution.presence.unless_left(acquiring).await;
             execution.waited += self.shared.clock.now().since(now);
+            let permit = permit.ok_or_else(|| Refusal::new(Code::Aborted, CALLER_LEFT))?;
             let permit = permit.map_err(|(wait, reason)| {
                 let class = &execution.database.class;
                 reason.into_iter().for_each(|reason| {
@@ -78,6 +84,7 @@
                 return Err(Refusal::busy("the primary is being replaced", FULL_DELAY));
             }
             let idle = self.shared.idle_connection(&instance, account, execution.values);
+            let is_new = idle.is_err();
             let connection = match idle {
                 Ok(connection) => Ok(connection),
                 Err((seat, reason)) => {
@@ -91,6 +98,10 @@
                 }
             };
             match connection {
+                Ok(connection) if is_new && execution.presence.has_left().await => {
+                    self.shared.return_connection(&instance, connection);
+                    return Err(Refusal::new(Code::Aborted, CALLER_LEFT));
+                }
                 Ok(connection) => return Ok(Checkout { connection, permit, term, wrote: false }),
                 Err(error) => {
                     log::debug!(
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -18,6 +18,7 @@
 use super::connection::Checkout;
 use super::dispatch::FULL_DELAY;
 use super::need::{Need, PositionSample};
+use super::presence::Presence;
 use super::server::Shared;
 use super::session::{Body, Operation};
 use crate::clock::Instant;
@@ -78,6 +79,8 @@
     /// The number of instances tried, and the last of them.
     pub(in crate::broker) tries: u32,
     instance: Option<id::Instance>,
+    /// Who waits for the answer.
+    pub(in crate::broker) presence: Presence,
 }
 
 /// The reason why a statement ends without success.
@@ -206,6 +209,7 @@
             waited: Duration::ZERO,
             tries: 0,
             instance: None,
+            presence: Presence::default(),
         }
     }
 
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -9,6 +9,7 @@
 use smol::net::TcpStream;
 
 use super::need::PositionSample;
+use super::presence::Presence;
 use super::run::Runner;
 use super::server::Shared;
 use crate::config::Database;
@@ -32,6 +33,7 @@
         shared: Arc::clone(&shared),
         database: None,
         identity: None,
+        presence: Presence::default(),
         open_session: None,
     };
     if let Err(error) = handler.run(socket).await {
@@ -67,6 +69,8 @@
     database: Option<Database>,
     /// The account of the open transaction, if the deployment has accounts.
     identity: Option<Identity>,
+    /// The forwarding proxy.
+    presence: Presence,
     /// Held while a statement runs or a transaction is open.
     open_session: Option<OpenSession>,
 }
@@ -74,6 +78,7 @@
 impl Handler {
     async fn run(&mut self, socket: TcpStream) -> Result<(), Error> {
         let mut stream = Stream::from_accepted(socket)?.with_seal(&self.shared.credentials.seal);
+        self.presence = Presence::new(stream.socket().clone());
         while let Some(frame) = self.receive(&mut stream).await? {
             let answer = match frame.body {
                 // The forwarding proxy has given the statement up and may have answered its caller. The stream was held up,
@@ -109,7 +114,7 @@
             if let Some(answer) = answer {
                 return answer;
             }
-            // A statement that was begun runs to its end even if nobody waits for it any more.
+            // A statement that was sent to an instance runs to its end even if nobody waits for it any more.
             if let Err(error) = stream.send(&progress).await {
                 log::debug!("progress of a statement could not be sent: {error}");
                 return handling.await;
@@ -178,12 +183,13 @@
             mark: write.mark,
         }));
         let before = self.runner.last_write();
-        let execution = self.runner.start_execution(
+        let mut execution = self.runner.start_execution(
             &forward.request,
             &forward.values,
             (&forward.database, &database),
             self.identity.as_ref(),
         );
+        execution.presence = self.presence.clone();
         let (reply, is_open) = self.runner.run_step(execution, &forward.step).await;
         let written = self.runner.last_write().filter(|_| self.runner.last_write() != before);
         Forwarded::Handled {
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -63,6 +63,11 @@
         Ok(socket::reset_on_close(&self.socket)?)
     }
 
+    /// Returns the socket, on which the end of the connection can be seen.
+    pub fn socket(&self) -> &TcpStream {
+        &self.socket
+    }
+
     /// Returns whether the peer has closed the connection, or has sent something that nobody asked for.
     pub async fn is_closed(&self) -> bool {
         let mut buffer = [0; 1];
--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -583,6 +583,7 @@
             let word = statement.split(' ').find(|word| *word != "AFTER" && !word.contains('.'));
             let word = word.unwrap_or_default().to_owned();
             let is_data = matches!(word.as_str(), "FETCH" | "PUT" | "EXEC" | "BEGIN" | "COMMIT");
+            let arrived = Instant::now();
             let slot = is_data.then(|| self.service.occupy(index));
             let mut read = Read {
                 instance: instance.clone(),
@@ -591,6 +592,7 @@
                 text: session.resolve(statement),
                 transaction: session.number,
                 values: session.values.clone(),
+                arrived,
                 at: Instant::now(),
                 rows: Vec::new(),
                 result: Err(String::new()),
--- a/tests/lines/ledger.rs
+++ b/tests/lines/ledger.rs
@@ -45,6 +45,8 @@
     /// The instance's transaction in which it ran.
     pub transaction: Option<usize>,
     pub values: BTreeMap<String, String>,
+    /// When it was read, and when it ran.
+    pub arrived: Instant,
     pub at: Instant,
     pub rows: Vec<String>,
     /// The signature or the code.
@@ -191,6 +193,17 @@
         }
     }
 
+    /// Returns the number of statements, and how many of them an instance read longer than `margin` after their client had
+    /// left.
+    pub fn read_after_leaving(&self, margin: Duration) -> (usize, usize) {
+        let sent = self.sent.lock().unwrap();
+        let is_late = |read: &&Read| match &sent[&read.id].end {
+            Some((at, End::Left)) => read.arrived > *at + margin,
+            Some((_, End::Answered(_))) | None => false,
+        };
+        (sent.len(), self.read.lock().unwrap().iter().filter(is_late).count())
+    }
+
     /// Compares what was sent and what was read. `timeout` is the time that a statement has.
     pub fn compare(&self, timeout: Duration) -> Report {
         let (sent, read) = (self.sent.lock().unwrap(), self.read.lock().unwrap());
--- a/tests/platform_unasked.rs
+++ b/tests/platform_unasked.rs
@@ -3,12 +3,13 @@
 
 mod lines;
 
-use std::time::Duration;
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
-use lines::ledger::{Fault, Report};
+use lines::ledger::{End, Fault, Report, Sent};
 use lines::sessions::{Habits, Sessions};
 use lines::unrest::{Kind, Unrest};
-use lines::{FRONT_PORT, Fleet, MAX_CONNECTIONS, PROXIES, configuration};
+use lines::{Caller, FRONT_PORT, Fleet, MAX_CONNECTIONS, PROXIES, configuration};
 
 const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
 
@@ -21,6 +22,13 @@
 /// How long a statement that was held up may take to arrive and run once nothing holds it.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
+/// Time that a statement runs at an instance that is slow, and time after which callers leave.
+const SLOW: Duration = Duration::from_millis(80);
+const LEAVE_DELAY: Duration = Duration::from_millis(10);
+
+/// How long a statement that was sent before its caller left may be on its way.
+const TRANSIT: Duration = Duration::from_millis(50);
+
 const HABITS: Habits =
     Habits { sessions: 24, max_pause_ms: 20, leave_percent: 10, long_percent: 0 };
 
@@ -112,6 +120,34 @@
     assert_eq!(kept, [1, 0, 0], "{answers:?}");
 }
 
+/// Statements that wait for an instance, or for one at the proxy to which they are forwarded, were sent after their callers
+/// had closed their connections.
+#[test]
+fn statements_of_callers_that_have_left_are_not_sent() {
+    let cases = [(199, &PROXIES[..], MAX_CONNECTIONS), (200, &MANY_PROXIES[..], FEW_CONNECTIONS)];
+    let read = cases.map(|(subnet, proxies, max_connections)| {
+        let fleet = Fleet::up_with(subnet, proxies, max_connections);
+        let serving = fleet.serving();
+        let vm = *proxies.iter().find(|vm| !serving.contains(vm)).unwrap_or(&proxies[0]);
+        fleet.group.ledger.clear();
+        fleet.group.change_conditions(|c| (c.slots, c.duration) = (1, SLOW));
+        let mut sessions: Vec<Caller> = (0..24).map(|_| fleet.connect(vm, "desk")).collect();
+        for (number, session) in sessions.iter_mut().enumerate() {
+            let (id, text) = (format!("left{number}"), "FETCH item".to_owned());
+            let (values, at) = (BTreeMap::new(), Instant::now());
+            session.send(&format!("QUERY {id} {text}"));
+            let sent = Sent { session: number, transaction: None, text, values, at, end: None };
+            fleet.group.ledger.send(&id, sent);
+        }
+        std::thread::sleep(LEAVE_DELAY);
+        drop(sessions);
+        (0..24).for_each(|number| fleet.group.ledger.end(&format!("left{number}"), End::Left));
+        std::thread::sleep(SETTLE);
+        fleet.group.ledger.read_after_leaving(TRANSIT)
+    });
+    assert_eq!(read, [(24, 0); 2]);
+}
+
 fn variable(name: &str, default: u64) -> u64 {
     std::env::var(name).map_or(default, |value| value.parse().expect("a number"))
 }
