Take a pause as final only if the instance shows it, and readings only over connections that are new enough

Cause: nothing ties an answer to its command. On the connections that control keeps, a second answer to STATUS was taken for the answer to PAUSE, with a position from before the pause, or for a status that was requested after the fence.

Change: a replica shows the term of its pause in the status row (seen on the users' platform; Status::paused). A pause is sent over a new connection and counts only with its own term. A status counts from when its connection was opened, and control opens a new one whenever the group's next decision needs newer statuses: after a change of phase, the fence, or an unordered promotion. So a failover costs one or two connections to each instance, and a settled group none.

The stand-in shows the term of a pause, keeps what an instance held when it was promoted, and can delay promotions. PostgreSQL shows no such term and is not paused.

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -122,6 +122,14 @@
         self.promoted_outside = promoted_outside;
     }
 
+    /// Returns the time after which a status must have been requested to count for the next decision: the group has entered a
+    /// phase, its fence has held, or an unordered promotion was found.
+    pub fn readings_since(&self) -> Instant {
+        let phase_at = self.last_phase.map_or(self.created_at, |(.., at)| at);
+        let later = [self.fenced_at, self.unordered.found_at()];
+        later.into_iter().flatten().fold(phase_at, Instant::max)
+    }
+
     /// Processes one input and returns the actions to carry out.
     pub fn step(&mut self, now: Instant, input: Input<'_>) -> Vec<Output> {
         match input {
--- a/src/control/failover/unordered.rs
+++ b/src/control/failover/unordered.rs
@@ -36,6 +36,10 @@
         }
     }
 
+    pub(super) fn found_at(&self) -> Option<Instant> {
+        self.found.map(|(_, at)| at)
+    }
+
     pub(super) fn is_found(&self) -> bool {
         self.found.is_some()
     }
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -185,6 +185,11 @@
         self.replicas.get(instance).map(|(_, replica)| replica)
     }
 
+    /// Returns the time before which statuses of a group's instances no longer count, if the group is known.
+    pub fn readings_since(&self, group: &id::Group) -> Option<Instant> {
+        self.groups.get(group).map(Group::readings_since)
+    }
+
     /// Returns a number that grows with each change of [`Self::replicas`].
     pub fn replicas_version(&self) -> u64 {
         self.replicas_version
--- a/src/control/promotion/client.rs
+++ b/src/control/promotion/client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Instant};
 use crate::control::failover::Input;
 use crate::control::raft::LEADERSHIP_VALIDITY;
 use crate::id;
@@ -22,12 +22,16 @@
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(10);
 
 /// A client of one instance over a [`Codec`]. It opens a new connection after a failure.
+///
+/// Nothing in an answer names the command that it belongs to, and an instance may answer twice. So an answer shows a state
+/// at some time since its connection was opened, and no more. What must be newer is asked for over a newer connection.
 #[derive(Debug)]
 pub(super) struct Client {
     clock: Clock,
     codec: &'static dyn Codec,
     replica: Replica,
-    connection: Option<Connection>,
+    /// The kept connection, and a time before its first command.
+    connection: Option<(Instant, Connection)>,
 }
 
 impl Client {
@@ -36,14 +40,17 @@
         Self { clock, codec, replica, connection: None }
     }
 
-    /// Asks the instance for its status. If that fails, tries again over a new connection, because the failure of an
-    /// open connection says little about the instance.
-    pub(super) async fn probe(&mut self) -> Input<'static> {
+    /// Asks the instance for its status, over a connection that was opened after `since`. If that fails, tries again over a
+    /// new connection, because the failure of an open connection says little about the instance.
+    pub(super) async fn probe(&mut self, since: Option<Instant>) -> Input<'static> {
         let instance = self.replica.instance.clone();
-        let mut requested_at = self.clock.now();
+        if self.connection.as_ref().is_some_and(|(opened_at, _)| Some(*opened_at) <= since) {
+            self.connection = None;
+        }
+        let mut requested_at = self.next_requested_at();
         let mut answer = self.request(&statement::Command::Status, PROBE_TIMEOUT / 2).await;
         if answer.is_err() {
-            requested_at = self.clock.now();
+            requested_at = self.next_requested_at();
             answer = self.request(&statement::Command::Status, PROBE_TIMEOUT / 2).await;
         }
         let result = match answer {
@@ -55,13 +62,27 @@
         Input::Probed { instance, requested_at, result }
     }
 
-    /// Orders the instance to stop receiving, and returns its final status.
+    /// Returns the earliest time at which the state may be that the next answer shows.
+    fn next_requested_at(&self) -> Instant {
+        self.connection.as_ref().map_or_else(|| self.clock.now(), |(opened_at, _)| *opened_at)
+    }
+
+    /// Orders the instance to stop receiving, and returns its final status. The status is final only if it shows that this
+    /// order holds.
     pub(super) async fn pause(&mut self, term: id::Term) -> Option<Input<'static>> {
         let instance = self.replica.instance.clone();
+        self.connection = None;
         let end = self.clock.now() + PAUSE_TIMEOUT;
         while self.clock.now() < end {
             match self.request(&statement::Command::Pause { term }, PAUSE_TIMEOUT).await {
-                Ok(Some(status)) => return Some(Input::Paused { instance, status }),
+                Ok(Some(status)) if status.paused == Some(term) => {
+                    return Some(Input::Paused { instance, status });
+                }
+                Ok(Some(status)) => {
+                    log::info!("instance {instance} is not paused under term {term}: {status:?}");
+                    self.connection = None;
+                    return None;
+                }
                 Ok(None) => self.clock.sleep(BUSY_RETRY_DELAY).await,
                 Err(error) => {
                     log::debug!("could not pause instance {instance}: {error}");
@@ -72,9 +93,13 @@
         None
     }
 
-    /// Returns the instance's status, or `None` if the instance doesn't return it.
+    /// Returns the instance's status now, or `None` if the instance doesn't return it.
     pub(super) async fn status(&mut self) -> Option<status::Status> {
-        match self.request(&statement::Command::Status, ORDER_TIMEOUT).await {
+        self.connection = None;
+        let answer = self.request(&statement::Command::Status, ORDER_TIMEOUT).await;
+        // The status counts from now on, and an answer over this connection from when it was opened.
+        self.connection = None;
+        match answer {
             Ok(status) => status,
             Err(error) => {
                 log::debug!(
@@ -98,18 +123,19 @@
         limit: Duration,
     ) -> Result<Option<status::Status>, connection::Error> {
         let deadline = self.clock.now() + limit;
-        let mut connection = match self.connection.take() {
-            Some(connection) => connection,
+        let (opened_at, mut connection) = match self.connection.take() {
+            Some(kept) => kept,
             None => {
+                let opened_at = self.clock.now();
                 let (clock, codec, replica) = (&self.clock, self.codec, &self.replica);
                 let (connection, _) =
                     Connection::connect(clock, codec, replica, None, deadline).await?;
                 connection.withdraw_on_close(LEADERSHIP_VALIDITY)?;
-                connection
+                (opened_at, connection)
             }
         };
         let status = connection.status(&self.clock, command, deadline).await?;
-        self.connection = Some(connection);
+        self.connection = Some((opened_at, connection));
         Ok(status)
     }
 }
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -119,9 +119,10 @@
         }
         let is_probe = matches!(order, Order::Probe);
         let requested_at = self.clock.now();
+        let since = self.core().leader.readings_since(&replica.group);
         let run = async {
             match transport {
-                Transport::Outside(client, _) => run_outside(client, replica, order).await,
+                Transport::Outside(client, _) => run_outside(client, replica, order, since).await,
                 Transport::Pgsql(probe) => {
                     run_pgsql(probe, &replica.instance, requested_at, order).await
                 }
--- a/src/control/promotion/outside.rs
+++ b/src/control/promotion/outside.rs
@@ -5,6 +5,7 @@
 use super::client::Client;
 use super::order::Order;
 use super::{Authority, Promoter, Promotion, Refusal};
+use crate::clock::Instant;
 use crate::control::failover::Input;
 use crate::control::server::Shared;
 use crate::report::event::millis;
@@ -68,15 +69,17 @@
     }
 }
 
-/// Carries out an order over a [`crate::statement::Codec`], other than a promotion.
+/// Carries out an order over a [`crate::statement::Codec`], other than a promotion. The group's next decision needs statuses
+/// that were requested after `since`.
 pub(super) async fn run_outside(
     client: &mut Client,
     replica: &Replica,
     order: Order,
+    since: Option<Instant>,
 ) -> Option<Input<'static>> {
     let instance = replica.instance.clone();
     match order {
-        Order::Probe => Some(client.probe().await),
+        Order::Probe => Some(client.probe(since).await),
         // The outside service promotes.
         Order::Promote(_) => None,
         Order::Pause(term) => client.pause(term).await,
@@ -86,7 +89,7 @@
         }
         Order::Follow(_, term) => {
             client.execute(&statement::Command::Demote { term }).await;
-            Some(client.probe().await)
+            Some(client.probe(since).await)
         }
         // No command stops writes on such a primary; only the freeze does. A replica must have received the
         // primary's current position before the freeze.
--- a/src/upstream/status.rs
+++ b/src/upstream/status.rs
@@ -35,6 +35,9 @@
     pub durable: id::Position,
     /// The position at which its term began.
     pub start: id::Position,
+    /// The term of the order that made a replica stop receiving, as long as that holds. `None` if the replica receives, or if
+    /// its protocol doesn't tell.
+    pub paused: Option<id::Term>,
 }
 
 impl Status {
@@ -78,6 +81,7 @@
         received: received.as_deref()?.parse().ok()?,
         durable: durable.as_deref()?.parse().ok()?,
         start: start.as_deref()?.parse().ok()?,
+        paused: None,
     })
 }
 
--- a/tests/explorer/instance.rs
+++ b/tests/explorer/instance.rs
@@ -58,6 +58,7 @@
             received: position(self.log.len()),
             durable: position(self.durable(instances)),
             start: position(self.history.last().map_or(0, |last| last.1)),
+            paused: None,
         }
     }
 
--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -21,8 +21,8 @@
     pub(super) crashes: usize,
     /// Whether the instance can't reach the others: it receives nothing, and follows no new primary.
     pub(super) detached: bool,
-    /// Whether the instance has stopped receiving writes from the primary.
-    pub(super) paused: bool,
+    /// The term with which the instance was made to stop receiving writes from the primary, or 0 if it receives them.
+    pub(super) held_term: u64,
     pub(super) state: &'static str,
     pub(super) sequence: u64,
     /// Whether the instance reads statements without answering them.
@@ -85,6 +85,10 @@
     pub(super) synchronous: bool,
     /// Promotion requests, oldest first: the instance, the holder and the token.
     pub promotions: Mutex<Vec<(String, String, u64)>>,
+    /// How much longer than usual a promotion takes after its order was accepted.
+    pub(super) promotion_delay: Mutex<Duration>,
+    /// The promotions that took effect, oldest first: when, the instance, and the data that it held.
+    pub(super) effects: Mutex<Vec<(Instant, String, Vec<String>)>>,
     pub(super) seconds: Mutex<Seconds>,
     /// Number of signatures given. Each run of a statement has its own.
     pub(super) signatures: AtomicU64,
@@ -112,6 +116,16 @@
         self.signed.lock().unwrap().get(signature).cloned()
     }
 
+    /// Makes promotions take effect this much later after their orders were accepted.
+    pub fn delay_promotions(&self, delay: Duration) {
+        *self.promotion_delay.lock().unwrap() = delay;
+    }
+
+    /// Returns the promotions that took effect, oldest first: when, the instance, and the data that it held.
+    pub fn effects(&self) -> Vec<(Instant, String, Vec<String>)> {
+        self.effects.lock().unwrap().clone()
+    }
+
     /// Sends an answer, and some answers a second time later on.
     fn answer(
         &self,
@@ -160,7 +174,7 @@
         {
             let mut instances = self.lock();
             instances[index].running = true;
-            instances[index].paused = false;
+            instances[index].held_term = 0;
             let term = instances[index].term;
             if instances.iter().any(|other| other.primary && other.term > term) {
                 instances[index].primary = false;
@@ -199,7 +213,7 @@
         let follows = |i: &Instance, primary: &Instance| {
             i.running
                 && !i.detached
-                && !i.paused
+                && i.held_term == 0
                 && i.term == primary.term
                 && i.log.len() == primary.log.len()
         };
@@ -318,7 +332,7 @@
     let (term, detached) = (instances[index].term, instances[index].detached);
     let log = instances[index].log.clone();
     let receives = |i: &&mut Instance| {
-        i.running && !i.paused && !i.detached && !detached && !i.primary && i.term <= term
+        i.running && i.held_term == 0 && !i.detached && !detached && !i.primary && i.term <= term
     };
     for instance in instances.iter_mut().filter(receives) {
         instance.term = term;
@@ -388,10 +402,13 @@
         match words.as_slice() {
             ["STATUS"] | ["DEMOTE", _] | ["PAUSE", _] | ["RESUME"] => {
                 match words.as_slice() {
-                    ["PAUSE", term] if term.parse::<u64>().unwrap() > instances[index].term => {
-                        instances[index].paused = true;
+                    ["PAUSE", term] if !instances[index].primary => {
+                        let term: u64 = term.parse().unwrap();
+                        if term > instances[index].term {
+                            instances[index].held_term = term;
+                        }
                     }
-                    ["RESUME"] => instances[index].paused = false,
+                    ["RESUME"] => instances[index].held_term = 0,
                     _ => {}
                 }
                 if let ["DEMOTE", term] = words.as_slice()
@@ -404,8 +421,8 @@
                 }
                 let instance = &instances[index];
                 let role = if instance.primary { "primary" } else { "replica" };
-                let row =
-                    format!("{role} {} {} 0 0 0 1", instance.term, last_position(&instance.log));
+                let (term, position) = (instance.term, last_position(&instance.log));
+                let row = format!("{role} {term} {position} {} 0 0 1", instance.held_term);
                 (vec![row], Ok("-".to_owned()))
             }
             ["RESET"] => {
@@ -618,7 +635,8 @@
 
     /// Makes an instance lead the next term with the log that it has. Nothing changes if it leads the newest term.
     fn become_primary(&self, id: &str) {
-        std::thread::sleep(PROMOTION_DURATION);
+        let delay = *self.promotion_delay.lock().unwrap();
+        std::thread::sleep(PROMOTION_DURATION + delay);
         {
             let mut instances = self.lock();
             let index = instances.iter().position(|instance| instance.id == id).unwrap();
@@ -628,7 +646,9 @@
                 return;
             }
             let term = 1 + instances.iter().map(|instance| instance.term).max().unwrap();
-            instances.iter_mut().for_each(|instance| instance.paused = false);
+            instances.iter_mut().for_each(|instance| instance.held_term = 0);
+            let held = instances[index].log.iter().map(|(.., data)| data.clone()).collect();
+            self.effects.lock().unwrap().push((Instant::now(), id.to_owned(), held));
             // The others follow it; those that are ahead are rolled back.
             instances[index].detached = false;
             (instances[index].primary, instances[index].term) = (true, term);
--- a/tests/lines/load.rs
+++ b/tests/lines/load.rs
@@ -1,10 +1,11 @@
 //! Sessions that write without a pause.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::{Caller, Group};
 
@@ -18,7 +19,8 @@
 /// it.
 #[derive(Debug)]
 pub struct Load {
-    acknowledged: Arc<Mutex<Vec<String>>>,
+    /// When each write was acknowledged, and its data.
+    acknowledged: Arc<Mutex<Vec<(Instant, String)>>>,
     ends: Arc<AtomicBool>,
     thread: JoinHandle<()>,
 }
@@ -38,7 +40,7 @@
                 let data = format!("{name}-{number}");
                 match session.query(&format!("PUT {ITEM} {data}")) {
                     Some(answer) if answer.result.starts_with("DONE") => {
-                        shared.lock().unwrap().push(data);
+                        shared.lock().unwrap().push((Instant::now(), data));
                     }
                     Some(_) => {}
                     None => session = Caller::connect(address, "desk", "me"),
@@ -56,6 +58,11 @@
 
     /// Stops to write, and returns the acknowledged writes.
     pub fn stop(self) -> Vec<String> {
+        self.stop_with_times().into_iter().map(|(_, data)| data).collect()
+    }
+
+    /// Stops to write, and returns the acknowledged writes, each with its time.
+    pub fn stop_with_times(self) -> Vec<(Instant, String)> {
         self.ends.store(true, Ordering::SeqCst);
         self.thread.join().unwrap();
         Arc::into_inner(self.acknowledged).unwrap().into_inner().unwrap()
@@ -91,6 +98,20 @@
         }
     }
 
+    /// Returns, for each promotion that took effect, the instance and how many of the writes that were acknowledged
+    /// before it did not hold.
+    pub fn lost_at_promotions(
+        group: &Group,
+        acknowledged: &[(Instant, String)],
+    ) -> Vec<(String, usize)> {
+        let missing = |(at, instance, held): (Instant, String, Vec<String>)| {
+            let held: BTreeSet<String> = held.into_iter().collect();
+            let before = acknowledged.iter().filter(|(acknowledged_at, _)| *acknowledged_at < at);
+            (instance, before.filter(|(_, data)| !held.contains(data)).count())
+        };
+        group.effects().into_iter().map(missing).collect()
+    }
+
     pub fn is_right(&self) -> bool {
         self.lost.is_empty() && self.doubled.is_empty() && self.falls == 0
     }
--- a/tests/machine/mod.rs
+++ b/tests/machine/mod.rs
@@ -41,6 +41,7 @@
         received: id::Position(received),
         durable: id::Position(0),
         start: id::Position(start),
+        paused: None,
     }
 }
 
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -117,6 +117,9 @@
     let status = LineCodec.decode_status("replica 3 3.1209 0 12 2 17").unwrap();
     assert_eq!((status.role, status.term), (Role::Replica, id::Term(3)));
     assert_eq!((status.received, status.start), (id::Position(1209), id::Position(0)));
+    assert_eq!(status.paused, None);
+    let paused = LineCodec.decode_status("replica 3 3.1209 4 12 2 17").unwrap();
+    assert_eq!(paused.paused, Some(id::Term(4)));
     let promoted = LineCodec.decode_status("primary 4 3.1209 0 0 0 3").unwrap();
     assert_eq!((promoted.term, promoted.start), (id::Term(4), id::Position(1209)));
     assert_eq!(LineCodec.decode_status("witness 3 3.1209 0 12 2 17"), Err(DecodeError::Field));
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -232,6 +232,7 @@
         received: id::Position(position),
         durable: id::Position(0),
         start: id::Position(0),
+        paused: None,
     };
     let replica = Replica {
         group: "ops-1".parse().unwrap(),
--- a/tests/upstream_status.rs
+++ b/tests/upstream_status.rs
@@ -14,6 +14,7 @@
         received: Position(position),
         durable: Position(durable),
         start: Position(100),
+        paused: None,
     }
 }
 
