--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -120,6 +120,8 @@
             signed: Mutex::default(),
             ledger: Ledger::default(),
             service: Service::default(),
+            promotion_delay: Mutex::default(),
+            effects: Mutex::default(),
         });
         let dir = tempfile::tempdir().unwrap();
         let proxies = proxies.to_vec();
@@ -139,7 +141,7 @@
                 running,
                 crashes: 0,
                 detached: false,
-                paused: false,
+                held_term: 0,
                 state,
                 sequence: 0,
                 unresponsive: false,
