Let the stand-in send every nth answer a second time, late

A server that repeats an answer shifts all later ones on its connection, since the PostgreSQL protocol has no ids. The fault `twice_every`, `twice_ms` does this, as the half-open fault does: for tests and drills.

--- a/bench/src/standin/fault.rs
+++ b/bench/src/standin/fault.rs
@@ -28,6 +28,10 @@
     pub lose_after_commit: u32,
     /// Connections that are open when the fault is set get no more answers; new ones work.
     pub half_open: bool,
+    /// Every n-th answer of each connection is sent a second time; 0 for none.
+    pub twice_every: u32,
+    /// How long after the first time an answer is sent the second time.
+    pub twice_ms: u64,
 }
 
 /// A line on the fault port.
@@ -75,6 +79,13 @@
         lose
     }
 
+    /// Returns how long after the n-th answer of a connection it is sent a second time, if it is.
+    pub fn second_answer(&self, n: u32) -> Option<Duration> {
+        let fault = self.fault.lock().unwrap();
+        let is_due = fault.twice_every > 0 && n.is_multiple_of(fault.twice_every);
+        is_due.then(|| Duration::from_millis(fault.twice_ms))
+    }
+
     /// Returns whether the connection with this process id is half-open.
     pub fn is_half_open(&self, process_id: i32) -> bool {
         process_id < self.first_live_process_id.load(Ordering::SeqCst)
--- a/bench/src/standin/server.rs
+++ b/bench/src/standin/server.rs
@@ -65,6 +65,8 @@
     process_id: i32,
     /// Whether the connection is to be closed without an answer.
     answer_lost: bool,
+    /// The number of answers that were sent.
+    answers: u32,
     /// The write statements of the open transaction, for the log.
     pub(super) pending_statements: Vec<String>,
     pub(super) status: TransactionStatus,
@@ -115,6 +117,7 @@
             domain,
             process_id,
             answer_lost: false,
+            answers: 0,
             pending_statements: Vec::new(),
             status: TransactionStatus::Idle,
             holds_writer: false,
@@ -173,6 +176,14 @@
             );
         }
         socket.write_all(&self.reply.buffer)?;
+        self.answers += 1;
+        if let Some(delay) = self.instance.faults.second_answer(self.answers) {
+            let (mut socket, answer) = (socket.try_clone()?, self.reply.buffer.clone());
+            std::thread::spawn(move || {
+                std::thread::sleep(delay);
+                let _ = socket.write_all(&answer);
+            });
+        }
         self.reply.buffer.clear();
         Ok(())
     }
--- a/bench/tests/standin.rs
+++ b/bench/tests/standin.rs
@@ -113,6 +113,29 @@
     answer.expect_err("a half-open connection gets no answer");
 }
 
+#[test]
+fn every_nth_answer_of_a_connection_comes_a_second_time() {
+    use std::io::{Read, Write};
+
+    let standin = Standin::spawn();
+    drop(standin.connect());
+    standin.set_faults("{\"twice_every\":2,\"twice_ms\":50}");
+    let mut socket = std::net::TcpStream::connect(("127.0.0.1", standin.port)).unwrap();
+    let startup = b"\0\0\0\x1e\0\x03\0\0user\0test\0database\0t\0\0";
+    socket.write_all(startup).unwrap();
+    for text in ["one", "two"] {
+        let query = format!("SELECT '{text}'\0");
+        let len = (query.len() as u32 + 4).to_be_bytes();
+        socket.write_all(&[b"Q", &len[..], query.as_bytes()].concat()).unwrap();
+    }
+    socket.set_read_timeout(Some(Duration::from_millis(500))).unwrap();
+    let mut received = Vec::new();
+    socket.read_to_end(&mut received).expect_err("the connection stays open");
+    // The text of a row follows its length.
+    let count = |row: &[u8]| received.windows(row.len()).filter(|bytes| *bytes == row).count();
+    assert_eq!((count(b"\0\0\0\x03one"), count(b"\0\0\0\x03two")), (1, 2));
+}
+
 impl Standin {
     fn set_faults(&self, line: &str) {
         use std::io::{BufRead, BufReader, Write};
