Tie the status that an instance answers to the query it was asked by

Cause: PostgreSQL's protocol has no ids. An instance that sends an answer twice shifts all later ones on its connection, so a probe took the status of an earlier query, and control the position of before a demotion, for a new one. The same status, asked for behind a write, is the proof that the write is durable.

The stand-in of that file answers the constant that a query selects, as a server does; its checks are unchanged.

Change: each status query and each order selects a nonce after its columns, and exactly one row that ends with it is its answer. Anything else closes the connection; a probe asks again on a new one. A once request rolls back, and looks its key up, with answers that are tied in the same way.

--- a/bench/src/standin/instance.rs
+++ b/bench/src/standin/instance.rs
@@ -187,11 +187,12 @@
 }
 
 /// Returns the columns of the status view.
-pub fn status_columns() -> Vec<Column> {
-    let names = ["role", "term", "position", "received", "durable", "start"];
+pub fn status_columns(has_nonce: bool) -> Vec<Column> {
+    let names = ["role", "term", "position", "received", "durable", "start", "nonce"];
+    let names = if has_nonce { &names[..] } else { &names[..6] };
     let column = |name: &str| Column {
         name: name.to_owned(),
-        type_oid: if name == "role" { TEXT } else { INT8 },
+        type_oid: if matches!(name, "role" | "nonce") { TEXT } else { INT8 },
     };
     names.iter().map(|name| column(name)).collect()
 }
--- a/bench/src/standin/server.rs
+++ b/bench/src/standin/server.rs
@@ -74,6 +74,8 @@
     holds_writer: bool,
     prepared_statements: HashMap<String, PreparedStatement>,
     portals: HashMap<String, Portal>,
+    /// The value of the setting `cactushatch.nonce`.
+    nonce: String,
     pub(super) reply: Reply,
 }
 
@@ -123,6 +125,7 @@
             holds_writer: false,
             prepared_statements: HashMap::new(),
             portals: HashMap::new(),
+            nonce: String::new(),
             reply,
         };
         let interrupt = session.database.get_interrupt_handle();
@@ -339,7 +342,7 @@
             Statement::Status
             | Statement::Promote(_)
             | Statement::Follow(..)
-            | Statement::Demote(_) => Ok(status_columns()),
+            | Statement::Demote(_) => Ok(status_columns(sql::nonce(text).is_some())),
             Statement::Plain(text) => {
                 let statement = self.database.prepare(&text).map_err(sqlite_error)?;
                 Ok(result_columns(&statement))
@@ -380,33 +383,47 @@
                 self.reply.command_complete("ROLLBACK");
             }
             Statement::Ignored(tag) => self.reply.command_complete(tag),
-            Statement::Status => self.reply_with_status(formats, with_description),
+            Statement::SetNonce(nonce) => {
+                self.nonce = nonce;
+                self.reply.command_complete("SET");
+            }
+            Statement::ShowNonce => {
+                let columns = [Column { name: "cactushatch.nonce".to_owned(), type_oid: TEXT }];
+                if with_description {
+                    self.reply.row_description(&columns, formats);
+                }
+                self.reply.data_row(&columns, &[Value::Text(self.nonce.clone())], formats);
+                self.reply.command_complete("SHOW");
+            }
+            Statement::Status => self.reply_with_status(text, formats, with_description),
             Statement::Promote(term) => {
                 self.instance.promote(term).map_err(|message| ("55000", message))?;
-                self.reply_with_status(formats, with_description);
+                self.reply_with_status(text, formats, with_description);
             }
             Statement::Follow(primary, term) => {
                 let result = self.instance.follow(primary, term);
                 result.map_err(|message| ("55000", message))?;
                 self.generation = self.instance.journal.log.lock().unwrap().generation;
-                self.reply_with_status(formats, with_description);
+                self.reply_with_status(text, formats, with_description);
             }
             Statement::Demote(term) => {
                 self.instance.demote(term).map_err(|message| ("55000", message))?;
-                self.reply_with_status(formats, with_description);
+                self.reply_with_status(text, formats, with_description);
             }
             Statement::Plain(text) => self.execute(&text, parameters, formats, with_description)?,
         }
         Ok(())
     }
 
-    fn reply_with_status(&mut self, formats: &[i16], with_description: bool) {
-        let columns = status_columns();
+    fn reply_with_status(&mut self, text: &str, formats: &[i16], with_description: bool) {
+        let nonce = sql::nonce(text);
+        let columns = status_columns(nonce.is_some());
         if with_description {
             self.reply.row_description(&columns, formats);
         }
         self.instance.counters.record_status();
-        let row = self.instance.status();
+        let mut row = self.instance.status();
+        row.extend(nonce.map(|nonce| Value::Text(nonce.to_owned())));
         self.reply.data_row(&columns, &row, formats);
         self.reply.command_complete("SELECT 1");
     }
--- a/bench/src/standin/sql.rs
+++ b/bench/src/standin/sql.rs
@@ -21,6 +21,10 @@
     Follow(std::net::SocketAddr, u64),
     /// `cactushatch_demote(TERM)`.
     Demote(u64),
+    /// `SET cactushatch.nonce = 'NONCE'`.
+    SetNonce(String),
+    /// `SHOW cactushatch.nonce`.
+    ShowNonce,
     /// Any other statement; SQLite runs it.
     Plain(String),
 }
@@ -61,6 +65,10 @@
         "BEGIN" | "START" => Statement::Begin { read_only: upper.contains("READ ONLY") },
         "COMMIT" | "END" => Statement::Commit,
         "ROLLBACK" | "ABORT" if !upper.contains(" TO ") => Statement::Rollback,
+        "SET" if upper.contains("CACTUSHATCH.NONCE") => {
+            Statement::SetNonce(bare.split('\'').nth(1).unwrap_or("").to_owned())
+        }
+        "SHOW" if upper.contains("CACTUSHATCH.NONCE") => Statement::ShowNonce,
         "SET" => Statement::Ignored("SET"),
         "RESET" => Statement::Ignored("RESET"),
         "DISCARD" => Statement::Ignored("DISCARD ALL"),
@@ -88,6 +96,12 @@
     types
 }
 
+/// Returns the constant that a query selects after the columns of the status, if any.
+pub fn nonce(text: &str) -> Option<&str> {
+    let (before, _) = text.split_once("' AS nonce")?;
+    Some(before.rsplit_once('\'')?.1)
+}
+
 /// Recognises queries of the status view and calls of the `cactushatch_` functions.
 fn parse_control_call(text: &str) -> Option<Statement> {
     if text.contains("cactushatch_status") {
--- a/src/pgsql/client.rs
+++ b/src/pgsql/client.rs
@@ -9,7 +9,7 @@
 use postgres_protocol::message::frontend;
 use smol::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 
-use super::{Error, Message, Socket, read_message};
+use super::{Error, Message, Nonce, Socket, read_message};
 use crate::clock::Clock;
 use crate::security::{File, UpstreamAuth};
 
@@ -24,6 +24,7 @@
     cancel_key: (i32, i32),
     /// The parameters that the server has reported, newest last.
     parameters: Vec<(String, String)>,
+    last_nonce: Nonce,
 }
 
 impl Client {
@@ -54,8 +55,12 @@
         let password = upstream.and_then(|upstream| upstream.password.as_ref());
         let password = password.map(File::get);
         let socket = Socket::connect(address, connector).await?;
-        let mut client =
-            Self { reader: BufReader::new(socket), cancel_key: (0, 0), parameters: Vec::new() };
+        let mut client = Self {
+            reader: BufReader::new(socket),
+            cancel_key: (0, 0),
+            parameters: Vec::new(),
+            last_nonce: Nonce(0),
+        };
         let mut out = BytesMut::new();
         frontend::startup_message(parameters.iter().copied(), &mut out)?;
         client.send(&out).await?;
@@ -124,6 +129,12 @@
         &self.parameters
     }
 
+    /// Returns a nonce for the next query on this connection.
+    pub fn next_nonce(&mut self) -> Nonce {
+        self.last_nonce = Nonce(self.last_nonce.0 + 1);
+        self.last_nonce
+    }
+
     /// Returns whether the server has neither sent anything since its last answer, such as an error before it shuts
     /// down, nor closed the connection.
     pub async fn is_idle(&mut self) -> bool {
@@ -174,6 +185,32 @@
         self.receive_rows().await
     }
 
+    /// Runs a simple query and returns its rows, as [`Client::query`] does, once it is certain that they are not those of
+    /// another one.
+    ///
+    /// # Errors
+    ///
+    /// Returns the same errors as [`Client::query`], and [`Error::OutOfStep`] if the answer is not that of the query.
+    pub async fn query_tied(
+        &mut self,
+        clock: &Clock,
+        sql: &str,
+        timeout: Duration,
+    ) -> Result<Vec<Row>, Error> {
+        let nonce = self.next_nonce();
+        let run = async {
+            let mut out = BytesMut::new();
+            frontend::query(sql, &mut out)?;
+            frontend::query(&nonce.echo_sql(), &mut out)?;
+            self.send(&out).await?;
+            let answer = self.receive_rows().await;
+            let echo = self.receive_rows().await;
+            nonce.check_echo(echo, matches!(answer, Err(Error::Server { .. })))?;
+            answer
+        };
+        clock.timeout(timeout, run).await.unwrap_or(Err(Error::Timeout(timeout)))
+    }
+
     /// Receives the rows of a simple query that has been sent already.
     ///
     /// # Errors
--- a/src/pgsql/mod.rs
+++ b/src/pgsql/mod.rs
@@ -3,10 +3,12 @@
 
 mod client;
 mod message;
+mod nonce;
 mod socket;
 
 pub use client::{Client, Row};
 pub use message::{Message, Startup, read_message, read_message_limited, read_startup};
+pub use nonce::Nonce;
 pub use socket::Socket;
 
 /// The maximum length in bytes of a message that is buffered completely. Longer messages are relayed in chunks or
@@ -38,6 +40,10 @@
     /// A message violates the protocol.
     #[error("protocol violation: {0}")]
     Protocol(&'static str),
+    /// An answer is not that of the statement that was sent: the server has sent another one before it, and all later
+    /// answers on the connection would be taken for those of other statements too.
+    #[error("an answer is not that of its statement")]
+    OutOfStep,
     /// The server refused a statement or the connection.
     #[error("{message} (SQLSTATE {code})")]
     Server {
@@ -61,6 +67,7 @@
             Self::TooLong { .. } => "too_long",
             Self::Denied { .. } => "denied",
             Self::Protocol(_) => "protocol",
+            Self::OutOfStep => "out_of_step",
             Self::Server { .. } => "server",
             Self::Timeout(_) => "timeout",
             Self::Io(_) => "io",
--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -17,7 +17,7 @@
 use crate::proxy::pool::PooledConnection;
 use crate::proxy::record::{self, Record};
 use crate::proxy::relay::{Completion, relay};
-use crate::upstream::status::{STATUS_QUERY, Status};
+use crate::upstream::status::{Statement, Status};
 
 /// The result of one attempt.
 enum Attempt {
@@ -304,15 +304,20 @@
         transaction.pooled.running = true;
         let client = &mut transaction.pooled.connection().client;
         if !self.shared.has_key_table(&self.group) {
-            client.query(&clock, record::CREATE_TABLE, time_left).await.map_err(connection_lost)?;
+            client
+                .query_tied(&clock, record::CREATE_TABLE, time_left)
+                .await
+                .map_err(connection_lost)?;
         }
         let inserted = client
-            .query(&clock, &record.insert_if_absent(), time_left)
+            .query_tied(&clock, &record.insert_if_absent(), time_left)
             .await
             .map_err(connection_lost)?;
         if inserted.is_empty() {
-            let rows =
-                client.query(&clock, &record.select(), time_left).await.map_err(connection_lost)?;
+            let rows = client
+                .query_tied(&clock, &record.select(), time_left)
+                .await
+                .map_err(connection_lost)?;
             transaction.pooled.running = false;
             let tag = recorded_tag(rows, &record)?.ok_or(Outcome::Aborted)?;
             self.transaction = Transaction::Open(transaction);
@@ -340,7 +345,7 @@
         let time_left = request.deadline.since(self.shared.clock.now());
         let OpenTransaction { pooled, .. } = &mut **transaction;
         let client = &mut pooled.connection().client;
-        client.query(&self.shared.clock, &record.update(tag), time_left).await.map(|_| ())
+        client.query_tied(&self.shared.clock, &record.update(tag), time_left).await.map(|_| ())
     }
 }
 
@@ -385,10 +390,7 @@
 impl PooledConnection {
     /// Rolls the open transaction back. Succeeds only if the database confirms the rollback.
     async fn roll_back(&mut self) -> Result<(), pgsql::Error> {
-        let mut out = BytesMut::new();
-        frontend::query("ROLLBACK", &mut out)?;
-        self.connection().client.send(&out).await?;
-        self.connection().client.receive_rows().await?;
+        self.run_with_status("ROLLBACK").await?;
         self.running = false;
         Ok(())
     }
@@ -397,12 +399,15 @@
     async fn run_with_status(&mut self, sql: &str) -> Result<Status, pgsql::Error> {
         let mut out = BytesMut::new();
         frontend::query(sql, &mut out)?;
-        frontend::query(STATUS_QUERY, &mut out)?;
         let client = &mut self.connection().client;
+        let nonce = client.next_nonce();
+        frontend::query(&Statement::query().sql(nonce), &mut out)?;
         client.send(&out).await?;
-        client.receive_rows().await?;
-        let row = client.receive_rows().await?.into_iter().next();
-        let row = row.ok_or(pgsql::Error::Protocol("no status row"))?;
-        Status::try_from(row).map_err(|_| pgsql::Error::Protocol("a malformed status row"))
+        let answer = client.receive_rows().await;
+        if !matches!(answer, Ok(_) | Err(pgsql::Error::Server { .. })) {
+            return Err(pgsql::Error::OutOfStep);
+        }
+        let status = Statement::decode(client.receive_rows().await?, nonce)?;
+        answer.map(|_| status)
     }
 }
--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -13,6 +13,7 @@
 use crate::clock::Instant;
 use crate::config::Durability;
 use crate::id;
+use crate::pgsql::{self, Nonce};
 use crate::proxy::classify::Kind;
 use crate::proxy::fence::Verdict;
 use crate::proxy::floor::Mark;
@@ -20,7 +21,7 @@
 use crate::proxy::pool::{self, PooledConnection};
 use crate::proxy::relay::{self, Completion, Exchange};
 use crate::proxy::server::Shared;
-use crate::upstream::status::{STATUS_QUERY, Status};
+use crate::upstream::status::{Statement, Status};
 use crate::wire::{Epoch, Phase};
 
 /// The SQLSTATE of a write on an instance that is not, or no longer, the primary.
@@ -192,8 +193,10 @@
         effect: Effect,
     ) -> Result<Option<(PooledConnection, Completion)>, RequestError> {
         let hold = exchange.hold_acknowledgement;
+        let nonce = pooled.connection().client.next_nonce();
         if hold {
-            frontend::query(STATUS_QUERY, &mut exchange.bytes).map_err(RequestError::Caller)?;
+            frontend::query(&Statement::query().sql(nonce), &mut exchange.bytes)
+                .map_err(RequestError::Caller)?;
         }
         let sent_at = self.shared.clock.now();
         let (shared, group) = (Arc::clone(&self.shared), self.group.clone());
@@ -215,12 +218,16 @@
             return Ok(Some((pooled, completion)));
         }
         pooled.running = true;
-        let status = receive_status(&mut pooled, effect);
+        let status = receive_status(&mut pooled, nonce);
         let Some(status) = unless_replaced(&shared, &group, term, hold, status).await else {
             pooled.recheck_idle();
             return Err(unknown_outcome(Reason::Failover));
         };
-        let status = status?;
+        let Ok(status) = status else {
+            pooled.recheck_idle();
+            self.writer.discard_unwritten();
+            return Err(connection_lost(effect));
+        };
         pooled.running = false;
         if completion.failed {
             self.writer.out.extend_from_slice(&completion.held);
@@ -329,10 +336,7 @@
 /// Receives the answer to a status query that was sent earlier.
 async fn receive_status(
     pooled: &mut PooledConnection,
-    effect: Effect,
-) -> Result<Status, RequestError> {
-    let rows =
-        pooled.connection().client.receive_rows().await.map_err(|_| connection_lost(effect))?;
-    let row = rows.into_iter().next().ok_or_else(|| connection_lost(effect))?;
-    Status::try_from(row).map_err(|_| connection_lost(effect))
+    nonce: Nonce,
+) -> Result<Status, pgsql::Error> {
+    Statement::decode(pooled.connection().client.receive_rows().await?, nonce)
 }
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -19,7 +19,7 @@
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{self, Client};
 use crate::security::UpstreamAuth;
-use crate::upstream::status::{STATUS_QUERY, Status};
+use crate::upstream::status::{Statement, Status};
 use crate::wire::Replica;
 
 /// How long opening a connection may take.
@@ -268,10 +268,9 @@
         clock: &Clock,
         timeout: Duration,
     ) -> Result<Status, pgsql::Error> {
-        let rows = self.client.query(clock, STATUS_QUERY, timeout).await?;
-        let row = rows.into_iter().next().ok_or(pgsql::Error::Protocol("no status row"))?;
-        let status = Status::try_from(row);
-        let status = status.map_err(|_| pgsql::Error::Protocol("a malformed status row"))?;
+        let nonce = self.client.next_nonce();
+        let rows = self.client.query(clock, &Statement::query().sql(nonce), timeout).await?;
+        let status = Statement::decode(rows, nonce)?;
         self.last_reported = Some(Mark { term: status.term, position: status.position });
         Ok(status)
     }
--- a/src/upstream/probe.rs
+++ b/src/upstream/probe.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::status::{STATUS_QUERY, Status, health};
+use super::status::{Statement, Status, health};
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{Client, Error};
 use crate::security::UpstreamAuth;
@@ -61,7 +61,7 @@
     pub async fn status(&mut self) -> Result<Response, Health> {
         let result = match self.client.take() {
             Some(client) => self.query_hedged(client).await,
-            None => self.query_new(STATUS_QUERY, PROBE_TIMEOUT).await,
+            None => self.query_new(&Statement::query(), PROBE_TIMEOUT).await,
         };
         let (client, response) = result.map_err(|error| health(&error))?;
         self.client = Some(client);
@@ -74,15 +74,15 @@
     /// # Errors
     ///
     /// Returns an error if the instance refuses the statement or does not answer in time.
-    pub async fn execute(&mut self, sql: &str) -> Result<Status, Error> {
+    pub async fn execute(&mut self, statement: &Statement) -> Result<Status, Error> {
         let answer = match self.client.take() {
-            Some(client) => match self.query(client, sql, STATEMENT_TIMEOUT).await {
-                Err(Error::Io(_) | Error::Protocol(_)) => {
-                    self.query_new(sql, STATEMENT_TIMEOUT).await
+            Some(client) => match self.query(client, statement, STATEMENT_TIMEOUT).await {
+                Err(Error::Io(_) | Error::Protocol(_) | Error::OutOfStep) => {
+                    self.query_new(statement, STATEMENT_TIMEOUT).await
                 }
                 answer => answer,
             },
-            None => self.query_new(sql, STATEMENT_TIMEOUT).await,
+            None => self.query_new(statement, STATEMENT_TIMEOUT).await,
         };
         let (client, response) = answer?;
         self.client = Some(client);
@@ -91,23 +91,28 @@
 
     /// Queries over the open connection, and after [`HEDGE_DELAY`] over a new one too. Returns the first answer.
     async fn query_hedged(&self, client: Client) -> Result<(Client, Response), Error> {
+        let statement = Statement::query();
         let hedge = async {
             self.clock.sleep(HEDGE_DELAY).await;
-            match self.query_new(STATUS_QUERY, PROBE_TIMEOUT - HEDGE_DELAY).await {
+            match self.query_new(&statement, PROBE_TIMEOUT - HEDGE_DELAY).await {
                 Ok(result) => Ok(result),
                 // The open connection may still answer.
                 Err(_) => std::future::pending().await,
             }
         };
-        match smol::future::or(self.query(client, STATUS_QUERY, PROBE_TIMEOUT), hedge).await {
-            Err(Error::Io(_) | Error::Protocol(_)) => {
-                self.query_new(STATUS_QUERY, PROBE_TIMEOUT).await
+        match smol::future::or(self.query(client, &statement, PROBE_TIMEOUT), hedge).await {
+            Err(Error::Io(_) | Error::Protocol(_) | Error::OutOfStep) => {
+                self.query_new(&statement, PROBE_TIMEOUT).await
             }
             answer => answer,
         }
     }
 
-    async fn query_new(&self, sql: &str, timeout: Duration) -> Result<(Client, Response), Error> {
+    async fn query_new(
+        &self,
+        statement: &Statement,
+        timeout: Duration,
+    ) -> Result<(Client, Response), Error> {
         let started = self.clock.now();
         let parameters = [
             ("user", self.user.as_str()),
@@ -118,21 +123,20 @@
         let upstream = Some(&self.upstream);
         let client = Client::connect(&self.clock, address, &parameters, upstream, timeout).await?;
         let remaining = timeout.saturating_sub(self.clock.now().since(started));
-        let (client, response) = self.query(client, sql, remaining).await?;
+        let (client, response) = self.query(client, statement, remaining).await?;
         Ok((client, Response { reconnected: true, ..response }))
     }
 
     async fn query(
         &self,
         mut client: Client,
-        sql: &str,
+        statement: &Statement,
         timeout: Duration,
     ) -> Result<(Client, Response), Error> {
         let requested_at = self.clock.now();
-        let rows = client.query(&self.clock, sql, timeout).await?;
-        let row = rows.into_iter().next().ok_or(Error::Protocol("no status row"))?;
-        let status =
-            Status::try_from(row).map_err(|_| Error::Protocol("a malformed status row"))?;
+        let nonce = client.next_nonce();
+        let rows = client.query(&self.clock, &statement.sql(nonce), timeout).await?;
+        let status = Statement::decode(rows, nonce)?;
         Ok((client, Response { requested_at, status, reconnected: false }))
     }
 }
--- a/src/upstream/status.rs
+++ b/src/upstream/status.rs
@@ -4,12 +4,44 @@
 
 use crate::config::Durability;
 use crate::id;
-use crate::pgsql;
+use crate::pgsql::{self, Nonce};
 use crate::wire::{Health, Role};
 
-/// The query for an instance's status. It returns one row: role, term, position, received, durable, start.
-pub const STATUS_QUERY: &str =
-    "SELECT role, term, position, received, durable, start FROM cactushatch_status";
+/// The columns of a status row, without the nonce that follows them.
+const COLUMNS: &str = "role, term, position, received, durable, start";
+
+/// A statement whose answer is the status of the instance, in one row.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Statement {
+    /// The view or the function call that returns the row.
+    source: String,
+}
+
+impl Statement {
+    /// Returns the statement that only queries the status.
+    pub fn query() -> Self {
+        Self { source: "cactushatch_status".to_owned() }
+    }
+
+    /// Returns the SQL of the statement. Its row ends with `nonce`, which shows that the answer is that of this statement:
+    /// a status of an earlier one would be older than it seems.
+    pub fn sql(&self, nonce: Nonce) -> String {
+        format!("SELECT {COLUMNS}, '{nonce}' AS nonce FROM {}", self.source)
+    }
+
+    /// Decodes the answer to a statement that carried `nonce`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the answer is that of another statement or is not a status.
+    pub fn decode(rows: Vec<pgsql::Row>, nonce: Nonce) -> Result<Status, pgsql::Error> {
+        let [mut row] = <[pgsql::Row; 1]>::try_from(rows).map_err(|_| pgsql::Error::OutOfStep)?;
+        if row.pop().flatten() != Some(nonce.to_string()) {
+            return Err(pgsql::Error::OutOfStep);
+        }
+        Status::try_from(row).map_err(|_| pgsql::Error::Protocol("a malformed status row"))
+    }
+}
 
 /// The greatest term that an instance can be on. Each promotion adds one to it, so no instance gets near, and the next
 /// term always exists.
@@ -98,24 +130,20 @@
     }
 }
 
-/// Returns the SQL statement that promotes an instance to primary of `term`. It returns the new status row, and
+/// Returns the statement that promotes an instance to primary of `term`. It returns the new status row, and
 /// fails if the instance is already at that term or a later one.
-pub fn promote_sql(term: id::Term) -> String {
-    format!(
-        "SELECT role, term, position, received, durable, start FROM cactushatch_promote({term})"
-    )
+pub fn promote_sql(term: id::Term) -> Statement {
+    Statement { source: format!("cactushatch_promote({term})") }
 }
 
-/// Returns the SQL statement that makes an instance a replica of the primary at `primary` under `term`. The
+/// Returns the statement that makes an instance a replica of the primary at `primary` under `term`. The
 /// instance discards its history beyond the fork point.
-pub fn follow_sql(primary: std::net::SocketAddr, term: id::Term) -> String {
-    format!(
-        "SELECT role, term, position, received, durable, start FROM cactushatch_follow('{primary}', {term})"
-    )
+pub fn follow_sql(primary: std::net::SocketAddr, term: id::Term) -> Statement {
+    Statement { source: format!("cactushatch_follow('{primary}', {term})") }
 }
 
-/// Returns the SQL statement that makes a primary refuse writes for a planned switchover. The primary finishes
+/// Returns the statement that makes a primary refuse writes for a planned switchover. The primary finishes
 /// pending commits and returns its final status row.
-pub fn demote_sql(term: id::Term) -> String {
-    format!("SELECT role, term, position, received, durable, start FROM cactushatch_demote({term})")
+pub fn demote_sql(term: id::Term) -> Statement {
+    Statement { source: format!("cactushatch_demote({term})") }
 }
--- a/tests/failover_probe.rs
+++ b/tests/failover_probe.rs
@@ -4,10 +4,14 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use cactushatch::clock::Clock;
+use cactushatch::id::{Position, Term};
 use cactushatch::upstream::probe::{HEDGE_DELAY, PROBE_TIMEOUT, Probe};
+use cactushatch::upstream::status::demote_sql;
 use cactushatch::wire::Health;
 
 /// The behaviour of an instance on a connection.
@@ -17,6 +21,8 @@
     /// Answers only the first query.
     AnswersOnce,
     AnswersLate(Duration),
+    /// Answers the first query twice, the second time together with the answer to the second query.
+    AnswersTwice,
     AnswersWithErrors,
 }
 
@@ -24,25 +30,30 @@
 fn start_instance(behaviors: &'static [Behavior]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
+    let position = Arc::new(AtomicU64::new(5));
     std::thread::spawn(move || {
         for (number, socket) in listener.incoming().enumerate() {
             let behavior = behaviors[number.min(behaviors.len() - 1)];
-            std::thread::spawn(move || serve(socket.unwrap(), behavior));
+            let position = Arc::clone(&position);
+            std::thread::spawn(move || serve(socket.unwrap(), behavior, &position));
         }
     });
     address
 }
 
-fn serve(mut socket: TcpStream, behavior: Behavior) -> std::io::Result<()> {
+fn serve(mut socket: TcpStream, behavior: Behavior, position: &AtomicU64) -> std::io::Result<()> {
     let mut length = [0; 4];
     socket.read_exact(&mut length)?;
     socket.read_exact(&mut vec![0; u32::from_be_bytes(length) as usize - 4])?;
     socket.write_all(&[message(b'R', &[0; 4]), message(b'Z', b"I")].concat())?;
+    let mut previous = Vec::new();
     for query in 0.. {
         let mut header = [0; 5];
         socket.read_exact(&mut header)?;
         let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
-        socket.read_exact(&mut vec![0; length as usize - 4])?;
+        let mut text = vec![0; length as usize - 4];
+        socket.read_exact(&mut text)?;
+        let text = String::from_utf8(text).unwrap();
         match behavior {
             Behavior::AnswersOnce if query > 0 => std::thread::sleep(Duration::from_secs(60)),
             Behavior::AnswersLate(delay) => std::thread::sleep(delay),
@@ -50,16 +61,27 @@
         }
         let answer = match behavior {
             Behavior::AnswersWithErrors => message(b'E', b"SERROR\0C53300\0Mfull\0\0"),
-            _ => [message(b'D', &status_row_body()), message(b'C', b"SELECT 1\0")].concat(),
+            _ => {
+                let row = status_row_body(&text, position.fetch_add(1, Ordering::SeqCst));
+                [message(b'D', &row), message(b'C', b"SELECT 1\0")].concat()
+            }
         };
+        if matches!(behavior, Behavior::AnswersTwice) && query == 1 {
+            socket.write_all(&previous)?;
+        }
+        previous = [&answer[..], &message(b'Z', b"I")].concat();
         socket.write_all(&[answer, message(b'Z', b"I")].concat())?;
     }
     Ok(())
 }
 
-fn status_row_body() -> Vec<u8> {
-    let mut body = 6_u16.to_be_bytes().to_vec();
-    for column in ["primary", "1", "5", "5", "5", "0"] {
+/// Returns a row of the status at `position`, followed by the constant that the query selects, if any.
+fn status_row_body(query: &str, position: u64) -> Vec<u8> {
+    let position = position.to_string();
+    let mut columns = vec!["primary", "1", &position, &position, &position, "0"];
+    columns.extend(query.split('\'').nth(1));
+    let mut body = (columns.len() as u16).to_be_bytes().to_vec();
+    for column in columns {
         body.extend((column.len() as u32).to_be_bytes());
         body.extend(column.as_bytes());
     }
@@ -114,6 +136,20 @@
     assert!(start.elapsed() >= PROBE_TIMEOUT);
 }
 
+/// A position that was read before a demotion would be taken for the one at which the primary stopped.
+#[test]
+fn second_answer_is_not_taken_for_a_later_status() {
+    let mut probe = probe(start_instance(&[Behavior::AnswersTwice, Behavior::Answers]));
+    smol::block_on(async {
+        let first = probe.status().await.unwrap();
+        assert_eq!(first.status.position, Position(5));
+        let demoted = probe.execute(&demote_sql(Term(1))).await;
+        let demoted = demoted.expect("the order is repeated on a new connection");
+        assert!(demoted.position > Position(5), "a status of before the order: {demoted:?}");
+        assert!(probe.status().await.unwrap().status.position > demoted.position);
+    });
+}
+
 #[test]
 fn errors_are_faulty_and_a_closed_port_is_refused() {
     let mut overloaded = probe(start_instance(&[Behavior::AnswersWithErrors]));
