Tie each answer of an instance to its statement before it is passed on

What callers saw: where an instance that speaks PostgreSQL's protocol sends an answer twice, callers got the rows of statements of others, in transactions the acknowledgements of other statements.

Cause: nothing ties an answer to its statement. A pooled connection was checked for left-over input before its use only, so a second answer that came once the next statement had been sent was its answer, and all later ones were shifted.

Change: behind what no status query follows, an echo of a nonce is sent in the same packet.

What the echo costs an instance was not measured.

--- a/src/proxy/batch.rs
+++ b/src/proxy/batch.rs
@@ -60,6 +60,22 @@
         self.messages.iter().map(|message| message.body.len()).sum()
     }
 
+    /// Returns whether a portal may be executed further after the batch: one that was not executed, or only up to a
+    /// number of rows.
+    fn leaves_portal(&self) -> bool {
+        let mut bound = 0_usize;
+        for message in &self.messages {
+            match message.tag {
+                b'B' => bound += 1,
+                // The message ends with the maximum number of rows.
+                b'E' if message.body.ends_with(&[0; 4]) => bound = bound.saturating_sub(1),
+                b'E' => return true,
+                _ => {}
+            }
+        }
+        bound > 0
+    }
+
     /// Returns the text of the first statement that the batch prepares, if any.
     pub(super) fn statement_text(&self) -> Option<Vec<u8>> {
         let parse = self.messages.iter().find(|message| message.tag == b'P')?;
@@ -197,7 +213,8 @@
         }
         builder.send(&Message { tag: b'S', body: Bytes::new() }, Step::Ready);
         let ExchangeBuilder { bytes, steps, .. } = builder;
-        Ok(Exchange { bytes, steps, ..Exchange::default() })
+        let leaves_portal = batch.leaves_portal();
+        Ok(Exchange { bytes, steps, leaves_portal, ..Exchange::default() })
     }
 
     /// Removes all statements.
--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use pgwire::messages::response::TransactionStatus;
+use postgres_protocol::message::frontend;
 use smol::io::{AsyncBufReadExt, BufReader};
 
 use local::write_complete;
@@ -448,10 +449,24 @@
         }
         pooled.running = true;
         let connection = pooled.connection();
-        let result = match connection.client.send(&exchange.bytes).await {
+        // The status query that follows a held statement ties its answer too.
+        let echo = !exchange.hold_acknowledgement && !exchange.leaves_portal;
+        let nonce = echo.then(|| connection.client.next_nonce());
+        if let Some(nonce) = nonce {
+            frontend::query(&nonce.echo_sql(), &mut exchange.bytes)
+                .map_err(relay::Error::Caller)?;
+        }
+        let mut result = match connection.client.send(&exchange.bytes).await {
             Ok(()) => relay(&self.shared.clock, connection, exchange, &mut self.writer).await,
             Err(error) => Err(relay::Error::Upstream { error, relayed: false }),
         };
+        if let (Some(nonce), Ok(completion)) = (nonce, &result) {
+            let answer = connection.client.receive_rows().await;
+            if let Err(error) = nonce.check_echo(answer, completion.status == b'E') {
+                let relayed = !self.writer.discard_unwritten();
+                result = Err(relay::Error::Upstream { error, relayed });
+            }
+        }
         let cancelled = self.cancel_entry.finish();
         if result.is_ok() {
             pooled.running = false;
--- a/src/proxy/relay.rs
+++ b/src/proxy/relay.rs
@@ -54,6 +54,8 @@
     pub(super) hold_all: bool,
     /// The timeout for the first message of the answer.
     pub(super) first_message_timeout: Option<Duration>,
+    /// Whether an unnamed portal may be used by a later exchange. A simple query in between would close it.
+    pub(super) leaves_portal: bool,
 }
 
 /// The result of an exchange that was relayed up to its end.
