Don't take a success that comes before its request for the answer to it

Cause: the body of a guarded request, such as the promotion of an instance by the outside service, leaves only once a majority has confirmed the leader. A status 200 that came before that counted as the answer, so the promotion counted as accepted although it had not been sent, and was not sent any more.

Change: such a success is an error, the connection is reset, and the promotion counts as unanswered, for which the next one is due. An error status that comes early is taken as before, since a server may refuse a request by its head.

--- a/src/admin/guarded.rs
+++ b/src/admin/guarded.rs
@@ -7,6 +7,8 @@
 use std::error::Error as _;
 use std::net::SocketAddr;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -31,7 +33,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the server can't be reached or answers with an error status, or if the guard withholds the body.
+    /// Fails if the server can't be reached or answers with an error status, if the guard withholds the body, or if the
+    /// server reports success before the body has left.
     pub async fn send_guarded(
         &self,
         address: SocketAddr,
@@ -42,14 +45,25 @@
     ) -> Result<Bytes, Error> {
         let (method, path, headers) = request;
         let length = body.len();
-        let chunk = stream::once_future(async move { guard.await.map(|()| Frame::data(body)) });
+        let has_left = Arc::new(AtomicBool::new(false));
+        let chunk = stream::once_future({
+            let has_left = Arc::clone(&has_left);
+            async move {
+                guard.await?;
+                has_left.store(true, Ordering::SeqCst);
+                Ok::<_, Withheld>(Frame::data(body))
+            }
+        });
         let request = self
             .request(address, method, path, headers)
             .header(CONTENT_LENGTH, length)
             .body(StreamBody::new(chunk))?;
         let connection = TcpStream::connect(address).await.map_err(Error::Connect)?;
         socket::withdraw_on_close(&connection, validity).map_err(Error::Connect)?;
-        let response = exchange(connection.clone(), request).await;
+        let mut response = exchange(connection.clone(), request).await;
+        if response.is_ok() && !has_left.load(Ordering::SeqCst) {
+            response = Err(Error::Premature);
+        }
         if response.is_ok()
             && let Err(error) = socket::deliver_on_close(&connection)
         {
--- a/src/admin/mod.rs
+++ b/src/admin/mod.rs
@@ -32,6 +32,10 @@
     /// The guard of the request withheld its body.
     #[error("{0}")]
     Withheld(#[from] Withheld),
+    /// The server reported the success of a request whose body was not sent yet, so that its answer is not that of the
+    /// request.
+    #[error("the answer came before the request was sent")]
+    Premature,
     /// A body could not be encoded as JSON or decoded from it.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
--- a/tests/guarded_request.rs
+++ b/tests/guarded_request.rs
@@ -130,3 +130,19 @@
     let (_, reset) = read_to_end(&mut socket);
     assert!(reset, "the connection was closed, so that the kernel keeps sending");
 }
+
+/// What such an answer belongs to isn't known; a promotion that never left would count as accepted.
+#[test]
+fn success_that_arrives_before_the_body_has_left_is_not_taken_for_the_answer() {
+    for status in ["200 OK", "204 No Content"] {
+        let (listener, address) = listen();
+        let answer = send(address, Box::pin(std::future::pending()));
+        let mut socket = accept(&listener);
+        read_head(&mut socket);
+        let early = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\n\r\n");
+        socket.write_all(early.as_bytes()).unwrap();
+        smol::block_on(answer).unwrap_err();
+        let (bytes, _) = read_to_end(&mut socket);
+        assert!(bytes.is_empty(), "the body left after the request had failed");
+    }
+}
