Sign each run of a statement anew in the stand-in, and let its instances answer twice

Real instances sign each run of a statement; the stand-in gave one signature for each instance, so no test could see that an answer belonged to another statement. Its instances can now send an answer a second time, later, whole or in part, and refuse statements now and then. The comparison in tests/serving_process.rs is on the prefix that names the instance, which is what it compared before.

--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,41 @@
     pub(super) accounts: Vec<String>,
 }
 
+/// Which commands the instances answer a second time, and how.
+#[derive(Debug, Clone)]
+pub struct SecondAnswers {
+    /// The first words of these commands, `CONNECT` among them. Empty for all commands.
+    pub commands: &'static [&'static str],
+    /// One in this many of these commands is answered twice.
+    pub one_in: u64,
+    /// Time between both answers: at least the first, less than the second.
+    pub delay: (Duration, Duration),
+    pub extent: Extent,
+    /// One in this many statements is refused with `BUSY` without being run; 0 for none.
+    pub busy_one_in: u64,
+}
+
+/// How much of an answer is sent a second time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Extent {
+    Whole,
+    /// At most this many lines, and never the last one.
+    FirstLines(usize),
+    /// The first half of the first line.
+    HalfLine,
+    /// One of the others, in turn.
+    Any,
+}
+
+/// The second answers of a group, and how many commands it has seen that may get one.
+#[derive(Debug, Default)]
+pub(super) struct Seconds {
+    answers: Option<SecondAnswers>,
+    commands: u64,
+    statements: u64,
+    sent: u64,
+}
+
 /// A group of instances, and the service that promotes them.
 pub struct Group {
     pub(super) instances: Mutex<Vec<Instance>>,
@@ -49,6 +85,11 @@
     pub(super) synchronous: bool,
     /// Promotion requests, oldest first: the instance, the holder and the token.
     pub promotions: Mutex<Vec<(String, String, u64)>>,
+    pub(super) seconds: Mutex<Seconds>,
+    /// Number of signatures given. Each run of a statement has its own.
+    pub(super) signatures: AtomicU64,
+    /// Which statement each signature was given for.
+    pub(super) signed: Mutex<BTreeMap<String, String>>,
 }
 
 impl Group {
@@ -56,6 +97,42 @@
         self.instances.lock().unwrap()
     }
 
+    /// Makes the instances answer some commands twice, or none.
+    pub fn answer_twice(&self, answers: Option<SecondAnswers>) {
+        *self.seconds.lock().unwrap() = Seconds { answers, ..Seconds::default() };
+    }
+
+    /// Returns the number of second answers since [`Self::answer_twice`].
+    pub fn second_answers(&self) -> u64 {
+        self.seconds.lock().unwrap().sent
+    }
+
+    /// Returns the statement that was run for a signature.
+    pub fn signed_statement(&self, signature: &str) -> Option<String> {
+        self.signed.lock().unwrap().get(signature).cloned()
+    }
+
+    /// Sends an answer, and some answers a second time later on.
+    fn answer(
+        &self,
+        socket: &Arc<Mutex<TcpStream>>,
+        word: &str,
+        answer: &str,
+    ) -> std::io::Result<()> {
+        socket.lock().unwrap().write_all(answer.as_bytes())?;
+        let Some((delay, second)) = self.seconds.lock().unwrap().next(word, answer) else {
+            return Ok(());
+        };
+        // The connection may end meanwhile.
+        let socket = Arc::downgrade(socket);
+        std::thread::spawn(move || {
+            std::thread::sleep(delay);
+            let socket = socket.upgrade()?;
+            socket.lock().unwrap().write_all(second.as_bytes()).ok()
+        });
+        Ok(())
+    }
+
     /// Stops an instance as a crash does.
     pub fn crash(&self, id: &str) {
         let mut instances = self.lock();
@@ -189,6 +266,44 @@
     }
 }
 
+impl Seconds {
+    /// Returns the delay and the text of the second answer, if there is to be one.
+    fn next(&mut self, word: &str, answer: &str) -> Option<(Duration, String)> {
+        let answers = self.answers.clone()?;
+        if !answers.commands.is_empty() && !answers.commands.contains(&word) {
+            return None;
+        }
+        self.commands += 1;
+        if !self.commands.is_multiple_of(answers.one_in) {
+            return None;
+        }
+        self.sent += 1;
+        let (least, most) = answers.delay;
+        // Steps of a fixed share of the range reach all parts of it.
+        let share = (self.sent * 619 % 1_000) as u32;
+        let delay = least + (most.saturating_sub(least)) * share / 1_000;
+        let extents = [Extent::Whole, Extent::FirstLines(1), Extent::HalfLine];
+        let extent = match answers.extent {
+            Extent::Any => extents[self.sent as usize % extents.len()],
+            extent => extent,
+        };
+        let lines: Vec<&str> = answer.split_inclusive("\r\n").collect();
+        let second = match extent {
+            Extent::FirstLines(count) => lines[..count.min(lines.len() - 1)].concat(),
+            Extent::HalfLine => lines[0][..lines[0].len() / 2].to_owned(),
+            Extent::Whole | Extent::Any => answer.to_owned(),
+        };
+        Some((delay, second))
+    }
+
+    /// Returns whether the next statement is to be refused with `BUSY`.
+    fn is_next_busy(&mut self) -> bool {
+        let one_in = self.answers.as_ref().map_or(0, |answers| answers.busy_one_in);
+        self.statements += 1;
+        one_in > 0 && self.statements.is_multiple_of(one_in)
+    }
+}
+
 fn last_position(log: &[(u64, String, String)]) -> String {
     log.last().map_or_else(|| "1.0".to_owned(), |(term, ..)| format!("{term}.{}", log.len()))
 }
@@ -265,7 +380,10 @@
         let record = |instances: &mut Vec<Instance>, values: &BTreeMap<String, String>| {
             instances[index].executed.push((text.to_owned(), values.clone()));
             instances[index].accounts.push(account.clone());
-            Ok(format!("signature-{}", instances[index].id))
+            let number = self.signatures.fetch_add(1, Ordering::SeqCst);
+            let signature = format!("signature-{}-{number}", instances[index].id);
+            self.signed.lock().unwrap().insert(signature.clone(), text.to_owned());
+            Ok(signature)
         };
         match words.as_slice() {
             ["STATUS"] | ["DEMOTE", _] | ["PAUSE", _] | ["RESUME"] => {
@@ -383,7 +501,7 @@
     fn serve_connection(self: Arc<Self>, index: usize, socket: TcpStream) -> std::io::Result<()> {
         socket.set_nodelay(true)?;
         let mut lines = BufReader::new(socket.try_clone()?);
-        let mut socket = socket;
+        let socket = Arc::new(Mutex::new(socket));
         let mut session = Session::default();
         let mut line = String::new();
         let crashes = self.lock()[index].crashes;
@@ -400,9 +518,11 @@
                 session.account = rest.split(' ').nth(1).unwrap_or_default().to_owned();
                 let instances = self.lock();
                 if expected.is_some_and(|id| id != instances[index].id) {
-                    return socket.write_all(b"ERR MISROUTED another one\r\n");
+                    return socket.lock().unwrap().write_all(b"ERR MISROUTED another one\r\n");
                 }
-                write!(socket, "READY I {}\r\n", last_position(&instances[index].log))?;
+                let ready = format!("READY I {}\r\n", last_position(&instances[index].log));
+                drop(instances);
+                self.answer(&socket, "CONNECT", &ready)?;
                 continue;
             }
             let Some((_, statement)) = text.strip_prefix("QUERY ").and_then(|q| q.split_once(' '))
@@ -412,7 +532,14 @@
             if self.lock()[index].unresponsive {
                 continue;
             }
-            let (rows, result) = self.execute(index, &mut session, statement);
+            let word = statement.split(' ').find(|word| *word != "AFTER" && !word.contains('.'));
+            let word = word.unwrap_or_default().to_owned();
+            let is_data = matches!(word.as_str(), "FETCH" | "PUT" | "EXEC" | "BEGIN" | "COMMIT");
+            let (rows, result) = if is_data && self.seconds.lock().unwrap().is_next_busy() {
+                (vec![], Err("BUSY".to_owned()))
+            } else {
+                self.execute(index, &mut session, statement)
+            };
             let committed = session.committed.take().filter(|_| self.synchronous);
             if committed.is_some_and(|len| !self.wait_for_replica(index, len)) {
                 return Ok(());
@@ -424,7 +551,7 @@
             };
             let state = if session.transaction.is_some() { "T" } else { "I" };
             let position = last_position(&self.lock()[index].log);
-            write!(socket, "{rows}{result}READY {state} {position}\r\n")?;
+            self.answer(&socket, &word, &format!("{rows}{result}READY {state} {position}\r\n"))?;
         }
         Ok(())
     }
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -18,6 +18,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -27,7 +28,10 @@
 use path::Path;
 use peers::{Peers, Route};
 #[allow(unused_imports, reason = "each test file uses only some of these items")]
-pub use {group::Group, http::send as send_http};
+pub use {
+    group::{Extent, Group, SecondAnswers},
+    http::send as send_http,
+};
 
 /// Time between the answer to a promotion request and the new primary.
 const PROMOTION_DURATION: Duration = Duration::from_millis(300);
@@ -105,6 +109,9 @@
             max_connections,
             synchronous: behind_paths,
             promotions: Mutex::default(),
+            seconds: Mutex::default(),
+            signatures: AtomicU64::default(),
+            signed: Mutex::default(),
         });
         let dir = tempfile::tempdir().unwrap();
         let proxies = proxies.to_vec();
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -81,7 +81,8 @@
     };
     assert_eq!(answer.rows, ["value"], "{}", fleet.logs());
     // The position may come with the lease, before the proxy has tried to connect to the primary.
-    assert_ne!(answer.result, format!("DONE signature-{primary}"), "{}", fleet.logs());
+    let signed_by_primary = answer.result.starts_with(&format!("DONE signature-{primary}-"));
+    assert!(!signed_by_primary, "{answer:?}\n{}", fleet.logs());
 }
 
 #[test]
