Prove that each answer of an instance belongs to its command

Callers got signatures and rows of other statements, acknowledged writes that were never kept, and writes that took effect twice. Nothing tied an answer to its command, so that an answer sent a second time shifted all later ones on its connection, over sessions.

A signature that was received before, or none where one is due, shows an answer to another command: it is discarded and the awaited one is waited for. A refusal, the answer to BEGIN or RESET and a status row that look like earlier ones on the connection are proved by a command that follows them (a fence). What arrives while nothing is awaited is found by a look at the input before a connection is taken and before a statement. Rows that begin with those of another answer, and joined messages, end the attempt. A connection that showed a second answer is closed after its statement; its instance counts as alive and isn't excluded. The event out_of_step and a counter by evidence show all of it.

--- a/src/broker/checkout.rs
+++ b/src/broker/checkout.rs
@@ -34,9 +34,11 @@
             return Err((Seat::default(), Opening::New));
         };
         let suitable = |connection: &SharedConnection| connection.setup.has_values(values);
-        if let Some(connection) = entry.idle.pop(now, account, suitable) {
-            self.metrics.record_reused_connection();
-            return Ok(connection);
+        while let Some(mut connection) = entry.idle.pop(now, account, suitable) {
+            if connection.upstream.is_quiet(&self.clock) {
+                self.metrics.record_reused_connection();
+                return Ok(connection);
+            }
         }
         let Some(group) = groups.get(&entry.replica.group) else {
             return Err((Seat::default(), Opening::New));
@@ -63,8 +65,13 @@
         let no_values = BTreeMap::new();
         let mut state = self.lock();
         let entry = state.instances.get_mut(instance).ok_or_else(Seat::default)?;
-        let idle = entry.idle.pop_any(|connection| connection.setup.has_values(&no_values));
-        idle.ok_or_else(|| entry.seats.take())
+        let suitable = |connection: &SharedConnection| connection.setup.has_values(&no_values);
+        while let Some(mut connection) = entry.idle.pop_any(suitable) {
+            if connection.upstream.is_quiet(&self.clock) {
+                return Ok(connection);
+            }
+        }
+        Err(entry.seats.take())
     }
 
     /// Returns the instances of a group with an idle connection of an account.
@@ -104,7 +111,7 @@
         let deadline = limit.min(started + CONNECT_TIMEOUT);
         let opened =
             Connection::connect(&self.clock, self.codec, &replica, account, deadline).await;
-        let (upstream, position) = match opened {
+        let (mut upstream, position) = match opened {
             Ok(opened) => opened,
             Err(error) => {
                 match error.health() {
@@ -116,6 +123,7 @@
                 return Err(error);
             }
         };
+        upstream.count_in(self.metrics.out_of_step());
         self.record_answer(instance, position);
         let is_same_term = term.is_some() && term == self.primary_term(&replica.group, instance);
         if let Some(mark) = position.filter(|_| is_same_term) {
@@ -131,6 +139,9 @@
 
     /// Returns a connection that is fit for the next session to the pool.
     pub(super) fn return_connection(&self, instance: &id::Instance, connection: SharedConnection) {
+        if !connection.upstream.is_in_step() {
+            return;
+        }
         let now = self.clock.now();
         let mut state = self.lock();
         let State { instances, groups, .. } = &mut *state;
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{Execution, Refusal, Runner};
+use super::{Execution, Failure, Refusal, Runner};
 use crate::broker::connection::Checkout;
 use crate::broker::dispatch::{FULL_DELAY, Request};
 use crate::broker::need::Need;
@@ -13,6 +13,9 @@
 /// The number of instances on which a statement may fail.
 const MAX_INSTANCES: usize = 3;
 
+/// How often a statement is tried again on another connection to the same instance because one was out of step.
+const MAX_REPLACED: u32 = 3;
+
 /// How long a statement waits for capacity, in percent of its target latency. The rest is left for running it.
 const MAX_WAIT_PERCENT: u32 = 60;
 
@@ -108,6 +111,22 @@
         }
     }
 
+    /// Excludes an instance from further attempts, unless only the connection to it was unfit.
+    pub(super) fn exclude_after(
+        &self,
+        execution: &mut Execution<'_>,
+        instance: id::Instance,
+        failure: &Failure,
+    ) -> Result<(), Refusal> {
+        let is_out_of_step =
+            matches!(failure, Failure::Connection(error) if error.is_out_of_step());
+        if is_out_of_step && execution.replaced < MAX_REPLACED {
+            execution.replaced += 1;
+            return Ok(());
+        }
+        self.exclude(execution, instance)
+    }
+
     /// Excludes an instance from further attempts. Fails when the statement has failed on [`MAX_INSTANCES`] instances.
     pub(super) fn exclude(
         &self,
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -69,6 +69,8 @@
     pub(in crate::broker) deadline: Instant,
     /// The instances on which the statement failed.
     excluded: SmallVec<[id::Instance; 2]>,
+    /// How often a connection that was out of step was replaced.
+    replaced: u32,
     /// What the statement requires of the instance that it runs on or waits for.
     need: Option<Need>,
     /// Whether the statement is forwarded to another proxy.
@@ -201,6 +203,7 @@
             received_at,
             deadline: received_at + database.timeout.0,
             excluded: SmallVec::new(),
+            replaced: 0,
             need: None,
             forwarded: false,
             waited: Duration::ZERO,
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -42,7 +42,7 @@
                     }
                     drop(checkout);
                     self.record_retry(execution, &instance, failure.to_string());
-                    self.exclude(execution, instance)?;
+                    self.exclude_after(execution, instance, &failure)?;
                     continue;
                 }
             };
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -54,7 +54,7 @@
                     self.record_failure(&instance, &failure);
                     drop(checkout);
                     self.record_retry(execution, &instance, failure.to_string());
-                    self.prepare_retry(execution, need, instance)?;
+                    self.prepare_retry(execution, need, instance, &failure)?;
                     continue;
                 }
             };
@@ -81,11 +81,12 @@
         execution: &mut Execution<'_>,
         need: Need,
         instance: crate::id::Instance,
+        failure: &Failure,
     ) -> Result<(), Refusal> {
         match need {
             Need::Primary if self.shared.clock.now() < execution.deadline => Ok(()),
             Need::Primary => Err(Refusal::busy("the primary did not answer in time", FULL_DELAY)),
-            Need::AtLeast { .. } => self.exclude(execution, instance),
+            Need::AtLeast { .. } => self.exclude_after(execution, instance, failure),
         }
     }
 
@@ -116,7 +117,7 @@
                     self.record_failure(&instance, &failure);
                     drop(checkout);
                     self.record_retry(execution, &instance, failure.to_string());
-                    self.prepare_retry(execution, need, instance)?;
+                    self.prepare_retry(execution, need, instance, &failure)?;
                 }
             }
         }
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -68,6 +68,21 @@
         /// Maximum number of connections to it that this proxy may hold.
         permits: u32,
     },
+    /// An instance sent an answer, or a part of one, a second time. The connection is closed after the statement.
+    OutOfStep {
+        /// The instance.
+        instance: &'a id::Instance,
+        /// Its group.
+        group: &'a id::Group,
+        /// Number of the connection among those that the process opened.
+        connection: u64,
+        /// Time since the connection was opened.
+        open_ms: u64,
+        /// The kind of the command whose answer was awaited, or of the last one.
+        command: &'static str,
+        /// What shows the second answer.
+        evidence: String,
+    },
     /// The connections to each instance of a group that this proxy may hold changed. With none, it forwards.
     Share {
         /// The group.
@@ -274,6 +289,7 @@
             Self::Forward { .. } => "event.forward",
             Self::Quota { .. } => "event.quota",
             Self::ConnectionLimit { .. } => "event.connection_limit",
+            Self::OutOfStep { .. } => "event.out_of_step",
             Self::Share { .. } => "event.share",
             Self::Lease { .. } => "event.lease",
             Self::Stranded { .. } => "event.stranded",
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -126,6 +126,27 @@
         ShuttingDown = "shutting_down",
     }
 );
+label!(
+    /// What shows that an instance sent an answer, or a part of one, a second time.
+    Evidence {
+        /// Something arrived while no answer was awaited.
+        Unasked = "unasked",
+        /// A signature that was received before, or in answer to a command of this process.
+        Signature = "signature",
+        /// A success without a signature in answer to a statement of a caller.
+        NoSignature = "no_signature",
+        /// The state of the transaction is not the one that the command leads to.
+        State = "state",
+        /// The end of an answer without its result.
+        Ready = "ready",
+        /// An answer that looks like an earlier one and was followed by the awaited one.
+        Repeated = "repeated",
+        /// A part of an answer.
+        Cut = "cut",
+        /// Rows that begin with one of another answer.
+        Rows = "rows",
+    }
+);
 label!(
     /// How an upstream failed.
     Failure {
@@ -255,3 +276,8 @@
 pub(super) struct OpeningLabels {
     pub(super) reason: Opening,
 }
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct EvidenceLabels {
+    pub(super) evidence: Evidence,
+}
--- a/src/report/metrics/mod.rs
+++ b/src/report/metrics/mod.rs
@@ -13,12 +13,23 @@
 use prometheus_client::registry::{Registry, Unit};
 
 use super::label::{
-    ClassLabels, FailureLabels, ForwardLabels, LeaseLabels, OpeningLabels, PromotionLabels,
-    ProtocolErrorLabels, QuotaLabels, RefusalLabels, RejectionLabels, RequestLabels, RoleLabels,
-    SchedulingLabels, TargetLabels,
+    ClassLabels, Evidence, EvidenceLabels, FailureLabels, ForwardLabels, LeaseLabels,
+    OpeningLabels, PromotionLabels, ProtocolErrorLabels, QuotaLabels, RefusalLabels,
+    RejectionLabels, RequestLabels, RoleLabels, SchedulingLabels, TargetLabels,
 };
 use super::largest::Largest;
 
+/// Counts second answers of instances by what shows them. Copies count together.
+#[derive(Debug, Clone, Default)]
+pub struct Tally(Family<EvidenceLabels, Counter>);
+
+impl Tally {
+    /// Counts a second answer.
+    pub fn record(&self, evidence: Evidence) {
+        self.0.get_or_create(&EvidenceLabels { evidence }).inc();
+    }
+}
+
 /// Upper bounds of the histogram buckets for requests, waits, upstreams and log syncs.
 const REQUEST_BUCKETS_SECONDS: [f64; 14] =
     [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0];
@@ -42,6 +53,7 @@
     lagging_refusals: Counter,
     forwards_refused: Counter,
     upstream_failures: Family<FailureLabels, Counter>,
+    out_of_step: Tally,
     protocol_errors: Family<ProtocolErrorLabels, Counter>,
     connections_open: Family<RoleLabels, Gauge>,
     connections_busy: Family<RoleLabels, Gauge>,
@@ -95,6 +107,7 @@
             lagging_refusals: Counter::default(),
             forwards_refused: Counter::default(),
             upstream_failures: Family::default(),
+            out_of_step: Tally::default(),
             protocol_errors: Family::default(),
             connections_open: Family::default(),
             connections_busy: Family::default(),
@@ -193,6 +206,11 @@
             "Failures of upstreams by kind",
             self.upstream_failures.clone(),
         );
+        registry.register(
+            "upstream_out_of_step",
+            "Second answers of instances by what shows them",
+            self.out_of_step.0.clone(),
+        );
         registry.register(
             "sessions_rejected",
             "Sessions that were not opened because their key has no account, by reason",
--- a/src/report/metrics/record.rs
+++ b/src/report/metrics/record.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use super::Metrics;
+use super::{Metrics, Tally};
 use crate::clock::Instant;
 use crate::report::label::{
     self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
@@ -46,6 +46,11 @@
         self.upstream_failures.get_or_create(&FailureLabels { kind }).inc();
     }
 
+    /// Returns the counter of second answers of instances.
+    pub fn out_of_step(&self) -> Tally {
+        self.out_of_step.clone()
+    }
+
     /// Counts a session that was not opened (`was_open` is false) or ended because its key has no account.
     pub fn record_rejection(&self, was_open: bool, reason: Rejection) {
         let sessions = if was_open { &self.sessions_ended } else { &self.sessions_rejected };
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -13,9 +13,9 @@
 
 pub use event::Event;
 pub use label::{
-    Failure, ForwardResult, LeaseAnswer, Opening, Outcome, Peer, PromotionAnswer, QuotaResult,
-    Refusal, Rejection, Target,
+    Evidence, Failure, ForwardResult, LeaseAnswer, Opening, Outcome, Peer, PromotionAnswer,
+    QuotaResult, Refusal, Rejection, Target,
 };
-pub use metrics::Metrics;
+pub use metrics::{Metrics, Tally};
 pub use queue::Queue;
 pub use rate_limiter::{RateLimiter, Verdict};
--- a/src/statement/codec.rs
+++ b/src/statement/codec.rs
@@ -62,6 +62,10 @@
     /// Fails when the bytes are not a valid message.
     fn decode_answer(&self, input: &mut BytesMut) -> Result<Option<Answer>, DecodeError>;
 
+    /// Returns whether a field of an upstream's answer contains the beginning of another message, as it does when the
+    /// message was cut off and the next one follows.
+    fn is_joined(&self, field: &str) -> bool;
+
     /// Decodes the row that answers [`Command::Status`] and similar commands.
     ///
     /// # Errors
--- /dev/null
+++ b/src/upstream/connection/error.rs
@@ -0,0 +1,70 @@
+//! The errors of a connection to an instance.
+
+use super::MAX_ROWS_BYTES;
+use crate::report::Evidence;
+use crate::statement::{Code, DecodeError};
+use crate::wire::Health;
+
+/// An error on a connection to an instance.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The socket failed.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// The instance closed the connection.
+    #[error("the connection was closed")]
+    Closed,
+    /// The instance did not answer before the deadline.
+    #[error("no answer in time")]
+    Timeout,
+    /// The instance sent an invalid message.
+    #[error("{0}")]
+    Malformed(#[from] DecodeError),
+    /// What arrived may be an answer to an earlier command.
+    #[error("the connection is out of step: {0}")]
+    OutOfStep(Evidence),
+    /// The rows of an answer exceed `MAX_ROWS_BYTES`.
+    #[error("the rows of one answer are over {MAX_ROWS_BYTES} bytes")]
+    TooManyRows,
+    /// The instance refused the connection or request.
+    #[error("refused: {code} {text}")]
+    Refused {
+        /// The reason.
+        code: Code,
+        /// A description for humans.
+        text: String,
+    },
+}
+
+impl Error {
+    /// Returns whether the instance refused the connection because it has too many.
+    pub fn is_at_connection_limit(&self) -> bool {
+        matches!(self, Self::Refused { code: Code::TooManyConnections, .. })
+    }
+
+    /// Returns whether another connection to the same instance may succeed at once.
+    pub fn is_out_of_step(&self) -> bool {
+        matches!(self, Self::OutOfStep(_))
+    }
+
+    /// Returns the health of the instance that this error implies.
+    pub fn health(&self) -> Health {
+        use std::io::ErrorKind;
+        match self {
+            Self::Timeout => Health::Silent,
+            Self::Io(error) => match error.kind() {
+                ErrorKind::ConnectionRefused => Health::Refused,
+                ErrorKind::TimedOut
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable => Health::Silent,
+                _ => Health::Faulty,
+            },
+            // Another instance has taken over the address, so the process of the expected instance has ended.
+            Self::Refused { code: Code::Misrouted, .. } => Health::Refused,
+            // An instance that refuses, for example because it has no free connection, is alive. So is one that answers
+            // twice.
+            Self::Refused { .. } | Self::OutOfStep(_) => Health::Fine,
+            Self::Closed | Self::Malformed(_) | Self::TooManyRows => Health::Faulty,
+        }
+    }
+}
--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -53,6 +53,8 @@
     pub extent: Extent,
     /// One in this many statements is refused with `BUSY` without being run; 0 for none.
     pub busy_one_in: u64,
+    /// How long a statement takes until it runs and is answered.
+    pub service: Duration,
 }
 
 /// How much of an answer is sent a second time.
@@ -296,6 +298,10 @@
         Some((delay, second))
     }
 
+    fn service(&self) -> Duration {
+        self.answers.as_ref().map_or(Duration::ZERO, |answers| answers.service)
+    }
+
     /// Returns whether the next statement is to be refused with `BUSY`.
     fn is_next_busy(&mut self) -> bool {
         let one_in = self.answers.as_ref().map_or(0, |answers| answers.busy_one_in);
@@ -538,6 +544,10 @@
             let (rows, result) = if is_data && self.seconds.lock().unwrap().is_next_busy() {
                 (vec![], Err("BUSY".to_owned()))
             } else {
+                let service = self.seconds.lock().unwrap().service();
+                if is_data && !service.is_zero() {
+                    std::thread::sleep(service);
+                }
                 self.execute(index, &mut session, statement)
             };
             let committed = session.committed.take().filter(|_| self.synchronous);
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -96,6 +96,14 @@
             retry_after_ms: 4,
         },
         Event::ConnectionLimit { instance, group, in_use: 1, permits: 2 },
+        Event::OutOfStep {
+            instance,
+            group,
+            connection: 7,
+            open_ms: 1,
+            command: "data",
+            evidence: "signature".to_owned(),
+        },
         Event::Share { group, permits: 2, servers: Some(3) },
         Event::Lease { held: true, unheard_ms: Some(1) },
         Event::Stranded { stranded: true, unheard_ms: None },
@@ -127,6 +135,7 @@
         | Event::Forward { .. }
         | Event::Quota { .. }
         | Event::ConnectionLimit { .. }
+        | Event::OutOfStep { .. }
         | Event::Share { .. }
         | Event::Lease { .. }
         | Event::Stranded { .. }
