Take only a ping for the answer to a ping between proxies

Before a statement that can't be sent twice, a proxy pings a stream that was unused for a while, and took any frame for the answer. By reading, no other one can be there: a serving proxy sends progress before its answer only, and a stream with anything pending is never used again. Now a frame of another kind closes the stream, so that this doesn't rest on the other process.

--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -160,7 +160,8 @@
                 stream.send(&ping).await?;
                 stream.receive().await
             };
-            if let Some(Ok(_)) = clock.timeout(CONNECT_TIMEOUT, checking).await {
+            let checked = clock.timeout(CONNECT_TIMEOUT, checking).await;
+            if matches!(checked, Some(Ok(Frame { body: Body::Ping, .. }))) {
                 return Ok(stream);
             }
         }
