Report instances that answer twice over PostgreSQL's protocol too

Connections over that protocol were closed without a trace. They use the event out_of_step and the counter of the platform's edge, with the evidence `nonce`; the number of the connection is the process id that the instance gave it. Control logs its probes and doesn't count them.

--- a/src/pgsql/client.rs
+++ b/src/pgsql/client.rs
@@ -10,7 +10,7 @@
 use smol::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 
 use super::{Error, Message, Nonce, Socket, read_message};
-use crate::clock::Clock;
+use crate::clock::{Clock, Instant};
 use crate::security::{File, UpstreamAuth};
 
 /// The columns of a row as text. `None` represents NULL.
@@ -25,6 +25,7 @@
     /// The parameters that the server has reported, newest last.
     parameters: Vec<(String, String)>,
     last_nonce: Nonce,
+    opened_at: Instant,
 }
 
 impl Client {
@@ -41,12 +42,14 @@
         upstream: Option<&UpstreamAuth>,
         timeout: Duration,
     ) -> Result<Self, Error> {
-        let connected =
-            clock.timeout(timeout, Self::connect_unbounded(address, parameters, upstream)).await;
+        let connected = clock
+            .timeout(timeout, Self::connect_unbounded(clock.now(), address, parameters, upstream))
+            .await;
         connected.unwrap_or(Err(Error::Timeout(timeout)))
     }
 
     async fn connect_unbounded(
+        opened_at: Instant,
         address: SocketAddr,
         parameters: &[(&str, &str)],
         upstream: Option<&UpstreamAuth>,
@@ -60,6 +63,7 @@
             cancel_key: (0, 0),
             parameters: Vec::new(),
             last_nonce: Nonce(0),
+            opened_at,
         };
         let mut out = BytesMut::new();
         frontend::startup_message(parameters.iter().copied(), &mut out)?;
@@ -124,6 +128,11 @@
         self.cancel_key
     }
 
+    /// Returns when the connection was begun.
+    pub fn opened_at(&self) -> Instant {
+        self.opened_at
+    }
+
     /// Returns the parameters that the server has reported, newest last.
     pub fn parameters(&self) -> &[(String, String)] {
         &self.parameters
--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -467,6 +467,9 @@
                 result = Err(relay::Error::Upstream { error, relayed });
             }
         }
+        if let Err(relay::Error::Upstream { error, .. }) = &result {
+            pooled.report("statement", error);
+        }
         let cancelled = self.cancel_entry.finish();
         if result.is_ok() {
             pooled.running = false;
--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -1,6 +1,8 @@
 //! `once` requests: the key and the digest of a request are written to the database in the same transaction as its
 //! effect, so that a resend finds the first outcome through any proxy. See `docs/DESIGN.md`, "Once".
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use pgwire::messages::Message as _;
 use pgwire::messages::response::NoticeResponse;
@@ -11,6 +13,7 @@
     Caller, Effect, OpenTransaction, Progress, Query, Request, RequestError, Transaction,
     write_complete,
 };
+use crate::clock::Clock;
 use crate::id;
 use crate::pgsql::{self, Row};
 use crate::proxy::outcome::{Outcome, Reason, write_error};
@@ -302,19 +305,19 @@
         let time_left = request.deadline.since(self.shared.clock.now());
         let clock = self.shared.clock.clone();
         transaction.pooled.running = true;
-        let client = &mut transaction.pooled.connection().client;
+        let pooled = &mut transaction.pooled;
         if !self.shared.has_key_table(&self.group) {
-            client
+            pooled
                 .query_tied(&clock, record::CREATE_TABLE, time_left)
                 .await
                 .map_err(connection_lost)?;
         }
-        let inserted = client
+        let inserted = pooled
             .query_tied(&clock, &record.insert_if_absent(), time_left)
             .await
             .map_err(connection_lost)?;
         if inserted.is_empty() {
-            let rows = client
+            let rows = pooled
                 .query_tied(&clock, &record.select(), time_left)
                 .await
                 .map_err(connection_lost)?;
@@ -344,8 +347,7 @@
         };
         let time_left = request.deadline.since(self.shared.clock.now());
         let OpenTransaction { pooled, .. } = &mut **transaction;
-        let client = &mut pooled.connection().client;
-        client.query_tied(&self.shared.clock, &record.update(tag), time_left).await.map(|_| ())
+        pooled.query_tied(&self.shared.clock, &record.update(tag), time_left).await.map(|_| ())
     }
 }
 
@@ -395,8 +397,24 @@
         Ok(())
     }
 
+    /// Runs a simple query and returns its rows, once it is certain that they are not those of another one.
+    async fn query_tied(
+        &mut self,
+        clock: &Clock,
+        sql: &str,
+        timeout: Duration,
+    ) -> Result<Vec<Row>, pgsql::Error> {
+        let result = self.connection().client.query_tied(clock, sql, timeout).await;
+        result.inspect_err(|error| self.report("once", error))
+    }
+
     /// Runs statements and returns the status of the instance after them.
     async fn run_with_status(&mut self, sql: &str) -> Result<Status, pgsql::Error> {
+        let result = self.exchange_with_status(sql).await;
+        result.inspect_err(|error| self.report("once", error))
+    }
+
+    async fn exchange_with_status(&mut self, sql: &str) -> Result<Status, pgsql::Error> {
         let mut out = BytesMut::new();
         frontend::query(sql, &mut out)?;
         let client = &mut self.connection().client;
--- a/src/proxy/caller/read.rs
+++ b/src/proxy/caller/read.rs
@@ -271,7 +271,8 @@
                 let reported = Mark { term: status.term, position: status.position };
                 Ok(status.term == epoch.term && reached(reported))
             }
-            Err(_) => {
+            Err(error) => {
+                pooled.report("status", &error);
                 pooled.must_close = true;
                 Ok(false)
             }
--- a/src/proxy/caller/write.rs
+++ b/src/proxy/caller/write.rs
@@ -223,10 +223,14 @@
             pooled.recheck_idle();
             return Err(unknown_outcome(Reason::Failover));
         };
-        let Ok(status) = status else {
-            pooled.recheck_idle();
-            self.writer.discard_unwritten();
-            return Err(connection_lost(effect));
+        let status = match status {
+            Ok(status) => status,
+            Err(error) => {
+                pooled.report("status", &error);
+                pooled.recheck_idle();
+                self.writer.discard_unwritten();
+                return Err(connection_lost(effect));
+            }
         };
         pooled.running = false;
         if completion.failed {
--- a/src/proxy/pool.rs
+++ b/src/proxy/pool.rs
@@ -18,8 +18,10 @@
 use super::floor::Mark;
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{self, Client};
+use crate::report::Tally;
 use crate::security::UpstreamAuth;
 use crate::upstream::status::{Statement, Status};
+use crate::upstream::step;
 use crate::wire::Replica;
 
 /// How long opening a connection may take.
@@ -72,6 +74,7 @@
     user: String,
     application: String,
     upstream: UpstreamAuth,
+    out_of_step: Tally,
     inner: Mutex<Inner>,
 }
 
@@ -116,8 +119,9 @@
             waiters: BTreeMap::new(),
             max_connections: 1,
         };
-        let upstream = UpstreamAuth::default();
-        Self { clock, replica, user, application, upstream, inner: Mutex::new(inner) }
+        let (upstream, out_of_step) = (UpstreamAuth::default(), Tally::default());
+        let inner = Mutex::new(inner);
+        Self { clock, replica, user, application, upstream, out_of_step, inner }
     }
 
     /// Uses TLS and a password for new connections if `upstream` specifies them.
@@ -125,6 +129,16 @@
         Self { upstream, ..self }
     }
 
+    /// Counts answers that are not those of their statements.
+    pub(super) fn count_in(self, out_of_step: Tally) -> Self {
+        Self { out_of_step, ..self }
+    }
+
+    fn report(&self, connection: &Connection, command: &'static str, error: &pgsql::Error) {
+        let place = (&self.replica, &connection.client);
+        step::report(error, place, command, self.clock.now(), &self.out_of_step);
+    }
+
     pub(super) fn address(&self) -> SocketAddr {
         self.replica.address
     }
@@ -229,7 +243,8 @@
 
     /// Returns whether a connection still answers after a long idle time.
     async fn is_responsive(&self, connection: &mut Connection) -> bool {
-        connection.status(&self.clock, CHECK_TIMEOUT).await.is_ok()
+        let status = connection.status(&self.clock, CHECK_TIMEOUT).await;
+        status.inspect_err(|error| self.report(connection, "status", error)).is_ok()
     }
 
     /// Marks idle connections to be checked before their next use, because another connection failed.
@@ -336,6 +351,13 @@
         self.connection.as_mut().expect("a pooled connection is present until it is released")
     }
 
+    /// Logs and counts `error` if it shows that an answer was not that of its statement.
+    pub(super) fn report(&self, command: &'static str, error: &pgsql::Error) {
+        if let Some(connection) = &self.connection {
+            self.pool.report(connection, command, error);
+        }
+    }
+
     /// Returns the address and key for a cancel request to this connection.
     pub(super) fn target(&self) -> Option<Target> {
         let connection = self.connection.as_ref()?;
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -179,7 +179,8 @@
             self.user.clone(),
             self.application.clone(),
         )
-        .with_security(self.credentials.upstream.clone());
+        .with_security(self.credentials.upstream.clone())
+        .count_in(self.metrics.out_of_step());
         pool.set_limits(slots, limit);
         let instance = Instance {
             replica: replica.clone(),
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -145,6 +145,8 @@
         Cut = "cut",
         /// Rows that begin with one of another answer.
         Rows = "rows",
+        /// An answer that is not followed by the nonce of its statement.
+        Nonce = "nonce",
     }
 );
 label!(
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -4,3 +4,4 @@
 pub mod connection;
 pub mod probe;
 pub mod status;
+pub mod step;
--- a/src/upstream/probe.rs
+++ b/src/upstream/probe.rs
@@ -3,8 +3,10 @@
 use std::time::Duration;
 
 use super::status::{Statement, Status, health};
+use super::step;
 use crate::clock::{Clock, Instant};
 use crate::pgsql::{Client, Error};
+use crate::report::Tally;
 use crate::security::UpstreamAuth;
 use crate::wire::{Health, Replica};
 
@@ -26,6 +28,7 @@
     application: String,
     replica: Replica,
     upstream: UpstreamAuth,
+    tally: Tally,
     client: Option<Client>,
 }
 
@@ -43,8 +46,13 @@
 impl Probe {
     /// Creates a probe, which connects when it is first used.
     pub fn new(clock: Clock, user: String, application: String, replica: Replica) -> Self {
-        let upstream = UpstreamAuth::default();
-        Self { clock, user, application, replica, upstream, client: None }
+        let (upstream, tally) = (UpstreamAuth::default(), Tally::default());
+        Self { clock, user, application, replica, upstream, tally, client: None }
+    }
+
+    /// Counts answers that are not those of their queries.
+    pub fn count_in(self, tally: Tally) -> Self {
+        Self { tally, ..self }
     }
 
     /// Uses TLS and password authentication for connections if `upstream` configures them.
@@ -136,7 +144,10 @@
         let requested_at = self.clock.now();
         let nonce = client.next_nonce();
         let rows = client.query(&self.clock, &statement.sql(nonce), timeout).await?;
-        let status = Statement::decode(rows, nonce)?;
+        let status = Statement::decode(rows, nonce).inspect_err(|error| {
+            let connection = (&self.replica, &client);
+            step::report(error, connection, "status", self.clock.now(), &self.tally);
+        })?;
         Ok((client, Response { requested_at, status, reconnected: false }))
     }
 }
--- a/tests/request_answers.rs
+++ b/tests/request_answers.rs
@@ -87,6 +87,9 @@
         total.failures += seen.failures;
         total.mixed.extend(seen.mixed);
     }
+    let logs = std::fs::read_dir(fleet.path().join("log")).unwrap();
+    let mut logs = logs.map(|entry| std::fs::read_to_string(entry.unwrap().path()).unwrap());
+    assert!(logs.any(|log| log.contains("event=\"out_of_step\"")), "nothing is logged");
     println!("{} answers, {} failures, {} mixed", total.answers, total.failures, total.mixed.len());
     total
 }
