--- a/src/proxy/caller/once.rs
+++ b/src/proxy/caller/once.rs
@@ -1,6 +1,8 @@
 //! `once` requests: the key and the digest of a request are written to the database in the same transaction as its
 //! effect, so that a resend finds the first outcome through any proxy. See `docs/DESIGN.md`, "Once".
 
+use std::time::Duration;
+
 use bytes::BytesMut;
 use pgwire::messages::Message as _;
 use pgwire::messages::response::NoticeResponse;
@@ -11,13 +13,14 @@
     Caller, Effect, OpenTransaction, Progress, Query, Request, RequestError, Transaction,
     write_complete,
 };
+use crate::clock::Clock;
 use crate::id;
 use crate::pgsql::{self, Row};
 use crate::proxy::outcome::{Outcome, Reason, write_error};
 use crate::proxy::pool::PooledConnection;
 use crate::proxy::record::{self, Record};
 use crate::proxy::relay::{Completion, relay};
-use crate::upstream::status::{STATUS_QUERY, Status};
+use crate::upstream::status::{Statement, Status};
 
 /// The result of one attempt.
 enum Attempt {
@@ -302,17 +305,22 @@
         let time_left = request.deadline.since(self.shared.clock.now());
         let clock = self.shared.clock.clone();
         transaction.pooled.running = true;
-        let client = &mut transaction.pooled.connection().client;
+        let pooled = &mut transaction.pooled;
         if !self.shared.has_key_table(&self.group) {
-            client.query(&clock, record::CREATE_TABLE, time_left).await.map_err(connection_lost)?;
+            pooled
+                .query_tied(&clock, record::CREATE_TABLE, time_left)
+                .await
+                .map_err(connection_lost)?;
         }
-        let inserted = client
-            .query(&clock, &record.insert_if_absent(), time_left)
+        let inserted = pooled
+            .query_tied(&clock, &record.insert_if_absent(), time_left)
             .await
             .map_err(connection_lost)?;
         if inserted.is_empty() {
-            let rows =
-                client.query(&clock, &record.select(), time_left).await.map_err(connection_lost)?;
+            let rows = pooled
+                .query_tied(&clock, &record.select(), time_left)
+                .await
+                .map_err(connection_lost)?;
             transaction.pooled.running = false;
             let tag = recorded_tag(rows, &record)?.ok_or(Outcome::Aborted)?;
             self.transaction = Transaction::Open(transaction);
@@ -339,8 +347,7 @@
         };
         let time_left = request.deadline.since(self.shared.clock.now());
         let OpenTransaction { pooled, .. } = &mut **transaction;
-        let client = &mut pooled.connection().client;
-        client.query(&self.shared.clock, &record.update(tag), time_left).await.map(|_| ())
+        pooled.query_tied(&self.shared.clock, &record.update(tag), time_left).await.map(|_| ())
     }
 }
 
@@ -385,24 +392,40 @@
 impl PooledConnection {
     /// Rolls the open transaction back. Succeeds only if the database confirms the rollback.
     async fn roll_back(&mut self) -> Result<(), pgsql::Error> {
-        let mut out = BytesMut::new();
-        frontend::query("ROLLBACK", &mut out)?;
-        self.connection().client.send(&out).await?;
-        self.connection().client.receive_rows().await?;
+        self.run_with_status("ROLLBACK").await?;
         self.running = false;
         Ok(())
     }
 
+    /// Runs a simple query and returns its rows, once it is certain that they are not those of another one.
+    async fn query_tied(
+        &mut self,
+        clock: &Clock,
+        sql: &str,
+        timeout: Duration,
+    ) -> Result<Vec<Row>, pgsql::Error> {
+        let result = self.connection().client.query_tied(clock, sql, timeout).await;
+        result.inspect_err(|error| self.report("once", error))
+    }
+
     /// Runs statements and returns the status of the instance after them.
     async fn run_with_status(&mut self, sql: &str) -> Result<Status, pgsql::Error> {
+        let result = self.exchange_with_status(sql).await;
+        result.inspect_err(|error| self.report("once", error))
+    }
+
+    async fn exchange_with_status(&mut self, sql: &str) -> Result<Status, pgsql::Error> {
         let mut out = BytesMut::new();
         frontend::query(sql, &mut out)?;
-        frontend::query(STATUS_QUERY, &mut out)?;
         let client = &mut self.connection().client;
+        let nonce = client.next_nonce();
+        frontend::query(&Statement::query().sql(nonce), &mut out)?;
         client.send(&out).await?;
-        client.receive_rows().await?;
-        let row = client.receive_rows().await?.into_iter().next();
-        let row = row.ok_or(pgsql::Error::Protocol("no status row"))?;
-        Status::try_from(row).map_err(|_| pgsql::Error::Protocol("a malformed status row"))
+        let answer = client.receive_rows().await;
+        if !matches!(answer, Ok(_) | Err(pgsql::Error::Server { .. })) {
+            return Err(pgsql::Error::OutOfStep);
+        }
+        let status = Statement::decode(client.receive_rows().await?, nonce)?;
+        answer.map(|_| status)
     }
 }
