--- a/tests/lines/unrest.rs
+++ b/tests/lines/unrest.rs
@@ -179,6 +179,7 @@
             delay: (Duration::ZERO, Duration::from_millis(500)),
             extent: if self.random.bool() { Extent::Whole } else { Extent::Any },
             busy_one_in: self.random.u64(ONE_IN),
+            service: Duration::ZERO,
         };
         self.note(&format!("{answers:?}"));
         self.fleet.group.answer_twice(Some(answers));
--- a/tests/platform_old_readings.rs
+++ b/tests/platform_old_readings.rs
@@ -35,6 +35,7 @@
         delay: (Duration::ZERO, Duration::from_millis(500)),
         extent: Extent::Whole,
         busy_one_in: 0,
+        service: Duration::ZERO,
     }));
     std::thread::sleep(PROBED_DURATION);
     // The replica that is chosen between equal ones falls behind.
