--- a/src/upstream/connection/awaited.rs
+++ b/src/upstream/connection/awaited.rs
@@ -23,7 +23,8 @@
     Data,
     Commit,
     Rollback,
-    Reset,
+    /// A reset whose answer tells the position of the instance.
+    Ping,
     /// A command that sets up the connection.
     Setup,
     /// A command that is answered with a status row.
@@ -38,7 +39,7 @@
             Self::Data => "data",
             Self::Commit => "commit",
             Self::Rollback => "rollback",
-            Self::Reset => "reset",
+            Self::Ping => "ping",
             Self::Setup => "setup",
             Self::Status => "status",
         }
@@ -65,8 +66,8 @@
             }
             Command::Commit { .. } => Kind::Commit,
             Command::Rollback => Kind::Rollback,
-            Command::Reset => Kind::Reset,
             Command::Open { .. }
+            | Command::Reset
             | Command::Set { .. }
             | Command::Prepare { .. }
             | Command::Close => Kind::Setup,
@@ -88,7 +89,7 @@
         }
         match self.kind {
             Kind::Begin => outcome.state == State::Open,
-            Kind::Rollback | Kind::Reset => outcome.state == State::Idle,
+            Kind::Rollback | Kind::Ping => outcome.state == State::Idle,
             Kind::Setup => outcome.state == before,
             Kind::Status => !outcome.rows.is_empty(),
             Kind::Data | Kind::Commit => true,
@@ -99,7 +100,7 @@
     /// and a copy of the answer to a command that sets up the connection does no harm.
     pub(super) fn needs_proof(self, outcome: &Outcome) -> bool {
         match self.kind {
-            Kind::Begin | Kind::Reset | Kind::Status => true,
+            Kind::Begin | Kind::Ping | Kind::Status => true,
             Kind::Data | Kind::Commit | Kind::Rollback | Kind::Setup => outcome.result.is_err(),
         }
     }
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -168,9 +168,9 @@
         self.tally = Some(tally);
     }
 
-    /// Returns whether the connection may be used for other statements.
+    /// Returns whether the connection may be used for other statements: no answer is awaited, and none came twice.
     pub fn is_in_step(&self) -> bool {
-        self.evidence.is_none()
+        self.evidence.is_none() && self.awaited.is_empty()
     }
 
     /// Looks at the input of a connection on which no answer is awaited, without waiting. Returns whether the connection
@@ -300,7 +300,7 @@
         deadline: Instant,
     ) -> Result<Awaited, Error> {
         let command = match (awaited.kind, outcome.state) {
-            (Kind::Reset, _) => Command::Reset,
+            (Kind::Ping, _) => Command::Reset,
             // A failed transaction accepts nothing else.
             (_, State::Failed) => Command::Rollback,
             (_, State::Idle | State::Open) => {
@@ -507,6 +507,9 @@
         deadline: Instant,
     ) -> Result<Outcome, Error> {
         self.queue(command);
+        if let (Command::Reset, Some(last)) = (command, self.awaited.back_mut()) {
+            last.kind = Kind::Ping;
+        }
         // An answer that will look like an earlier one is proved without a round trip more.
         let fence = match command {
             Command::Begin { .. } if self.memory.may_repeat(State::Open) => {
