--- a/bench/src/drill/list.rs
+++ b/bench/src/drill/list.rs
@@ -111,6 +111,13 @@
         ..drill("isolated_leader_returns", &["1s cut a", "9s heal all"])
     },
     drill("late_answers", &["1s fault primary:ops-1 {\"late_ms\":700}", "3s fault last {}"]),
+    drill(
+        "second_answers",
+        &[
+            "500ms fault primary:ops-1 {\"twice_every\":17,\"twice_ms\":20}",
+            "600ms fault replica:ops-1 {\"twice_every\":17,\"twice_ms\":100}",
+        ],
+    ),
     drill(
         "half_open",
         &[
