Soak a fleet under disturbances that overlap, and compare what clients sent with what instances read

Crashes of primaries and replicas, replicas that return without their log, instances that don't read or are slow, lost answers, BUSY, second answers, frozen, stopped and killed proxies come in series from a seed, under 24 sessions on two proxies or 40 on eight with fewer connections than proxies. No statement may have an unknown id or a changed text, run outside of its transaction or in another one, be committed unasked, in part or against a promise, take effect twice, or be answered for another one.

--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -27,6 +27,8 @@
     pub(super) paused: bool,
     pub(super) state: &'static str,
     pub(super) sequence: u64,
+    /// When the instance started, in Unix milliseconds.
+    pub(super) born: u64,
     /// Whether the instance reads statements without answering them.
     pub(super) unresponsive: bool,
     /// Time until a new connection is answered.
@@ -183,6 +185,14 @@
         std::thread::spawn(move || group.accept_connections(index, listener));
     }
 
+    /// Makes a crashed replica forget all that it held, so that it returns as a new one under its old name.
+    pub fn forget(&self, id: &str) {
+        let mut instances = self.lock();
+        let instance = instances.iter_mut().find(|instance| instance.id == id).unwrap();
+        instance.log.clear();
+        (instance.sequence, instance.born) = (0, instance.born + 1_000);
+    }
+
     /// Cuts an instance off from callers and from the other instances. It stays reachable for the service that promotes.
     pub fn detach(&self, id: &str) {
         let mut instances = self.lock();
@@ -737,8 +747,8 @@
     let role = if instance.primary { "primary" } else { "replica" };
     let body = format!(
         "{{\"Service\":\"books\",\"Addr\":\"{}\",\"Zone\":\"a\",\"Version\":\"v1\",\"Slots\":2,\
-         \"State\":\"{}\",\"ColdLeftMs\":0,\"DbRole\":\"{role}\",\"Seq\":{},\"born\":1700000000000}}",
-        instance.address, instance.state, instance.sequence
+         \"State\":\"{}\",\"ColdLeftMs\":0,\"DbRole\":\"{role}\",\"Seq\":{},\"born\":{}}}",
+        instance.address, instance.state, instance.sequence, instance.born
     );
     (instance.id.clone(), body)
 }
--- a/tests/lines/ledger.rs
+++ b/tests/lines/ledger.rs
@@ -285,6 +285,10 @@
                 None => {}
             }
         }
+        let mut done: BTreeMap<usize, Vec<&str>> = BTreeMap::new();
+        for (id, sent) in sent.iter().filter(|(_, sent)| sent.is_done_data()) {
+            done.entry(sent.transaction.expect("one of a transaction")).or_default().push(id);
+        }
         let client = |run: &Read| sent.get(&run.id).and_then(|sent| sent.transaction);
         for runs in transactions.values() {
             let owners: BTreeSet<Option<usize>> = runs.iter().map(|run| client(run)).collect();
@@ -301,10 +305,9 @@
                 self.add(Fault::ForeignCommit, shorten(commit));
             }
             let ran: BTreeSet<&str> = runs.iter().map(|run| run.id.as_str()).collect();
-            let missing = sent.iter().find(|(id, sent)| {
-                sent.transaction == owner && sent.is_done_data() && !ran.contains(id.as_str())
-            });
-            if let Some(missing) = missing {
+            let known = owner.and_then(|owner| done.get(&owner)).into_iter().flatten();
+            let missing: Vec<&&str> = known.filter(|id| !ran.contains(**id)).collect();
+            if !missing.is_empty() {
                 self.add(Fault::PartialCommit, (shorten(commit), missing));
             }
         }
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -142,6 +142,7 @@
                 paused: false,
                 state,
                 sequence: 0,
+                born: 1_700_000_000_000,
                 unresponsive: false,
                 connect_delay: Duration::ZERO,
                 max_connections,
--- a/tests/lines/unrest.rs
+++ b/tests/lines/unrest.rs
@@ -12,6 +12,8 @@
 pub enum Kind {
     /// An instance crashes, and returns with its log.
     Crash,
+    /// A replica crashes, and returns under its name without its log.
+    Rebirth,
     /// An instance doesn't read.
     Deaf,
     /// Statements take long, and instances run few at once.
@@ -31,8 +33,9 @@
 }
 
 impl Kind {
-    pub const ALL: [Self; 9] = [
+    pub const ALL: [Self; 10] = [
         Self::Crash,
+        Self::Rebirth,
         Self::Deaf,
         Self::Slow,
         Self::Lost,
@@ -48,6 +51,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum Repair {
     Recover(String),
+    /// Returns without its log, unless it has become the primary.
+    Return(String),
     Hear(String),
     Speed,
     Answer,
@@ -123,6 +128,10 @@
         let group = &self.fleet.group;
         match repair {
             Repair::Recover(id) => group.recover(&id),
+            Repair::Return(id) => {
+                group.forget(&id);
+                group.recover(&id);
+            }
             Repair::Hear(id) => group.change_conditions(|c| {
                 c.deaf.remove(&id);
             }),
@@ -138,7 +147,7 @@
 
     fn disturb(&mut self, kind: Kind) {
         match kind {
-            Kind::Crash | Kind::Deaf => self.disturb_instance(kind),
+            Kind::Crash | Kind::Rebirth | Kind::Deaf => self.disturb_instance(kind),
             Kind::Slow => {
                 if !self.is_disturbed(|repair| *repair == Repair::Speed) {
                     let slots = self.random.usize(1..4);
@@ -179,6 +188,7 @@
             delay: (Duration::ZERO, Duration::from_millis(500)),
             extent: if self.random.bool() { Extent::Whole } else { Extent::Any },
             busy_one_in: self.random.u64(ONE_IN),
+            service: Duration::ZERO,
         };
         self.note(&format!("{answers:?}"));
         self.fleet.group.answer_twice(Some(answers));
@@ -186,29 +196,34 @@
     }
 
     fn disturb_instance(&mut self, kind: Kind) {
-        let is_failed = |repair: &Repair| matches!(repair, Repair::Recover(_) | Repair::Hear(_));
+        let is_failed = |repair: &Repair| {
+            matches!(repair, Repair::Recover(_) | Repair::Return(_) | Repair::Hear(_))
+        };
         if self.is_disturbed(is_failed) || !self.fleet.group.is_settled() {
             return;
         }
         let primary = self.fleet.group.primary();
         let ids = ["i-21", "i-22", "i-23"];
-        let id = match self.random.bool() {
+        let replicas: Vec<&str> = ids.into_iter().filter(|id| *id != primary).collect();
+        let id = match kind != Kind::Rebirth && self.random.bool() {
             true => primary,
-            false => ids[self.random.usize(..ids.len())].to_owned(),
+            false => replicas[self.random.usize(..replicas.len())].to_owned(),
         };
         self.note(&format!("{kind:?} {id}"));
-        if kind == Kind::Crash {
-            self.fleet.group.crash(&id);
-            self.repair_within(800..4_000, Repair::Recover(id));
-        } else {
+        if kind == Kind::Deaf {
             self.fleet.group.change_conditions(|c| {
                 c.deaf.insert(id.clone());
             });
-            self.repair_within(200..2_500, Repair::Hear(id));
+            return self.repair_within(200..2_500, Repair::Hear(id));
+        }
+        self.fleet.group.crash(&id);
+        match kind {
+            Kind::Rebirth => self.repair_within(100..2_000, Repair::Return(id)),
+            _ => self.repair_within(800..4_000, Repair::Recover(id)),
         }
     }
 
-    /// Freezes, stops or kills a proxy. Half of them go on.
+    /// Freezes, stops or kills a proxy. Half of them stay as they are.
     fn disturb_proxy(&mut self, kind: Kind) {
         let disturbed: Vec<u8> = self
             .repairs
--- a/tests/platform_unasked.rs
+++ b/tests/platform_unasked.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use lines::ledger::{End, Fault, Report, Sent};
+use lines::ledger::{End, Report, Sent};
 use lines::sessions::{Habits, Sessions};
 use lines::unrest::{Kind, Unrest};
 use lines::{Caller, FRONT_PORT, Fleet, MAX_CONNECTIONS, PROXIES, configuration};
@@ -44,7 +44,8 @@
 }
 
 impl Trial<'_> {
-    fn run(self, subnet: u8) -> Report {
+    /// Returns what was counted, and what was done.
+    fn run(self, subnet: u8) -> (Report, Vec<String>) {
         let mut fleet = Fleet::up_with(subnet, self.proxies, self.max_connections);
         let addresses: Vec<_> =
             self.proxies.iter().map(|vm| fleet.address(*vm, FRONT_PORT)).collect();
@@ -55,17 +56,8 @@
         sessions.stop();
         std::thread::sleep(SETTLE);
         let report = fleet.group.ledger.compare(TIMEOUT);
-        println!(
-            "{:?} seed {}: {:?}\n  {:?}",
-            self.kinds,
-            self.seed,
-            report.summary(),
-            report.counts
-        );
-        if !report.faults.is_empty() && std::env::var_os("SHOW").is_some() {
-            println!("{}{}", report.examples(), record.join("\n"));
-        }
-        report
+        println!("seed {}: {:?}\n  {:?}", self.seed, report.summary(), report.counts);
+        (report, record)
     }
 }
 
@@ -152,6 +144,31 @@
     std::env::var(name).map_or(default, |value| value.parse().expect("a number"))
 }
 
+/// Series of disturbances that overlap, from a seed. `SOAK_SEED`, `SOAK_SEEDS` and `SOAK_SECONDS` change the runs, and
+/// `SOAK_LARGE` is the number of sessions of the runs with many proxies.
+#[test]
+fn instances_run_what_clients_asked_for_under_disturbances() {
+    let (first, seeds) = (variable("SOAK_SEED", 1), variable("SOAK_SEEDS", 2));
+    let large = variable("SOAK_LARGE", 40) as usize;
+    let mut failed = Vec::new();
+    for seed in first..first + seeds {
+        let is_large = seed.is_multiple_of(2);
+        let trial = Trial {
+            kinds: &Kind::ALL,
+            proxies: if is_large { &MANY_PROXIES } else { &PROXIES },
+            max_connections: if is_large { FEW_CONNECTIONS } else { MAX_CONNECTIONS },
+            habits: Habits { sessions: if is_large { large } else { 24 }, ..HABITS },
+            duration: Duration::from_secs(variable("SOAK_SECONDS", 20)),
+            seed,
+        };
+        let (report, record) = trial.run(201 + (seed % 20) as u8);
+        if !report.faults.is_empty() {
+            failed.push(format!("seed {seed}\n{}{}", report.examples(), record.join("\n")));
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
+
 /// Runs the scenarios that the environment names, and prints what was counted.
 #[test]
 #[ignore = "prints figures"]
@@ -180,6 +197,9 @@
             duration: Duration::from_secs(variable("SECONDS", 10)),
             seed,
         };
-        let _ = trial.run(variable("SUBNET", 180) as u8).count(Fault::UnknownId);
+        let (report, record) = trial.run(variable("SUBNET", 201) as u8);
+        if std::env::var_os("SHOW").is_some() {
+            println!("{}{}", report.examples(), record.join("\n"));
+        }
     }
 }
