--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -144,6 +144,7 @@
                 held_term: 0,
                 state,
                 sequence: 0,
+                born: 1_700_000_000_000,
                 unresponsive: false,
                 connect_delay: Duration::ZERO,
                 max_connections,
