Log what each instance was chosen from

What an engineer on call saw of a choice was its result. Whether the positions behind it were final, how old they were and which instances had not answered stood nowhere, so a wrong choice could not be told from a wrong position.

The leader makes it from what the group's step has decided; nothing depends on it.

Not in the line: the incarnation of an instance and the highest position that was acknowledged.

--- a/src/control/failover/message.rs
+++ b/src/control/failover/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::choice::Choice;
 use crate::clock::Instant;
 use crate::config::Durability;
 use crate::control::state::{Action, Claim};
@@ -137,4 +138,6 @@
         /// The primary of the epoch.
         primary: id::Instance,
     },
+    /// Log what an instance was chosen from, or that none is chosen.
+    ReportChoice(Choice),
 }
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -5,6 +5,7 @@
 //! force. A primary that is being drained is first asked to stop writes. See `docs/DESIGN.md`, "Failover" and "Drain".
 
 mod candidate;
+pub mod choice;
 mod damper;
 mod frozen;
 mod message;
@@ -86,6 +87,8 @@
     /// Whether the epoch was put in force again after a freeze, so that replicas may still be paused.
     thawed: bool,
     unordered: Unordered,
+    /// When a choice, or the lack of one, was last reported.
+    reported_at: Option<Instant>,
 }
 
 #[derive(Debug)]
@@ -114,6 +117,7 @@
             paused: BTreeMap::new(),
             thawed: false,
             unordered: Unordered::default(),
+            reported_at: None,
         }
     }
 
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -409,7 +409,11 @@
             if let Some(group) = self.groups.get_mut(&name) {
                 group.set_promoted_outside(declared.promoted_outside);
             }
-            outputs.extend(self.step(now, &name, Input::Tick(view)));
+            let decided = self.step(now, &name, Input::Tick(view));
+            if let Some(group) = self.groups.get_mut(&name) {
+                outputs.extend(group.report_choice(now, view, &decided));
+            }
+            outputs.extend(decided);
         }
         outputs
     }
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -11,15 +11,17 @@
 use super::outside::run_outside;
 use super::{Authority, Promoter, Protocol};
 use crate::clock::Instant;
+use crate::control::failover::choice::{self, Choice, Decision};
 use crate::control::failover::{Input, Output};
 use crate::control::server::Shared;
 use crate::control::state::{Action, Claim, Command};
 use crate::id;
 use crate::pgsql;
 use crate::report::Event;
+use crate::report::event::{Reading, millis};
 use crate::upstream::probe::Probe;
 use crate::upstream::status;
-use crate::wire::Replica;
+use crate::wire::{Replica, Role};
 
 /// The orders that wait for the task of an instance, each with the term of the control log in which it was given.
 pub(in crate::control) type Queue = Sender<(id::Term, Order)>;
@@ -178,6 +180,7 @@
                     self.order(term, &instance, Order::Follow(address, epoch));
                 }
             }
+            Output::ReportChoice(choice) => log_choice(&choice),
             Output::ReportUnordered { group, instance, term, epoch, primary } => {
                 self.metrics.record_unordered_promotion();
                 let (group, instance, primary) = (&group, &instance, &primary);
@@ -228,6 +231,42 @@
     }
 }
 
+/// Logs what an instance was chosen from.
+fn log_choice(choice: &Choice) {
+    let (decision, instance, term, level) = match &choice.decision {
+        Decision::Claim(instance, term) => ("claim", Some(instance), Some(*term), Level::Info),
+        Decision::Thaw => ("thaw", None, None, Level::Info),
+        Decision::None => ("none", None, None, Level::Warn),
+    };
+    let event = Event::Choice {
+        group: &choice.group,
+        decision,
+        instance,
+        term,
+        epoch: choice.epoch,
+        fenced_ms: choice.fenced_for.map(millis),
+        readings: choice.readings.iter().map(loggable).collect(),
+        unanswered: &choice.unanswered,
+    };
+    event.log(level);
+}
+
+fn loggable(reading: &choice::Reading) -> Reading<'_> {
+    Reading {
+        instance: &reading.instance,
+        role: match reading.status.role {
+            Role::Primary => "primary",
+            Role::Replica => "replica",
+        },
+        term: reading.status.term,
+        received: reading.status.received,
+        paused: reading.status.paused,
+        is_final: reading.is_final,
+        age_ms: reading.age.map(millis),
+        connected_ms: reading.connected_for.map(millis),
+    }
+}
+
 /// Logs an action that control proposes.
 fn log_decision(action: &Action) {
     let (decision, group, term, instance, start) = match action {
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -149,6 +149,25 @@
         /// Where the term's history begins.
         start: Option<id::Position>,
     },
+    /// An instance was chosen for a frozen group, or none has been chosen for a while.
+    Choice {
+        /// The group.
+        group: &'a id::Group,
+        /// The decision: `claim`, `thaw` or `none`.
+        decision: &'static str,
+        /// The instance that was chosen.
+        instance: Option<&'a id::Instance>,
+        /// The term that was reserved.
+        term: Option<id::Term>,
+        /// The term of the frozen epoch.
+        epoch: id::Term,
+        /// Time since the fence held; absent before that.
+        fenced_ms: Option<u64>,
+        /// The statuses that the group's instances gave.
+        readings: Vec<Reading<'a>>,
+        /// The known instances that gave no status that still counts.
+        unanswered: &'a [id::Instance],
+    },
     /// An external service was called to promote an instance, or answered.
     Promotion {
         /// The group.
@@ -246,6 +265,28 @@
     pub permits: u32,
 }
 
+/// A status of an instance from which a choice was made.
+#[derive(Debug, Serialize)]
+pub struct Reading<'a> {
+    /// The instance.
+    pub instance: &'a id::Instance,
+    /// Its role.
+    pub role: &'static str,
+    /// Its term.
+    pub term: id::Term,
+    /// The position up to which it holds the log.
+    pub received: id::Position,
+    /// The term of the order that made it stop receiving.
+    pub paused: Option<id::Term>,
+    /// Whether this is the answer to that order.
+    pub is_final: bool,
+    /// Time since the instance answered; absent for a final status.
+    pub age_ms: Option<u64>,
+    /// Time since the connection was opened over which the status came; absent for a final status, which comes over a
+    /// connection of its own.
+    pub connected_ms: Option<u64>,
+}
+
 /// Why a request is retried.
 #[derive(Debug, Serialize)]
 pub struct Retry<'a> {
@@ -282,6 +323,7 @@
             Self::Configuration { .. } => "event.configuration",
             Self::Session { .. } => "event.session",
             Self::Decision { .. } => "event.decision",
+            Self::Choice { .. } => "event.choice",
             Self::Promotion { .. } => "event.promotion",
             Self::UnorderedPromotion { .. } => "event.unordered_promotion",
             Self::Inherited { .. } => "event.inherited",
--- a/tests/explorer/simulation.rs
+++ b/tests/explorer/simulation.rs
@@ -434,6 +434,7 @@
                 let delay = self.delay();
                 return self.schedule(delay, Event::Submit { leader, action });
             }
+            Output::ReportChoice(_) => return,
             Output::Probe { instance } => (instance, Command::Probe),
             Output::Promote { instance, term } => (instance, Command::Promote(term.0)),
             Output::Demote { instance, term } => (instance, Command::Demote(term.0)),
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -109,6 +109,16 @@
         },
         Event::Session { database: "desk", was_open: false, reason: "unknown_key".to_owned() },
         Event::Decision { group, decision: "freeze", term, instance: None, start: None },
+        Event::Choice {
+            group,
+            decision: "claim",
+            instance: Some(instance),
+            term: Some(term),
+            epoch: term,
+            fenced_ms: None,
+            readings: Vec::new(),
+            unanswered: &[],
+        },
         Event::Promotion {
             group,
             instance,
@@ -135,6 +145,7 @@
         | Event::Configuration { .. }
         | Event::Session { .. }
         | Event::Decision { .. }
+        | Event::Choice { .. }
         | Event::Promotion { .. }
         | Event::UnorderedPromotion { .. }
         | Event::Inherited { .. }
