Don't repeat an order to promote that the service has accepted

What the users saw: an order took effect seconds late, and commits that had been acknowledged meanwhile were missing at the instance that it named.

Cause: control called again every 1.5 s until the instance led, also after the service had accepted the order. Each call is one more order that may be carried out seconds later, when another instance leads.

Evidence, on the code before: tests/platform_delayed_promotion.rs (the stand-in carries each order out 6 s after its answer): 3 and 5 orders for the same instance where one was needed, in 4 of 4 fleets; no write was lost in the 3 fleets that check it.

Change: an order that was accepted isn't sent again for 10 s, as long as the same epoch is to be replaced. One that was not answered is sent again as before. A control process that takes over knows of no accepted order and sends its own.

Measured: one order in each of 3 fleets. The fourth, whose instance is cut off until it is given up after 4 s, now loses 316 and 325 of some 1,700 acknowledged writes in 2 of 2 runs: before, a repeat that the stand-in carried out at once hid that the first order was still to come.

--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -8,7 +8,7 @@
 use smol::channel::{Receiver, Sender, unbounded};
 
 use super::client::Client;
-use super::outside::run_outside;
+use super::outside::{Accepted, run_outside};
 use super::{Authority, Promoter, Protocol};
 use crate::clock::Instant;
 use crate::control::failover::choice::{self, Choice, Decision};
@@ -85,10 +85,11 @@
     /// Probes an instance and sends it orders, as long as this process is the leader and the instance announces itself.
     async fn watch(self: Arc<Self>, replica: Replica, orders: Receiver<(id::Term, Order)>) {
         let mut transport = self.transport(&replica);
+        let mut accepted = None;
         let mut order = None;
         while self.is_watched(&replica) {
             let (term, next) = order.unwrap_or_else(|| (self.core().raft.term(), Order::Probe));
-            match self.run(term, &mut transport, &replica, next).await {
+            match self.run(term, &mut transport, &replica, next, &mut accepted).await {
                 Some(Some(input)) => self.step_failover(&replica, input),
                 Some(None) => {}
                 // The connection may hold an order whose authority has ended.
@@ -111,13 +112,14 @@
         transport: &mut Transport,
         replica: &Replica,
         order: Order,
+        accepted: &mut Option<Accepted>,
     ) -> Option<Option<Input<'static>>> {
         let authority = Authority::new(Arc::clone(self), term);
         if let (Transport::Outside(_, promoter), Order::Promote(promotion)) = (&*transport, &order)
         {
             let claim = Claim { term: *promotion, primary: replica.instance.clone() };
             let authority = authority.with_claim(replica.group.clone(), claim);
-            return Some(self.promote(authority, replica, &**promoter).await);
+            return Some(self.promote(authority, replica, &**promoter, accepted).await);
         }
         let is_probe = matches!(order, Order::Probe);
         let requested_at = self.clock.now();
--- a/src/control/promotion/outside.rs
+++ b/src/control/promotion/outside.rs
@@ -1,5 +1,7 @@
 //! Orders where an outside service promotes.
 
+use std::time::Duration;
+
 use log::Level;
 
 use super::client::Client;
@@ -8,19 +10,43 @@
 use crate::clock::Instant;
 use crate::control::failover::Input;
 use crate::control::server::Shared;
+use crate::id;
 use crate::report::event::millis;
 use crate::report::{Event, PromotionAnswer};
 use crate::statement;
 use crate::wire::Replica;
 
+/// How long an order that the service has accepted may take to have an effect. After that it counts as lost.
+const ACCEPTED_VALIDITY: Duration = Duration::from_secs(10);
+
+/// An order to promote an instance that the service has accepted. Nothing recalls it, and each repeat would be one more order
+/// that may have its effect late.
+#[derive(Debug)]
+pub(super) struct Accepted {
+    at: Instant,
+    /// The epoch that the promotion is to replace.
+    epoch: Option<id::Term>,
+}
+
+impl Accepted {
+    fn is_pending(&self, now: Instant, epoch: Option<id::Term>) -> bool {
+        self.epoch == epoch && now.since(self.at) < ACCEPTED_VALIDITY
+    }
+}
+
 impl Shared {
-    /// Asks an outside service to promote an instance.
+    /// Asks an outside service to promote an instance, unless it has accepted to do so and may still do it.
     pub(super) async fn promote(
         &self,
         authority: Authority,
         replica: &Replica,
         promoter: &dyn Promoter,
+        accepted: &mut Option<Accepted>,
     ) -> Option<Input<'static>> {
+        let epoch = self.core().state.epochs.get(&replica.group).map(|epoch| epoch.term);
+        if accepted.as_ref().is_some_and(|order| order.is_pending(self.clock.now(), epoch)) {
+            return None;
+        }
         let (group, instance, token) = (&replica.group, &replica.instance, authority.term());
         let promotion = Promotion {
             group: group.clone(),
@@ -50,6 +76,7 @@
         self.metrics.record_promotion_call(label);
         match result {
             Some(Ok(())) => {
+                *accepted = Some(Accepted { at: self.clock.now(), epoch });
                 log(Some("accepted".to_owned()), Level::Info);
                 None
             }
