--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -8,18 +8,20 @@
 use smol::channel::{Receiver, Sender, unbounded};
 
 use super::client::Client;
-use super::outside::run_outside;
+use super::outside::{Accepted, run_outside};
 use super::{Authority, Promoter, Protocol};
 use crate::clock::Instant;
+use crate::control::failover::choice::{self, Choice, Decision};
 use crate::control::failover::{Input, Output};
 use crate::control::server::Shared;
 use crate::control::state::{Action, Claim, Command};
 use crate::id;
 use crate::pgsql;
 use crate::report::Event;
+use crate::report::event::{Reading, millis};
 use crate::upstream::probe::Probe;
 use crate::upstream::status;
-use crate::wire::Replica;
+use crate::wire::{Replica, Role};
 
 /// The orders that wait for the task of an instance, each with the term of the control log in which it was given.
 pub(in crate::control) type Queue = Sender<(id::Term, Order)>;
@@ -83,10 +85,11 @@
     /// Probes an instance and sends it orders, as long as this process is the leader and the instance announces itself.
     async fn watch(self: Arc<Self>, replica: Replica, orders: Receiver<(id::Term, Order)>) {
         let mut transport = self.transport(&replica);
+        let mut accepted = None;
         let mut order = None;
         while self.is_watched(&replica) {
             let (term, next) = order.unwrap_or_else(|| (self.core().raft.term(), Order::Probe));
-            match self.run(term, &mut transport, &replica, next).await {
+            match self.run(term, &mut transport, &replica, next, &mut accepted).await {
                 Some(Some(input)) => self.step_failover(&replica, input),
                 Some(None) => {}
                 // The connection may hold an order whose authority has ended.
@@ -109,13 +112,14 @@
         transport: &mut Transport,
         replica: &Replica,
         order: Order,
+        accepted: &mut Option<Accepted>,
     ) -> Option<Option<Input<'static>>> {
         let authority = Authority::new(Arc::clone(self), term);
         if let (Transport::Outside(_, promoter), Order::Promote(promotion)) = (&*transport, &order)
         {
             let claim = Claim { term: *promotion, primary: replica.instance.clone() };
             let authority = authority.with_claim(replica.group.clone(), claim);
-            return Some(self.promote(authority, replica, &**promoter).await);
+            return Some(self.promote(authority, replica, &**promoter, accepted).await);
         }
         let is_probe = matches!(order, Order::Probe);
         let requested_at = self.clock.now();
@@ -178,6 +182,7 @@
                     self.order(term, &instance, Order::Follow(address, epoch));
                 }
             }
+            Output::ReportChoice(choice) => log_choice(&choice),
             Output::ReportUnordered { group, instance, term, epoch, primary } => {
                 self.metrics.record_unordered_promotion();
                 let (group, instance, primary) = (&group, &instance, &primary);
@@ -228,6 +233,42 @@
     }
 }
 
+/// Logs what an instance was chosen from.
+fn log_choice(choice: &Choice) {
+    let (decision, instance, term, level) = match &choice.decision {
+        Decision::Claim(instance, term) => ("claim", Some(instance), Some(*term), Level::Info),
+        Decision::Thaw => ("thaw", None, None, Level::Info),
+        Decision::None => ("none", None, None, Level::Warn),
+    };
+    let event = Event::Choice {
+        group: &choice.group,
+        decision,
+        instance,
+        term,
+        epoch: choice.epoch,
+        fenced_ms: choice.fenced_for.map(millis),
+        readings: choice.readings.iter().map(loggable).collect(),
+        unanswered: &choice.unanswered,
+    };
+    event.log(level);
+}
+
+fn loggable(reading: &choice::Reading) -> Reading<'_> {
+    Reading {
+        instance: &reading.instance,
+        role: match reading.status.role {
+            Role::Primary => "primary",
+            Role::Replica => "replica",
+        },
+        term: reading.status.term,
+        received: reading.status.received,
+        paused: reading.status.paused,
+        is_final: reading.is_final,
+        age_ms: reading.age.map(millis),
+        connected_ms: reading.connected_for.map(millis),
+    }
+}
+
 /// Logs an action that control proposes.
 fn log_decision(action: &Action) {
     let (decision, group, term, instance, start) = match action {
