Don't take a signed answer in the wrong state for that to a commit

A caller can get the answer to a write as that to its commit: where two copies of earlier answers arrive in the time of one statement, a copy of a refusal and one that looks like the answer to its fence, the refusal is believed, the statement is sent again, and the second answer of its two runs is the next that is signed. The commit is then told as done while it is still to run, and the connection looked as in step.

Cause: any signature that is new was taken as that of the awaited statement, whatever the state behind it was.

Evidence: an_answer_inside_of_a_transaction_is_not_that_to_its_commit failed on the code before (1 of 1 run: Ok with s2 in state Open).

Change: a commit and a statement outside of a transaction end outside of one; a signed answer in another state ends the attempt, with an unknown outcome if it may be kept.

--- a/src/upstream/connection/awaited.rs
+++ b/src/upstream/connection/awaited.rs
@@ -92,7 +92,8 @@
             Kind::Rollback | Kind::Ping => outcome.state == State::Idle,
             Kind::Setup => outcome.state == before,
             Kind::Status => !outcome.rows.is_empty(),
-            Kind::Data | Kind::Commit => true,
+            Kind::Data => before != State::Idle || outcome.state == State::Idle,
+            Kind::Commit => outcome.state == State::Idle,
         }
     }
 
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -384,9 +384,15 @@
                     };
                     let outcome =
                         Outcome { rows: std::mem::take(&mut rows), result, state, position };
-                    if !or_fence && !awaited.fits(&outcome, self.state) {
-                        self.note(clock, Evidence::State);
-                        continue;
+                    if !awaited.fits(&outcome, self.state) {
+                        if outcome.result.is_ok() && !is_own_success(&outcome) {
+                            // It is not a copy, so it may answer a command that was sent twice.
+                            return Err(self.give_up(clock, Evidence::State));
+                        }
+                        if !or_fence {
+                            self.note(clock, Evidence::State);
+                            continue;
+                        }
                     }
                     return self.without_copied_rows(clock, awaited, outcome);
                 }
--- a/tests/platform_second_answer_proof.rs
+++ b/tests/platform_second_answer_proof.rs
@@ -118,6 +118,21 @@
     assert!(matches!(refused.result, Err((Code::ReadOnly, _))), "{refused:?}");
 }
 
+/// A commit counted as done by the answer to a write that had run twice, and was still to run.
+#[test]
+fn an_answer_inside_of_a_transaction_is_not_that_to_its_commit() {
+    let (clock, deadline, mut connection) = connect(&[
+        ("BEGIN", "DONE -|READY T 1.2|"),
+        ("PUT a", "DONE s1|READY T 1.2|"),
+        ("COMMIT", "DONE s2|READY T 1.2|DONE s3|READY I 1.3|"),
+    ]);
+    smol::block_on(connection.request(&clock, &BEGIN, deadline)).expect("an answer");
+    assert!(is_done(&run(&mut connection, "PUT a 1"), &[], "s1"));
+    let commit = Command::Commit { id: &Id::new("s1") };
+    let answer = smol::block_on(connection.request(&clock, &commit, deadline));
+    assert!(matches!(answer, Err(Error::OutOfStep(_))), "{answer:?}");
+}
+
 /// The position of before a pause was taken for that of after it.
 #[test]
 fn an_earlier_status_is_not_that_after_a_pause() {
