Don't deliver the rest of an answer that a second one interrupted

A caller could get a success with the instance's signature and only some of the rows.

Cause: when a copy arrived between two rows of an answer, the rows before it were discarded together with the copy, and what followed was taken as the whole answer.

Change: a connection remembers the rows of each signature. Only a copy with just those rows is discarded; otherwise, and if a refusal or a READY follows rows and answers nothing, the attempt ends. No run shows that an instance interrupts its own answers.

--- a/src/upstream/connection/memory.rs
+++ b/src/upstream/connection/memory.rs
@@ -19,7 +19,7 @@
 /// Hashes of the newest answers, oldest first.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
-    signatures: VecDeque<u64>,
+    signatures: VecDeque<Signed>,
     /// Refusals, and successes of commands of this process.
     answers: VecDeque<u64>,
     rows: VecDeque<Rows>,
@@ -29,6 +29,13 @@
     last: Option<Mark>,
 }
 
+/// A signature and all rows before it.
+#[derive(Debug)]
+struct Signed {
+    signature: u64,
+    rows: u64,
+}
+
 /// The rows of an answer.
 #[derive(Debug, PartialEq, Eq)]
 struct Rows {
@@ -44,11 +51,19 @@
     }
 
     pub(super) fn has_signature(&self, signature: &str) -> bool {
-        self.signatures.contains(&hash(signature))
+        let signature = hash(signature);
+        self.signatures.iter().any(|known| known.signature == signature)
+    }
+
+    /// Returns whether an answer with a known signature has just the rows that it had before.
+    pub(super) fn is_copy(&self, signature: &str, rows: &[String]) -> bool {
+        let (signature, rows) = (hash(signature), hash(rows));
+        self.signatures.iter().any(|known| known.signature == signature && known.rows == rows)
     }
 
-    pub(super) fn add_signature(&mut self, signature: &str) {
-        push(&mut self.signatures, hash(signature), MAX_SIGNATURES);
+    pub(super) fn add_signature(&mut self, signature: &str, rows: &[String]) {
+        let signed = Signed { signature: hash(signature), rows: hash(rows) };
+        push(&mut self.signatures, signed, MAX_SIGNATURES);
     }
 
     /// Returns whether an answer without a signature looks like an earlier one.
@@ -109,7 +124,7 @@
     items.push_back(item);
 }
 
-fn hash(value: &str) -> u64 {
+fn hash(value: &(impl Hash + ?Sized)) -> u64 {
     let mut hasher = DefaultHasher::new();
     value.hash(&mut hasher);
     hasher.finish()
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -358,13 +358,17 @@
                         return Err(self.give_up(clock, Evidence::Cut));
                     }
                     if let Some(evidence) = self.judge(awaited, or_fence, &signature) {
+                        if !rows.is_empty() && !self.memory.is_copy(&signature, &rows) {
+                            // Some of the rows may be those of the awaited answer.
+                            return Err(self.give_up(clock, evidence));
+                        }
                         self.note(clock, evidence);
                         rows.clear();
                         goes_on = true;
                         continue;
                     }
                     if signature != NO_SIGNATURE {
-                        self.memory.add_signature(&signature);
+                        self.memory.add_signature(&signature, &rows);
                     }
                     result = Some(Ok(signature));
                 }
@@ -376,10 +380,12 @@
                 }
                 Answer::Ready { state, position } => {
                     let Some(result) = result.take() else {
+                        if !rows.is_empty() {
+                            return Err(self.give_up(clock, Evidence::Ready));
+                        }
                         if !std::mem::take(&mut goes_on) {
                             self.note(clock, Evidence::Ready);
                         }
-                        rows.clear();
                         continue;
                     };
                     let outcome =
@@ -418,7 +424,10 @@
         mut outcome: Outcome,
     ) -> Result<Outcome, Error> {
         if outcome.result.is_err() {
-            outcome.rows.clear();
+            let has_rows = !std::mem::take(&mut outcome.rows).is_empty();
+            if has_rows && self.memory.has_answer(&outcome) {
+                return Err(self.give_up(clock, Evidence::Rows));
+            }
         } else if awaited.kind == Kind::Status {
             let surplus = outcome.rows.len().saturating_sub(1);
             if surplus > 0 {
--- a/tests/platform_second_answer_proof.rs
+++ b/tests/platform_second_answer_proof.rs
@@ -185,6 +185,31 @@
     }
 }
 
+/// Rows that came before a second answer were discarded with it, and the rest was delivered as the whole.
+#[test]
+fn an_answer_that_a_second_one_interrupts_is_not_delivered_in_part() {
+    let scripts: [&'static [(&str, &str)]; 3] = [
+        &[
+            ("FETCH a", "ERR BUSY no|READY I 1.2|"),
+            ("FETCH b", "ROW two|ERR BUSY no|READY I 1.2|ROW three|DONE s2|READY I 1.2|"),
+        ],
+        &[
+            ("FETCH a", "ROW one|DONE s1|READY I 1.2|"),
+            ("FETCH b", "ROW two|ROW one|DONE s1|READY I 1.2|ROW three|DONE s2|READY I 1.2|"),
+        ],
+        &[
+            ("FETCH a", "DONE s1|READY I 1.2|"),
+            ("FETCH b", "DONE s1|ROW two|READY I 1.2|ROW three|DONE s2|READY I 1.2|"),
+        ],
+    ];
+    for script in scripts {
+        let (_, _, mut connection) = connect(script);
+        run(&mut connection, "FETCH a").expect("an answer");
+        let answer = run(&mut connection, "FETCH b");
+        assert!(matches!(answer, Err(Error::OutOfStep(_))), "{answer:?}");
+    }
+}
+
 #[test]
 fn a_connection_on_which_something_arrived_is_not_used() {
     let (clock, _, mut connection) =
