Do not try a statement again whose caller has left

A statement that failed on one instance was sent to the next one without a look whether its caller still waits, if that one had room.

--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -63,6 +63,9 @@
                 warm: warm.unwrap_or_default(),
             };
             execution.need = Some(need);
+            if execution.tries > 0 && execution.presence.has_left().await {
+                return Err(Refusal::new(Code::Aborted, CALLER_LEFT));
+            }
             let acquiring = self.shared.acquire_permit(&execution.database.group, request);
             let permit = execution.presence.unless_left(acquiring).await;
             execution.waited += self.shared.clock.now().since(now);
