Close a connection after a transaction on it has failed

Cause: a failed transaction refuses the echo behind its statements as well, so there a refusal is tied to nothing. Sent twice, late, by an instance, refusal and echo passed for the answer to a statement of a later transaction on the connection.

Evidence: second_refusal_of_a_failed_transaction_is_not_taken_for_the_answer_to_a_later_one, before: BEGIN was refused with 23505, the refusal of an INSERT in the transaction before it.

Change: the connection of a failed transaction is closed at its end. Each transaction that fails costs a new connection.

Open: after ROLLBACK TO, a second refusal can pass within the same transaction (read, not run).

--- a/src/proxy/caller/mod.rs
+++ b/src/proxy/caller/mod.rs
@@ -471,9 +471,10 @@
             pooled.report("statement", error);
         }
         let cancelled = self.cancel_entry.finish();
-        if result.is_ok() {
+        if let Ok(completion) = &result {
             pooled.running = false;
-            pooled.must_close |= cancelled;
+            // A failed transaction refuses the echo too, so that a second refusal could pass for that of a later one.
+            pooled.must_close |= cancelled || completion.status == b'E';
         }
         result
     }
--- a/tests/request_answers.rs
+++ b/tests/request_answers.rs
@@ -166,3 +166,23 @@
     let count = client.query_one("SELECT count(*) FROM noted", &[]).unwrap().get::<_, i64>(0);
     assert!(count >= i64::from(seen.answers), "{count} rows of {} acknowledged", seen.answers);
 }
+
+/// A failed transaction refuses the query that follows its statements too, so that a second refusal looks whole.
+#[test]
+fn second_refusal_of_a_failed_transaction_is_not_taken_for_the_answer_to_a_later_one() {
+    let fleet = Fleet::up();
+    let mut client = fleet.connect(0, "ops-1");
+    client.batch_execute("CREATE TABLE one (id INTEGER PRIMARY KEY)").unwrap();
+    client.batch_execute("INSERT INTO one VALUES (1)").unwrap();
+    client.batch_execute("BEGIN").unwrap();
+    fleet.set_faults("ops-1-1", r#"{"twice_every":1,"twice_ms":300}"#);
+    let refused = client.batch_execute("INSERT INTO one VALUES (1)").unwrap_err();
+    assert_eq!(refused.code().unwrap().code(), "23505");
+    fleet.set_faults("ops-1-1", "{}");
+    client.batch_execute("ROLLBACK").unwrap();
+    // The second refusals arrive while the answer to BEGIN is awaited.
+    fleet.set_faults("ops-1-1", r#"{"late_ms":400}"#);
+    client.batch_execute("BEGIN").expect("the transaction has not failed");
+    client.batch_execute("INSERT INTO one VALUES (2)").unwrap();
+    client.batch_execute("COMMIT").unwrap();
+}
