Choose no instance that may lack what a witness took along when it left

Cause: by_quorum counts whoever is known and read now. A commit is acknowledged once any one replica has received it, so a replica that leaves or restarts takes along what it alone had received, and one that joins isn't known yet. An accepted order was given up after 4 s, although nothing recalls it, and another instance was chosen or the epoch thawed.

Change, where an outside service promotes (failover::witness): - The highest position that proxies read from the primary is kept. An instance below it, or any after a departure if it isn't known, isn't chosen for 12 s (1 s without a departure), nor before the fence within 2.5 s of a join. Then the best one is, with an error and a count if an instance had left. A departure is settled once a replica was read at a position that the primary had after it. - A restart under the same name drops the paused position. - The choice stays for 12 s with an instance whose order is open, unless it has left or crashed. - An instance that begins its term below what it was chosen at is reported.

The rig of failover_outside has now been known for 10 s before its freeze, as choices before the fence ask for a group without a recent join; its checks are unchanged. START moved so that there is a time before it.

--- a/src/control/failover/candidate.rs
+++ b/src/control/failover/candidate.rs
@@ -37,6 +37,10 @@
     pub(super) promoted_outside: bool,
     /// Whether control has waited long enough for instances that have not answered yet.
     pub(super) waited: bool,
+    /// The position up to which proxies may have acknowledged writes, as far as they reported it.
+    pub(super) acknowledged: Option<id::Position>,
+    /// Whether an instance has left that may have received writes which no other replica holds.
+    pub(super) has_departure: bool,
     /// Whether instances that may hold acknowledged writes may still answer, after an unordered promotion.
     pub(super) misses_answers: bool,
 }
@@ -55,13 +59,28 @@
     /// Returns the instance to promote, or `None` if the readings don't prove that any instance holds all
     /// acknowledged writes.
     pub(super) fn choose(&self) -> Option<Reading<'a>> {
-        let proven = self.by_quorum().or_else(|| self.by_primary_position());
+        let proven = self.by_quorum().filter(|chosen| !self.may_lack_writes(chosen));
+        let proven = proven.or_else(|| self.by_primary_position());
         let fallback = || {
             if self.waited { self.old_primary().or_else(|| self.at_risk()) } else { None }
         };
         proven.or_else(fallback)
     }
 
+    /// Returns the instance that holds most of what was read, if all instances have been read but the writes that proxies
+    /// saw acknowledged, or that an instance took along when it left, may not be there.
+    pub(super) fn choose_incomplete(&self) -> Option<Reading<'a>> {
+        self.by_quorum()
+    }
+
+    /// Returns whether an instance may lack acknowledged writes although no other one that was read holds more.
+    fn may_lack_writes(&self, chosen: &Reading<'_>) -> bool {
+        match self.acknowledged {
+            Some(acknowledged) => self.progress(chosen).position < acknowledged,
+            None => self.has_departure,
+        }
+    }
+
     fn others(&self) -> impl Iterator<Item = &Reading<'a>> {
         self.readings.iter().filter(|reading| *reading.instance != self.epoch.primary)
     }
--- a/src/control/failover/frozen.rs
+++ b/src/control/failover/frozen.rs
@@ -1,12 +1,15 @@
 //! The frozen phase of a group: a term is reserved for the instance that holds every acknowledged write, the instance is
 //! ordered to take it, and its epoch is put in force. See `docs/DESIGN.md`, "Failover".
 
+use std::time::Duration;
+
 use super::candidate::{Candidates, Reading, Replicas};
 use super::damper::backoff;
 use super::reports::Verdict;
 use super::{
     Group, MAX_PROMOTION_TIMEOUT, MISSING_WAIT, ORDER_REPEAT, OUTSIDE_ORDER_REPEAT,
-    OUTSIDE_PROMOTION_TIMEOUT, Output, PROBE_VALIDITY, PROMOTION_TIMEOUT, View,
+    OUTSIDE_PROMOTION_TIMEOUT, Output, PROBE_VALIDITY, PROMOTION_TIMEOUT, UNSETTLED_ORDER_TIMEOUT,
+    View,
 };
 use crate::clock::Instant;
 use crate::control::state::{Action, Claim};
@@ -35,7 +38,8 @@
         };
         match self.open_claim(now, epoch, view) {
             Some(claim)
-                if !self.is_timed_out(now, claim) && !self.is_outdone(now, epoch, claim, view) =>
+                if !self.is_timed_out(now, claim, view)
+                    && !self.is_outdone(now, epoch, claim, view) =>
             {
                 self.complete(now, epoch, claim)
             }
@@ -45,10 +49,9 @@
 
     /// Returns whether the attempt to promote the instance that has the term reserved has timed out or was declined.
     /// Starts the attempt if the term is new.
-    fn is_timed_out(&mut self, now: Instant, claim: &Claim) -> bool {
+    fn is_timed_out(&mut self, now: Instant, claim: &Claim, view: View<'_>) -> bool {
         let term = claim.term;
-        let timeout =
-            if self.promoted_outside { OUTSIDE_PROMOTION_TIMEOUT } else { PROMOTION_TIMEOUT };
+        let timeout = self.promotion_timeout(now, claim, view);
         let count = match self.attempt {
             Some((known, since, count)) if known == term => {
                 let declined = self.declined.as_ref() == Some(&claim.primary);
@@ -63,6 +66,19 @@
         false
     }
 
+    /// Returns how long an instance may take to adopt its reserved term at first. No reset recalls what an outside service has
+    /// accepted, and what is acknowledged before it is carried out would be lost, so the choice stays with an instance that
+    /// may still run.
+    fn promotion_timeout(&self, now: Instant, claim: &Claim, view: View<'_>) -> Duration {
+        let has_ended = !view.known_instances.contains(&claim.primary)
+            || self.verdict(now, &claim.primary) == Verdict::Crashed;
+        match (self.promoted_outside, has_ended) {
+            (true, false) => UNSETTLED_ORDER_TIMEOUT,
+            (true, true) => OUTSIDE_PROMOTION_TIMEOUT,
+            (false, _) => PROMOTION_TIMEOUT,
+        }
+    }
+
     /// Carries out the steps that need not wait for the fence if an outside service promotes. A commit is
     /// acknowledged only after a replica has received it, so once every replica has stopped receiving, nothing more
     /// can be acknowledged and the replicas' positions are final. The epoch of the promoted instance still waits for
@@ -71,13 +87,14 @@
         let claim = self.open_claim(now, epoch, view);
         if let Some(claim) = claim.filter(|claim| !self.is_outdone(now, epoch, claim, view)) {
             let promoted = self.promoted_status(now, epoch, claim).is_some();
-            let wait = promoted || self.is_timed_out(now, claim);
+            let wait = promoted || self.is_timed_out(now, claim, view);
             return if wait { Vec::new() } else { self.promote(now, claim) };
         }
         if self.unordered.is_found() {
             return self.keep_primary(now, epoch, view);
         }
         let term = epoch.term.next();
+        let is_stable = self.witnesses.is_stable(now);
         let others = view.known_instances.iter().filter(|instance| **instance != epoch.primary);
         let missing = others.filter(|instance| !self.paused.contains_key(*instance));
         let missing: Vec<id::Instance> = missing.cloned().collect();
@@ -86,8 +103,8 @@
             return missing.into_iter().flat_map(pause).collect();
         }
         let candidates = self.candidates(now, epoch, view, self.paused.iter(), false);
-        let Some(chosen) = candidates.choose().filter(|chosen| *chosen.instance != epoch.primary)
-        else {
+        let chosen = candidates.choose().filter(|chosen| *chosen.instance != epoch.primary);
+        let Some(chosen) = chosen.filter(|_| is_stable) else {
             return Vec::new();
         };
         let action = self.claim_action(epoch, view.claim, &chosen);
@@ -130,16 +147,35 @@
     /// order of an earlier leader; otherwise orders its promotion.
     fn complete(&mut self, now: Instant, epoch: &Epoch, claim: &Claim) -> Vec<Output> {
         let promoted_outside = self.promoted_outside;
-        let Some(status) = self.promoted_status(now, epoch, claim) else {
+        let Some(status) = self.promoted_status(now, epoch, claim).copied() else {
             return self.promote(now, claim);
         };
+        let status = &status;
+        let mut outputs = self.check_start(epoch, &claim.primary, status);
         let action = match self.promote_action(&claim.primary, status) {
             Action::Promote { group, term, primary, start } if promoted_outside => {
                 Action::Adopt { group, term, primary, start }
             }
             action => action,
         };
-        self.order(now, Output::Submit(action))
+        outputs.extend(self.order(now, Output::Submit(action)));
+        outputs
+    }
+
+    /// Reports an instance that began its term below the position at which it was chosen: the service carried out an earlier
+    /// order, or the instance has lost what it held when it was chosen.
+    fn check_start(
+        &mut self,
+        epoch: &Epoch,
+        instance: &id::Instance,
+        status: &Status,
+    ) -> Vec<Output> {
+        let start = if status.start > id::Position(0) { status.start } else { status.received };
+        let expected = self.witnesses.expected(epoch, instance);
+        match expected.filter(|_| self.promoted_outside) {
+            Some(expected) if start < expected => self.report_missing(epoch, instance, start, true),
+            _ => Vec::new(),
+        }
     }
 
     /// Reserves a new term for the instance that holds every acknowledged write.
@@ -164,7 +200,22 @@
             if unordered { candidates.choose_after_unordered() } else { candidates.choose() };
         let Some(chosen) = chosen else {
             let behind = candidates.behind_returned_primary();
-            return self.resume(now, behind);
+            let incomplete = if unordered { None } else { candidates.choose_incomplete() };
+            let incomplete = incomplete.map(|best| {
+                let held = candidates.progress(&best).position;
+                (best.instance.clone(), held, self.claim_action(epoch, view.claim, &best))
+            });
+            let mut outputs = self.resume(now, behind);
+            if let Some((instance, held, action)) = incomplete {
+                let is_accepted = now.since(fenced_at) >= self.witnesses.wait();
+                let is_lost = is_accepted && self.witnesses.has_departure();
+                outputs.extend(self.report_missing(epoch, &instance, held, is_lost));
+                if is_accepted {
+                    self.witnesses.record_choice(epoch, &instance, held);
+                    outputs.extend(self.order(now, Output::Submit(action)));
+                }
+            }
+            return outputs;
         };
         if self.promoted_outside && *chosen.instance == epoch.primary && !unordered {
             // An outside service doesn't promote an instance that is primary already, so the old epoch is put in force
@@ -206,10 +257,16 @@
             draining: view.draining,
             promoted_outside: self.promoted_outside,
             waited,
+            acknowledged: self.acknowledged(epoch),
+            has_departure: self.promoted_outside && self.witnesses.has_departure(),
             misses_answers: false,
         }
     }
 
+    fn acknowledged(&self, epoch: &Epoch) -> Option<id::Position> {
+        if self.promoted_outside { self.witnesses.acknowledged(epoch) } else { None }
+    }
+
     /// Returns the number of known instances of the group, including the primary even if it no longer announces
     /// itself.
     fn known_instances(&self, epoch: &Epoch, view: View<'_>) -> usize {
--- a/src/control/failover/message.rs
+++ b/src/control/failover/message.rs
@@ -6,6 +6,7 @@
 use crate::config::Durability;
 use crate::control::state::{Action, Claim};
 use crate::id;
+use crate::proxy::floor::Mark;
 use crate::upstream::status::Status;
 use crate::wire::{Epoch, Health};
 
@@ -49,6 +50,16 @@
         /// Its status.
         status: Status,
     },
+    /// A proxy with a lease read this position from the primary in force, before it released an answer at that position.
+    Acknowledged {
+        /// The position.
+        mark: Mark,
+    },
+    /// The instance has restarted under its name, and holds nothing of before.
+    Restarted {
+        /// The instance.
+        instance: id::Instance,
+    },
     /// The outside service did not promote the instance because it isn't running.
     PromotionDeclined {
         /// The instance.
@@ -137,4 +148,19 @@
         /// The primary of the epoch.
         primary: id::Instance,
     },
+    /// Log that an instance may lack acknowledged writes, and count it if the instance is put in force nonetheless.
+    ReportMissing {
+        /// The group.
+        group: id::Group,
+        /// The instance.
+        instance: id::Instance,
+        /// The term of the epoch that is to be replaced.
+        term: id::Term,
+        /// The position up to which the instance holds the epoch's history.
+        held: id::Position,
+        /// The highest position of that history that proxies read from its primary.
+        acknowledged: Option<id::Position>,
+        /// Whether the instance takes over; otherwise another one is waited for.
+        is_accepted: bool,
+    },
 }
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -11,6 +11,7 @@
 mod reports;
 mod switchover;
 mod unordered;
+mod witness;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -25,6 +26,8 @@
 pub use self::switchover::{FREEZE_DELAY, SWITCHOVER_RETRY_DELAY, SWITCHOVER_TIMEOUT};
 pub use self::unordered::UNORDERED_WAIT;
 use self::unordered::Unordered;
+use self::witness::Witnesses;
+pub use self::witness::{JOIN_WAIT, MISSING_WRITES_WAIT, UNKNOWN_WAIT};
 use super::state::Action;
 use crate::clock::Instant;
 use crate::id;
@@ -49,10 +52,13 @@
 /// attempt.
 pub const PROMOTION_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The initial promotion timeout for instances that an outside service promotes. The service may be slow, and if it
-/// carried out a request after another instance was chosen, it would replace that instance.
+/// The initial promotion timeout for instances that an outside service promotes, if they are shown to have ended.
 pub const OUTSIDE_PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The initial promotion timeout for other instances that an outside service promotes. The service may be slow, and if it
+/// carried out a request after another instance was chosen, it would replace that instance.
+pub const UNSETTLED_ORDER_TIMEOUT: Duration = Duration::from_secs(12);
+
 /// The interval after which a request to an outside service is repeated.
 pub const OUTSIDE_ORDER_REPEAT: Duration = Duration::from_millis(1_500);
 
@@ -86,6 +92,7 @@
     /// Whether the epoch was put in force again after a freeze, so that replicas may still be paused.
     thawed: bool,
     unordered: Unordered,
+    witnesses: Witnesses,
 }
 
 #[derive(Debug)]
@@ -114,6 +121,7 @@
             paused: BTreeMap::new(),
             thawed: false,
             unordered: Unordered::default(),
+            witnesses: Witnesses::default(),
         }
     }
 
@@ -139,6 +147,12 @@
             Input::Paused { instance, status } => {
                 self.paused.insert(instance, status);
             }
+            Input::Acknowledged { mark } => self.witnesses.record_acknowledged(mark),
+            Input::Restarted { instance } => {
+                self.paused.remove(&instance);
+                self.probes.remove(&instance);
+                self.witnesses.record_departure(now);
+            }
             Input::PromotionDeclined { instance } => self.declined = Some(instance),
             Input::Tick(view) => return self.tick(now, view),
         }
@@ -163,7 +177,8 @@
             return self.bootstrap(now, view);
         };
         let since = self.record_phase(now, epoch);
-        let mut outputs = self.find_unordered(now, epoch, since, view);
+        let mut outputs = self.watch_witnesses(now, epoch, view);
+        outputs.extend(self.find_unordered(now, epoch, since, view));
         outputs.extend(match epoch.phase {
             // Each write that the epoch's primary acknowledges from now on is lost, so the damper doesn't apply.
             Phase::Active if self.unordered.is_found() => self.freeze(now, epoch),
--- a/src/control/leader/mod.rs
+++ b/src/control/leader/mod.rs
@@ -76,6 +76,8 @@
     /// The proxies whose removal was proposed, and when.
     proposed_removals: BTreeMap<id::Node, Instant>,
     registry: Registry,
+    /// The incarnations of the instances that announce themselves to control.
+    incarnations: BTreeMap<id::Instance, id::Incarnation>,
     /// The levels of accounts with a quota, and what proxies hold of them.
     ledger: Ledger,
     /// The positions of primaries that proxies reported.
@@ -242,6 +244,12 @@
             self.record_demands(&sender, &heartbeat.demand, table, state);
             quota = self.lease_tokens(now, &holder, heartbeat, stamp);
         }
+        for report in &heartbeat.positions {
+            // It makes no decision due by itself.
+            if let Some(group) = self.groups.get_mut(&report.group) {
+                group.step(now, Input::Acknowledged { mark: report.mark });
+            }
+        }
         if heartbeat.seen.term == stamp.term {
             heartbeat
                 .positions
--- a/src/control/leader/table.rs
+++ b/src/control/leader/table.rs
@@ -11,6 +11,7 @@
 use super::{Leader, Scope};
 use crate::clock::Instant;
 use crate::config::Fleet;
+use crate::control::failover::Input;
 use crate::control::state::State;
 use crate::id;
 use crate::upstream::announcement;
@@ -143,6 +144,7 @@
             return;
         }
         self.registry.refresh(now, state);
+        self.record_restarts(now, state);
         let gone = self.replicas.keys().filter(|instance| !state.enlisted.contains_key(*instance));
         let gone: Vec<id::Instance> = gone.cloned().collect();
         gone.iter().for_each(|instance| self.remove_replica(instance));
@@ -154,6 +156,18 @@
         changed.into_iter().for_each(|replica| self.insert_replica(now, replica));
     }
 
+    /// Tells the groups which of their instances have restarted under their names.
+    fn record_restarts(&mut self, now: Instant, state: &State) {
+        let incarnations = state.enlisted.iter().map(|(id, known)| (id.clone(), known.born));
+        let earlier = std::mem::replace(&mut self.incarnations, incarnations.collect());
+        for (instance, known) in &state.enlisted {
+            if earlier.get(instance).is_some_and(|earlier| *earlier < known.born) {
+                let instance = instance.clone();
+                self.step(now, &known.replica.group, Input::Restarted { instance });
+            }
+        }
+    }
+
     pub(super) fn insert_replica(&mut self, at: Instant, replica: Replica) {
         self.remove_replica(&replica.instance);
         self.stale.insert(replica.group.clone());
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -183,6 +183,15 @@
                 let event = Event::UnorderedPromotion { group, instance, term, epoch, primary };
                 event.log(Level::Error);
             }
+            Output::ReportMissing { group, instance, term, held, acknowledged, is_accepted } => {
+                if is_accepted {
+                    self.metrics.record_missing_writes();
+                }
+                let (group, instance) = (&group, &instance);
+                let event =
+                    Event::MissingWrites { group, instance, term, held, acknowledged, is_accepted };
+                event.log(if is_accepted { Level::Error } else { Level::Warn });
+            }
         }
     }
 
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -178,6 +178,22 @@
         /// The primary of the group's epoch.
         primary: &'a id::Instance,
     },
+    /// The best instance of a frozen group may lack writes that proxies saw acknowledged by the primary, or that an
+    /// instance took along when it left.
+    MissingWrites {
+        /// The group.
+        group: &'a id::Group,
+        /// The instance.
+        instance: &'a id::Instance,
+        /// The term of the group's epoch.
+        term: id::Term,
+        /// The position up to which the instance holds the history of that term.
+        held: id::Position,
+        /// The highest position that proxies read from the primary; absent if none is known.
+        acknowledged: Option<id::Position>,
+        /// Whether the instance takes over nonetheless; otherwise one that may hold more is waited for.
+        is_accepted: bool,
+    },
     /// A process that became the leader found a term reserved by an earlier leader, whose order to promote the instance
     /// may still be open.
     Inherited {
@@ -284,6 +300,7 @@
             Self::Decision { .. } => "event.decision",
             Self::Promotion { .. } => "event.promotion",
             Self::UnorderedPromotion { .. } => "event.unordered_promotion",
+            Self::MissingWrites { .. } => "event.missing_writes",
             Self::Inherited { .. } => "event.inherited",
             Self::Leader { .. } => "event.leader",
         }
--- a/src/report/metrics/mod.rs
+++ b/src/report/metrics/mod.rs
@@ -64,6 +64,7 @@
     epochs_promoted: Counter,
     promotion_calls: Family<PromotionLabels, Counter>,
     unordered_promotions: Counter,
+    missing_writes: Counter,
     elections: Counter,
     log_sync_seconds: Histogram,
     announcements: Counter,
@@ -117,6 +118,7 @@
             epochs_promoted: Counter::default(),
             promotion_calls: Family::default(),
             unordered_promotions: Counter::default(),
+            missing_writes: Counter::default(),
             elections: Counter::default(),
             log_sync_seconds: request_histogram(),
             announcements: Counter::default(),
@@ -276,6 +278,11 @@
             "Promotions by an outside service that no order in force asked for",
             self.unordered_promotions.clone(),
         );
+        registry.register(
+            "missing_writes",
+            "Instances put in force although they may lack acknowledged writes",
+            self.missing_writes.clone(),
+        );
         registry.register("elections", "Elections of control won here", self.elections.clone());
         registry.register_with_unit(
             "log_sync",
--- a/src/report/metrics/record.rs
+++ b/src/report/metrics/record.rs
@@ -200,6 +200,11 @@
         self.unordered_promotions.inc();
     }
 
+    /// Counts an instance that was put in force although it may lack acknowledged writes.
+    pub fn record_missing_writes(&self) {
+        self.missing_writes.inc();
+    }
+
     /// Counts an election that this process won.
     pub fn record_election(&self) {
         self.elections.inc();
--- a/src/report/timeline.rs
+++ b/src/report/timeline.rs
@@ -103,7 +103,9 @@
         match other.text("event") {
             "lease" | "stranded" | "configuration" => same("node"),
             "instance" | "epoch" | "connection_limit" | "share" => same("node") && same("group"),
-            "decision" | "promotion" | "inherited" | "unordered_promotion" => same("group"),
+            "decision" | "promotion" | "inherited" | "missing_writes" | "unordered_promotion" => {
+                same("group")
+            }
             "leader" => true,
             "note" => same("node") && !other.has_value("level", "INFO"),
             _ => false,
--- a/tests/explorer/simulation.rs
+++ b/tests/explorer/simulation.rs
@@ -440,7 +440,10 @@
             Output::Follow { instance, primary, term } => {
                 (instance, Command::Follow(instance_number(&primary), term.0))
             }
-            Output::Pause { .. } | Output::Resume { .. } | Output::ReportUnordered { .. } => {
+            Output::Pause { .. }
+            | Output::Resume { .. }
+            | Output::ReportUnordered { .. }
+            | Output::ReportMissing { .. } => {
                 panic!(
                     "unexpected {output:?}: the instances of this group are promoted by a statement"
                 )
--- a/tests/failover_outside.rs
+++ b/tests/failover_outside.rs
@@ -30,14 +30,17 @@
     fn frozen() -> Self {
         let mut machine = Group::new(at(0), group());
         machine.set_promoted_outside(true);
-        Self {
+        let mut rig = Self {
             group: machine,
-            epoch: epoch(3, "i1", Phase::Frozen, &[(3, 0)]),
+            epoch: epoch(3, "i1", Phase::Active, &[(3, 0)]),
             claim: None,
             fenced: false,
             known_instances: ["i1", "i2", "i3"].map(name).into(),
             live_proxies: BTreeSet::new(),
-        }
+        };
+        rig.tick(Instant(0));
+        rig.epoch.phase = Phase::Frozen;
+        rig
     }
 
     fn tick(&mut self, now: Instant) -> Vec<Output> {
--- a/tests/failover_returns.rs
+++ b/tests/failover_returns.rs
@@ -250,7 +250,7 @@
             }
             Output::Probe { .. } => self.probe(at(ms)),
             Output::Demote { .. } | Output::Follow { .. } => {}
-            Output::ReportUnordered { .. } => {
+            Output::ReportUnordered { .. } | Output::ReportMissing { .. } => {
                 panic!("unexpected {output:?}: each promotion was ordered")
             }
         }
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -118,6 +118,14 @@
             confirmed_ago_ms: Some(1),
         },
         Event::UnorderedPromotion { group, instance, term, epoch: term, primary: instance },
+        Event::MissingWrites {
+            group,
+            instance,
+            term,
+            held: id::Position(7),
+            acknowledged: Some(id::Position(9)),
+            is_accepted: false,
+        },
         Event::Inherited { group, instance, term },
         Event::Leader { leads: true, term },
     ];
@@ -137,6 +145,7 @@
         | Event::Decision { .. }
         | Event::Promotion { .. }
         | Event::UnorderedPromotion { .. }
+        | Event::MissingWrites { .. }
         | Event::Inherited { .. }
         | Event::Leader { .. } => true,
     };
--- a/tests/machine/mod.rs
+++ b/tests/machine/mod.rs
@@ -19,7 +19,7 @@
     Demand, Epoch, Grant, Health, Heartbeat, Observation, Phase, Replica, Role, Stamp,
 };
 
-pub const START: Instant = Instant(1_000_000_000);
+pub const START: Instant = Instant(10_000_000_000);
 
 pub fn at(ms: u64) -> Instant {
     START + Duration::from_millis(ms)
