--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -12,6 +12,7 @@
 mod reports;
 mod switchover;
 mod unordered;
+mod witness;
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -26,6 +27,8 @@
 pub use self::switchover::{FREEZE_DELAY, SWITCHOVER_RETRY_DELAY, SWITCHOVER_TIMEOUT};
 pub use self::unordered::UNORDERED_WAIT;
 use self::unordered::Unordered;
+use self::witness::Witnesses;
+pub use self::witness::{JOIN_WAIT, MISSING_WRITES_WAIT, UNKNOWN_WAIT};
 use super::state::Action;
 use crate::clock::Instant;
 use crate::id;
@@ -50,10 +53,13 @@
 /// attempt.
 pub const PROMOTION_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The initial promotion timeout for instances that an outside service promotes. The service may be slow, and if it
-/// carried out a request after another instance was chosen, it would replace that instance.
+/// The initial promotion timeout for instances that an outside service promotes, if they are shown to have ended.
 pub const OUTSIDE_PROMOTION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// The initial promotion timeout for other instances that an outside service promotes. The service may be slow, and if it
+/// carried out a request after another instance was chosen, it would replace that instance.
+pub const UNSETTLED_ORDER_TIMEOUT: Duration = Duration::from_secs(12);
+
 /// The interval after which a request to an outside service is repeated.
 pub const OUTSIDE_ORDER_REPEAT: Duration = Duration::from_millis(1_500);
 
@@ -89,6 +95,7 @@
     unordered: Unordered,
     /// When a choice, or the lack of one, was last reported.
     reported_at: Option<Instant>,
+    witnesses: Witnesses,
 }
 
 #[derive(Debug)]
@@ -118,6 +125,7 @@
             thawed: false,
             unordered: Unordered::default(),
             reported_at: None,
+            witnesses: Witnesses::default(),
         }
     }
 
@@ -151,6 +159,12 @@
             Input::Paused { instance, status } => {
                 self.paused.insert(instance, status);
             }
+            Input::Acknowledged { mark } => self.witnesses.record_acknowledged(mark),
+            Input::Restarted { instance } => {
+                self.paused.remove(&instance);
+                self.probes.remove(&instance);
+                self.witnesses.record_departure(now);
+            }
             Input::PromotionDeclined { instance } => self.declined = Some(instance),
             Input::Tick(view) => return self.tick(now, view),
         }
@@ -175,7 +189,8 @@
             return self.bootstrap(now, view);
         };
         let since = self.record_phase(now, epoch);
-        let mut outputs = self.find_unordered(now, epoch, since, view);
+        let mut outputs = self.watch_witnesses(now, epoch, view);
+        outputs.extend(self.find_unordered(now, epoch, since, view));
         outputs.extend(match epoch.phase {
             // Each write that the epoch's primary acknowledges from now on is lost, so the damper doesn't apply.
             Phase::Active if self.unordered.is_found() => self.freeze(now, epoch),
