Deliver rows that equal those of another statement

Callers' reads were repeated, and refused after three connections, where two statements have an equal first row: two items with one value, or a FETCH and an EXEC of one item.

Cause: equal first rows counted as a part of a second answer. The statement is then retried on a new connection, which has nothing to confuse it with.

--- a/src/broker/checkout.rs
+++ b/src/broker/checkout.rs
@@ -20,12 +20,13 @@
 impl Shared {
     /// Takes an idle connection of an account for the holder of a permit, preferring one that has these session
     /// variables. If there is none, closes as many idle connections of other accounts as must make room for a new one
-    /// before the caller opens it.
+    /// before the caller opens it. With `must_be_new` no idle one is taken.
     pub(super) fn idle_connection(
         &self,
         instance: &id::Instance,
         account: Option<&id::Account>,
         values: &BTreeMap<String, String>,
+        must_be_new: bool,
     ) -> Result<SharedConnection, (Seat, Opening)> {
         let now = self.clock.now();
         let mut state = self.lock();
@@ -34,7 +35,7 @@
             return Err((Seat::default(), Opening::New));
         };
         let suitable = |connection: &SharedConnection| connection.setup.has_values(values);
-        while let Some(mut connection) = entry.idle.pop(now, account, suitable) {
+        while !must_be_new && let Some(mut connection) = entry.idle.pop(now, account, suitable) {
             if connection.upstream.is_quiet(&self.clock) {
                 self.metrics.record_reused_connection();
                 return Ok(connection);
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -89,7 +89,10 @@
             if need == Need::Primary && term.is_none() {
                 return Err(Refusal::busy("the primary is being replaced", FULL_DELAY));
             }
-            let idle = self.shared.idle_connection(&instance, account, execution.values);
+            // On a new connection no answer can be confused with an earlier one.
+            let must_be_new = execution.replaced > 0;
+            let idle =
+                self.shared.idle_connection(&instance, account, execution.values, must_be_new);
             let is_new = idle.is_err();
             let connection = match idle {
                 Ok(connection) => Ok(connection),
--- a/tests/platform_second_answer_proof.rs
+++ b/tests/platform_second_answer_proof.rs
@@ -185,6 +185,20 @@
     }
 }
 
+/// Reads of two items with the same data were retried on other connections, and refused in the end.
+#[test]
+fn equal_rows_of_two_statements_are_both_delivered() {
+    let (_, _, mut connection) = connect(&[
+        ("FETCH a", "ROW one|DONE s1|READY I 1.2|"),
+        ("FETCH b", "ROW one|DONE s2|READY I 1.2|"),
+        ("EXEC c1 a", "ROW one|DONE s3|READY I 1.2|"),
+    ]);
+    for (text, signature) in [("FETCH a", "s1"), ("FETCH b", "s2"), ("EXEC c1 a", "s3")] {
+        assert!(is_done(&run(&mut connection, text), &["one"], signature), "{text}");
+        assert!(connection.is_in_step());
+    }
+}
+
 /// The first half of a refusal and a row were taken for a refusal, and the row was left out.
 #[test]
 fn a_row_that_is_joined_to_a_part_of_a_refusal_is_not_left_out() {
