Read instances over new connections after one has left

A departure was never settled: statuses count from when their connection was opened, and no connection was opened after it. Found by review, on the merged code.

a_departure_is_settled_by_readings_over_new_connections failed before the change (by its assertion on readings_since, which left departures out).

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -135,10 +135,10 @@
     }
 
     /// Returns the time after which a status must have been requested to count for the next decision: the group has entered a
-    /// phase, its fence has held, or an unordered promotion was found.
+    /// phase, its fence has held, an unordered promotion was found, or an instance has left.
     pub fn readings_since(&self) -> Instant {
         let phase_at = self.last_phase.map_or(self.created_at, |(.., at)| at);
-        let later = [self.fenced_at, self.unordered.found_at()];
+        let later = [self.fenced_at, self.unordered.found_at(), self.witnesses.departed_at()];
         later.into_iter().flatten().fold(phase_at, Instant::max)
     }
 
--- a/src/control/failover/witness.rs
+++ b/src/control/failover/witness.rs
@@ -114,6 +114,11 @@
         self.departure.is_some()
     }
 
+    /// Returns when the last instance left whose departure still matters.
+    pub(super) fn departed_at(&self) -> Option<Instant> {
+        self.departure.map(|departure| departure.at)
+    }
+
     /// Returns how long a choice waits for instances that may hold more than those that were read.
     pub(super) fn wait(&self) -> Duration {
         if self.has_departure() { MISSING_WRITES_WAIT } else { UNKNOWN_WAIT }
--- a/tests/failover_witness.rs
+++ b/tests/failover_witness.rs
@@ -285,6 +285,13 @@
     assert!(thawed.is_some_and(|at| at <= 4_100), "{thawed:?}");
 }
 
+/// Readings over a connection from before a departure can't settle it, so that each later choice waited in vain.
+#[test]
+fn a_departure_is_settled_by_readings_over_new_connections() {
+    let rig = without_the_only_witness();
+    assert!(rig.group.readings_since() >= at(100));
+}
+
 /// The service promotes an instance that has lost what it held when it was chosen.
 #[test]
 fn an_instance_that_began_its_term_below_what_proxies_saw_is_reported() {
