--- a/tests/failover_choice.rs
+++ b/tests/failover_choice.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use cactushatch::clock::Instant;
 use cactushatch::config::Durability;
 use cactushatch::control::failover::choice::{Choice, Decision, UNDECIDED_INTERVAL};
 use cactushatch::control::failover::{Group, Input, Output, View};
@@ -15,7 +16,11 @@
 
 /// Runs a step of a frozen group with the primary `i1` and two replicas, and returns what is reported.
 fn report(machine: &mut Group, epoch: &Epoch, ms: u64) -> Option<Choice> {
-    let (now, known) = (at(ms), ["i1", "i2", "i3"].map(name));
+    report_at(machine, epoch, at(ms))
+}
+
+fn report_at(machine: &mut Group, epoch: &Epoch, now: Instant) -> Option<Choice> {
+    let known = ["i1", "i2", "i3"].map(name);
     let view = View {
         epoch: Some(epoch),
         claim: None,
@@ -33,9 +38,12 @@
     }
 }
 
+/// Creates a group whose instances have been known for long.
 fn frozen() -> (Group, Epoch) {
-    let mut machine = Group::new(at(0), group());
+    let mut machine = Group::new(Instant(0), group());
     machine.set_promoted_outside(true);
+    let active = epoch(3, "i1", Phase::Active, &[(3, 0)]);
+    assert_eq!(report_at(&mut machine, &active, Instant(0)), None);
     (machine, epoch(3, "i1", Phase::Frozen, &[(3, 0)]))
 }
 
