Choose an instance before the fence only if the primary has ended

Acknowledged commits could be missing at the promoted instance where the primary was cut off from control alone: it went on, a replica that had just joined and wasn't known received from it, and proxies that hadn't seen the freeze released answers up to the end of their lease. Found by review, shown in the model only: the rig of replicas_are_paused_and_the_most_advanced_is_chosen_before_the_leases_expire reported no failure of its primary, and i3 was claimed 40 ms after the freeze.

Now a claim before the fence needs a primary whose process has ended by the reports (refused connections), no recent join and no departure that isn't settled.

Tests that claim before the fence report the crash now, with their checks unchanged, and no_instance_is_chosen_before_the_fence_while_the_primary_may_run is new.

--- a/src/control/failover/frozen.rs
+++ b/src/control/failover/frozen.rs
@@ -94,7 +94,10 @@
             return self.keep_primary(now, epoch, view);
         }
         let term = epoch.term.next();
-        let is_stable = self.witnesses.is_stable(now);
+        // While the primary may still run, an instance that isn't known may receive from it until the fence holds.
+        let is_complete = self.verdict(now, &epoch.primary) == Verdict::Crashed
+            && self.witnesses.is_stable(now)
+            && !self.witnesses.has_departure();
         let others = view.known_instances.iter().filter(|instance| **instance != epoch.primary);
         let missing = others.filter(|instance| !self.paused.contains_key(*instance));
         let missing: Vec<id::Instance> = missing.cloned().collect();
@@ -104,7 +107,7 @@
         }
         let candidates = self.candidates(now, epoch, view, self.paused.iter(), false);
         let chosen = candidates.choose().filter(|chosen| *chosen.instance != epoch.primary);
-        let Some(chosen) = chosen.filter(|_| is_stable) else {
+        let Some(chosen) = chosen.filter(|_| is_complete) else {
             return Vec::new();
         };
         let action = self.claim_action(epoch, view.claim, &chosen);
--- a/tests/failover_choice.rs
+++ b/tests/failover_choice.rs
@@ -11,7 +11,7 @@
 use cactushatch::control::failover::{Group, Input, Output, View};
 use cactushatch::id;
 use cactushatch::upstream::status::Status;
-use cactushatch::wire::{Epoch, Phase, Role};
+use cactushatch::wire::{Epoch, Health, Phase, Role};
 use machine::{at, epoch, group, name, status};
 
 /// Runs a step of a frozen group with the primary `i1` and two replicas, and returns what is reported.
@@ -28,7 +28,7 @@
         declared_instances: 3,
         known_instances: &known,
         durability: Durability::Majority,
-        live_proxies: &BTreeSet::new(),
+        live_proxies: &["p1", "p2"].map(name).into(),
         draining: &BTreeSet::new(),
     };
     let outputs = machine.step(now, Input::Tick(view));
@@ -51,6 +51,10 @@
 fn a_claim_is_reported_with_the_readings_that_it_was_made_from() {
     let (mut machine, epoch) = frozen();
     assert_eq!(report(&mut machine, &epoch, 10), None);
+    for node in ["p1", "p2"].map(name) {
+        let (instance, health) = (name("i1"), Health::Refused);
+        machine.step(at(10), Input::Reported { node, instance, health });
+    }
     let (opened_at, answered_at) = (at(4), at(20));
     let old = status(Role::Replica, 3, 5, 0);
     let instance: id::Instance = name("i3");
--- a/tests/failover_outside.rs
+++ b/tests/failover_outside.rs
@@ -68,6 +68,15 @@
         self.group.step(now, Input::Probed { instance: name(instance), requested_at: now, result });
     }
 
+    /// Proxies can't connect to the primary, whose process has ended.
+    fn crash_primary(&mut self) {
+        for node in ["p1", "p2"].map(name) {
+            self.live_proxies.insert(id::Node::clone(&node));
+            let (instance, health) = (name("i1"), Health::Refused);
+            self.group.step(at(5), Input::Reported { node, instance, health });
+        }
+    }
+
     fn set_claim(&mut self, instance: &str) {
         self.claim = Some(Claim { term: id::Term(4), primary: name(instance) });
     }
@@ -89,6 +98,7 @@
 #[test]
 fn replicas_are_paused_and_the_most_advanced_is_chosen_before_the_leases_expire() {
     let mut rig = Rig::frozen();
+    rig.crash_primary();
     assert_eq!(rig.tick(at(10)), [pause("i2"), pause("i3")]);
     assert!(rig.tick(at(20)).is_empty(), "the orders are not repeated at once");
     rig.report_paused(at(30), "i2", 7);
@@ -97,10 +107,28 @@
     assert_eq!(rig.tick(at(40)), [claim("i3")]);
 }
 
+/// A primary that only control can't reach goes on, and so may a replica that has joined and isn't known yet.
+#[test]
+fn no_instance_is_chosen_before_the_fence_while_the_primary_may_run() {
+    let mut rig = Rig::frozen();
+    rig.tick(at(10));
+    rig.report_paused(at(20), "i2", 7);
+    rig.report_paused(at(20), "i3", 9);
+    for ms in (20..1_500).step_by(10) {
+        assert!(rig.tick(at(ms)).is_empty(), "{ms} ms");
+    }
+    rig.fenced = true;
+    rig.tick(at(1_500));
+    rig.probe(at(1_510), "i2", status(Role::Replica, 3, 7, 0));
+    rig.probe(at(1_510), "i3", status(Role::Replica, 3, 9, 0));
+    assert_eq!(rig.tick(at(1_510)), [claim("i3")]);
+}
+
 /// An unreachable replica may have received the last acknowledged write, so the choice must wait for the fence.
 #[test]
 fn no_instance_is_chosen_before_the_fence_while_a_replica_is_missing() {
     let mut rig = Rig::frozen();
+    rig.crash_primary();
     rig.tick(at(10));
     rig.report_paused(at(20), "i2", 7);
     for ms in (20..1_500).step_by(10) {
@@ -197,11 +225,7 @@
 fn a_term_left_over_from_the_promotion_of_a_failed_primary_is_not_waited_for() {
     let mut rig = Rig::frozen();
     rig.claim = Some(Claim { term: id::Term(5), primary: name("i1") });
-    for node in ["p1", "p2"].map(name) {
-        let (instance, health) = (name("i1"), Health::Silent);
-        rig.live_proxies.insert(id::Node::clone(&node));
-        rig.group.step(at(5), Input::Reported { node, instance, health });
-    }
+    rig.crash_primary();
     assert_eq!(rig.tick(at(10)), [pause("i2"), pause("i3")]);
     rig.report_paused(at(20), "i2", 7);
     rig.report_paused(at(20), "i3", 9);
--- a/tests/failover_returns.rs
+++ b/tests/failover_returns.rs
@@ -12,6 +12,7 @@
 use cactushatch::control::lease::INHERITED_LEASE_WAIT;
 use cactushatch::control::state::{Command, State};
 use cactushatch::id;
+use cactushatch::proxy::floor::Mark;
 use cactushatch::upstream::status::Status;
 use cactushatch::wire::{Health, Phase, Role};
 use machine::{at, group, name};
@@ -104,7 +105,7 @@
         for ms in (from_ms..until_ms).step_by(STEP_MS as usize) {
             self.promote_accepted(ms);
             self.replicate();
-            self.write();
+            self.write(at(ms));
             if ms.is_multiple_of(50) {
                 self.probe(at(ms));
             }
@@ -151,8 +152,9 @@
         }
     }
 
-    /// Writes at the primary of the epoch in force. A write is acknowledged once a replica has received it.
-    fn write(&mut self) {
+    /// Writes at the primary of the epoch in force. A write is acknowledged once a replica has received it, and proxies then
+    /// report its position.
+    fn write(&mut self, now: Instant) {
         let Some(epoch) = self.state.epochs.get(&group()) else { return };
         if epoch.phase != Phase::Active {
             return;
@@ -177,6 +179,9 @@
         let held = self.upstreams.values().filter(|upstream| upstream.log.contains(&write)).count();
         if held > 1 {
             self.acknowledged.push(write);
+            let position = id::Position(self.upstreams[&primary].log.len() as u64);
+            let mark = Mark { term: id::Term(term), position };
+            self.machine.step(now, Input::Acknowledged { mark });
         }
     }
 
--- a/tests/failover_witness.rs
+++ b/tests/failover_witness.rs
@@ -164,6 +164,7 @@
     rig.probe(300, "i3", Role::Replica, 9);
     rig.tick(300);
     rig.freeze();
+    rig.report(350, "i1", Health::Refused);
     rig.report_paused(400, "i2", 7);
     rig.report_paused(400, "i3", 9);
     assert_eq!(claimed(&rig.tick(400)), Some("i3".to_owned()));
@@ -219,6 +220,7 @@
     rig.known.push(name("i4"));
     rig.tick(0);
     rig.freeze();
+    rig.report(50, "i1", Health::Refused);
     for instance in ["i2", "i3", "i4"] {
         rig.report_paused(100, instance, 7);
     }
