Tell a new leader how far proxies saw a group get

After a change of leader control knew no position that proxies had seen acknowledged, as a report counts only if its leader can date it. Found by review, by reading.

A proxy now reports a recent position that it can't date as well. The leader takes it as a bound for its choice, passes it on to nobody and still sends that proxy the positions of others.

--- a/src/broker/state.rs
+++ b/src/broker/state.rs
@@ -323,8 +323,9 @@
         let report = |(name, group): (&id::Group, &Group)| {
             let PositionSample { requested_at, mark } = group.own_sample?;
             let is_recent = now.since(requested_at) < MAX_REPORTED_AGE;
-            let after = self.answers.last_before(term, requested_at).filter(|_| is_recent)?;
-            Some(position::Report { group: name.clone(), mark, after })
+            // A new leader can't date what was read before it answered, but learns how far the group got.
+            let after = self.answers.last_before(term, requested_at).unwrap_or(position::UNDATED);
+            is_recent.then(|| position::Report { group: name.clone(), mark, after })
         };
         self.groups.iter().filter_map(report).collect()
     }
--- a/src/control/position.rs
+++ b/src/control/position.rs
@@ -75,8 +75,10 @@
 
     /// Returns the positions for a proxy that sent this heartbeat: those of the groups that it serves and reported none of.
     pub fn missing(&self, now: Instant, heartbeat: &Heartbeat) -> Vec<position::Known> {
-        let is_reported =
-            |group: &id::Group| heartbeat.positions.iter().any(|report| report.group == *group);
+        let dated = |report: &&position::Report| report.after != position::UNDATED;
+        let is_reported = |group: &id::Group| {
+            heartbeat.positions.iter().filter(dated).any(|report| report.group == *group)
+        };
         let served = heartbeat.demand.iter().filter(|demand| demand.wanted > 0);
         let missing = served.filter(|demand| !is_reported(&demand.group));
         let known = missing.filter_map(|demand| {
--- a/tests/positions.rs
+++ b/tests/positions.rs
@@ -106,6 +106,28 @@
     assert!(exchange(old, &mut other).is_empty());
 }
 
+/// A position from before a change of leader can't be dated, so the proxy still needs those of others.
+#[test]
+fn an_undated_position_is_not_passed_on_and_hides_none() {
+    let (mut connected, mut other) = (Reader::new("p1"), Reader::new("p2"));
+    let mut control = control(&[&connected, &other]);
+    let mut exchange = |ms: u64, reader: &mut Reader, undated: bool| {
+        let mut heartbeat = reader.heartbeat(at(ms));
+        if undated {
+            let (mark, after) = (mark(9), position::UNDATED);
+            heartbeat.positions = vec![position::Report { group: group(), mark, after }];
+        }
+        let holder = reader.proxy.holder.clone();
+        let grant = control.handle_heartbeat(at(ms), &holder, &heartbeat).expect("a grant");
+        reader.receive(at(ms), grant)
+    };
+    exchange(0, &mut connected, true);
+    assert!(exchange(5, &mut other, false).is_empty(), "it may be old");
+    connected.sample = Some((at(6), mark(1)));
+    exchange(10, &mut connected, false);
+    assert_eq!(exchange(20, &mut other, true).len(), 1);
+}
+
 /// Returns a grant that answers no heartbeat.
 fn pushed(proxy: &Proxy) -> Grant {
     Grant {
