Give an order to resume or to follow again while the instance is too busy for it

A RESUME that was answered with BUSY counted as done, so that a replica stayed paused until its next pause or promotion: with another one that receives nothing, no write was acknowledged.

--- a/src/control/promotion/client.rs
+++ b/src/control/promotion/client.rs
@@ -111,10 +111,18 @@
         }
     }
 
+    /// Gives an order, again while the instance is too busy for it.
     pub(super) async fn execute(&mut self, command: &statement::Command<'_>) {
-        if let Err(error) = self.request(command, ORDER_TIMEOUT).await {
-            log::warn!("instance {} did not execute {command:?}: {error}", self.replica.instance);
-        }
+        let end = self.clock.now() + ORDER_TIMEOUT;
+        let reason = loop {
+            match self.request(command, ORDER_TIMEOUT).await {
+                Ok(Some(_)) => return,
+                Ok(None) if self.clock.now() < end => self.clock.sleep(BUSY_RETRY_DELAY).await,
+                Ok(None) => break "it is too busy".to_owned(),
+                Err(error) => break error.to_string(),
+            }
+        };
+        log::warn!("instance {} did not execute {command:?}: {reason}", self.replica.instance);
     }
 
     async fn request(
