Don't let a refusal that isn't believed prolong the suspicion

Callers of a busy instance that had answered twice once got unknown outcomes and aborted transactions without end.

Cause: for ten seconds after a second answer, a refusal that looks like an earlier one isn't believed; that was recorded as a second answer itself, so that two equal refusals on one connection in any ten seconds renewed the suspicion for good.

Change: it counts as unproven, which closes its connection and raises no suspicion.

--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -141,6 +141,8 @@
         Ready = "ready",
         /// An answer that looks like an earlier one and was followed by the awaited one.
         Repeated = "repeated",
+        /// An answer that looks like an earlier one and that nothing proves.
+        Unproven = "unproven",
         /// A part of an answer.
         Cut = "cut",
         /// Rows that begin with one of another answer.
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -257,7 +257,7 @@
             }
             let is_suspect = outcome.result.is_err() && self.suspicion.is_raised(clock.now());
             if !is_certain && is_suspect || fence.is_none() && !self.awaited.is_empty() {
-                return Err(self.give_up(clock, Evidence::Repeated));
+                return Err(self.give_up(clock, Evidence::Unproven));
             }
             let sent = match fence {
                 Some(fence) => fence,
--- a/src/upstream/connection/proof.rs
+++ b/src/upstream/connection/proof.rs
@@ -193,8 +193,8 @@
         if let Some(tally) = &self.tally {
             tally.record(evidence);
         }
-        // Equal rows of two statements show nothing by themselves.
-        if evidence != Evidence::Rows {
+        // Equal rows of two statements, and equal refusals, show nothing by themselves.
+        if !matches!(evidence, Evidence::Rows | Evidence::Unproven) {
             self.suspicion.raise(clock.now());
         }
         if self.evidence.replace(evidence).is_none() {
--- a/tests/platform_second_answer_proof.rs
+++ b/tests/platform_second_answer_proof.rs
@@ -9,8 +9,9 @@
 use std::time::Duration;
 
 use cactushatch::clock::{Clock, Instant};
+use cactushatch::report::Tally;
 use cactushatch::statement::{Code, Command, Id, State};
-use cactushatch::upstream::connection::{Connection, Error};
+use cactushatch::upstream::connection::{Connection, Error, Suspicion};
 use cactushatch::wire::Replica;
 use line::LineCodec;
 
@@ -236,6 +237,36 @@
     assert!(matches!(answer, Err(Error::OutOfStep(_))), "{answer:?}");
 }
 
+/// Refusals of a busy instance that had answered twice once were never believed again: each that wasn't prolonged the
+/// suspicion.
+#[test]
+fn refusals_that_are_not_believed_do_not_prolong_the_suspicion() {
+    let busy = [("PUT a", "ERR BUSY no|READY I 1.2|"), ("PUT b", "ERR BUSY no|READY I 1.2|")];
+    let fence = ("PREPARE", "DONE -|READY I 1.2|");
+    let scripts: [&'static [(&str, &str)]; 3] = [
+        &[("PUT a", "DONE s1|READY I 1.2|"), ("PUT b", "DONE s1|READY I 1.2|DONE s2|READY I 1.3|")],
+        Vec::from(busy).leak(),
+        Vec::from([busy[0], busy[1], fence]).leak(),
+    ];
+    let (clock, suspicion) = (Clock::paused(), Suspicion::default());
+    let mut results = Vec::new();
+    for script in scripts {
+        clock.advance(Duration::from_secs(6));
+        let (_, _, mut connection) = connect(script);
+        connection.observe(Tally::default(), suspicion.clone());
+        for text in ["PUT a 1", "PUT b 1"] {
+            let command = Command::Data { id: &Id::new("s1"), after: None, text };
+            let answer = connection.request(&clock, &command, clock.now() + TIMEOUT);
+            results.push(smol::block_on(answer).map(|outcome| outcome.result.is_ok()));
+        }
+    }
+    let is_right = matches!(
+        results[..],
+        [Ok(true), Ok(true), Ok(false), Err(Error::OutOfStep(_)), Ok(false), Ok(false)]
+    );
+    assert!(is_right, "{results:?}");
+}
+
 #[test]
 fn a_connection_on_which_something_arrived_is_not_used() {
     let (clock, _, mut connection) =
