Resume each replica that shows a pause while its epoch is in force

A replica that had been paused for a freeze could stay so after the old epoch was put in force again. With no replica that receives, the primary acknowledges no write.

Cause: the order to receive again was given once after a thaw, and one that an instance was too busy to carry out, or that was lost with its connection, counted as done.

Change: a status that was requested since the epoch came into force and shows a pause is followed by another order, as often as other orders are repeated.

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -267,6 +267,7 @@
             paused.extend(unanswered);
         }
         outputs.extend(paused.into_iter().map(|instance| Output::Resume { instance }));
+        outputs.extend(self.resume_paused(now, epoch, since));
         outputs
     }
 
@@ -313,6 +314,17 @@
         outputs
     }
 
+    /// Orders replicas to receive again that show a pause: an order to do so may have been refused or lost, and a primary whose
+    /// replicas don't receive acknowledges nothing.
+    fn resume_paused(&mut self, now: Instant, epoch: &Epoch, since: Instant) -> Vec<Output> {
+        let paused = self
+            .statuses_since(now, since)
+            .filter(|(instance, status)| **instance != epoch.primary && status.paused.is_some());
+        let paused: Replicas = paused.map(|(instance, _)| instance.clone()).collect();
+        let resume = |instance| self.order(now, Output::Resume { instance });
+        paused.into_iter().flat_map(resume).collect()
+    }
+
     fn promote_action(&self, instance: &id::Instance, status: &Status) -> Action {
         Action::Promote {
             group: self.group.clone(),
--- a/src/control/failover/unordered.rs
+++ b/src/control/failover/unordered.rs
@@ -130,7 +130,7 @@
     }
 
     /// Returns the statuses that were requested at `at` or later.
-    fn statuses_since(
+    pub(super) fn statuses_since(
         &self,
         now: Instant,
         at: Instant,
--- a/tests/failover_outside.rs
+++ b/tests/failover_outside.rs
@@ -221,6 +221,23 @@
 
 /// The service gives terms itself: after a first reservation that it did not act on, the instance with the second takes
 /// the first's term.
+/// An order to receive again that an instance was too busy to carry out was not repeated, and with no replica that receives
+/// nothing was acknowledged any more.
+#[test]
+fn a_replica_that_shows_a_pause_while_the_epoch_is_in_force_is_resumed() {
+    let mut rig = Rig::frozen();
+    rig.epoch.phase = Phase::Active;
+    let paused = Status { paused: Some(id::Term(4)), ..status(Role::Replica, 3, 7, 0) };
+    let resume = [Output::Resume { instance: name("i2") }];
+    for ms in [100, 2_000] {
+        rig.probe(at(ms), "i2", paused);
+        rig.probe(at(ms), "i3", status(Role::Replica, 3, 7, 0));
+        assert_eq!(rig.tick(at(ms + 10)), resume, "{ms} ms");
+    }
+    rig.probe(at(3_500), "i2", status(Role::Replica, 3, 7, 0));
+    assert_eq!(rig.tick(at(3_510)), []);
+}
+
 #[test]
 fn a_term_left_over_from_the_promotion_of_a_failed_primary_is_not_waited_for() {
     let mut rig = Rig::frozen();
