Log and count messages that could not be read, with their place

A message of a caller that could not be read was logged as a note without the peer, the connection or the place.

The log event `unreadable` names the peer with its address (an instance also with its id and group), the connection, the kind of the error, the kind of the command that was awaited, at which byte of the connection's stream the message begins, and how long it is or what has arrived of it. The content is not logged. Lines about callers have a rate of their own, so that a caller can't suppress those about instances. `cactushatch_protocol_errors_total{peer="upstream"}` counts messages of instances, in control processes too; their clients count second answers as well now. A decoder also removes a message that can't be read, so that its length is known. What such a message costs is unchanged.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -1,6 +1,8 @@
 //! A caller's connection: reads messages, runs their statements and writes the answers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -18,8 +20,9 @@
 use crate::clock::Instant;
 use crate::config::{Database, KeyDigest};
 use crate::proxy::shutdown::Stage;
+use crate::report::event::{Unreadable, millis};
 use crate::report::{Event as LogEvent, Peer};
-use crate::statement::{Access, Answer, Code, DecodeError, Id, Request, State, Statement};
+use crate::statement::{Access, Answer, Code, DecodeError, Id, Place, Request, State, Statement};
 use crate::wire::Step;
 
 /// How long a caller may take to open its session.
@@ -33,6 +36,9 @@
 
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Number of connections accepted from callers by this process.
+static ACCEPTED: AtomicU64 = AtomicU64::new(0);
+
 /// The reason why a caller's connection ended.
 #[derive(Debug, thiserror::Error)]
 enum Error {
@@ -63,8 +69,11 @@
     shared.shutdown.session_opened();
     shared.metrics.caller_connected();
     let mut caller = Caller {
+        address: socket.peer_addr().ok(),
+        number: ACCEPTED.fetch_add(1, Ordering::Relaxed) + 1,
         socket,
         input: BytesMut::new(),
+        received: 0,
         output: BytesMut::new(),
         session: Session::default(),
         database: None,
@@ -77,10 +86,6 @@
         shared: Arc::clone(&shared),
     };
     if let Err(error) = caller.run().await {
-        if let Error::Malformed(decode_error) = &error {
-            shared.metrics.record_protocol_error(Peer::Caller, decode_error.kind());
-            log::info!("closing a caller connection after a malformed message: {error}");
-        }
         log::debug!("caller connection ended: {error}");
     }
     drop(caller);
@@ -91,7 +96,12 @@
 struct Caller {
     shared: Arc<Shared>,
     socket: TcpStream,
+    /// What identifies the connection in logs.
+    address: Option<SocketAddr>,
+    number: u64,
     input: BytesMut,
+    /// Number of bytes received.
+    received: u64,
     output: BytesMut,
     session: Session,
     /// The declaration of the database when the session's last operation began. A transaction ends by the one with which
@@ -211,17 +221,43 @@
     /// Receives the next message, or `None` at the end of the connection.
     async fn receive(&mut self) -> Result<Option<Request>, Error> {
         loop {
-            if let Some(request) = self.shared.codec.decode_request(&mut self.input)? {
-                return Ok(Some(request));
+            let before = self.input.len();
+            match self.shared.codec.decode_request(&mut self.input) {
+                Ok(Some(request)) => return Ok(Some(request)),
+                Ok(None) => {}
+                Err(error) => {
+                    self.record_unreadable(error, before);
+                    return Err(error.into());
+                }
             }
             let mut buffer = [0; READ_BUFFER_BYTES];
             match self.socket.read(&mut buffer).await? {
                 0 => return Ok(None),
-                len => self.input.extend_from_slice(&buffer[..len]),
+                len => {
+                    self.received += len as u64;
+                    self.input.extend_from_slice(&buffer[..len]);
+                }
             }
         }
     }
 
+    /// Counts and logs a message that could not be read from an input of `len` bytes.
+    fn record_unreadable(&self, error: DecodeError, len: usize) {
+        self.shared.metrics.record_protocol_error(Peer::Caller, error.kind());
+        LogEvent::Unreadable(Unreadable {
+            peer: Peer::Caller,
+            address: self.address,
+            instance: None,
+            group: None,
+            connection: self.number,
+            open_ms: millis(self.shared.clock.now().since(self.opened)),
+            command: None,
+            reason: error.kind(),
+            place: Place::new(self.received, len, self.input.len()),
+        })
+        .log(Level::Info);
+    }
+
     /// Runs a statement and queues the answer. Returns whether the session must end because its key has no account.
     async fn run_query(&mut self, name: &str, id: &Id, statement: Statement) -> bool {
         self.shared.update_credential(&mut self.credential, name);
--- a/src/broker/checkout.rs
+++ b/src/broker/checkout.rs
@@ -115,6 +115,9 @@
         let (mut upstream, position) = match opened {
             Ok(opened) => opened,
             Err(error) => {
+                if let ConnectionError::Malformed(error) = error {
+                    self.metrics.upstream().record_unreadable(error);
+                }
                 match error.health() {
                     Health::Fine => self.record_answer(instance, None),
                     Health::Refused | Health::Silent | Health::Faulty => {
@@ -124,7 +127,7 @@
                 return Err(error);
             }
         };
-        upstream.observe(self.metrics.out_of_step(), seat.suspicion.clone());
+        upstream.observe(self.metrics.upstream(), seat.suspicion.clone());
         self.record_answer(instance, position);
         let is_same_term = term.is_some() && term == self.primary_term(&replica.group, instance);
         if let Some(mark) = position.filter(|_| is_same_term) {
--- a/src/control/promotion/client.rs
+++ b/src/control/promotion/client.rs
@@ -6,8 +6,9 @@
 use crate::control::failover::Input;
 use crate::control::raft::LEADERSHIP_VALIDITY;
 use crate::id;
+use crate::report::Tally;
 use crate::statement::{self, Codec};
-use crate::upstream::connection::{self, Connection};
+use crate::upstream::connection::{self, Connection, Suspicion};
 use crate::upstream::probe::PROBE_TIMEOUT;
 use crate::upstream::status;
 use crate::wire::{Health, Replica};
@@ -30,14 +31,20 @@
     clock: Clock,
     codec: &'static dyn Codec,
     replica: Replica,
+    tally: Tally,
     /// The kept connection, and a time before its first command.
     connection: Option<(Instant, Connection)>,
 }
 
 impl Client {
     /// Creates a client, which connects when it is first used.
-    pub(super) fn new(clock: Clock, codec: &'static dyn Codec, replica: Replica) -> Self {
-        Self { clock, codec, replica, connection: None }
+    pub(super) fn new(
+        clock: Clock,
+        codec: &'static dyn Codec,
+        replica: Replica,
+        tally: Tally,
+    ) -> Self {
+        Self { clock, codec, replica, tally, connection: None }
     }
 
     /// Asks the instance for its status, over a connection that was opened after `since`. If that fails, tries again over a
@@ -136,8 +143,12 @@
             None => {
                 let opened_at = self.clock.now();
                 let (clock, codec, replica) = (&self.clock, self.codec, &self.replica);
-                let (connection, _) =
-                    Connection::connect(clock, codec, replica, None, deadline).await?;
+                let connected = Connection::connect(clock, codec, replica, None, deadline).await;
+                if let Err(connection::Error::Malformed(error)) = connected {
+                    self.tally.record_unreadable(error);
+                }
+                let (mut connection, _) = connected?;
+                connection.observe(self.tally.clone(), Suspicion::default());
                 connection.withdraw_on_close(LEADERSHIP_VALIDITY)?;
                 (opened_at, connection)
             }
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -146,7 +146,8 @@
             }
             Protocol::Outside { codec, promoter } => {
                 let (clock, replica) = (self.clock.clone(), replica.clone());
-                Transport::Outside(Client::new(clock, codec, replica), promoter)
+                let tally = self.metrics.upstream();
+                Transport::Outside(Client::new(clock, codec, replica, tally), promoter)
             }
         }
     }
--- a/src/proxy/monitor.rs
+++ b/src/proxy/monitor.rs
@@ -18,7 +18,7 @@
     let (user, application) = (shared.user.clone(), shared.application.clone());
     let mut probe = Probe::new(shared.clock.clone(), user, application, replica.clone())
         .with_upstream(shared.credentials.upstream.clone())
-        .count_in(shared.metrics.out_of_step());
+        .count_in(shared.metrics.upstream());
     while shared.is_announced(&replica) {
         let sent = shared.clock.now();
         match probe.status().await {
--- a/src/proxy/server.rs
+++ b/src/proxy/server.rs
@@ -180,7 +180,7 @@
             self.application.clone(),
         )
         .with_security(self.credentials.upstream.clone())
-        .count_in(self.metrics.out_of_step());
+        .count_in(self.metrics.upstream());
         pool.set_limits(slots, limit);
         let instance = Instance {
             replica: replica.clone(),
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -3,12 +3,15 @@
 //! `docs/OPERATIONS.md`, "Log lines", documents the fields; a test compares that page with this module.
 
 use std::fmt;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use log::Level;
-use serde::Serialize;
+use serde::{Serialize, Serializer};
 
+use super::label::Peer;
 use crate::id;
+use crate::statement::Place;
 use crate::wire::{Health, Phase};
 
 /// Prefix of the log targets of events, which distinguishes them from plain lines.
@@ -83,6 +86,8 @@
         /// What shows the second answer.
         evidence: String,
     },
+    /// A message of a caller or an instance could not be read.
+    Unreadable(Unreadable<'a>),
     /// The connections to each instance of a group that this proxy may hold changed. With none, it forwards.
     Share {
         /// The group.
@@ -318,6 +323,31 @@
     pub connected_ms: Option<u64>,
 }
 
+/// A message that could not be read. Its content is not logged.
+#[derive(Debug, Serialize)]
+pub struct Unreadable<'a> {
+    /// Who sent it.
+    #[serde(serialize_with = "as_text")]
+    pub peer: Peer,
+    /// The address of the sender; absent if the connection had ended already.
+    pub address: Option<SocketAddr>,
+    /// The instance, if one sent it.
+    pub instance: Option<&'a id::Instance>,
+    /// The group of the instance.
+    pub group: Option<&'a id::Group>,
+    /// Number of the connection among those that the process opened to instances, or accepted from callers.
+    pub connection: u64,
+    /// Time since the connection was opened.
+    pub open_ms: u64,
+    /// The kind of the command whose answer was awaited; absent for callers.
+    pub command: Option<&'static str>,
+    /// The kind of the error, as in the metrics.
+    pub reason: &'static str,
+    /// Where the message lies in the stream of the connection.
+    #[serde(flatten)]
+    pub place: Place,
+}
+
 /// Why a request is retried.
 #[derive(Debug, Serialize)]
 pub struct Retry<'a> {
@@ -347,6 +377,9 @@
             Self::Quota { .. } => "event.quota",
             Self::ConnectionLimit { .. } => "event.connection_limit",
             Self::OutOfStep { .. } => "event.out_of_step",
+            // They have a rate of their own, so that callers can't suppress the lines about instances.
+            Self::Unreadable(Unreadable { peer: Peer::Caller, .. }) => "event.unreadable.caller",
+            Self::Unreadable(_) => "event.unreadable",
             Self::Share { .. } => "event.share",
             Self::Lease { .. } => "event.lease",
             Self::Stranded { .. } => "event.stranded",
@@ -365,6 +398,10 @@
     }
 }
 
+fn as_text<S: Serializer>(value: &impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(value)
+}
+
 /// Returns a duration in milliseconds, the unit of log fields, saturating.
 pub fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
--- a/src/report/metrics/mod.rs
+++ b/src/report/metrics/mod.rs
@@ -14,19 +14,29 @@
 
 use super::label::{
     ClassLabels, Evidence, EvidenceLabels, FailureLabels, ForwardLabels, LeaseLabels,
-    OpeningLabels, PromotionLabels, ProtocolErrorLabels, QuotaLabels, RefusalLabels,
+    OpeningLabels, Peer, PromotionLabels, ProtocolErrorLabels, QuotaLabels, RefusalLabels,
     RejectionLabels, RequestLabels, RoleLabels, SchedulingLabels, TargetLabels,
 };
 use super::largest::Largest;
+use crate::statement::DecodeError;
 
-/// Counts second answers of instances by what shows them. Copies count together.
+/// Counts what connections to instances receive that is no answer. Copies count together.
 #[derive(Debug, Clone, Default)]
-pub struct Tally(Family<EvidenceLabels, Counter>);
+pub struct Tally {
+    out_of_step: Family<EvidenceLabels, Counter>,
+    protocol_errors: Family<ProtocolErrorLabels, Counter>,
+}
 
 impl Tally {
-    /// Counts a second answer.
+    /// Counts a second answer by what shows it.
     pub fn record(&self, evidence: Evidence) {
-        self.0.get_or_create(&EvidenceLabels { evidence }).inc();
+        self.out_of_step.get_or_create(&EvidenceLabels { evidence }).inc();
+    }
+
+    /// Counts a message that could not be read.
+    pub fn record_unreadable(&self, error: DecodeError) {
+        let labels = ProtocolErrorLabels { peer: Peer::Upstream, reason: error.kind() };
+        self.protocol_errors.get_or_create(&labels).inc();
     }
 }
 
@@ -53,7 +63,7 @@
     lagging_refusals: Counter,
     forwards_refused: Counter,
     upstream_failures: Family<FailureLabels, Counter>,
-    out_of_step: Tally,
+    upstream: Tally,
     protocol_errors: Family<ProtocolErrorLabels, Counter>,
     connections_open: Family<RoleLabels, Gauge>,
     connections_busy: Family<RoleLabels, Gauge>,
@@ -95,6 +105,9 @@
 
 impl Default for Metrics {
     fn default() -> Self {
+        let protocol_errors: Family<ProtocolErrorLabels, Counter> = Family::default();
+        let upstream =
+            Tally { protocol_errors: protocol_errors.clone(), out_of_step: Family::default() };
         let mut metrics = Self {
             registry: Arc::default(),
             requests: Family::default(),
@@ -108,8 +121,8 @@
             lagging_refusals: Counter::default(),
             forwards_refused: Counter::default(),
             upstream_failures: Family::default(),
-            out_of_step: Tally::default(),
-            protocol_errors: Family::default(),
+            upstream,
+            protocol_errors,
             connections_open: Family::default(),
             connections_busy: Family::default(),
             callers: Gauge::default(),
@@ -211,7 +224,7 @@
         registry.register(
             "upstream_out_of_step",
             "Second answers of instances by what shows them",
-            self.out_of_step.0.clone(),
+            self.upstream.out_of_step.clone(),
         );
         registry.register(
             "sessions_rejected",
--- a/src/report/metrics/record.rs
+++ b/src/report/metrics/record.rs
@@ -46,9 +46,9 @@
         self.upstream_failures.get_or_create(&FailureLabels { kind }).inc();
     }
 
-    /// Returns the counter of second answers of instances.
-    pub fn out_of_step(&self) -> Tally {
-        self.out_of_step.clone()
+    /// Returns the counters of what connections to instances receive that is no answer.
+    pub fn upstream(&self) -> Tally {
+        self.upstream.clone()
     }
 
     /// Counts a session that was not opened (`was_open` is false) or ended because its key has no account.
--- a/src/statement/codec.rs
+++ b/src/statement/codec.rs
@@ -39,8 +39,8 @@
     }
 }
 
-/// Encodes and decodes messages. A decoder removes one complete message from the front of its input, or leaves the
-/// input unchanged while the message is incomplete.
+/// Encodes and decodes messages. A decoder removes one complete message from the front of its input, also if it can't be
+/// read, or leaves the input unchanged while the message is incomplete.
 pub trait Codec: Debug + Send + Sync {
     /// Decodes a message from a caller.
     ///
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -7,9 +7,11 @@
 mod answer;
 mod codec;
 mod command;
+mod place;
 mod request;
 
 pub use answer::{Answer, Code, State};
 pub use codec::{Codec, DecodeError, MAX_LINE_BYTES};
 pub use command::Command;
+pub use place::Place;
 pub use request::{Access, Id, Request, Statement, Template};
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -27,6 +27,7 @@
 
 use awaited::{Awaited, Kind};
 use bytes::BytesMut;
+use log::Level;
 use memory::Memory;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
@@ -38,9 +39,10 @@
 use crate::clock::{Clock, Instant};
 use crate::id;
 use crate::proxy::floor::Mark;
-use crate::report::{Evidence, Tally};
+use crate::report::event::{Event, Unreadable, millis};
+use crate::report::{Evidence, Peer, Tally};
 use crate::socket;
-use crate::statement::{Access, Answer, Code, Codec, Command, DecodeError, State, Template};
+use crate::statement::{Access, Answer, Code, Codec, Command, DecodeError, Place, State, Template};
 use crate::upstream::status::Status;
 use crate::wire::Replica;
 
@@ -89,6 +91,11 @@
     socket: TcpStream,
     codec: &'static dyn Codec,
     input: BytesMut,
+    /// Number of bytes received.
+    received: u64,
+    /// The places of the last message and the last row.
+    last: Place,
+    row: Place,
     output: BytesMut,
     /// The commands whose answers have not been received, oldest first, and how many of them have not been sent.
     awaited: VecDeque<Awaited>,
@@ -110,6 +117,7 @@
 /// What identifies a connection in logs.
 #[derive(Debug)]
 struct Origin {
+    address: SocketAddr,
     instance: id::Instance,
     group: id::Group,
     number: u64,
@@ -133,6 +141,7 @@
         let connected = clock.timeout(remaining(clock, deadline), connect(replica.address)).await;
         let socket = connected.ok_or(Error::Timeout)??;
         let origin = Box::new(Origin {
+            address: replica.address,
             instance: replica.instance.clone(),
             group: replica.group.clone(),
             number: OPENED.fetch_add(1, Ordering::Relaxed) + 1,
@@ -142,6 +151,9 @@
             socket,
             codec,
             input: BytesMut::new(),
+            received: 0,
+            last: Place::default(),
+            row: Place::default(),
             output: BytesMut::new(),
             awaited: VecDeque::new(),
             unsent: 0,
@@ -160,11 +172,15 @@
         match connection.receive(clock, deadline).await? {
             Answer::Ready { position, .. } => Ok((connection, position)),
             Answer::Failed { code, text } => Err(Error::Refused { code, text }),
-            Answer::Row(_) | Answer::Done(_) => Err(DecodeError::Kind.into()),
+            Answer::Row(_) | Answer::Done(_) => {
+                let place = connection.last;
+                connection.record_unreadable(clock, DecodeError::Kind, place);
+                Err(DecodeError::Kind.into())
+            }
         }
     }
 
-    /// Counts second answers in `tally`, and shares the suspicion with other connections to the instance.
+    /// Counts in `tally` what is no answer, and shares the suspicion with other connections to the instance.
     pub fn observe(&mut self, tally: Tally, suspicion: Suspicion) {
         self.tally = Some(tally);
         self.suspicion = suspicion;
@@ -339,7 +355,13 @@
     ) -> Result<Option<Status>, Error> {
         let outcome = self.request(clock, command, deadline).await?;
         match (outcome.result, outcome.rows.first()) {
-            (Ok(_), Some(row)) => Ok(Some(self.codec.decode_status(row)?)),
+            (Ok(_), Some(row)) => match self.codec.decode_status(row) {
+                Ok(status) => Ok(Some(status)),
+                Err(error) => {
+                    self.record_unreadable(clock, error, self.row);
+                    Err(error.into())
+                }
+            },
             (Ok(_), None) => Err(DecodeError::Field.into()),
             (Err((Code::Busy, _)), _) => Ok(None),
             (Err((code, text)), _) => Err(Error::Refused { code, text }),
@@ -348,7 +370,7 @@
 
     async fn receive(&mut self, clock: &Clock, deadline: Instant) -> Result<Answer, Error> {
         loop {
-            match self.codec.decode_answer(&mut self.input) {
+            match self.decode(clock) {
                 Ok(Some(answer)) => return Ok(answer),
                 Ok(None) => {}
                 // A part of an earlier message may be joined to this one.
@@ -362,10 +384,48 @@
                 clock.timeout(remaining(clock, deadline), self.socket.read(&mut buffer)).await;
             match read.ok_or(Error::Timeout)?? {
                 0 => return Err(Error::Closed),
-                len => self.input.extend_from_slice(&buffer[..len]),
+                len => self.add_input(&buffer[..len]),
             }
         }
     }
+
+    fn add_input(&mut self, bytes: &[u8]) {
+        self.received += bytes.len() as u64;
+        self.input.extend_from_slice(bytes);
+    }
+
+    /// Removes a message from the input, and records one that can't be read.
+    fn decode(&mut self, clock: &Clock) -> Result<Option<Answer>, DecodeError> {
+        let before = self.input.len();
+        let decoded = self.codec.decode_answer(&mut self.input);
+        self.last = Place::new(self.received, before, self.input.len());
+        match &decoded {
+            Ok(Some(Answer::Row(_))) => self.row = self.last,
+            Ok(_) => {}
+            Err(error) => self.record_unreadable(clock, *error, self.last),
+        }
+        decoded
+    }
+
+    /// Counts and logs a message that could not be read.
+    fn record_unreadable(&self, clock: &Clock, error: DecodeError, place: Place) {
+        if let Some(tally) = &self.tally {
+            tally.record_unreadable(error);
+        }
+        let Origin { address, instance, group, number, opened_at } = &*self.origin;
+        Event::Unreadable(Unreadable {
+            peer: Peer::Upstream,
+            address: Some(*address),
+            instance: Some(instance),
+            group: Some(group),
+            connection: *number,
+            open_ms: millis(clock.now().since(*opened_at)),
+            command: Some(self.command),
+            reason: error.kind(),
+            place,
+        })
+        .log(Level::Warn);
+    }
 }
 
 /// Returns whether an answer is that of a successful command of this process.
--- a/src/upstream/connection/proof.rs
+++ b/src/upstream/connection/proof.rs
@@ -198,7 +198,7 @@
             self.suspicion.raise(clock.now());
         }
         if self.evidence.replace(evidence).is_none() {
-            let Origin { instance, group, number, opened_at } = &*self.origin;
+            let Origin { instance, group, number, opened_at, .. } = &*self.origin;
             let open_ms = millis(clock.now().since(*opened_at));
             let (connection, command) = (*number, self.command);
             let evidence = evidence.to_string();
@@ -228,14 +228,14 @@
             has_input = true;
             let mut buffer = [0; READ_BUFFER_BYTES];
             match (&*SockRef::from(&self.socket)).read(&mut buffer) {
-                Ok(len) => self.input.extend_from_slice(&buffer[..len]),
+                Ok(len) => self.add_input(&buffer[..len]),
                 Err(_) => break,
             }
         }
         if has_input {
             self.note(clock, Evidence::Unasked);
             while !self.input.is_empty() {
-                if !matches!(self.codec.decode_answer(&mut self.input), Ok(Some(_))) {
+                if !matches!(self.decode(clock), Ok(Some(_))) {
                     return Err(Error::OutOfStep(Evidence::Unasked));
                 }
             }
--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -380,6 +380,7 @@
                 }
                 let ready = format!("READY I {}\r\n", last_position(&instances[index].log));
                 drop(instances);
+                let ready = self.service.replacement(&instance, "CONNECT").unwrap_or(ready);
                 self.answer(&socket, "CONNECT", &ready)?;
                 continue;
             }
@@ -441,7 +442,9 @@
             };
             let state = if session.transaction.is_some() { "T" } else { "I" };
             let position = last_position(&self.lock()[index].log);
-            self.answer(&socket, &word, &format!("{rows}{result}READY {state} {position}\r\n"))?;
+            let answer = format!("{rows}{result}READY {state} {position}\r\n");
+            let answer = self.service.replacement(&instance, statement).unwrap_or(answer);
+            self.answer(&socket, &word, &answer)?;
         }
         Ok(())
     }
--- a/tests/lines/service.rs
+++ b/tests/lines/service.rs
@@ -20,6 +20,8 @@
     pub drops_cut_lines: bool,
     /// The instances that don't read.
     pub deaf: BTreeSet<String>,
+    /// What an instance sends instead of its answer to a statement, or to `CONNECT`.
+    pub replacement: fn(&str, &str) -> Option<String>,
 }
 
 impl Default for Conditions {
@@ -30,6 +32,7 @@
             lost_one_in: 0,
             drops_cut_lines: false,
             deaf: BTreeSet::new(),
+            replacement: |_, _| None,
         }
     }
 }
@@ -74,6 +77,11 @@
         }
     }
 
+    pub(super) fn replacement(&self, instance: &str, statement: &str) -> Option<String> {
+        let replacement = self.conditions.lock().unwrap().replacement;
+        replacement(instance, statement)
+    }
+
     /// Waits for a slot of an instance, and for as long as a statement runs.
     pub(super) fn occupy(&self, index: usize) -> Slot<'_> {
         loop {
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -9,8 +9,9 @@
 use cactushatch::clock::Instant;
 use cactushatch::config::Rate;
 use cactushatch::id;
-use cactushatch::report::event::{Request, Retry};
-use cactushatch::report::{Event, Queue, RateLimiter, Verdict};
+use cactushatch::report::event::{Request, Retry, Unreadable};
+use cactushatch::report::{Event, Peer, Queue, RateLimiter, Verdict};
+use cactushatch::statement::Place;
 use cactushatch::wire::{Health, Phase};
 
 fn at(ms: u64) -> Instant {
@@ -104,6 +105,17 @@
             command: "data",
             evidence: "signature".to_owned(),
         },
+        Event::Unreadable(Unreadable {
+            peer: Peer::Upstream,
+            address: Some("127.0.0.1:5432".parse().unwrap()),
+            instance: Some(instance),
+            group: Some(group),
+            connection: 7,
+            open_ms: 1,
+            command: Some("data"),
+            reason: "kind",
+            place: Place { offset: 12, len: 9, is_complete: true },
+        }),
         Event::Share { group, permits: 2, servers: Some(3) },
         Event::Lease { held: true, unheard_ms: Some(1) },
         Event::Stranded { stranded: true, unheard_ms: None },
@@ -154,6 +166,7 @@
         | Event::Quota { .. }
         | Event::ConnectionLimit { .. }
         | Event::OutOfStep { .. }
+        | Event::Unreadable(_)
         | Event::Share { .. }
         | Event::Lease { .. }
         | Event::Stranded { .. }
--- /dev/null
+++ b/tests/platform_unreadable.rs
@@ -0,0 +1,89 @@
+//! Tests the real binary with callers and instances that send messages which can't be read.
+
+mod lines;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use lines::{Fleet, METRICS_PORT, PROXIES, send_http};
+use serde_json::Value;
+
+/// Sends bytes to a proxy as a caller does. Returns the address of the caller and all that the proxy sends until it closes
+/// the connection.
+fn send(fleet: &Fleet, vm: u8, bytes: &[u8]) -> (SocketAddr, String) {
+    let mut socket = TcpStream::connect(fleet.address(vm, lines::FRONT_PORT)).unwrap();
+    socket.set_read_timeout(Some(lines::TIMEOUT)).unwrap();
+    socket.write_all(bytes).unwrap();
+    let mut received = Vec::new();
+    socket.read_to_end(&mut received).expect("the proxy closes the connection");
+    (socket.local_addr().unwrap(), String::from_utf8(received).unwrap())
+}
+
+/// Returns the `unreadable` lines in the logs of all processes.
+fn unreadable_lines(fleet: &Fleet) -> Vec<Value> {
+    let logs = fleet.logs();
+    let lines = logs.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok());
+    lines.filter(|line| line["event"] == "unreadable").collect()
+}
+
+fn wait_for_line(fleet: &Fleet, matches: impl Fn(&Value) -> bool) -> Value {
+    fleet
+        .wait_until("the message has a line", |fleet| unreadable_lines(fleet).iter().any(&matches));
+    unreadable_lines(fleet).into_iter().find(matches).expect("a line")
+}
+
+/// Returns how many messages of a kind of peer a proxy has counted as unreadable for a reason.
+fn counted(fleet: &Fleet, vm: u8, peer: &str, reason: &str) -> usize {
+    let metrics = send_http(fleet.address(vm, METRICS_PORT), "GET /metrics", "").expect("metrics");
+    let series =
+        format!("cactushatch_protocol_errors_total{{peer=\"{peer}\",reason=\"{reason}\"}} ");
+    let count = metrics.1.lines().find_map(|line| line.strip_prefix(&series));
+    count.map_or(0, |count| count.parse().expect("a number"))
+}
+
+#[test]
+fn logs_and_metrics_tell_where_a_message_of_a_caller_could_not_be_read() {
+    let fleet = Fleet::up(240);
+    let read = "CONNECT desk me\r\n";
+    let (address, _) = send(&fleet, PROXIES[0], format!("{read}WHAT hidden\r\nBYE\r\n").as_bytes());
+    let line = wait_for_line(&fleet, |line| line["address"] == address.to_string());
+    assert_eq!((&line["peer"], &line["reason"]), (&"caller".into(), &"kind".into()), "{line}");
+    assert_eq!((&line["instance"], &line["command"]), (&Value::Null, &Value::Null), "{line}");
+    assert!(line["connection"].as_u64().is_some_and(|number| number > 0), "{line}");
+    assert_eq!(line["offset"], read.len(), "{line}");
+    assert_eq!((&line["len"], &line["is_complete"]), (&13.into(), &true.into()), "{line}");
+    assert_eq!(counted(&fleet, PROXIES[0], "caller", "kind"), 1);
+
+    let (address, _) = send(&fleet, PROXIES[0], &vec![b'x'; 1024 * 1024 + 1]);
+    let line = wait_for_line(&fleet, |line| line["address"] == address.to_string());
+    assert_eq!((&line["reason"], &line["offset"]), (&"too_long".into(), &0.into()), "{line}");
+    assert_eq!((&line["len"], &line["is_complete"]), (&1_048_577.into(), &false.into()), "{line}");
+    assert!(!fleet.logs().contains("hidden"), "the content of a message is in a log");
+}
+
+#[test]
+fn logs_and_metrics_tell_where_a_message_of_an_instance_could_not_be_read() {
+    let fleet = Fleet::up(241);
+    let mut session = fleet.connect(PROXIES[0], "desk");
+    session.query_until_done("PUT odd plain");
+    fleet.group.change_conditions(|conditions| {
+        conditions.replacement = |_, statement| {
+            let is_odd = statement.ends_with("FETCH odd");
+            is_odd.then(|| "ROW a\r\nWHAT hidden\r\nDONE s\r\nREADY I 1.1\r\n".to_owned())
+        };
+    });
+    session.query("FETCH odd");
+    let line = wait_for_line(&fleet, |line| line["peer"] == "upstream");
+    assert_eq!((&line["group"], &line["reason"]), (&"books".into(), &"kind".into()), "{line}");
+    assert!(line["instance"].as_str().is_some_and(|id| id.starts_with("i-2")), "{line}");
+    assert!(line["address"].as_str().is_some_and(|address| address.ends_with(":17306")), "{line}");
+    assert!(line["connection"].as_u64().is_some_and(|number| number > 0), "{line}");
+    assert_eq!(line["command"], "data", "{line}");
+    assert!(line["offset"].as_u64().is_some_and(|offset| offset > 0), "{line}");
+    assert_eq!((&line["len"], &line["is_complete"]), (&13.into(), &true.into()), "{line}");
+    fleet.wait_until("every line is counted", |fleet| {
+        let lines = unreadable_lines(fleet).len();
+        lines == PROXIES.into_iter().map(|vm| counted(fleet, vm, "upstream", "kind")).sum::<usize>()
+    });
+    assert!(!fleet.logs().contains("hidden"), "the content of a message is in a log");
+}
