Hold content as bytes instead of strings

Ids, statements, session variables, prepared statements, rows, signatures and the texts of refusals were `String`s, so that content could only be passed on if it was UTF-8, although the protocol allows any bytes in a field. They are `statement::Text` now, a newtype over `bytes::Bytes`.

A database name stays a string: one that isn't UTF-8 is an unknown database. The digest of a key is over its bytes as before.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -119,13 +119,14 @@
         if !self.shared.wait_for_configuration().await {
             return self.refuse(Code::Busy, "no configuration is in force yet").await;
         }
-        if self.shared.database(&database).is_none() {
+        let known = database.to_str().ok().filter(|name| self.shared.database(name).is_some());
+        let Some(database) = known else {
             return self.refuse(Code::NoDatabase, "there is no such database").await;
-        }
-        self.credential = Credential::new(KeyDigest::of(&key));
-        self.shared.update_credential(&mut self.credential, &database);
+        };
+        self.credential = Credential::new(KeyDigest::of(key.as_bytes()));
+        self.shared.update_credential(&mut self.credential, database);
         if self.credential.is_rejected() {
-            self.record_rejection(&database, false);
+            self.record_rejection(database, false);
             return self.refuse(Code::NotAuthenticated, NO_ACCOUNT).await;
         }
         self.quota_session =
@@ -133,12 +134,12 @@
         self.queue_ready();
         self.flush().await?;
         loop {
-            match self.next_event(&database).await? {
+            match self.next_event(database).await? {
                 Event::Request(Request::Query { id, statement }) => {
-                    let is_rejected = self.run_query(&database, &id, statement).await;
+                    let is_rejected = self.run_query(database, &id, statement).await;
                     self.flush().await?;
                     if is_rejected {
-                        self.record_rejection(&database, true);
+                        self.record_rejection(database, true);
                         return Ok(());
                     }
                 }
@@ -149,7 +150,7 @@
                     return Ok(());
                 }
                 Event::Reject => {
-                    self.record_rejection(&database, true);
+                    self.record_rejection(database, true);
                     return Ok(());
                 }
                 Event::Abort => {
@@ -237,18 +238,18 @@
         }
         let (action, database) = (self.session.handle(statement), self.database.clone());
         let reply = match (step(action), database) {
-            (Ok(None), _) => Reply::from_iter([Answer::Done("-".to_owned())]),
+            (Ok(None), _) => Reply::from_iter([Answer::Done("-".into())]),
             (Err((code, text)), _) => {
                 self.roll_back();
-                Reply::from_iter([Answer::Failed { code, text: text.to_owned() }])
+                Reply::from_iter([Answer::Failed { code, text: text.into() }])
             }
             (Ok(Some(Step::Rollback)), _) => {
                 self.roll_back();
-                Reply::from_iter([Answer::Done("-".to_owned())])
+                Reply::from_iter([Answer::Done("-".into())])
             }
             (Ok(Some(_)), None) => {
                 self.session.fail();
-                let text = "the database was removed".to_owned();
+                let text = "the database was removed".into();
                 Reply::from_iter([Answer::Failed { code: Code::NoDatabase, text }])
             }
             (Ok(Some(step)), Some(database)) => self.run_step((name, &database), id, &step).await,
@@ -284,7 +285,7 @@
                 self.runner.conclude(&execution, Err(refusal))
             }
             None => {
-                let (code, text) = (Code::NotAuthenticated, NO_ACCOUNT.to_owned());
+                let (code, text) = (Code::NotAuthenticated, NO_ACCOUNT.into());
                 Reply::from_iter([Answer::Failed { code, text }])
             }
         }
@@ -364,7 +365,7 @@
         execution.waited += self.shared.clock.now().since(execution.received_at);
         taken.map_err(|after| {
             self.shared.log_refused_operation(
-                execution.id.as_str(),
+                &execution.id.to_string(),
                 &identity.account,
                 execution.waited,
                 after,
@@ -398,7 +399,7 @@
 
     /// Refuses the connection.
     async fn refuse(&mut self, code: Code, text: &str) -> Result<(), Error> {
-        let answer = Answer::Failed { code, text: text.to_owned() };
+        let answer = Answer::Failed { code, text: text.into() };
         self.shared.codec.encode_reply(&answer, &mut self.output);
         self.flush().await
     }
--- a/src/broker/checkout.rs
+++ b/src/broker/checkout.rs
@@ -11,6 +11,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::report::Opening;
+use crate::statement::Text;
 use crate::upstream::connection::{Connection, Error as ConnectionError};
 use crate::wire::Health;
 
@@ -25,7 +26,7 @@
         &self,
         instance: &id::Instance,
         account: Option<&id::Account>,
-        values: &BTreeMap<String, String>,
+        values: &BTreeMap<Text, Text>,
         must_be_new: bool,
     ) -> Result<SharedConnection, (Seat, Opening)> {
         let now = self.clock.now();
--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -12,7 +12,7 @@
 use crate::id;
 use crate::proxy::floor::Mark;
 use crate::report::Target;
-use crate::statement::{Code, Command, Id, Template};
+use crate::statement::{Code, Command, Id, Template, Text};
 use crate::upstream::connection::{Connection, Error, Outcome, Suspicion};
 
 /// A pooled connection, which sessions use in turn, and the session state that is set up on it.
@@ -119,7 +119,7 @@
     pub(super) async fn apply(
         &mut self,
         clock: &Clock,
-        values: &BTreeMap<String, String>,
+        values: &BTreeMap<Text, Text>,
         template: Option<&Template>,
         may_reset: bool,
         deadline: Instant,
@@ -166,7 +166,7 @@
                 let name = self.connection.setup.prepared_name(template).ok_or_else(|| {
                     Error::Refused {
                         code: Code::NoStatement,
-                        text: "it is not prepared on this connection".to_owned(),
+                        text: "it is not prepared on this connection".into(),
                     }
                 })?;
                 Command::Execute { id, after, name, arguments }
--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -425,7 +425,7 @@
         reason: &str,
     ) {
         self.shared.metrics.record_forward(result);
-        let (request, group) = (execution.id.as_str(), &execution.database.group);
+        let (request, group) = (&execution.id.to_string(), &execution.database.group);
         let elapsed_ms = millis(self.shared.clock.now().since(execution.received_at));
         Event::Forward { request, group, server, reason, elapsed_ms }.log(log::Level::Info);
     }
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -28,7 +28,7 @@
 use crate::proxy::floor::Mark;
 use crate::report::Outcome as OutcomeLabel;
 use crate::report::event::{Event, Request, Retry, millis};
-use crate::statement::{Answer, Code, Id, State, Template};
+use crate::statement::{Answer, Code, Id, State, Template, Text};
 use crate::upstream::connection::{Error, Outcome};
 use crate::wire::{Identity, Step};
 
@@ -55,7 +55,7 @@
 pub(super) struct Execution<'a> {
     pub(in crate::broker) id: &'a Id,
     /// The session variables.
-    pub(in crate::broker) values: &'a BTreeMap<String, String>,
+    pub(in crate::broker) values: &'a BTreeMap<Text, Text>,
     /// The name of the database.
     pub(in crate::broker) database_name: &'a str,
     pub(in crate::broker) database: &'a Database,
@@ -88,7 +88,7 @@
 /// The reason why a statement ends without success.
 pub(super) struct Refusal {
     code: Code,
-    text: String,
+    text: Text,
     /// When the caller may retry.
     after: Option<Duration>,
 }
@@ -122,7 +122,7 @@
 }
 
 impl Refusal {
-    pub(in crate::broker) fn new(code: Code, text: impl Into<String>) -> Self {
+    pub(in crate::broker) fn new(code: Code, text: impl Into<Text>) -> Self {
         Self { code, text: text.into(), after: None }
     }
 
@@ -151,7 +151,7 @@
     }
 }
 
-fn success(rows: Vec<String>, signature: String) -> Reply {
+fn success(rows: Vec<Text>, signature: Text) -> Reply {
     let rows = rows.into_iter().map(Answer::Row);
     rows.chain([Answer::Done(signature)]).collect()
 }
@@ -190,7 +190,7 @@
     pub(super) fn start_execution<'a>(
         &self,
         id: &'a Id,
-        values: &'a BTreeMap<String, String>,
+        values: &'a BTreeMap<Text, Text>,
         (database_name, database): (&'a str, &'a Database),
         identity: Option<&'a Identity>,
     ) -> Execution<'a> {
@@ -230,7 +230,7 @@
             Step::Commit { read_only } => (self.commit(execution, *read_only).await, false),
             Step::Rollback => {
                 self.roll_back();
-                (Reply::from_iter([Answer::Done("-".to_owned())]), false)
+                (Reply::from_iter([Answer::Done("-".into())]), false)
             }
         }
     }
@@ -263,9 +263,9 @@
         };
         self.shared.metrics.record_request(class, label, elapsed);
         let outcome = refusal.code.to_string();
-        self.explain(execution, elapsed, (&outcome, &refusal.text), refusal.after);
+        self.explain(execution, elapsed, (&outcome, &refusal.text.to_string()), refusal.after);
         let text = match refusal.after {
-            Some(after) => format!("{}; retry_after_ms={}", refusal.text, after.as_millis()),
+            Some(after) => format!("{}; retry_after_ms={}", refusal.text, after.as_millis()).into(),
             None => refusal.text,
         };
         SmallVec::from_iter([Answer::Failed { code: refusal.code, text }])
@@ -281,7 +281,7 @@
     ) {
         let database = &execution.database;
         let request = Request {
-            request: execution.id.as_str(),
+            request: &execution.id.to_string(),
             group: database.group.as_str(),
             database: execution.database_name,
             class: database.class.as_str(),
@@ -402,7 +402,7 @@
         execution: &mut Execution<'_>,
         checkout: Checkout,
         state: State,
-        (code, text): (Code, String),
+        (code, text): (Code, Text),
     ) -> Result<(), Refusal> {
         let instance = checkout.permit.instance.clone();
         let group = checkout.permit.group.clone();
@@ -432,7 +432,7 @@
     fn record_retry(&self, execution: &Execution<'_>, instance: &id::Instance, reason: String) {
         self.shared.metrics.record_retry();
         let elapsed_ms = millis(self.shared.clock.now().since(execution.received_at));
-        let (request, group) = (execution.id.as_str(), &execution.database.group);
+        let (request, group) = (&execution.id.to_string(), &execution.database.group);
         Event::Retry(Retry { request, group, instance, reason, elapsed_ms }).log(Level::Info);
     }
 }
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -145,7 +145,7 @@
     /// Runs a statement, unless this proxy should not run it.
     async fn handle(&mut self, forward: Forward) -> Forwarded {
         if forward.continues && !self.runner.has_connection() {
-            let text = "the transaction was lost".to_owned();
+            let text = "the transaction was lost".into();
             return refused(vec![Answer::Failed { code: Code::Aborted, text }]);
         }
         if !forward.continues {
@@ -169,7 +169,7 @@
                 Ok(identity) => self.identity = identity,
                 Err(reason) => {
                     log::info!("refusing a forwarded statement on {}: {reason}", forward.database);
-                    let text = "the key is not known".to_owned();
+                    let text = "the key is not known".into();
                     return refused(vec![Answer::Failed { code: Code::NotAuthenticated, text }]);
                 }
             }
--- a/src/broker/session.rs
+++ b/src/broker/session.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::statement::{Access, Code, State, Statement, Template};
+use crate::statement::{Access, Code, State, Statement, Template, Text};
 
 /// The maximum number of session variables.
 pub const MAX_VALUES: usize = 256;
@@ -15,8 +15,8 @@
 /// The state of a session.
 #[derive(Debug, Default)]
 pub struct Session {
-    values: BTreeMap<String, String>,
-    prepared: BTreeMap<String, Template>,
+    values: BTreeMap<Text, Text>,
+    prepared: BTreeMap<Text, Template>,
     phase: Phase,
 }
 
@@ -70,13 +70,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
     /// The text from the caller.
-    Text(String),
+    Text(Text),
     /// A prepared statement, which has its own name on each connection.
     Prepared {
         /// The statement that was prepared.
         template: Template,
         /// The arguments, unparsed.
-        arguments: String,
+        arguments: Text,
     },
 }
 
@@ -141,7 +141,7 @@
         }
     }
 
-    fn execute(&mut self, name: &str, arguments: String) -> Action {
+    fn execute(&mut self, name: &Text, arguments: Text) -> Action {
         let Some(template) = self.prepared.get(name).cloned() else {
             return Action::Refuse(Code::NoStatement, "nothing is prepared under this name");
         };
@@ -164,7 +164,7 @@
         }
     }
 
-    fn set(&mut self, name: String, value: String) -> Action {
+    fn set(&mut self, name: Text, value: Text) -> Action {
         if name.is_empty() {
             return Action::Refuse(Code::Malformed, "a value needs a name");
         }
@@ -175,7 +175,7 @@
         Action::Complete
     }
 
-    fn prepare(&mut self, name: String, template: Template) -> Action {
+    fn prepare(&mut self, name: Text, template: Template) -> Action {
         if name.is_empty() || template.text.is_empty() {
             return Action::Refuse(Code::Malformed, "a prepared statement needs a name and a text");
         }
@@ -203,7 +203,7 @@
     }
 
     /// Returns the session variables.
-    pub fn values(&self) -> &BTreeMap<String, String> {
+    pub fn values(&self) -> &BTreeMap<Text, Text> {
         &self.values
     }
 }
--- a/src/broker/setup.rs
+++ b/src/broker/setup.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::statement::Template;
+use crate::statement::{Template, Text};
 
 /// The maximum number of statements prepared on one connection. When it is reached, the connection is reset.
 pub const MAX_PREPARED: usize = 128;
@@ -14,7 +14,7 @@
 /// The session variables and prepared statements of a connection.
 #[derive(Debug, Default)]
 pub struct Setup {
-    values: BTreeMap<String, String>,
+    values: BTreeMap<Text, Text>,
     prepared: BTreeMap<Template, String>,
     last_number: u64,
 }
@@ -27,9 +27,9 @@
     /// Sets a session variable.
     Set {
         /// The name of the variable.
-        name: String,
+        name: Text,
         /// The value of the variable.
-        value: String,
+        value: Text,
     },
     /// Prepares a statement under a name that is local to the connection.
     Prepare {
@@ -42,7 +42,7 @@
 
 impl Setup {
     /// Returns whether the connection has exactly these session variables.
-    pub fn has_values(&self, values: &BTreeMap<String, String>) -> bool {
+    pub fn has_values(&self, values: &BTreeMap<Text, Text>) -> bool {
         self.values == *values
     }
 
@@ -50,7 +50,7 @@
     /// Inside a transaction `may_reset` is false: variables are then added and changed, never cleared.
     pub fn update(
         &mut self,
-        values: &BTreeMap<String, String>,
+        values: &BTreeMap<Text, Text>,
         template: Option<&Template>,
         may_reset: bool,
     ) -> Vec<Change> {
--- a/src/config/account.rs
+++ b/src/config/account.rs
@@ -72,10 +72,10 @@
 
 impl KeyDigest {
     /// Returns the digest of a key.
-    pub fn of(key: &str) -> Self {
+    pub fn of(key: impl AsRef<[u8]>) -> Self {
         let mut mac = Hmac::<Sha256>::new_from_slice(DIGEST_CONTEXT)
             .expect("HMAC accepts keys of any length");
-        mac.update(key.as_bytes());
+        mac.update(key.as_ref());
         let mut digest = [0; DIGEST_BYTES];
         digest.copy_from_slice(&mac.finalize().into_bytes()[..DIGEST_BYTES]);
         Self(digest)
--- a/src/statement/answer.rs
+++ b/src/statement/answer.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Text;
 use crate::proxy::floor::Mark;
 
 /// One part of an answer. An answer is zero or more rows, then [`Answer::Done`] or [`Answer::Failed`], then
@@ -11,15 +12,15 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// A row.
-    Row(String),
+    Row(Text),
     /// The statement succeeded. The text is the upstream's signature, which proves which upstream ran it.
-    Done(String),
+    Done(Text),
     /// The statement failed.
     Failed {
         /// The reason.
         code: Code,
         /// Details for people.
-        text: String,
+        text: Text,
     },
     /// The connection accepts the next statement.
     Ready {
@@ -71,7 +72,7 @@
     /// The message can't be parsed, or is not allowed in this state.
     Malformed,
     /// A code unknown to this release.
-    Other(String),
+    Other(Text),
 }
 
 impl Code {
@@ -98,7 +99,7 @@
 
 impl fmt::Display for Code {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+        let name = match self {
             Self::Busy => "busy",
             Self::Aborted => "aborted",
             Self::Lagging => "lagging",
@@ -112,7 +113,8 @@
             Self::NoDatabase => "no_database",
             Self::NoStatement => "no_statement",
             Self::Malformed => "malformed",
-            Self::Other(code) => code,
-        })
+            Self::Other(code) => return code.fmt(f),
+        };
+        f.write_str(name)
     }
 }
--- a/src/statement/codec.rs
+++ b/src/statement/codec.rs
@@ -64,12 +64,12 @@
 
     /// Returns whether a field of an upstream's answer contains the beginning of another message, as it does when the
     /// message was cut off and the next one follows.
-    fn is_joined(&self, field: &str) -> bool;
+    fn is_joined(&self, field: &[u8]) -> bool;
 
     /// Decodes the row that answers [`Command::Status`] and similar commands.
     ///
     /// # Errors
     ///
     /// Fails when the row is not a valid status.
-    fn decode_status(&self, row: &str) -> Result<Status, DecodeError>;
+    fn decode_status(&self, row: &[u8]) -> Result<Status, DecodeError>;
 }
--- a/src/statement/command.rs
+++ b/src/statement/command.rs
@@ -1,6 +1,6 @@
 //! Messages to upstreams.
 
-use super::{Id, Template};
+use super::{Id, Template, Text};
 use crate::id;
 use crate::proxy::floor::Mark;
 
@@ -30,7 +30,7 @@
         /// The mark that the instance must have received; otherwise it refuses.
         after: Option<Mark>,
         /// The text of the statement.
-        text: &'a str,
+        text: &'a Text,
     },
     /// Runs a statement that was prepared on this connection.
     Execute {
@@ -41,7 +41,7 @@
         /// The name of the prepared statement on this connection.
         name: &'a str,
         /// The arguments, unparsed.
-        arguments: &'a str,
+        arguments: &'a Text,
     },
     /// Commits a caller's transaction.
     Commit {
@@ -53,9 +53,9 @@
     /// Sets a session variable.
     Set {
         /// The name of the variable.
-        name: &'a str,
+        name: &'a Text,
         /// The value of the variable.
-        value: &'a str,
+        value: &'a Text,
     },
     /// Prepares a statement.
     Prepare {
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -8,8 +8,10 @@
 mod codec;
 mod command;
 mod request;
+mod text;
 
 pub use answer::{Answer, Code, State};
 pub use codec::{Codec, DecodeError, MAX_LINE_BYTES};
 pub use command::Command;
 pub use request::{Access, Id, Request, Statement, Template};
+pub use text::Text;
--- a/src/statement/request.rs
+++ b/src/statement/request.rs
@@ -1,29 +1,30 @@
 //! Messages from callers.
 
 use std::fmt;
-use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use super::Text;
+
 /// The id that a caller gives a statement. It is passed on unchanged.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct Id(Arc<str>);
+pub struct Id(Text);
 
 impl Id {
     /// Creates an id from its text.
-    pub fn new(text: &str) -> Self {
-        Self(Arc::from(text))
+    pub fn new(text: impl Into<Text>) -> Self {
+        Self(text.into())
     }
 
-    /// Returns the id as text.
-    pub fn as_str(&self) -> &str {
-        &self.0
+    /// Returns the bytes of the id.
+    pub fn as_bytes(&self) -> &[u8] {
+        self.0.as_bytes()
     }
 }
 
 impl fmt::Display for Id {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
+        self.0.fmt(f)
     }
 }
 
@@ -33,9 +34,9 @@
     /// Opens a session on a database.
     Open {
         /// The name of the database.
-        database: String,
+        database: Text,
         /// What the caller names as its key; empty if it names none.
-        key: String,
+        key: Text,
     },
     /// Runs a statement.
     Query {
@@ -63,7 +64,7 @@
     /// Whether the statement reads or writes.
     pub access: Access,
     /// The text of the statement.
-    pub text: Arc<str>,
+    pub text: Text,
 }
 
 /// A statement.
@@ -83,33 +84,33 @@
         /// Whether the statement reads or writes.
         access: Access,
         /// The text of the statement.
-        text: String,
+        text: Text,
     },
     /// Runs a prepared statement.
     Execute {
         /// The caller's name of the prepared statement.
-        name: String,
+        name: Text,
         /// The arguments, unparsed.
-        arguments: String,
+        arguments: Text,
     },
     /// Sets a session variable.
     Set {
         /// The name of the variable.
-        name: String,
+        name: Text,
         /// The value of the variable.
-        value: String,
+        value: Text,
     },
     /// Prepares a statement under a name that is local to the session.
     Prepare {
         /// The name of the prepared statement.
-        name: String,
+        name: Text,
         /// The statement to prepare.
         template: Template,
     },
     /// Drops a prepared statement.
     Deallocate {
         /// The name of the prepared statement.
-        name: String,
+        name: Text,
     },
     /// A statement of an unknown kind.
     Unknown,
--- a/src/upstream/connection/error.rs
+++ b/src/upstream/connection/error.rs
@@ -2,7 +2,7 @@
 
 use super::MAX_ROWS_BYTES;
 use crate::report::Evidence;
-use crate::statement::{Code, DecodeError};
+use crate::statement::{Code, DecodeError, Text};
 use crate::wire::Health;
 
 /// An error on a connection to an instance.
@@ -32,7 +32,7 @@
         /// The reason.
         code: Code,
         /// A description for humans.
-        text: String,
+        text: Text,
     },
 }
 
--- a/src/upstream/connection/memory.rs
+++ b/src/upstream/connection/memory.rs
@@ -5,7 +5,7 @@
 
 use super::{Outcome, is_own_success};
 use crate::proxy::floor::Mark;
-use crate::statement::State;
+use crate::statement::{State, Text};
 
 /// The number of signatures that are remembered. A statement takes some milliseconds, and a copy comes within a second.
 const MAX_SIGNATURES: usize = 256;
@@ -51,18 +51,18 @@
         self.signatures.is_empty() && self.answers.is_empty()
     }
 
-    pub(super) fn has_signature(&self, signature: &str) -> bool {
+    pub(super) fn has_signature(&self, signature: &Text) -> bool {
         let signature = hash(signature);
         self.signatures.iter().any(|known| known.signature == signature)
     }
 
     /// Returns whether an answer with a known signature has just the rows that it had before.
-    pub(super) fn is_copy(&self, signature: &str, rows: &[String]) -> bool {
+    pub(super) fn is_copy(&self, signature: &Text, rows: &[Text]) -> bool {
         let (signature, rows) = (hash(signature), hash(rows));
         self.signatures.iter().any(|known| known.signature == signature && known.rows == rows)
     }
 
-    pub(super) fn add_signature(&mut self, signature: &str, rows: &[String]) {
+    pub(super) fn add_signature(&mut self, signature: &Text, rows: &[Text]) {
         let signed = Signed { signature: hash(signature), rows: hash(rows) };
         push(&mut self.signatures, signed, MAX_SIGNATURES);
     }
@@ -112,13 +112,13 @@
 
     /// Returns whether rows may begin with those of a part of an earlier answer: the first one is that of an answer to
     /// another statement, or of one to the same statement with fewer rows.
-    pub(super) fn has_rows_of_other(&self, text: u64, first: &str, len: usize) -> bool {
+    pub(super) fn has_rows_of_other(&self, text: u64, first: &Text, len: usize) -> bool {
         let first = hash(first);
         let is_other = |rows: &Rows| rows.first == first && (rows.text != text || rows.len < len);
         self.rows.iter().any(is_other)
     }
 
-    pub(super) fn add_rows(&mut self, text: u64, first: &str, len: usize) {
+    pub(super) fn add_rows(&mut self, text: u64, first: &Text, len: usize) {
         let rows = Rows { text, first: hash(first), len };
         if !self.rows.contains(&rows) {
             push(&mut self.rows, rows, MAX_ROWS);
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -40,7 +40,7 @@
 use crate::proxy::floor::Mark;
 use crate::report::{Evidence, Tally};
 use crate::socket;
-use crate::statement::{Access, Answer, Code, Codec, Command, DecodeError, State, Template};
+use crate::statement::{Access, Answer, Code, Codec, Command, DecodeError, State, Template, Text};
 use crate::upstream::status::Status;
 use crate::wire::Replica;
 
@@ -64,7 +64,7 @@
 const FENCE_NAME: &str = "fence";
 
 static FENCE: LazyLock<Template> =
-    LazyLock::new(|| Template { access: Access::Read, text: "fence".into() });
+    LazyLock::new(|| Template { access: Access::Read, text: Text::from_static("fence") });
 
 /// Number of connections opened by this process.
 static OPENED: AtomicU64 = AtomicU64::new(0);
@@ -73,10 +73,10 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Outcome {
     /// The returned rows.
-    pub rows: Vec<String>,
+    pub rows: Vec<Text>,
     /// On success the signature that proves which instance ran the statement, otherwise the error code with a
     /// description for humans.
-    pub result: Result<String, (Code, String)>,
+    pub result: Result<Text, (Code, Text)>,
     /// The transaction state of the connection.
     pub state: State,
     /// The log position of the instance when it answered.
@@ -339,7 +339,7 @@
     ) -> Result<Option<Status>, Error> {
         let outcome = self.request(clock, command, deadline).await?;
         match (outcome.result, outcome.rows.first()) {
-            (Ok(_), Some(row)) => Ok(Some(self.codec.decode_status(row)?)),
+            (Ok(_), Some(row)) => Ok(Some(self.codec.decode_status(row.as_bytes())?)),
             (Ok(_), None) => Err(DecodeError::Field.into()),
             (Err((Code::Busy, _)), _) => Ok(None),
             (Err((code, text)), _) => Err(Error::Refused { code, text }),
--- a/src/upstream/connection/proof.rs
+++ b/src/upstream/connection/proof.rs
@@ -14,7 +14,7 @@
 use crate::clock::{Clock, Instant};
 use crate::report::Evidence;
 use crate::report::event::{Event, millis};
-use crate::statement::{Answer, Code, Command, State};
+use crate::statement::{Answer, Code, Command, State, Text};
 
 impl Connection {
     /// Returns the fence that was sent together with the command that is being answered.
@@ -52,7 +52,7 @@
         or_fence: bool,
         deadline: Instant,
     ) -> Result<Outcome, Error> {
-        let mut rows: Vec<String> = Vec::new();
+        let mut rows: Vec<Text> = Vec::new();
         let mut bytes = 0;
         let mut result = None;
         // Whether a discarded answer may still go on.
@@ -79,13 +79,13 @@
                     if bytes > MAX_ROWS_BYTES {
                         return Err(Error::TooManyRows);
                     }
-                    if rows.is_empty() && self.is_joined(&row) {
+                    if rows.is_empty() && self.is_joined(row.as_bytes()) {
                         return Err(self.give_up(clock, Evidence::Cut));
                     }
                     rows.push(row);
                 }
                 Answer::Done(signature) => {
-                    if self.is_joined(&signature) {
+                    if self.is_joined(signature.as_bytes()) {
                         return Err(self.give_up(clock, Evidence::Cut));
                     }
                     if let Some(evidence) = self.judge(awaited, or_fence, &signature) {
@@ -105,8 +105,10 @@
                 }
                 Answer::Failed { code, text } => {
                     let is_joined = match &code {
-                        Code::Other(code) => self.is_joined(&format!("{code} {text}")),
-                        _ => self.is_joined(&text),
+                        Code::Other(code) => {
+                            self.is_joined(&[code.as_bytes(), b" ", text.as_bytes()].concat())
+                        }
+                        _ => self.is_joined(text.as_bytes()),
                     };
                     if is_joined {
                         return Err(self.give_up(clock, Evidence::Cut));
@@ -142,7 +144,7 @@
     }
 
     /// Returns why an answer with this signature is not the awaited one, if so.
-    fn judge(&self, awaited: Awaited, or_fence: bool, signature: &str) -> Option<Evidence> {
+    fn judge(&self, awaited: Awaited, or_fence: bool, signature: &Text) -> Option<Evidence> {
         match (awaited.kind.is_signed(), signature == NO_SIGNATURE) {
             (_, false) if self.memory.has_signature(signature) => Some(Evidence::Signature),
             (false, false) => Some(Evidence::Signature),
@@ -184,7 +186,7 @@
     }
 
     /// Returns whether a text contains a message, as it does after a part of an earlier one.
-    fn is_joined(&self, text: &str) -> bool {
+    fn is_joined(&self, text: &[u8]) -> bool {
         !self.memory.is_empty() && self.codec.is_joined(text)
     }
 
--- a/src/wire/forward.rs
+++ b/src/wire/forward.rs
@@ -9,7 +9,7 @@
 use crate::config::KeyDigest;
 use crate::id;
 use crate::proxy::floor::Mark;
-use crate::statement::{Access, Answer, Id};
+use crate::statement::{Access, Answer, Id, Text};
 
 /// A statement of a session. The forwarding proxy keeps the session; the serving proxy keeps no state of it, except for
 /// the connection of an open transaction, which belongs to the stream that the statement arrives on.
@@ -24,7 +24,7 @@
     /// The revision of the declarations by which the forwarding proxy judged the session's key.
     pub revision: id::Revision,
     /// The session variables that must be set while the statement runs.
-    pub values: BTreeMap<String, String>,
+    pub values: BTreeMap<Text, Text>,
     /// The position of the primary after the session's last write.
     pub last_write: Option<LastWrite>,
     /// What to run.
--- a/tests/accounts.rs
+++ b/tests/accounts.rs
@@ -187,7 +187,7 @@
     let names: Vec<String> = (0..20_000).map(|number| format!("a{number}")).collect();
     let mut fleet = Fleet { require_account: true, ..Fleet::default() };
     for name in &names {
-        let keys = vec![KeyDigest::of(name), KeyDigest::of(&format!("old-{name}"))];
+        let keys = vec![KeyDigest::of(name), KeyDigest::of(format!("old-{name}"))];
         fleet.account.insert(account(name), cactushatch::config::Account { keys, quota: None });
     }
     let keys = Keys::new(Revision(1), &fleet, at(0));
--- a/tests/accounts_process.rs
+++ b/tests/accounts_process.rs
@@ -164,7 +164,7 @@
             key: Some(KeyDigest::of(key)),
             revision: id::Revision(revision),
         };
-        let body = session::Body::Text(text.to_owned());
+        let body = session::Body::Text(text.into());
         let body = Body::Forward(Forward {
             request: Id::new("forwarded"),
             database: "desk".to_owned(),
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -19,7 +19,7 @@
 use cactushatch::config::{Consistency, Span};
 use cactushatch::id;
 use cactushatch::proxy::floor::Mark;
-use cactushatch::statement::{Access, Code, State, Statement, Template};
+use cactushatch::statement::{Access, Code, State, Statement, Template, Text};
 use cactushatch::wire;
 use proptest::prelude::*;
 use smallvec::SmallVec;
@@ -41,15 +41,15 @@
 }
 
 fn data(access: Access) -> Statement {
-    Statement::Data { access, text: "x".to_owned() }
+    Statement::Data { access, text: "x".into() }
 }
 
 fn operation(access: Access) -> Operation {
-    Operation { access, body: Body::Text("x".to_owned()) }
+    Operation { access, body: Body::Text("x".into()) }
 }
 
 fn set(name: &str, value: &str) -> Statement {
-    Statement::Set { name: name.to_owned(), value: value.to_owned() }
+    Statement::Set { name: name.into(), value: value.into() }
 }
 
 #[test]
@@ -89,14 +89,14 @@
 #[test]
 fn prepared_statement_names_are_local_to_the_session() {
     let mut session = Session::default();
-    let execute = || Statement::Execute { name: "s1".to_owned(), arguments: "k v".to_owned() };
+    let execute = || Statement::Execute { name: "s1".into(), arguments: "k v".into() };
     assert!(matches!(session.handle(execute()), Action::Refuse(Code::NoStatement, _)));
     let template = template(Access::Write, "q2c");
-    session.handle(Statement::Prepare { name: "s1".to_owned(), template: template.clone() });
-    let body = Body::Prepared { template, arguments: "k v".to_owned() };
+    session.handle(Statement::Prepare { name: "s1".into(), template: template.clone() });
+    let body = Body::Prepared { template, arguments: "k v".into() };
     let run = Action::Single(Operation { access: Access::Write, body });
     assert_eq!(session.handle(execute()), run);
-    assert_eq!(session.handle(Statement::Deallocate { name: "s1".to_owned() }), Action::Complete);
+    assert_eq!(session.handle(Statement::Deallocate { name: "s1".into() }), Action::Complete);
     assert!(matches!(session.handle(execute()), Action::Refuse(Code::NoStatement, _)));
 }
 
@@ -111,11 +111,7 @@
 }
 
 /// Applies changes to the model of a connection.
-fn apply_changes(
-    values: &mut BTreeMap<String, String>,
-    names: &mut Vec<String>,
-    changes: &[Change],
-) {
+fn apply_changes(values: &mut BTreeMap<Text, Text>, names: &mut Vec<String>, changes: &[Change]) {
     for change in changes {
         match change {
             Change::Reset => {
@@ -154,6 +150,8 @@
         let (mut values, mut names) = (BTreeMap::new(), Vec::new());
         for (wanted, prepared) in uses {
             let template = prepared.map(|at| template(Access::Read, &format!("t{at}")));
+            let wanted: BTreeMap<Text, Text> =
+                wanted.into_iter().map(|(name, value)| (name.into(), value.into())).collect();
             let changes = setup.update(&wanted, template.as_ref(), true);
             apply_changes(&mut values, &mut names, &changes);
             prop_assert_eq!(&values, &wanted);
@@ -170,7 +168,7 @@
 #[test]
 fn a_connection_is_not_reset_inside_a_transaction() {
     let mut setup = Setup::default();
-    let some = BTreeMap::from([("a".to_owned(), "1".to_owned())]);
+    let some = BTreeMap::from([("a".into(), "1".into())]);
     setup.update(&some, None, true);
     let changes = setup.update(&BTreeMap::new(), Some(&template(Access::Read, "t")), false);
     assert!(!changes.contains(&Change::Reset));
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -14,7 +14,7 @@
 use cactushatch::proxy::floor::Mark;
 use cactushatch::statement::{
     Access, Answer, Code, Codec, Command, DecodeError, Id, MAX_LINE_BYTES, Request, State,
-    Statement,
+    Statement, Text,
 };
 use cactushatch::upstream::status::MAX_TERM;
 use cactushatch::wire::{Availability, Role};
@@ -42,10 +42,10 @@
 
 #[test]
 fn lines_of_callers_are_decoded() {
-    let opened = Request::Open { database: "lepu270".to_owned(), key: "u3f1".to_owned() };
+    let opened = Request::Open { database: "lepu270".into(), key: "u3f1".into() };
     assert_eq!(decode_request("CONNECT lepu270 u3f1"), Ok(Some(opened)));
     let query = |statement| Ok(Some(Request::Query { id: Id::new("5c0e"), statement }));
-    let text = "PUT 1a4 two  words".to_owned();
+    let text = Text::from("PUT 1a4 two  words");
     let put = Statement::Data { access: Access::Write, text: text.clone() };
     assert_eq!(decode_request(&format!("QUERY 5c0e {text}")), query(put));
     assert_eq!(
@@ -53,9 +53,9 @@
         query(Statement::Begin { read_only: true })
     );
     assert_eq!(decode_request("QUERY 5c0e BEGIN"), query(Statement::Begin { read_only: false }));
-    let execute = Statement::Execute { name: "s1".to_owned(), arguments: "1a4 x y".to_owned() };
+    let execute = Statement::Execute { name: "s1".into(), arguments: "1a4 x y".into() };
     assert_eq!(decode_request("QUERY 5c0e EXEC s1 1a4 x y"), query(execute));
-    let set = Statement::Set { name: "zone".to_owned(), value: "a b".to_owned() };
+    let set = Statement::Set { name: "zone".into(), value: "a b".into() };
     assert_eq!(decode_request("QUERY 5c0e SET zone a b"), query(set));
     assert_eq!(decode_request("QUERY 5c0e AFTER 1.2 FETCH 1a4"), query(Statement::Unknown));
     assert_eq!(decode_request("BYE"), Ok(Some(Request::Close)));
@@ -88,24 +88,24 @@
     assert_eq!(decode_answer("READY E 3.1209"), Ok(Some(ready)));
     let ready = Answer::Ready { state: State::Idle, position: None };
     assert_eq!(decode_answer("READY I -"), Ok(Some(ready)));
-    let failed = Answer::Failed { code: Code::ReadOnly, text: "i-7f 3a".to_owned() };
+    let failed = Answer::Failed { code: Code::ReadOnly, text: "i-7f 3a".into() };
     assert_eq!(decode_answer("ERR READONLY i-7f 3a"), Ok(Some(failed)));
-    let refused = Answer::Failed { code: Code::NotAuthenticated, text: String::new() };
+    let refused = Answer::Failed { code: Code::NotAuthenticated, text: Text::default() };
     assert_eq!(decode_answer("ERR NOAUTH"), Ok(Some(refused)));
-    let other = Answer::Failed { code: Code::Other("NOROOM".to_owned()), text: String::new() };
+    let other = Answer::Failed { code: Code::Other("NOROOM".into()), text: Text::default() };
     assert_eq!(decode_answer("ERR NOROOM"), Ok(Some(other)));
 }
 
 #[test]
 fn encoded_commands_keep_id_and_text() {
     let id = Id::new("5c0e");
-    let text = "FETCH 1a4";
+    let text = &Text::from("FETCH 1a4");
     let data = |after| encode_command(&Command::Data { id: &id, after, text });
     assert_eq!(data(None), "QUERY 5c0e FETCH 1a4\r\n");
     assert_eq!(data(Some(mark(3, 7))), "QUERY 5c0e AFTER 3.7 FETCH 1a4\r\n");
     let begin = Command::Begin { read_only: true, after: Some(mark(3, 7)) };
     assert_eq!(encode_command(&begin), "QUERY - AFTER 3.7 BEGIN FETCH\r\n");
-    let execute = Command::Execute { id: &id, after: None, name: "c1", arguments: "1a4 x" };
+    let execute = Command::Execute { id: &id, after: None, name: "c1", arguments: &"1a4 x".into() };
     assert_eq!(encode_command(&execute), "QUERY 5c0e EXEC c1 1a4 x\r\n");
     let (group, instance) = ("huvo11a".parse().unwrap(), "i-7f".parse().unwrap());
     let open = Command::Open { group: &group, instance: &instance, account: None };
@@ -114,16 +114,16 @@
 
 #[test]
 fn a_status_gives_the_start_of_its_term_only_while_it_is_known() {
-    let status = LineCodec.decode_status("replica 3 3.1209 0 12 2 17").unwrap();
+    let status = LineCodec.decode_status(b"replica 3 3.1209 0 12 2 17").unwrap();
     assert_eq!((status.role, status.term), (Role::Replica, id::Term(3)));
     assert_eq!((status.received, status.start), (id::Position(1209), id::Position(0)));
     assert_eq!(status.paused, None);
-    let paused = LineCodec.decode_status("replica 3 3.1209 4 12 2 17").unwrap();
+    let paused = LineCodec.decode_status(b"replica 3 3.1209 4 12 2 17").unwrap();
     assert_eq!(paused.paused, Some(id::Term(4)));
-    let promoted = LineCodec.decode_status("primary 4 3.1209 0 0 0 3").unwrap();
+    let promoted = LineCodec.decode_status(b"primary 4 3.1209 0 0 0 3").unwrap();
     assert_eq!((promoted.term, promoted.start), (id::Term(4), id::Position(1209)));
-    assert_eq!(LineCodec.decode_status("witness 3 3.1209 0 12 2 17"), Err(DecodeError::Field));
-    assert_eq!(LineCodec.decode_status("replica 3"), Err(DecodeError::Field));
+    assert_eq!(LineCodec.decode_status(b"witness 3 3.1209 0 12 2 17"), Err(DecodeError::Field));
+    assert_eq!(LineCodec.decode_status(b"replica 3"), Err(DecodeError::Field));
 }
 
 /// Control adds one to the term of a group at each failover: a term at the limit of its type would end the process at the
@@ -131,7 +131,11 @@
 #[test]
 fn numbers_of_instances_out_of_range_are_refused() {
     let greatest = MAX_TERM.0;
-    assert!(LineCodec.decode_status(&format!("primary {greatest} {greatest}.7 0 0 0 1")).is_ok());
+    assert!(
+        LineCodec
+            .decode_status(format!("primary {greatest} {greatest}.7 0 0 0 1").as_bytes())
+            .is_ok()
+    );
     for (term, position) in [
         ("18446744073709551615", "1.7"),
         ("1", "18446744073709551615.7"),
@@ -145,13 +149,13 @@
         ("1", "."),
     ] {
         let row = format!("primary {term} {position} 0 0 0 1");
-        assert_eq!(LineCodec.decode_status(&row), Err(DecodeError::Field), "{row}");
+        assert_eq!(LineCodec.decode_status(row.as_bytes()), Err(DecodeError::Field), "{row}");
     }
     for position in ["18446744073709551615.7", "1.18446744073709551616", "-1.7", "1e3.7"] {
         assert_eq!(decode_answer(&format!("READY I {position}")), Err(DecodeError::Field));
     }
     // Fields that have no meaning here may hold anything.
-    assert!(LineCodec.decode_status("replica 1 1.7 18446744073709551616 1e400 -1 x").is_ok());
+    assert!(LineCodec.decode_status(b"replica 1 1.7 18446744073709551616 1e400 -1 x").is_ok());
 }
 
 const HEARTBEAT: &str = r#"{"Service":"huvo11a","Addr":"10.128.0.9:8080","Zone":"a","Version":"v1","Slots":2,
@@ -420,7 +424,7 @@
         while let Ok(Some(_)) = LineCodec.decode_request(&mut input) {}
         let mut input = BytesMut::from(bytes.as_slice());
         while let Ok(Some(_)) = LineCodec.decode_answer(&mut input) {}
-        let _ = LineCodec.decode_status(&String::from_utf8_lossy(&bytes));
+        let _ = LineCodec.decode_status(&bytes);
         let _ = announcement::decode("i-1", &bytes);
         let _ = declaration::decode(&bytes);
     }
--- a/tests/platform_late_effects.rs
+++ b/tests/platform_late_effects.rs
@@ -223,7 +223,7 @@
         let soon = || clock.now() + Duration::from_millis(500);
         let connected = Connection::connect(&clock, &LineCodec, &replica, None, soon()).await;
         let (mut connection, _) = connected.expect("a connection");
-        let text = format!("PUT item {}", "x".repeat(LENGTH));
+        let text = format!("PUT item {}", "x".repeat(LENGTH)).into();
         let command = Command::Data { id: &Id::new("late1"), after: None, text: &text };
         connection.queue(&command);
         connection.flush(&clock, soon()).await.expect("the kernel takes the statement");
--- a/tests/platform_second_answer_proof.rs
+++ b/tests/platform_second_answer_proof.rs
@@ -10,7 +10,7 @@
 
 use cactushatch::clock::{Clock, Instant};
 use cactushatch::report::Tally;
-use cactushatch::statement::{Code, Command, Id, State};
+use cactushatch::statement::{Code, Command, Id, State, Text};
 use cactushatch::upstream::connection::{Connection, Error, Suspicion};
 use cactushatch::wire::Replica;
 use line::LineCodec;
@@ -52,11 +52,14 @@
 
 fn run(connection: &mut Connection, text: &str) -> Result<(Vec<String>, String), Error> {
     let clock = Clock::system();
-    let command = Command::Data { id: &Id::new("s1"), after: None, text };
+    let command = Command::Data { id: &Id::new("s1"), after: None, text: &text.into() };
     let answer = connection.request(&clock, &command, clock.now() + TIMEOUT);
     let outcome = smol::block_on(answer)?;
-    let result = outcome.result.unwrap_or_else(|(code, _)| format!("error {code}"));
-    Ok((outcome.rows, result))
+    let result = match outcome.result {
+        Ok(signature) => signature.to_string(),
+        Err((code, _)) => format!("error {code}"),
+    };
+    Ok((outcome.rows.iter().map(Text::to_string).collect(), result))
 }
 
 fn is_done(answer: &Result<(Vec<String>, String), Error>, rows: &[&str], signature: &str) -> bool {
@@ -255,7 +258,7 @@
         let (_, _, mut connection) = connect(script);
         connection.observe(Tally::default(), suspicion.clone());
         for text in ["PUT a 1", "PUT b 1"] {
-            let command = Command::Data { id: &Id::new("s1"), after: None, text };
+            let command = Command::Data { id: &Id::new("s1"), after: None, text: &text.into() };
             let answer = connection.request(&clock, &command, clock.now() + TIMEOUT);
             results.push(smol::block_on(answer).map(|outcome| outcome.result.is_ok()));
         }
--- a/tests/serving.rs
+++ b/tests/serving.rs
@@ -222,7 +222,7 @@
 /// Nothing is forwarded twice that may have taken effect, and nothing is called unknown that can't have.
 #[test]
 fn a_forwarded_statement_without_an_answer_ends_by_what_was_sent() {
-    let operation = |access| Operation { access, body: Body::Text("x".to_owned()) };
+    let operation = |access| Operation { access, body: Body::Text("x".into()) };
     let single = |access| Step::Single(operation(access));
     let in_transaction =
         Step::InTransaction { operation: operation(Access::Write), read_only: false };
--- a/tests/serving_process.rs
+++ b/tests/serving_process.rs
@@ -219,7 +219,7 @@
 
 /// Returns a frame with a write of the item `stranger`.
 fn forwarded_write(database: &str, continues: bool) -> Frame {
-    let body = session::Body::Text("PUT stranger x".to_owned());
+    let body = session::Body::Text("PUT stranger x".into());
     frame(Body::Forward(Forward {
         request: Id::new("stranger"),
         database: database.to_owned(),
@@ -317,7 +317,7 @@
     let vm = serving(&fleet)[0];
     let refused_before = fleet.group.refused_connections();
     let write = |account: usize| {
-        let text = "PUT own x".to_owned();
+        let text = "PUT own x".into();
         let operation = Operation { access: Access::Write, body: session::Body::Text(text) };
         let identity = Identity {
             account: format!("account-{account}").parse().unwrap(),
