--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -9,9 +9,11 @@
 mod command;
 mod place;
 mod request;
+mod text;
 
 pub use answer::{Answer, Code, State};
 pub use codec::{Codec, DecodeError, MAX_LINE_BYTES};
 pub use command::Command;
 pub use place::Place;
 pub use request::{Access, Id, Request, Statement, Template};
+pub use text::Text;
