Bound the size of a session's values and prepared statements

Callers of a proxy that forwards got no statement through once the values of their session were over 4 MiB together: each statement is forwarded with all of them, and the frame could not be encoded. That counted as a failure of the serving proxy. Reads went to three healthy proxies in turn, which were avoided for a second each, by all callers; a write was reported as of unknown outcome, although nothing had been sent. Besides, a session could hold 256 values and 1,024 prepared statements of 1 MiB each.

A session now holds values of one message's limit (1 MiB) together, and prepared statements of four. Values, a statement and its prepared text then make at most 3 MiB, so the frame fits. What goes beyond is refused when it is set.

tests/platform_large_content.rs, before: 5 values of 900 KiB accepted, then `ERR UNKNOWN proxy-18: a frame of 4608106 bytes is over the limit of 4194304` for a PUT. After: the second value is refused as FAILED, the PUT runs, no forward fails. the_size_of_a_session_is_bounded failed before as well.

--- a/src/broker/session.rs
+++ b/src/broker/session.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::statement::{Access, Code, State, Statement, Template};
+use crate::statement::{Access, Code, MAX_LINE_BYTES, State, Statement, Template};
 
 /// The maximum number of session variables.
 pub const MAX_VALUES: usize = 256;
@@ -12,11 +12,22 @@
 /// The maximum number of prepared statements of a session.
 pub const MAX_PREPARED: usize = 1_024;
 
+/// The maximum length of the names and values of all session variables in bytes. With a statement and its prepared text,
+/// each of one message at most, they fit a frame to another proxy.
+pub const MAX_VALUES_BYTES: usize = MAX_LINE_BYTES;
+
+/// The maximum length of the names and texts of all prepared statements of a session in bytes.
+pub const MAX_PREPARED_BYTES: usize = 4 * MAX_LINE_BYTES;
+
 /// The state of a session.
 #[derive(Debug, Default)]
 pub struct Session {
     values: BTreeMap<String, String>,
+    /// The length of the names and values.
+    values_bytes: usize,
     prepared: BTreeMap<String, Template>,
+    /// The length of the names and texts of `prepared`.
+    prepared_bytes: usize,
     phase: Phase,
 }
 
@@ -108,7 +119,10 @@
             Statement::Set { name, value } => self.set(name, value),
             Statement::Prepare { name, template } => self.prepare(name, template),
             Statement::Deallocate { name } => match self.prepared.remove(&name) {
-                Some(_) => Action::Complete,
+                Some(removed) => {
+                    self.prepared_bytes -= name.len() + removed.text.len();
+                    Action::Complete
+                }
                 None => Action::Refuse(Code::NoStatement, "nothing is prepared under this name"),
             },
             Statement::Unknown => Action::Refuse(Code::Malformed, "the statement is not known"),
@@ -171,6 +185,12 @@
         if self.values.len() >= MAX_VALUES && !self.values.contains_key(&name) {
             return Action::Refuse(Code::Failed, "the session has set too many values");
         }
+        let replaced = self.values.get(&name).map_or(0, |value| name.len() + value.len());
+        let bytes = self.values_bytes - replaced + name.len() + value.len();
+        if bytes > MAX_VALUES_BYTES {
+            return Action::Refuse(Code::Failed, "the session's values are too large together");
+        }
+        self.values_bytes = bytes;
         self.values.insert(name, value);
         Action::Complete
     }
@@ -182,6 +202,13 @@
         if self.prepared.len() >= MAX_PREPARED && !self.prepared.contains_key(&name) {
             return Action::Refuse(Code::Failed, "the session has prepared too many statements");
         }
+        let replaced = self.prepared.get(&name).map_or(0, |known| name.len() + known.text.len());
+        let bytes = self.prepared_bytes - replaced + name.len() + template.text.len();
+        if bytes > MAX_PREPARED_BYTES {
+            let reason = "the session's prepared statements are too large together";
+            return Action::Refuse(Code::Failed, reason);
+        }
+        self.prepared_bytes = bytes;
         self.prepared.insert(name, template);
         Action::Complete
     }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -110,6 +110,28 @@
     assert_eq!(session.handle(set("v0", "2")), Action::Complete);
 }
 
+/// Guards against sessions whose memory has no bound but that of 256 values and 1,024 statements of nearly 1 MiB each, and
+/// whose values don't fit a frame to another proxy.
+#[test]
+fn the_size_of_a_session_is_bounded() {
+    let mut session = Session::default();
+    let large = "v".repeat(session::MAX_VALUES_BYTES / 2);
+    assert_eq!(session.handle(set("a", &large)), Action::Complete);
+    assert!(matches!(session.handle(set("b", &large)), Action::Refuse(Code::Failed, _)));
+    assert_eq!(session.handle(set("a", "small")), Action::Complete);
+    assert_eq!(session.handle(set("b", &large)), Action::Complete);
+    let large = "t".repeat(session::MAX_PREPARED_BYTES / 8);
+    let prepare = |name: usize| Statement::Prepare {
+        name: format!("s{name}"),
+        template: template(Access::Read, &large),
+    };
+    let accepted = (0..16).take_while(|name| session.handle(prepare(*name)) == Action::Complete);
+    assert_eq!(accepted.count(), 7);
+    let deallocate = Statement::Deallocate { name: "s0".to_owned() };
+    assert_eq!(session.handle(deallocate), Action::Complete);
+    assert_eq!(session.handle(prepare(99)), Action::Complete);
+}
+
 /// Applies changes to the model of a connection.
 fn apply_changes(
     values: &mut BTreeMap<String, String>,
--- /dev/null
+++ b/tests/platform_large_content.rs
@@ -0,0 +1,54 @@
+//! Tests on separate processes what a session with large content costs others: its own statements are answered truthfully,
+//! and the proxies that serve its group stay in use.
+
+mod lines;
+
+use lines::{Caller, Fleet};
+
+const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
+
+/// Fewer than one for each of [`MANY_PROXIES`], besides those that are kept for control and for new proxies.
+const FEW_CONNECTIONS: usize = 8;
+
+/// Below the limit of one message.
+const LARGE_BYTES: usize = 900 * 1024;
+
+/// Starts a fleet and returns it with a proxy that forwards.
+fn fleet_with_forwarding_proxy(subnet: u8) -> (Fleet, u8) {
+    let fleet = Fleet::up_with(subnet, &MANY_PROXIES, FEW_CONNECTIONS);
+    let serving = fleet.serving();
+    let forwarding = MANY_PROXIES.into_iter().find(|vm| !serving.contains(vm));
+    let forwarding = forwarding.expect("some proxy serves no group");
+    (fleet, forwarding)
+}
+
+/// Returns how many forwarded statements the proxy couldn't get an answer to.
+fn failed_forwards(fleet: &Fleet, vm: u8) -> usize {
+    let log = std::fs::read_to_string(fleet.log_file(vm)).unwrap();
+    log.lines().filter(|line| line.contains("\"event\":\"forward\"")).count()
+}
+
+/// Sets variables until the proxy refuses, and returns how many it accepted and the refusal, if any.
+fn set_large_variables(session: &mut Caller, count: usize) -> (usize, Option<String>) {
+    let value = "v".repeat(LARGE_BYTES);
+    for at in 0..count {
+        let answer = session.query(&format!("SET large{at} {value}")).expect("the session goes on");
+        if !answer.result.starts_with("DONE") {
+            return (at, Some(answer.result));
+        }
+    }
+    (count, None)
+}
+
+/// Guards against variables whose values together don't fit a frame between proxies: each statement of the session was
+/// sent to three healthy proxies in turn, which were then avoided, and was refused as if they had failed.
+#[test]
+fn variables_that_are_too_large_for_a_frame_are_refused_when_they_are_set() {
+    let (fleet, forwarding) = fleet_with_forwarding_proxy(235);
+    let mut session = fleet.connect(forwarding, "shift");
+    let (accepted, refusal) = set_large_variables(&mut session, 5);
+    let answer = session.query("PUT slot anna").expect("the session goes on");
+    assert!(answer.result.starts_with("DONE"), "{accepted} accepted, {refusal:?}: {answer:?}");
+    assert!(refusal.is_some_and(|text| text.starts_with("ERR FAILED")), "{accepted} accepted");
+    assert_eq!(failed_forwards(&fleet, forwarding), 0, "{}", fleet.logs());
+}
