Refuse an answer that doesn't fit a frame instead of ending its stream

An answer whose rows are within the limit of 4 MiB can be over it as a frame, which adds the length of each row. The serving proxy then ended the stream without an answer. The forwarding proxy took that for a failure of the serving one: it sent the read to three healthy proxies in turn and avoided each for a second, so that other callers of the group were refused too, and the caller was told to retry for ever. A write with such rows was of unknown outcome without a reason.

The serving proxy replaces such an answer by a refusal: failed, aborted within a transaction (which is rolled back), or unknown if the effect is kept. Nothing of the frame was written when its encoding failed, so the stream goes on.

rows_that_are_too_large_for_a_frame_cost_only_their_own_statement (200,000 rows of 20 bytes), before: `ERR BUSY no proxy serves the group; retry_after_ms=500`. After: `ERR FAILED`, and no forward fails.

--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -17,7 +17,7 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::Peer;
 use crate::statement::{Answer, Code};
-use crate::wire::{Body, Error, Forward, Forwarded, Frame, Identity, Load, Stream};
+use crate::wire::{Body, Error, Forward, Forwarded, Frame, Identity, Load, Step, Stream};
 
 /// How often a proxy tells that it still works on a forwarded statement.
 pub(super) const PROGRESS_INTERVAL: Duration = Duration::from_millis(100);
@@ -26,6 +26,10 @@
 /// proxy ends it with an answer for the caller.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// The text for a statement whose answer doesn't fit a frame.
+const TOO_LARGE: &str =
+    "the rows of the answer are too large to be passed on to the caller's proxy";
+
 /// Serves another proxy until its stream ends.
 pub(super) async fn serve(shared: Arc<Shared>, socket: TcpStream) {
     let mut handler = Handler {
@@ -80,6 +84,7 @@
         let mut stream = Stream::from_accepted(socket)?.with_seal(&self.shared.credentials.seal);
         self.presence = Presence::new(stream.socket().clone());
         while let Some(frame) = self.receive(&mut stream).await? {
+            let kept = matches!(&frame.body, Body::Forward(forward) if is_kept(&forward.step));
             let answer = match frame.body {
                 // The forwarding proxy has given the statement up and may have answered its caller. The stream was held up,
                 // or this process was suspended.
@@ -95,7 +100,7 @@
                 Body::Ping => Body::Ping,
                 _ => return Ok(()),
             };
-            stream.send(&self.shared.frame(answer)).await?;
+            self.send(&mut stream, answer, kept).await?;
             // A shutdown waits until the answer has been sent.
             if !self.runner.has_connection() {
                 self.open_session = None;
@@ -104,6 +109,29 @@
         Ok(())
     }
 
+    /// Sends an answer. One that doesn't fit a frame is replaced, since the other proxy would take the end of the stream for
+    /// a failure of this one. `kept` is whether the statement took effect if it succeeded.
+    async fn send(&mut self, stream: &mut Stream, answer: Body, kept: bool) -> Result<(), Error> {
+        let mut frame = self.shared.frame(answer);
+        let sent = stream.send(&frame).await;
+        let (
+            Err(Error::TooLong { .. }),
+            Body::Forwarded(Forwarded::Handled { reply, is_open, .. }),
+        ) = (&sent, &mut frame.body)
+        else {
+            return sent;
+        };
+        let (code, text) = match (*is_open, kept) {
+            (true, _) => (Code::Aborted, TOO_LARGE),
+            (false, true) => (Code::Unknown, "the statement ran, and its rows are too large"),
+            (false, false) => (Code::Failed, TOO_LARGE),
+        };
+        *reply = vec![Answer::Failed { code, text: text.to_owned() }];
+        *is_open = false;
+        self.runner.roll_back();
+        stream.send(&frame).await
+    }
+
     /// Handles a statement, and meanwhile tells the forwarding proxy from time to time that it is being handled.
     async fn handle_with_progress(&mut self, stream: &mut Stream, forward: Forward) -> Forwarded {
         let shared = Arc::clone(&self.shared);
@@ -201,6 +229,15 @@
     }
 }
 
+/// Returns whether the effect of a statement that succeeds is kept.
+fn is_kept(step: &Step) -> bool {
+    match step {
+        Step::Single(_) => step.writes(),
+        Step::Commit { .. } => true,
+        Step::InTransaction { .. } | Step::Rollback => false,
+    }
+}
+
 /// Returns the answer to a statement that did not run.
 fn refused(reply: Vec<Answer>) -> Forwarded {
     Forwarded::Handled { reply, is_open: false, written: None, load: Load::default() }
--- a/tests/lines/session.rs
+++ b/tests/lines/session.rs
@@ -125,11 +125,15 @@
                 session.transaction = None;
                 (vec![], Ok("-".to_owned()))
             }
-            ["FETCH", item, ..] => {
+            ["FETCH", item, rest @ ..] => {
                 let log = &instances[index].log;
                 let row = log.iter().rev().find(|(_, known, _)| known == item);
                 let row = row.map_or_else(|| "nothing".to_owned(), |(.., data)| data.clone());
-                (vec![row], record(&mut instances, &session.values))
+                let count = match rest {
+                    ["rows", count] => count.parse().unwrap(),
+                    _ => 1,
+                };
+                (vec![row; count], record(&mut instances, &session.values))
             }
             ["PUT", ..] if !instances[index].primary => (vec![], Err("READONLY".to_owned())),
             ["PUT", item, data @ ..] => {
--- a/tests/platform_large_content.rs
+++ b/tests/platform_large_content.rs
@@ -52,3 +52,27 @@
     assert!(refusal.is_some_and(|text| text.starts_with("ERR FAILED")), "{accepted} accepted");
     assert_eq!(failed_forwards(&fleet, forwarding), 0, "{}", fleet.logs());
 }
+
+/// Guards against rows that don't fit a frame between proxies: the read was sent to three healthy proxies in turn, which
+/// were then avoided, and refused as if they had failed.
+#[test]
+fn rows_that_are_too_large_for_a_frame_cost_only_their_own_statement() {
+    let (fleet, forwarding) = fleet_with_forwarding_proxy(236);
+    assert_eq!(fleet.put_configuration(2, 10_000), 200);
+    let mut session = fleet.connect(forwarding, "desk");
+    // Short rows: their bytes are within the limit of an answer, and their lengths add to a frame.
+    session.query_until_done("PUT short twenty-bytes-of-data");
+    assert_eq!(session.query_until_done("FETCH short rows 1000").rows.len(), 1_000);
+    for _ in 0..3 {
+        let answer = session.query("FETCH short rows 200000").expect("the session goes on");
+        assert!(answer.result.starts_with("ERR FAILED"), "{}", answer.result);
+        assert_eq!((answer.rows.len(), answer.state.as_str()), (0, "I"));
+    }
+    session.query_until_done("BEGIN");
+    let answer = session.query("FETCH short rows 200000").expect("the session goes on");
+    assert!(answer.result.starts_with("ERR ABORTED"), "{}", answer.result);
+    assert_eq!(answer.state, "E");
+    session.query("ROLLBACK").expect("the session goes on");
+    assert!(session.query("PUT slot ben").unwrap().result.starts_with("DONE"));
+    assert_eq!(failed_forwards(&fleet, forwarding), 0, "{}", fleet.logs());
+}
