Separate text and types in the name of a prepared statement

The name under which callers share a prepared statement on a pooled connection is a digest of its text and its parameter types, which were joined without a separator. `SELECT 1` with one type whose number has the bytes of ` + 1` got the name of `SELECT 1 + 1`: a caller's statement was not prepared, and that of another caller ran in its place. PostgreSQL accepts unknown types of parameters that aren't used.

A NUL, which no text contains, now separates them.

statements_that_differ_in_where_their_text_ends_are_prepared_apart, before: answers 1 and 1. After: 1 and 2.

--- a/src/proxy/batch.rs
+++ b/src/proxy/batch.rs
@@ -307,10 +307,12 @@
     }
 }
 
-/// Derives the name from the text and the parameter types, so that callers with the same statement share it.
+/// Derives the name from the text and the parameter types, so that callers with the same statement share it. A NUL, which
+/// no text contains, separates the two.
 fn upstream_name(parse: &Parse) -> String {
     let mut hash = Sha256::new();
     hash.update(parse.query.as_bytes());
+    hash.update([0]);
     for oid in &parse.type_oids {
         hash.update(oid.to_be_bytes());
     }
--- a/tests/request_process.rs
+++ b/tests/request_process.rs
@@ -347,3 +347,24 @@
         }
     }
 }
+
+/// Guards against one name for two prepared statements, when the text of one equals the text of the other followed by the
+/// bytes of its parameter types: a caller's statement was answered by that of another caller.
+#[test]
+fn statements_that_differ_in_where_their_text_ends_are_prepared_apart() {
+    let fleet = Fleet::up();
+    let mut answers = Vec::new();
+    for (text, types) in [("SELECT 1", &b" + 1"[..]), ("SELECT 1 + 1", &[])] {
+        let mut caller = RawClient::open(&fleet, "ops-1");
+        let count = u16::try_from(types.len() / 4).unwrap();
+        let head = [b"s\0", text.as_bytes(), b"\0"].concat();
+        caller.send(b'P', &[&head, &count.to_be_bytes()[..], types].concat());
+        caller.send(b'B', b"\0s\0\0\0\0\0\0\0");
+        caller.send(b'E', b"\0\0\0\0\0");
+        caller.send(b'S', b"");
+        let answer = caller.receive_until_ready();
+        let row = answer.iter().find(|(tag, _)| *tag == b'D').expect("a row");
+        answers.push(row.1.trim_start_matches(['\0', '\u{1}']).to_owned());
+    }
+    assert_eq!(answers, ["1", "2"]);
+}
