Escape control characters in log lines

A plain line quoted content unchanged in the text format: an error text of an instance, the name in a malformed heartbeat or configuration. A line feed in it began a log line of its own, with any time, level and process, and an escape sequence reached the terminal. In both formats U+007F to U+009F, U+2028 and U+2029 were written unchanged also in events.

All of these are now escaped as JSON does when a line is queued, so that a line is what ends in the writer's own LF.

content_in_a_log_line_stays_on_its_line (a heartbeat whose state holds CR LF, ESC, U+009B and U+2028) failed before in the text format: the line broke in two, the second of which read `ERROR control-1 forged`.

--- a/src/cli/logging.rs
+++ b/src/cli/logging.rs
@@ -2,7 +2,7 @@
 //! limited. Lines are written in the background, so that no caller waits for standard output.
 
 use std::collections::BTreeMap;
-use std::io::Write;
+use std::fmt::Write;
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Duration;
 
@@ -104,7 +104,7 @@
             Format::Text => self.format_text(now, level, kind, text),
             Format::Json => self.format_json(now, level, kind, text),
         };
-        if !self.queue.push(line) {
+        if !self.queue.push(escape(line).into_bytes()) {
             self.count_suppressed();
         }
     }
@@ -120,8 +120,8 @@
         level: Level,
         kind: Option<&str>,
         text: &str,
-    ) -> Vec<u8> {
-        let mut line = Vec::with_capacity(256);
+    ) -> String {
+        let mut line = String::with_capacity(256);
         let time = now.format("%Y-%m-%dT%H:%M:%S%.3fZ");
         let _ = write!(line, "{time} {level:5} {}", self.node);
         let fields = kind.and_then(|_| serde_json::from_str(text).ok());
@@ -136,7 +136,6 @@
                 let _ = write!(line, " {text}");
             }
         }
-        line.push(b'\n');
         line
     }
 
@@ -147,23 +146,40 @@
         level: Level,
         kind: Option<&str>,
         text: &str,
-    ) -> Vec<u8> {
-        let mut line = Vec::with_capacity(512);
+    ) -> String {
+        let mut line = String::with_capacity(512);
         let time = now.format("%Y-%m-%dT%H:%M:%S%.6fZ");
         let _ =
             write!(line, "{{\"time\":\"{time}\",\"level\":\"{level}\",\"node\":\"{}\",", self.node);
         match kind {
-            Some(_) => line.extend_from_slice(&text.as_bytes()[1..]),
+            Some(_) => line.push_str(&text[1..]),
             None => {
                 let text = serde_json::Value::from(text);
                 let _ = write!(line, "\"event\":\"{}\",\"text\":{text}}}", event::NOTE);
             }
         }
-        line.push(b'\n');
         line
     }
 }
 
+/// Escapes the characters that would end the line or that a terminal obeys, as JSON does, and ends the line. They come
+/// from content, such as the error text of an instance or a value of a malformed request.
+fn escape(mut line: String) -> String {
+    let is_escaped = |c: char| c.is_control() || matches!(c, '\u{2028}' | '\u{2029}');
+    if line.contains(is_escaped) {
+        let mut escaped = String::with_capacity(line.len() + 64);
+        for c in line.chars() {
+            let _ = match is_escaped(c) {
+                true => write!(escaped, "\\u{:04x}", u32::from(c)),
+                false => escaped.write_char(c),
+            };
+        }
+        line = escaped;
+    }
+    line.push('\n');
+    line
+}
+
 impl LogWriter for Writer {
     fn write(&self, now: &mut DeferredNow, record: &Record<'_>) -> std::io::Result<()> {
         let kind = event::kind_of_target(record.target());
