Find the trailing comment by the scanner's rules

The trailing comment of a statement began at the last `/*` of a text that ends in `*/`, wherever these stood.

- `SELECT 1 -- /*`, line end, `; DELETE FROM t -- */` was classified by `SELECT 1 --`, as a read, and would have been sent whole to a replica or, unfenced, to the primary;
- `SELECT '/*' -- */` was prepared as `SELECT '`, and `SELECT 1 /* a /* b */ c */` as `SELECT 1 /* a`: refused by the database;
- the tags in a line comment or a string counted;
- a no-break space at the end, which belongs to a name, was cut off.

proxy::lexer follows PostgreSQL's rules for strings, dollar quotes, identifiers and comments. The trailing comment is the last part of the query, if that is a block comment.

--- a/src/proxy/classify.rs
+++ b/src/proxy/classify.rs
@@ -11,6 +11,7 @@
 use sqlparser::parser::Parser;
 
 use super::floor::Floor;
+use super::lexer::{self, Part, Parts};
 use super::setting::Handling;
 use crate::id;
 
@@ -314,20 +315,31 @@
 
 /// Returns the offset of the trailing comment, if there is one.
 fn comment_start(sql: &str) -> Option<usize> {
-    let text = sql.trim_end().trim_end_matches(';').trim_end();
-    text.strip_suffix("*/")?.rfind("/*")
+    let text = trim_end(sql);
+    if !text.ends_with("*/") {
+        return None;
+    }
+    match Parts::of(text).last() {
+        Some(Ok(Part::BlockComment(comment))) => Some(comment.start),
+        _ => None,
+    }
 }
 
 /// Returns the statement without its trailing comment, semicolon and surrounding white space.
 pub fn strip_comment(sql: &str) -> &str {
     let text = comment_start(sql).map_or(sql, |start| &sql[..start]);
-    text.trim().trim_end_matches(';').trim_end()
+    trim_end(text).trim_start_matches(lexer::is_space)
+}
+
+fn trim_end(sql: &str) -> &str {
+    let text = sql.trim_end_matches(lexer::is_space).trim_end_matches(';');
+    text.trim_end_matches(lexer::is_space)
 }
 
 /// Parses the tags in the trailing comment, such as `/*request='...',key='...'*/`. Malformed tags are ignored.
 pub fn tags(sql: &str) -> Tags {
     let mut tags = Tags::default();
-    let text = sql.trim_end().trim_end_matches(';').trim_end();
+    let text = trim_end(sql);
     let Some(start) = comment_start(sql) else {
         return tags;
     };
--- a/src/proxy/mod.rs
+++ b/src/proxy/mod.rs
@@ -16,6 +16,7 @@
 pub mod gap;
 mod handshake;
 pub(crate) mod heartbeat;
+pub mod lexer;
 mod monitor;
 pub mod outcome;
 pub mod peak;
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -7,7 +7,7 @@
 use cactushatch::id;
 use cactushatch::proxy::admission::{Arrival, Input, Limiter, MAX_WAITING, Output, Ticket};
 use cactushatch::proxy::cancel::{Decision, Registry, Target, Token};
-use cactushatch::proxy::classify::{self, Kind, Local};
+use cactushatch::proxy::classify::{self, Kind, KindCache, Local, Tags};
 use cactushatch::proxy::floor::Mark;
 use cactushatch::proxy::outcome::{Outcome, Reason};
 use cactushatch::proxy::peak;
@@ -486,6 +486,34 @@
     assert_eq!(classify::tags("SELECT '/*request=''x''*/'").request, None);
 }
 
+/// Guards against content that ends a statement or begins its trailing comment: the rest was not classified, or was cut
+/// off from what a prepared statement runs.
+#[test]
+fn content_of_strings_and_comments_is_not_taken_for_the_trailing_comment() {
+    for sql in [
+        "SELECT 1 -- /*\n; DELETE FROM t -- */",
+        "SELECT 1 -- /*\r; DELETE FROM t -- */",
+        "SELECT '/*'; DELETE FROM t -- */",
+        "SELECT $tag$/*$tag$; DELETE FROM t -- */",
+    ] {
+        assert_eq!(classify::kind(sql), Kind::Write, "{sql}");
+        assert_eq!(KindCache::default().kind(sql), Kind::Write, "{sql}");
+    }
+    for sql in [
+        "SELECT '/*' -- */",
+        "SELECT \"/*\" FROM t -- */",
+        "SELECT $$/*$$ -- */",
+        "SELECT 1 -- /*key='k'*/",
+        "SELECT E'\\'/*key=''k''*/'",
+        "SELECT 1 AS x\u{a0}",
+    ] {
+        assert_eq!(classify::strip_comment(sql), sql);
+        assert_eq!(classify::tags(sql), Tags::default(), "{sql}");
+    }
+    assert_eq!(classify::strip_comment("SELECT 1 /* a /* b */ c */ ;"), "SELECT 1");
+    assert_eq!(classify::strip_comment("SELECT '/*' /* x */ /*key='k'*/"), "SELECT '/*' /* x */");
+}
+
 #[test]
 fn retries_are_limited_to_a_tenth_of_the_load() {
     let budget = Budget::default();
