Read the tags of a statement value by value

The tags of the trailing comment were split at `',` without regard to `\'`, with which sqlcommenter encodes a quote in a value. A value that an application takes from its own customers could so add a tag: with `note='a\',key=forged'` a `once` request ran under the key `forged`, and so would have been answered with the outcome of another one. A value with `\'` and a second `key` could also remove the key. Keys with a character that sqlcommenter encodes, such as `:`, were ignored.

The comment is now parsed as names with quoted values, which are decoded.

content_of_a_tag_is_not_taken_for_another_tag failed before (key None for the removed one).

--- a/src/proxy/classify.rs
+++ b/src/proxy/classify.rs
@@ -336,29 +336,54 @@
     text.trim_end_matches(lexer::is_space)
 }
 
-/// Parses the tags in the trailing comment, such as `/*request='...',key='...'*/`. Malformed tags are ignored.
+/// Parses the tags in the trailing comment, such as `/*request='...',key='...'*/`. Values are encoded as in URLs, with a
+/// backslash in front of quotes. A comment of another form has no tags.
 pub fn tags(sql: &str) -> Tags {
-    let mut tags = Tags::default();
-    let text = trim_end(sql);
     let Some(start) = comment_start(sql) else {
-        return tags;
+        return Tags::default();
     };
-    for pair in text[start + 2..text.len() - 2].split("',") {
-        let Some((name, value)) = pair.split_once('=') else {
-            continue;
-        };
-        let value = value.trim().trim_matches('\'');
-        match name.trim() {
-            "request" => tags.request = value.parse().ok(),
-            "key" => tags.key = value.parse().ok(),
-            "floor" => tags.floor = decode_floor(value).parse().ok(),
-            _ => {}
+    let text = trim_end(sql);
+    parse_tags(&text[start + 2..text.len() - 2]).unwrap_or_default()
+}
+
+fn parse_tags(mut text: &str) -> Option<Tags> {
+    let mut values: HashMap<&str, String> = HashMap::new();
+    loop {
+        let (name, rest) = text.split_once('=')?;
+        let (value, rest) = quoted_value(rest.trim_start().strip_prefix('\'')?)?;
+        if values.insert(name.trim(), value).is_some() {
+            return None;
+        }
+        match rest.trim_start().strip_prefix(',') {
+            Some(rest) => text = rest,
+            None if rest.trim().is_empty() => break,
+            None => return None,
         }
     }
-    tags
+    Some(Tags {
+        request: values.get("request").and_then(|value| value.parse().ok()),
+        key: values.get("key").and_then(|value| value.parse().ok()),
+        floor: values.get("floor").and_then(|value| value.parse().ok()),
+    })
 }
 
-/// Decodes the characters of a floor that sqlcommenter encodes.
-fn decode_floor(value: &str) -> String {
-    value.replace("%40", "@").replace("%2C", ",").replace("%2c", ",")
+/// Decodes a value up to its closing quote, and returns it with what follows.
+fn quoted_value(text: &str) -> Option<(String, &str)> {
+    let mut value = Vec::new();
+    let mut bytes = text.bytes().enumerate();
+    loop {
+        let (at, byte) = bytes.next()?;
+        match byte {
+            b'\'' => return Some((String::from_utf8(value).ok()?, &text[at + 1..])),
+            b'\\' => value.push(bytes.next()?.1),
+            b'%' => match text.get(at + 1..at + 3).map(|digits| u8::from_str_radix(digits, 16)) {
+                Some(Ok(decoded)) => {
+                    value.push(decoded);
+                    bytes.nth(1);
+                }
+                _ => value.push(byte),
+            },
+            byte => value.push(byte),
+        }
+    }
 }
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -514,6 +514,19 @@
     assert_eq!(classify::strip_comment("SELECT '/*' /* x */ /*key='k'*/"), "SELECT '/*' /* x */");
 }
 
+/// Guards against a tag that the content of another tag's value adds, such as another key.
+#[test]
+fn content_of_a_tag_is_not_taken_for_another_tag() {
+    let key = |sql: &str| classify::tags(sql).key.map(|key| key.as_str().to_owned());
+    assert_eq!(key("SELECT 1 /*note='a\\',key=forged',key='k-1'*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*key='k-1',note='a\\',key=\\'forged\\''*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*note='a',note2='b=c,d',key='k-1'*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*key='a%3Ab', request='menu'*/").as_deref(), Some("a:b"));
+    assert_eq!(key("SELECT 1 /*key='k-1',note='a\\',key=forged'*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*key='k-1',key='k-2'*/"), None);
+    assert_eq!(key("SELECT 1 /*key='k-1' and more*/"), None);
+}
+
 #[test]
 fn retries_are_limited_to_a_tenth_of_the_load() {
     let budget = Budget::default();
