Classify each statement of a query that the parser doesn't know

A query that the parser doesn't know was classified by its first word, also if it had several statements. `REINDEX (VERBOSE) TABLE t; SET search_path = secret` was sent as a write: the setting stayed on the pooled connection, for the statements of other callers. `COMMIT` in the same place ended a transaction without the fence, and without the proxy's knowledge in a `once` request. A comment in front hid the first word as well.

Such a query is now split by proxy::lexer, and each statement classified by itself; settings, cursors and transaction control among several are refused as they are when the parser knows all statements. Semicolons in parentheses and in `BEGIN ATOMIC` belong to their statement. `ABORT`, and forms of `BEGIN` and `COMMIT` that the parser doesn't know, count as what they are.

each_statement_of_a_query_is_classified_if_the_parser_does_not_know_one failed before, at its first query (Write).

--- a/src/proxy/classify.rs
+++ b/src/proxy/classify.rs
@@ -11,7 +11,7 @@
 use sqlparser::parser::Parser;
 
 use super::floor::Floor;
-use super::lexer::{self, Part, Parts};
+use super::lexer::{self, Part, Parts, Unterminated};
 use super::setting::Handling;
 use crate::id;
 
@@ -144,7 +144,7 @@
 /// Returns the kind of `sql`. Several statements count as the most demanding one among them.
 pub fn kind(sql: &str) -> Kind {
     let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
-        return if is_empty(sql) { Kind::Empty } else { classify_unparsed(sql) };
+        return classify_unparsed(sql);
     };
     match statements.as_slice() {
         [] => Kind::Empty,
@@ -164,21 +164,29 @@
     }
 }
 
-fn is_empty(sql: &str) -> bool {
-    sql.trim().trim_end_matches(';').is_empty()
+/// Classifies a query of which the parser doesn't know all statements: each by itself.
+fn classify_unparsed(sql: &str) -> Kind {
+    let statements = lexer::statements(sql).unwrap_or_else(|Unterminated| vec![sql]);
+    match statements.as_slice() {
+        [] => Kind::Empty,
+        [statement] => classify_by_word(statement),
+        statements => statements.iter().map(|statement| kind(statement)).fold(Kind::Read, combine),
+    }
 }
 
 /// Classifies a statement that the parser doesn't know by its first word, since unsupported statements must be refused
 /// in any case.
-fn classify_unparsed(sql: &str) -> Kind {
-    let word = sql.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
-    match word.as_str() {
+fn classify_by_word(sql: &str) -> Kind {
+    match lexer::first_word(sql).to_ascii_uppercase().as_str() {
         "COPY" => Kind::Refused("COPY is not supported"),
         "LISTEN" | "UNLISTEN" | "NOTIFY" => Kind::Refused("LISTEN and NOTIFY are not supported"),
         "SET" | "RESET" => classify_setting(sql),
         "DEALLOCATE" | "DISCARD" => classify_discard(sql),
         "PREPARE" | "EXECUTE" => Kind::Refused("use the protocol's prepared statements"),
         "DECLARE" | "FETCH" | "MOVE" => Kind::Refused("SQL cursors are not supported"),
+        "BEGIN" | "START" => Kind::Begin { read_only: false },
+        "COMMIT" | "END" => Kind::Commit,
+        "ABORT" => Kind::Rollback,
         _ => Kind::Write,
     }
 }
--- a/src/proxy/lexer.rs
+++ b/src/proxy/lexer.rs
@@ -65,6 +65,53 @@
     }
 }
 
+/// Splits a query into its statements, without the comments in front of each. Semicolons in parentheses, and in the body
+/// of a function in `BEGIN ATOMIC` and `END`, belong to their statement.
+///
+/// # Errors
+///
+/// Fails if a string, an identifier or a comment has no end.
+pub fn statements(sql: &str) -> Result<Vec<&str>, Unterminated> {
+    let mut statements = Vec::new();
+    let mut start = None;
+    let (mut parentheses, mut blocks) = (0_u32, 0_u32);
+    let mut previous = "";
+    for part in Parts::of(sql) {
+        let code = match part? {
+            Part::Code(code) => code,
+            Part::Semicolon(at) if parentheses == 0 && blocks == 0 => {
+                statements.extend(start.take().map(|start| &sql[start..at]));
+                continue;
+            }
+            Part::Semicolon(_) | Part::BlockComment(_) | Part::LineComment(_) => continue,
+        };
+        let word = &sql[code.clone()];
+        let is = |keyword: &str| word.eq_ignore_ascii_case(keyword);
+        match word {
+            "(" => parentheses += 1,
+            ")" => parentheses = parentheses.saturating_sub(1),
+            _ if is("atomic") && previous.eq_ignore_ascii_case("begin") => blocks += 1,
+            _ if is("case") && blocks > 0 => blocks += 1,
+            _ if is("end") => blocks = blocks.saturating_sub(1),
+            _ => {}
+        }
+        start = start.or(Some(code.start));
+        previous = word;
+    }
+    statements.extend(start.map(|start| &sql[start..]));
+    Ok(statements)
+}
+
+/// Returns the first word of a query behind its comments, or an empty string if there is none.
+pub fn first_word(sql: &str) -> &str {
+    let mut parts = Parts::of(sql).map_while(Result::ok);
+    let word = parts.find_map(|part| match part {
+        Part::Code(code) => Some(&sql[code]),
+        Part::Semicolon(_) | Part::BlockComment(_) | Part::LineComment(_) => None,
+    });
+    word.unwrap_or_default()
+}
+
 /// Returns whether PostgreSQL takes a character for white space. All others outside of ASCII belong to identifiers.
 pub fn is_space(c: char) -> bool {
     matches!(c, ' ' | '\t' | '\n' | '\r' | '\u{b}' | '\u{c}')
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -527,6 +527,49 @@
     assert_eq!(key("SELECT 1 /*key='k-1' and more*/"), None);
 }
 
+/// Guards against a query of several statements that was classified by its first word because the parser doesn't know
+/// one of them: settings stayed on the pooled connection, and a transaction ended without the proxy's knowledge.
+#[test]
+fn each_statement_of_a_query_is_classified_if_the_parser_does_not_know_one() {
+    let unknown = "REINDEX (VERBOSE) TABLE t";
+    assert_eq!(classify::kind(unknown), Kind::Write);
+    for rest in [
+        "SET search_path = secret",
+        "/* x */ SET ROLE other",
+        "-- x\nSET ROLE other",
+        "COMMIT",
+        "COMMIT; DELETE FROM t",
+        "ABORT",
+        "LISTEN bell",
+        "SELECT pg_advisory_lock(1)",
+        "PREPARE TRANSACTION 'x'",
+    ] {
+        for sql in [format!("{unknown}; {rest}"), format!("{rest}; {unknown}")] {
+            assert!(
+                matches!(classify::kind(&sql), Kind::Refused(_)),
+                "{sql}: {:?}",
+                classify::kind(&sql)
+            );
+        }
+    }
+    for sql in
+        ["REINDEX (VERBOSE) TABLE t; DELETE FROM t", "REINDEX (VERBOSE) TABLE \"; SET ROLE x\""]
+    {
+        assert_eq!(classify::kind(sql), Kind::Write, "{sql}");
+    }
+    let body = "CREATE FUNCTION f(a int) RETURNS int BEGIN ATOMIC SELECT CASE a WHEN 1 THEN 2 END; SELECT 2; END";
+    let rule = "CREATE RULE r AS ON INSERT TO t DO (DELETE FROM u; NOTIFY bell)";
+    for sql in [body, rule] {
+        assert_eq!(classify::kind(sql), Kind::Write, "{sql}");
+        assert!(matches!(classify::kind(&format!("{sql}; SET ROLE x")), Kind::Refused(_)), "{sql}");
+    }
+    let named = "CREATE FUNCTION begin() RETURNS weird; SET ROLE x";
+    assert!(matches!(classify::kind(named), Kind::Refused(_)));
+    assert!(matches!(classify::kind("/* x */ LISTEN bell; -- y"), Kind::Refused(_)));
+    assert!(matches!(classify::kind("LISTEN\"bell\" WEIRD"), Kind::Refused(_)));
+    assert_eq!(classify::kind("/* x */ ABORT"), Kind::Rollback);
+}
+
 #[test]
 fn retries_are_limited_to_a_tenth_of_the_load() {
     let budget = Budget::default();
