--- a/src/proxy/classify.rs
+++ b/src/proxy/classify.rs
@@ -11,6 +11,7 @@
 use sqlparser::parser::Parser;
 
 use super::floor::Floor;
+use super::lexer::{self, Part, Parts, Unterminated};
 use super::setting::Handling;
 use crate::id;
 
@@ -143,7 +144,7 @@
 /// Returns the kind of `sql`. Several statements count as the most demanding one among them.
 pub fn kind(sql: &str) -> Kind {
     let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
-        return if is_empty(sql) { Kind::Empty } else { classify_unparsed(sql) };
+        return classify_unparsed(sql);
     };
     match statements.as_slice() {
         [] => Kind::Empty,
@@ -163,21 +164,29 @@
     }
 }
 
-fn is_empty(sql: &str) -> bool {
-    sql.trim().trim_end_matches(';').is_empty()
+/// Classifies a query of which the parser doesn't know all statements: each by itself.
+fn classify_unparsed(sql: &str) -> Kind {
+    let statements = lexer::statements(sql).unwrap_or_else(|Unterminated| vec![sql]);
+    match statements.as_slice() {
+        [] => Kind::Empty,
+        [statement] => classify_by_word(statement),
+        statements => statements.iter().map(|statement| kind(statement)).fold(Kind::Read, combine),
+    }
 }
 
 /// Classifies a statement that the parser doesn't know by its first word, since unsupported statements must be refused
 /// in any case.
-fn classify_unparsed(sql: &str) -> Kind {
-    let word = sql.split_whitespace().next().unwrap_or("").to_ascii_uppercase();
-    match word.as_str() {
+fn classify_by_word(sql: &str) -> Kind {
+    match lexer::first_word(sql).to_ascii_uppercase().as_str() {
         "COPY" => Kind::Refused("COPY is not supported"),
         "LISTEN" | "UNLISTEN" | "NOTIFY" => Kind::Refused("LISTEN and NOTIFY are not supported"),
         "SET" | "RESET" => classify_setting(sql),
         "DEALLOCATE" | "DISCARD" => classify_discard(sql),
         "PREPARE" | "EXECUTE" => Kind::Refused("use the protocol's prepared statements"),
         "DECLARE" | "FETCH" | "MOVE" => Kind::Refused("SQL cursors are not supported"),
+        "BEGIN" | "START" => Kind::Begin { read_only: false },
+        "COMMIT" | "END" => Kind::Commit,
+        "ABORT" => Kind::Rollback,
         _ => Kind::Write,
     }
 }
@@ -314,39 +323,75 @@
 
 /// Returns the offset of the trailing comment, if there is one.
 fn comment_start(sql: &str) -> Option<usize> {
-    let text = sql.trim_end().trim_end_matches(';').trim_end();
-    text.strip_suffix("*/")?.rfind("/*")
+    let text = trim_end(sql);
+    if !text.ends_with("*/") {
+        return None;
+    }
+    match Parts::of(text).last() {
+        Some(Ok(Part::BlockComment(comment))) => Some(comment.start),
+        _ => None,
+    }
 }
 
 /// Returns the statement without its trailing comment, semicolon and surrounding white space.
 pub fn strip_comment(sql: &str) -> &str {
     let text = comment_start(sql).map_or(sql, |start| &sql[..start]);
-    text.trim().trim_end_matches(';').trim_end()
+    trim_end(text).trim_start_matches(lexer::is_space)
 }
 
-/// Parses the tags in the trailing comment, such as `/*request='...',key='...'*/`. Malformed tags are ignored.
+fn trim_end(sql: &str) -> &str {
+    let text = sql.trim_end_matches(lexer::is_space).trim_end_matches(';');
+    text.trim_end_matches(lexer::is_space)
+}
+
+/// Parses the tags in the trailing comment, such as `/*request='...',key='...'*/`. Values are encoded as in URLs, with a
+/// backslash in front of quotes. A comment of another form has no tags.
 pub fn tags(sql: &str) -> Tags {
-    let mut tags = Tags::default();
-    let text = sql.trim_end().trim_end_matches(';').trim_end();
     let Some(start) = comment_start(sql) else {
-        return tags;
+        return Tags::default();
     };
-    for pair in text[start + 2..text.len() - 2].split("',") {
-        let Some((name, value)) = pair.split_once('=') else {
-            continue;
-        };
-        let value = value.trim().trim_matches('\'');
-        match name.trim() {
-            "request" => tags.request = value.parse().ok(),
-            "key" => tags.key = value.parse().ok(),
-            "floor" => tags.floor = decode_floor(value).parse().ok(),
-            _ => {}
+    let text = trim_end(sql);
+    parse_tags(&text[start + 2..text.len() - 2]).unwrap_or_default()
+}
+
+fn parse_tags(mut text: &str) -> Option<Tags> {
+    let mut values: HashMap<&str, String> = HashMap::new();
+    loop {
+        let (name, rest) = text.split_once('=')?;
+        let (value, rest) = quoted_value(rest.trim_start().strip_prefix('\'')?)?;
+        if values.insert(name.trim(), value).is_some() {
+            return None;
+        }
+        match rest.trim_start().strip_prefix(',') {
+            Some(rest) => text = rest,
+            None if rest.trim().is_empty() => break,
+            None => return None,
         }
     }
-    tags
+    Some(Tags {
+        request: values.get("request").and_then(|value| value.parse().ok()),
+        key: values.get("key").and_then(|value| value.parse().ok()),
+        floor: values.get("floor").and_then(|value| value.parse().ok()),
+    })
 }
 
-/// Decodes the characters of a floor that sqlcommenter encodes.
-fn decode_floor(value: &str) -> String {
-    value.replace("%40", "@").replace("%2C", ",").replace("%2c", ",")
+/// Decodes a value up to its closing quote, and returns it with what follows.
+fn quoted_value(text: &str) -> Option<(String, &str)> {
+    let mut value = Vec::new();
+    let mut bytes = text.bytes().enumerate();
+    loop {
+        let (at, byte) = bytes.next()?;
+        match byte {
+            b'\'' => return Some((String::from_utf8(value).ok()?, &text[at + 1..])),
+            b'\\' => value.push(bytes.next()?.1),
+            b'%' => match text.get(at + 1..at + 3).map(|digits| u8::from_str_radix(digits, 16)) {
+                Some(Ok(decoded)) => {
+                    value.push(decoded);
+                    bytes.nth(1);
+                }
+                _ => value.push(byte),
+            },
+            byte => value.push(byte),
+        }
+    }
 }
--- a/tests/request_decisions.rs
+++ b/tests/request_decisions.rs
@@ -7,7 +7,7 @@
 use cactushatch::id;
 use cactushatch::proxy::admission::{Arrival, Input, Limiter, MAX_WAITING, Output, Ticket};
 use cactushatch::proxy::cancel::{Decision, Registry, Target, Token};
-use cactushatch::proxy::classify::{self, Kind, Local};
+use cactushatch::proxy::classify::{self, Kind, KindCache, Local, Tags};
 use cactushatch::proxy::floor::Mark;
 use cactushatch::proxy::outcome::{Outcome, Reason};
 use cactushatch::proxy::peak;
@@ -486,6 +486,90 @@
     assert_eq!(classify::tags("SELECT '/*request=''x''*/'").request, None);
 }
 
+/// Guards against content that ends a statement or begins its trailing comment: the rest was not classified, or was cut
+/// off from what a prepared statement runs.
+#[test]
+fn content_of_strings_and_comments_is_not_taken_for_the_trailing_comment() {
+    for sql in [
+        "SELECT 1 -- /*\n; DELETE FROM t -- */",
+        "SELECT 1 -- /*\r; DELETE FROM t -- */",
+        "SELECT '/*'; DELETE FROM t -- */",
+        "SELECT $tag$/*$tag$; DELETE FROM t -- */",
+    ] {
+        assert_eq!(classify::kind(sql), Kind::Write, "{sql}");
+        assert_eq!(KindCache::default().kind(sql), Kind::Write, "{sql}");
+    }
+    for sql in [
+        "SELECT '/*' -- */",
+        "SELECT \"/*\" FROM t -- */",
+        "SELECT $$/*$$ -- */",
+        "SELECT 1 -- /*key='k'*/",
+        "SELECT E'\\'/*key=''k''*/'",
+        "SELECT 1 AS x\u{a0}",
+    ] {
+        assert_eq!(classify::strip_comment(sql), sql);
+        assert_eq!(classify::tags(sql), Tags::default(), "{sql}");
+    }
+    assert_eq!(classify::strip_comment("SELECT 1 /* a /* b */ c */ ;"), "SELECT 1");
+    assert_eq!(classify::strip_comment("SELECT '/*' /* x */ /*key='k'*/"), "SELECT '/*' /* x */");
+}
+
+/// Guards against a tag that the content of another tag's value adds, such as another key.
+#[test]
+fn content_of_a_tag_is_not_taken_for_another_tag() {
+    let key = |sql: &str| classify::tags(sql).key.map(|key| key.as_str().to_owned());
+    assert_eq!(key("SELECT 1 /*note='a\\',key=forged',key='k-1'*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*key='k-1',note='a\\',key=\\'forged\\''*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*note='a',note2='b=c,d',key='k-1'*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*key='a%3Ab', request='menu'*/").as_deref(), Some("a:b"));
+    assert_eq!(key("SELECT 1 /*key='k-1',note='a\\',key=forged'*/").as_deref(), Some("k-1"));
+    assert_eq!(key("SELECT 1 /*key='k-1',key='k-2'*/"), None);
+    assert_eq!(key("SELECT 1 /*key='k-1' and more*/"), None);
+}
+
+/// Guards against a query of several statements that was classified by its first word because the parser doesn't know
+/// one of them: settings stayed on the pooled connection, and a transaction ended without the proxy's knowledge.
+#[test]
+fn each_statement_of_a_query_is_classified_if_the_parser_does_not_know_one() {
+    let unknown = "REINDEX (VERBOSE) TABLE t";
+    assert_eq!(classify::kind(unknown), Kind::Write);
+    for rest in [
+        "SET search_path = secret",
+        "/* x */ SET ROLE other",
+        "-- x\nSET ROLE other",
+        "COMMIT",
+        "COMMIT; DELETE FROM t",
+        "ABORT",
+        "LISTEN bell",
+        "SELECT pg_advisory_lock(1)",
+        "PREPARE TRANSACTION 'x'",
+    ] {
+        for sql in [format!("{unknown}; {rest}"), format!("{rest}; {unknown}")] {
+            assert!(
+                matches!(classify::kind(&sql), Kind::Refused(_)),
+                "{sql}: {:?}",
+                classify::kind(&sql)
+            );
+        }
+    }
+    for sql in
+        ["REINDEX (VERBOSE) TABLE t; DELETE FROM t", "REINDEX (VERBOSE) TABLE \"; SET ROLE x\""]
+    {
+        assert_eq!(classify::kind(sql), Kind::Write, "{sql}");
+    }
+    let body = "CREATE FUNCTION f(a int) RETURNS int BEGIN ATOMIC SELECT CASE a WHEN 1 THEN 2 END; SELECT 2; END";
+    let rule = "CREATE RULE r AS ON INSERT TO t DO (DELETE FROM u; NOTIFY bell)";
+    for sql in [body, rule] {
+        assert_eq!(classify::kind(sql), Kind::Write, "{sql}");
+        assert!(matches!(classify::kind(&format!("{sql}; SET ROLE x")), Kind::Refused(_)), "{sql}");
+    }
+    let named = "CREATE FUNCTION begin() RETURNS weird; SET ROLE x";
+    assert!(matches!(classify::kind(named), Kind::Refused(_)));
+    assert!(matches!(classify::kind("/* x */ LISTEN bell; -- y"), Kind::Refused(_)));
+    assert!(matches!(classify::kind("LISTEN\"bell\" WEIRD"), Kind::Refused(_)));
+    assert_eq!(classify::kind("/* x */ ABORT"), Kind::Rollback);
+}
+
 #[test]
 fn retries_are_limited_to_a_tenth_of_the_load() {
     let budget = Budget::default();
