Bound the size of what is prepared on a connection

A connection to an instance was reset once 128 statements were prepared on it, whatever their length: up to 128 MiB for each connection, of sessions that had long ended. It is now also reset when their texts are over 4 MiB together (`setup::MAX_PREPARED_BYTES`).

the_size_of_what_is_prepared_on_a_connection_is_bounded, with 20 texts of 512 KiB: no reset without the check, two with it.

--- a/src/broker/setup.rs
+++ b/src/broker/setup.rs
@@ -6,16 +6,21 @@
 
 use std::collections::BTreeMap;
 
-use crate::statement::{Template, Text};
+use crate::statement::{MAX_LINE_BYTES, Template, Text};
 
 /// The maximum number of statements prepared on one connection. When it is reached, the connection is reset.
 pub const MAX_PREPARED: usize = 128;
 
+/// The length in bytes of the texts of all statements prepared on one connection at which it is reset.
+pub const MAX_PREPARED_BYTES: usize = 4 * MAX_LINE_BYTES;
+
 /// The session variables and prepared statements of a connection.
 #[derive(Debug, Default)]
 pub struct Setup {
     values: BTreeMap<Text, Text>,
     prepared: BTreeMap<Template, String>,
+    /// The length of the texts of `prepared`.
+    prepared_bytes: usize,
     last_number: u64,
 }
 
@@ -57,7 +62,8 @@
         let mut changes = Vec::new();
         let stale = self.values.keys().any(|name| !values.contains_key(name));
         let new = template.is_some_and(|template| !self.prepared.contains_key(template));
-        let full = new && self.prepared.len() >= MAX_PREPARED;
+        let bytes = self.prepared_bytes + template.map_or(0, |template| template.text.len());
+        let full = new && (self.prepared.len() >= MAX_PREPARED || bytes > MAX_PREPARED_BYTES);
         if may_reset && (stale || full) {
             self.clear();
             changes.push(Change::Reset);
@@ -74,6 +80,7 @@
             self.last_number += 1;
             let name = format!("c{}", self.last_number);
             self.prepared.insert(template.clone(), name.clone());
+            self.prepared_bytes += template.text.len();
             changes.push(Change::Prepare { name, template: template.clone() });
         }
         changes
@@ -88,5 +95,6 @@
     pub fn clear(&mut self) {
         self.values.clear();
         self.prepared.clear();
+        self.prepared_bytes = 0;
     }
 }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -132,6 +132,26 @@
     assert_eq!(session.handle(prepare(99)), Action::Complete);
 }
 
+/// Guards against a connection whose memory is bounded only by 128 statements of nearly 1 MiB each.
+#[test]
+fn the_size_of_what_is_prepared_on_a_connection_is_bounded() {
+    let mut setup = Setup::default();
+    let values = BTreeMap::new();
+    let template = |number: usize| {
+        let text = format!("{number}{}", "t".repeat(setup::MAX_PREPARED_BYTES / 8));
+        template(Access::Read, &text)
+    };
+    let mut resets = Vec::new();
+    for number in 0..20 {
+        let changes = setup.update(&values, Some(&template(number)), true);
+        if changes.contains(&Change::Reset) {
+            resets.push(number);
+        }
+        assert!(setup.prepared_name(&template(number)).is_some());
+    }
+    assert_eq!(resets, [7, 14]);
+}
+
 /// Applies changes to the model of a connection.
 fn apply_changes(values: &mut BTreeMap<Text, Text>, names: &mut Vec<String>, changes: &[Change]) {
     for change in changes {
