End a line at CR LF only, and write no field that would be read otherwise

Cause: the end of a message was taken from its content. `decode_line` ended a line at the first LF, with or without a CR, while the protocol ends it at CR LF and lets the last field extend to there. It also took a missing field for an empty one, so that a blank at the end was lost, and refused what isn't UTF-8. The encoder had the same fault in the other direction: it wrote any field, also one that would be read as more than one field or message.

Change, decoder: - `statement::Input` ends a line at the first CR LF. A lone CR or LF is content. It keeps how far it has searched, so each byte is looked at once. A line of 1 MiB without its end passes, one byte more is too long as soon as that is certain; until now the CR counted. - Fields are separated by exactly one blank, and a missing field differs from an empty one. `QUERY id` without a text, `SET name` without a value and `COMMIT ` with a blank are statements that aren't known, which the session answers with MALFORMED and READY. `COMMIT ` was passed on as `COMMIT`. - `DONE`, `ERR`, `BYE x` with a missing or surplus field are errors. `ROW` by itself is an empty row, as before. - `EXEC name` and `EXEC name ` are passed on as they are.

Change, encoder: `encode_command` and `encode_reply` fail with `EncodeError` (`Delimiter`, `TooLong`) and write nothing if a field contains CR LF, a field before others a blank, or the line is over the limit. `Connection::queue` then queues nothing and returns `Error::Unencodable`, which says nothing about the instance (Fine); the connection stays in step. Session variables are recorded as set on a connection once all of them are queued. The statement is refused with MALFORMED at once, and not retried. An answer that can't be written becomes UNKNOWN with a fixed text and fails an open transaction. A text of nearly 1 MiB that grows by `AFTER` or a longer prepared name is refused so; an instance would have refused it as too long.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -22,7 +22,9 @@
 use crate::proxy::shutdown::Stage;
 use crate::report::event::{Unreadable, millis};
 use crate::report::{Event as LogEvent, Peer};
-use crate::statement::{Access, Answer, Code, DecodeError, Id, Place, Request, State, Statement};
+use crate::statement::{
+    Access, Answer, Code, DecodeError, EncodeError, Id, Input, Place, Request, State, Statement,
+};
 use crate::wire::Step;
 
 /// How long a caller may take to open its session.
@@ -34,6 +36,9 @@
 /// The text for a caller whose key has no account.
 const NO_ACCOUNT: &str = "the key is not known";
 
+/// The text for a caller whose answer can't be encoded.
+const UNENCODABLE: &str = "the answer can't be sent";
+
 const READ_BUFFER_BYTES: usize = 4 * 1024;
 
 /// Number of connections accepted from callers by this process.
@@ -46,6 +51,8 @@
     Io(#[from] std::io::Error),
     #[error("{0}")]
     Malformed(#[from] DecodeError),
+    #[error("{0}")]
+    Unencodable(#[from] EncodeError),
     #[error("the caller was too slow")]
     TooSlow,
 }
@@ -72,7 +79,7 @@
         address: socket.peer_addr().ok(),
         number: ACCEPTED.fetch_add(1, Ordering::Relaxed) + 1,
         socket,
-        input: BytesMut::new(),
+        input: Input::default(),
         received: 0,
         output: BytesMut::new(),
         session: Session::default(),
@@ -99,7 +106,7 @@
     /// What identifies the connection in logs.
     address: Option<SocketAddr>,
     number: u64,
-    input: BytesMut,
+    input: Input,
     /// Number of bytes received.
     received: u64,
     output: BytesMut,
@@ -141,12 +148,12 @@
         }
         self.quota_session =
             self.credential.account().map(|account| self.shared.open_quota_session(account));
-        self.queue_ready();
+        self.queue_ready()?;
         self.flush().await?;
         loop {
             match self.next_event(database).await? {
                 Event::Request(Request::Query { id, statement }) => {
-                    let is_rejected = self.run_query(database, &id, statement).await;
+                    let is_rejected = self.run_query(database, &id, statement).await?;
                     self.flush().await?;
                     if is_rejected {
                         self.record_rejection(database, true);
@@ -260,14 +267,19 @@
     }
 
     /// Runs a statement and queues the answer. Returns whether the session must end because its key has no account.
-    async fn run_query(&mut self, name: &str, id: &Id, statement: Statement) -> bool {
+    async fn run_query(
+        &mut self,
+        name: &str,
+        id: &Id,
+        statement: Statement,
+    ) -> Result<bool, EncodeError> {
         self.shared.update_credential(&mut self.credential, name);
         if !self.authenticate() {
             self.roll_back();
             self.session.fail();
             let reply = self.reject(name, id);
-            self.queue_reply(&reply);
-            return true;
+            self.queue_reply(&reply)?;
+            return Ok(true);
         }
         if !self.has_connection() {
             self.database = self.shared.database(name);
@@ -290,11 +302,11 @@
             }
             (Ok(Some(step)), Some(database)) => self.run_step((name, &database), id, &step).await,
         };
-        self.queue_reply(&reply);
+        self.queue_reply(&reply)?;
         let is_rejection =
             |answer: &Answer| matches!(answer, Answer::Failed { code: Code::NotAuthenticated, .. });
         // A serving proxy may have newer declarations than this one.
-        reply.iter().any(is_rejection)
+        Ok(reply.iter().any(is_rejection))
     }
 
     /// Begins an operation, unless one has begun already. An open transaction whose account has changed is rolled back
@@ -420,23 +432,33 @@
         self.forwarder.roll_back();
     }
 
-    /// Queues an answer and the final [`Answer::Ready`].
-    fn queue_reply(&mut self, reply: &Reply) {
-        for answer in reply {
-            self.shared.codec.encode_reply(answer, &mut self.output);
+    /// Queues an answer and the final [`Answer::Ready`]. An answer that can't be encoded is replaced, since the statement
+    /// may have taken effect.
+    fn queue_reply(&mut self, reply: &Reply) -> Result<(), EncodeError> {
+        let codec = self.shared.codec;
+        let written = self.output.len();
+        let queued =
+            reply.iter().try_for_each(|answer| codec.encode_reply(answer, &mut self.output));
+        if let Err(error) = queued {
+            log::warn!("an answer to a caller can't be sent: {error}");
+            self.output.truncate(written);
+            self.roll_back();
+            self.session.fail();
+            let (code, text) = (Code::Unknown, UNENCODABLE.into());
+            codec.encode_reply(&Answer::Failed { code, text }, &mut self.output)?;
         }
-        self.queue_ready();
+        self.queue_ready()
     }
 
-    fn queue_ready(&mut self) {
+    fn queue_ready(&mut self) -> Result<(), EncodeError> {
         let ready = Answer::Ready { state: self.session.state(), position: None };
-        self.shared.codec.encode_reply(&ready, &mut self.output);
+        self.shared.codec.encode_reply(&ready, &mut self.output)
     }
 
     /// Refuses the connection.
     async fn refuse(&mut self, code: Code, text: &str) -> Result<(), Error> {
         let answer = Answer::Failed { code, text: text.into() };
-        self.shared.codec.encode_reply(&answer, &mut self.output);
+        self.shared.codec.encode_reply(&answer, &mut self.output)?;
         self.flush().await
     }
 
--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -15,6 +15,8 @@
 use crate::statement::{Code, Command, Id, Template, Text};
 use crate::upstream::connection::{Connection, Error, Outcome, Suspicion};
 
+static NO_ARGUMENTS: Text = Text::from_static("");
+
 /// A pooled connection, which sessions use in turn, and the session state that is set up on it.
 #[derive(Debug)]
 pub(super) struct SharedConnection {
@@ -115,7 +117,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when the connection fails or the instance refuses a change.
+    /// Fails when the connection fails, the instance refuses a change, or a change can't be encoded; nothing is sent then.
     pub(super) async fn apply(
         &mut self,
         clock: &Clock,
@@ -124,17 +126,16 @@
         may_reset: bool,
         deadline: Instant,
     ) -> Result<(), Error> {
-        let changes = self.setup.update(values, template, may_reset);
+        let changes = self.setup.changes(values, template, may_reset);
         if changes.is_empty() {
             return Ok(());
         }
-        for change in &changes {
-            self.upstream.queue(&match change {
-                Change::Reset => Command::Reset,
-                Change::Set { name, value } => Command::Set { name, value },
-                Change::Prepare { name, template } => Command::Prepare { name, template },
-            });
-        }
+        self.upstream.queue_all(changes.iter().map(|change| match change {
+            Change::Reset => Command::Reset,
+            Change::Set { name, value } => Command::Set { name, value },
+            Change::Prepare { name, template } => Command::Prepare { name, template },
+        }))?;
+        self.setup.record(&changes);
         self.upstream.flush(clock, deadline).await?;
         for _ in &changes {
             let outcome = self.upstream.receive_outcome(clock, deadline).await?;
@@ -160,18 +161,21 @@
         after: Option<Mark>,
         deadline: Instant,
     ) -> Result<Outcome, Error> {
-        let command = match &operation.body {
-            Body::Text(text) => Command::Data { id, after, text },
+        let (template, arguments) = match &operation.body {
+            Body::Text(text) => {
+                let command = Command::Data { id, after, text };
+                return self.connection.upstream.request(clock, &command, deadline).await;
+            }
             Body::Prepared { template, arguments } => {
-                let name = self.connection.setup.prepared_name(template).ok_or_else(|| {
-                    Error::Refused {
-                        code: Code::NoStatement,
-                        text: "it is not prepared on this connection".into(),
-                    }
-                })?;
-                Command::Execute { id, after, name, arguments }
+                (template, Some(arguments).filter(|arguments| !arguments.is_empty()))
             }
+            Body::PreparedWithEmpty(template) => (template, Some(&NO_ARGUMENTS)),
         };
+        let name = self.connection.setup.prepared_name(template).ok_or_else(|| Error::Refused {
+            code: Code::NoStatement,
+            text: "it is not prepared on this connection".into(),
+        })?;
+        let command = Command::Execute { id, after, name, arguments };
         self.connection.upstream.request(clock, &command, deadline).await
     }
 }
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -141,6 +141,18 @@
     }
 }
 
+impl Failure {
+    /// Returns the answer to a statement that no instance can be sent.
+    fn refusal(&self) -> Option<Refusal> {
+        match self {
+            Self::Connection(error @ Error::Unencodable(_)) => {
+                Some(Refusal::new(Code::Malformed, error.to_string()))
+            }
+            Self::Connection(_) | Self::Replaced => None,
+        }
+    }
+}
+
 impl NotSent {
     fn text(self) -> &'static str {
         match self {
@@ -159,7 +171,7 @@
 fn template(operation: &Operation) -> Option<&Template> {
     match &operation.body {
         Body::Text(_) => None,
-        Body::Prepared { template, .. } => Some(template),
+        Body::Prepared { template, .. } | Body::PreparedWithEmpty(template) => Some(template),
     }
 }
 
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -36,6 +36,10 @@
             let outcome = match self.send(execution, &mut checkout, operation, need).await {
                 Ok(outcome) => outcome,
                 Err(failure) => {
+                    if let Some(refusal) = failure.refusal() {
+                        self.return_connection(checkout, State::Idle);
+                        return Err(refusal);
+                    }
                     self.record_failure(&instance, &failure);
                     if self.shared.clock.now() >= execution.deadline {
                         return Err(Refusal::new(Code::Timeout, format!("{instance}: {failure}")));
@@ -77,9 +81,13 @@
                 .connection
                 .apply(clock, values, template(operation), true, execution.deadline)
                 .await;
-            if let Err(error) = applied {
-                self.record_retry(execution, &instance, error.to_string());
-                self.record_failure(&instance, &Failure::Connection(error));
+            if let Err(failure) = applied.map_err(Failure::Connection) {
+                if let Some(refusal) = failure.refusal() {
+                    self.return_connection(checkout, State::Idle);
+                    return Err(refusal);
+                }
+                self.record_retry(execution, &instance, failure.to_string());
+                self.record_failure(&instance, &failure);
                 continue;
             }
             match self.check_send(execution, &checkout).await {
@@ -103,6 +111,10 @@
             let outcome = match outcome {
                 Ok(outcome) => outcome,
                 Err(failure) => {
+                    if let Some(refusal) = failure.refusal() {
+                        self.return_connection(checkout, State::Idle);
+                        return Err(refusal);
+                    }
                     self.record_failure(&instance, &failure);
                     checkout.connection.upstream.reset();
                     return Err(Refusal::new(Code::Unknown, format!("{instance}: {failure}")));
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -51,6 +51,10 @@
             let outcome = match self.run_on(execution, &mut checkout, operation, read_only).await {
                 Ok(outcome) => outcome,
                 Err(failure) => {
+                    if let Some(refusal) = failure.refusal() {
+                        self.roll_back_in_background(checkout);
+                        return Err(refusal);
+                    }
                     self.record_failure(&instance, &failure);
                     drop(checkout);
                     self.record_retry(execution, &instance, failure.to_string());
@@ -114,6 +118,10 @@
                 }
                 Ok(_) => return Err(Refusal::new(Code::Aborted, "no transaction was begun")),
                 Err(failure) => {
+                    if let Some(refusal) = failure.refusal() {
+                        self.return_connection(checkout, State::Idle);
+                        return Err(refusal);
+                    }
                     self.record_failure(&instance, &failure);
                     drop(checkout);
                     self.record_retry(execution, &instance, failure.to_string());
@@ -190,6 +198,10 @@
         let outcome = match self.run_on(execution, &mut checkout, operation, read_only).await {
             Ok(outcome) => outcome,
             Err(failure) => {
+                if let Some(refusal) = failure.refusal() {
+                    self.roll_back_in_background(checkout);
+                    return Err(refusal);
+                }
                 self.record_failure(&instance, &failure);
                 return Err(Refusal::new(Code::Aborted, format!("{instance}: {failure}")));
             }
@@ -254,6 +266,10 @@
             let outcome = match outcome {
                 Ok(outcome) => outcome,
                 Err(failure) => {
+                    if let Some(refusal) = failure.refusal() {
+                        self.roll_back_in_background(checkout);
+                        return Err(refusal);
+                    }
                     self.record_failure(&instance, &failure);
                     if wrote {
                         checkout.connection.upstream.reset();
--- a/src/broker/session.rs
+++ b/src/broker/session.rs
@@ -86,9 +86,12 @@
     Prepared {
         /// The statement that was prepared.
         template: Template,
-        /// The arguments, unparsed.
+        /// The arguments, unparsed. If they are empty, nothing follows the name.
         arguments: Text,
     },
+    /// A prepared statement with arguments that are empty: a blank follows its name. Earlier releases can't read it, and
+    /// leave the blank out.
+    PreparedWithEmpty(Template),
 }
 
 impl Session {
@@ -155,14 +158,16 @@
         }
     }
 
-    fn execute(&mut self, name: &Text, arguments: Text) -> Action {
+    fn execute(&mut self, name: &Text, arguments: Option<Text>) -> Action {
         let Some(template) = self.prepared.get(name).cloned() else {
             return Action::Refuse(Code::NoStatement, "nothing is prepared under this name");
         };
-        self.run(Operation {
-            access: template.access,
-            body: Body::Prepared { template, arguments },
-        })
+        let access = template.access;
+        let body = match arguments {
+            Some(arguments) if arguments.is_empty() => Body::PreparedWithEmpty(template),
+            arguments => Body::Prepared { template, arguments: arguments.unwrap_or_default() },
+        };
+        self.run(Operation { access, body })
     }
 
     fn run(&mut self, operation: Operation) -> Action {
--- a/src/broker/setup.rs
+++ b/src/broker/setup.rs
@@ -51,41 +51,51 @@
         self.values == *values
     }
 
-    /// Returns the changes to send before a statement of a session with `values` may run, and records them as applied.
-    /// Inside a transaction `may_reset` is false: variables are then added and changed, never cleared.
-    pub fn update(
-        &mut self,
+    /// Returns the changes to send before a statement of a session with `values` may run. Inside a transaction
+    /// `may_reset` is false: variables are then added and changed, never cleared.
+    pub fn changes(
+        &self,
         values: &BTreeMap<Text, Text>,
         template: Option<&Template>,
         may_reset: bool,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
         let stale = self.values.keys().any(|name| !values.contains_key(name));
-        let new = template.is_some_and(|template| !self.prepared.contains_key(template));
+        let new = template.filter(|template| !self.prepared.contains_key(template));
         let bytes = self.prepared_bytes + template.map_or(0, |template| template.text.len());
-        let full = new && (self.prepared.len() >= MAX_PREPARED || bytes > MAX_PREPARED_BYTES);
-        if may_reset && (stale || full) {
-            self.clear();
+        let has_room = self.prepared.len() < MAX_PREPARED && bytes <= MAX_PREPARED_BYTES;
+        let resets = may_reset && (stale || new.is_some() && !has_room);
+        if resets {
             changes.push(Change::Reset);
         }
-        for (name, value) in values {
-            if self.values.get(name) != Some(value) {
-                self.values.insert(name.clone(), value.clone());
-                changes.push(Change::Set { name: name.clone(), value: value.clone() });
-            }
+        let kept = |name: &Text| self.values.get(name).filter(|_| !resets);
+        for (name, value) in values.iter().filter(|(name, value)| kept(name) != Some(value)) {
+            changes.push(Change::Set { name: name.clone(), value: value.clone() });
         }
-        if let Some(template) = template
-            && !self.prepared.contains_key(template)
-        {
-            self.last_number += 1;
-            let name = format!("c{}", self.last_number);
-            self.prepared.insert(template.clone(), name.clone());
-            self.prepared_bytes += template.text.len();
+        if let Some(template) = if resets { template } else { new } {
+            let name = format!("c{}", self.last_number + 1);
             changes.push(Change::Prepare { name, template: template.clone() });
         }
         changes
     }
 
+    /// Records changes as applied.
+    pub fn record(&mut self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Reset => self.clear(),
+                Change::Set { name, value } => {
+                    self.values.insert(name.clone(), value.clone());
+                }
+                Change::Prepare { name, template } => {
+                    self.last_number += 1;
+                    self.prepared_bytes += template.text.len();
+                    self.prepared.insert(template.clone(), name.clone());
+                }
+            }
+        }
+    }
+
     /// Returns the connection's name for a prepared statement.
     pub fn prepared_name(&self, template: &Template) -> Option<&str> {
         self.prepared.get(template).map(String::as_str)
--- a/src/statement/codec.rs
+++ b/src/statement/codec.rs
@@ -4,10 +4,10 @@
 
 use bytes::BytesMut;
 
-use super::{Answer, Command, Request};
+use super::{Answer, Command, Input, Request};
 use crate::upstream::status::Status;
 
-/// The maximum length of a message in bytes. A peer that exceeds it is disconnected.
+/// The maximum length of a message in bytes, without what ends it. A peer that exceeds it is disconnected.
 pub const MAX_LINE_BYTES: usize = 1024 * 1024;
 
 /// The reason why bytes can't be decoded as a message.
@@ -16,9 +16,6 @@
     /// The message is longer than [`MAX_LINE_BYTES`].
     #[error("a message is longer than {MAX_LINE_BYTES} bytes")]
     TooLong,
-    /// The message is not UTF-8.
-    #[error("a message is no text")]
-    NotUtf8,
     /// The message begins with an unknown keyword.
     #[error("a message of an unknown kind")]
     Kind,
@@ -32,35 +29,58 @@
     pub fn kind(self) -> &'static str {
         match self {
             Self::TooLong => "too_long",
-            Self::NotUtf8 => "no_text",
             Self::Kind => "kind",
             Self::Field => "field",
         }
     }
 }
 
+/// The reason why a message can't be encoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum EncodeError {
+    /// A field contains what separates it from the next one, or what ends the message.
+    #[error("a field contains a delimiter")]
+    Delimiter,
+    /// The message would be longer than [`MAX_LINE_BYTES`].
+    #[error("a message would be longer than {MAX_LINE_BYTES} bytes")]
+    TooLong,
+}
+
 /// Encodes and decodes messages. A decoder removes one complete message from the front of its input, also if it can't be
-/// read, or leaves the input unchanged while the message is incomplete.
+/// read, or leaves the input unchanged while the message is incomplete. What an encoder writes is decoded as the same message; otherwise it
+/// writes nothing and fails.
 pub trait Codec: Debug + Send + Sync {
     /// Decodes a message from a caller.
     ///
     /// # Errors
     ///
     /// Fails when the bytes are not a valid message.
-    fn decode_request(&self, input: &mut BytesMut) -> Result<Option<Request>, DecodeError>;
+    fn decode_request(&self, input: &mut Input) -> Result<Option<Request>, DecodeError>;
 
     /// Encodes a part of an answer to a caller.
-    fn encode_reply(&self, answer: &Answer, output: &mut BytesMut);
+    ///
+    /// # Errors
+    ///
+    /// Fails when the caller would decode something else.
+    fn encode_reply(&self, answer: &Answer, output: &mut BytesMut) -> Result<(), EncodeError>;
 
     /// Encodes a message to an upstream.
-    fn encode_command(&self, command: &Command<'_>, output: &mut BytesMut);
+    ///
+    /// # Errors
+    ///
+    /// Fails when the upstream would decode something else.
+    fn encode_command(
+        &self,
+        command: &Command<'_>,
+        output: &mut BytesMut,
+    ) -> Result<(), EncodeError>;
 
     /// Decodes a part of an upstream's answer.
     ///
     /// # Errors
     ///
     /// Fails when the bytes are not a valid message.
-    fn decode_answer(&self, input: &mut BytesMut) -> Result<Option<Answer>, DecodeError>;
+    fn decode_answer(&self, input: &mut Input) -> Result<Option<Answer>, DecodeError>;
 
     /// Returns whether a field of an upstream's answer contains the beginning of another message, as it does when the
     /// message was cut off and the next one follows.
--- a/src/statement/command.rs
+++ b/src/statement/command.rs
@@ -40,8 +40,8 @@
         after: Option<Mark>,
         /// The name of the prepared statement on this connection.
         name: &'a str,
-        /// The arguments, unparsed.
-        arguments: &'a Text,
+        /// The arguments, unparsed. Without any nothing follows the name; a blank follows it before empty ones.
+        arguments: Option<&'a Text>,
     },
     /// Commits a caller's transaction.
     Commit {
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -7,13 +7,15 @@
 mod answer;
 mod codec;
 mod command;
+mod input;
 mod place;
 mod request;
 mod text;
 
 pub use answer::{Answer, Code, State};
-pub use codec::{Codec, DecodeError, MAX_LINE_BYTES};
+pub use codec::{Codec, DecodeError, EncodeError, MAX_LINE_BYTES};
 pub use command::Command;
+pub use input::Input;
 pub use place::Place;
 pub use request::{Access, Id, Request, Statement, Template};
 pub use text::Text;
--- a/src/statement/request.rs
+++ b/src/statement/request.rs
@@ -90,8 +90,8 @@
     Execute {
         /// The caller's name of the prepared statement.
         name: Text,
-        /// The arguments, unparsed.
-        arguments: Text,
+        /// The arguments, unparsed; `None` if nothing follows the name, which differs from empty arguments.
+        arguments: Option<Text>,
     },
     /// Sets a session variable.
     Set {
--- a/src/upstream/connection/error.rs
+++ b/src/upstream/connection/error.rs
@@ -2,7 +2,7 @@
 
 use super::MAX_ROWS_BYTES;
 use crate::report::Evidence;
-use crate::statement::{Code, DecodeError, Text};
+use crate::statement::{Code, DecodeError, EncodeError, Text};
 use crate::wire::Health;
 
 /// An error on a connection to an instance.
@@ -20,6 +20,9 @@
     /// The instance sent an invalid message.
     #[error("{0}")]
     Malformed(#[from] DecodeError),
+    /// A command can't be encoded. It was not sent, and the connection may be used on.
+    #[error("it can't be sent: {0}")]
+    Unencodable(#[from] EncodeError),
     /// What arrived may be an answer to an earlier command.
     #[error("the connection is out of step: {0}")]
     OutOfStep(Evidence),
@@ -63,7 +66,7 @@
             Self::Refused { code: Code::Misrouted, .. } => Health::Refused,
             // An instance that refuses, for example because it has no free connection, is alive. So is one that answers
             // twice.
-            Self::Refused { .. } | Self::OutOfStep(_) => Health::Fine,
+            Self::Refused { .. } | Self::OutOfStep(_) | Self::Unencodable(_) => Health::Fine,
             Self::Closed | Self::Malformed(_) | Self::TooManyRows => Health::Faulty,
         }
     }
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -43,7 +43,7 @@
 use crate::report::{Evidence, Peer, Tally};
 use crate::socket;
 use crate::statement::{
-    Access, Answer, Code, Codec, Command, DecodeError, Place, State, Template, Text,
+    Access, Answer, Code, Codec, Command, DecodeError, Input, Place, State, Template, Text,
 };
 use crate::upstream::status::Status;
 use crate::wire::Replica;
@@ -92,7 +92,7 @@
 pub struct Connection {
     socket: TcpStream,
     codec: &'static dyn Codec,
-    input: BytesMut,
+    input: Input,
     /// Number of bytes received.
     received: u64,
     /// The places of the last message and the last row.
@@ -152,7 +152,7 @@
         let mut connection = Self {
             socket,
             codec,
-            input: BytesMut::new(),
+            input: Input::default(),
             received: 0,
             last: Place::default(),
             row: Place::default(),
@@ -169,7 +169,7 @@
             origin,
         };
         let command = Command::Open { group: &replica.group, instance: &replica.instance, account };
-        codec.encode_command(&command, &mut connection.output);
+        codec.encode_command(&command, &mut connection.output)?;
         connection.write(clock, deadline).await?;
         match connection.receive(clock, deadline).await? {
             Answer::Ready { position, .. } => Ok((connection, position)),
@@ -229,10 +229,38 @@
     }
 
     /// Queues a command, which the next [`Connection::flush`] sends.
-    pub fn queue(&mut self, command: &Command<'_>) {
-        self.codec.encode_command(command, &mut self.output);
-        self.awaited.push_back(Awaited::new(command));
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the command can't be encoded. Nothing is queued then.
+    pub fn queue(&mut self, command: &Command<'_>) -> Result<(), Error> {
+        self.queue_awaited(command, Awaited::new(command))
+    }
+
+    /// Queues all commands, or none if one of them can't be encoded.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a command can't be encoded.
+    pub fn queue_all<'a>(
+        &mut self,
+        mut commands: impl Iterator<Item = Command<'a>>,
+    ) -> Result<(), Error> {
+        let (written, awaited, unsent) = (self.output.len(), self.awaited.len(), self.unsent);
+        let queued = commands.try_for_each(|command| self.queue(&command));
+        if queued.is_err() {
+            self.output.truncate(written);
+            self.awaited.truncate(awaited);
+            self.unsent = unsent;
+        }
+        queued
+    }
+
+    fn queue_awaited(&mut self, command: &Command<'_>, awaited: Awaited) -> Result<(), Error> {
+        self.codec.encode_command(command, &mut self.output)?;
+        self.awaited.push_back(awaited);
         self.unsent += 1;
+        Ok(())
     }
 
     /// Sends the queued commands.
@@ -323,7 +351,7 @@
         command: &Command<'_>,
         deadline: Instant,
     ) -> Result<Outcome, Error> {
-        self.queue(command);
+        self.queue(command)?;
         if let (Command::Reset, Some(last)) = (command, self.awaited.back_mut()) {
             last.kind = Kind::Ping;
         }
@@ -336,9 +364,7 @@
             _ => None,
         };
         if let Some(fence) = fence {
-            self.codec.encode_command(&fence, &mut self.output);
-            self.awaited.push_back(Awaited::fence(&fence));
-            self.unsent += 1;
+            self.queue_awaited(&fence, Awaited::fence(&fence))?;
         }
         self.flush(clock, deadline).await?;
         self.receive_outcome(clock, deadline).await
--- a/src/upstream/connection/proof.rs
+++ b/src/upstream/connection/proof.rs
@@ -38,7 +38,7 @@
                 Command::Prepare { name: FENCE_NAME, template: &FENCE }
             }
         };
-        self.codec.encode_command(&command, &mut self.output);
+        self.codec.encode_command(&command, &mut self.output)?;
         self.write(clock, deadline).await?;
         Ok(Awaited::fence(&command))
     }
