Shorten the texts of long log lines

A request's id, and the error text of an instance, can be as long as a message, and were logged in full. The log queues 1,024 lines for a reader that is slow, so a caller with long ids could make a process hold a gigabyte, or write 50 MB/s.

In a line over 16 KiB each text is now cut to 1 KiB.

the_length_of_a_log_line_is_bounded, with an id of 900 KiB: a line of 922,029 bytes before; passes after.

--- a/src/cli/logging.rs
+++ b/src/cli/logging.rs
@@ -9,6 +9,7 @@
 use flexi_logger::writers::LogWriter;
 use flexi_logger::{DeferredNow, LogSpecification, Logger, LoggerHandle};
 use log::{Level, Record};
+use serde_json::Value;
 
 use crate::clock::{Clock, Instant};
 use crate::config::{Format, Log, Rate};
@@ -18,6 +19,12 @@
 /// Minimum interval between reports of suppressed lines of one kind.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The length in bytes from which the texts in a line are shortened.
+const MAX_LINE_BYTES: usize = 16 * 1024;
+
+/// The length in bytes to which each text of such a line is shortened.
+const MAX_TEXT_BYTES: usize = 1_024;
+
 /// Handle to the log of a process, which flushes the log when dropped.
 pub(super) struct LogGuard {
     handle: LoggerHandle,
@@ -126,7 +133,7 @@
         let _ = write!(line, "{time} {level:5} {}", self.node);
         let fields = kind.and_then(|_| serde_json::from_str(text).ok());
         match fields {
-            Some(serde_json::Value::Object(fields)) => {
+            Some(Value::Object(fields)) => {
                 let present = fields.iter().filter(|(_, value)| !value.is_null());
                 for (key, value) in present {
                     let _ = write!(line, " {key}={value}");
@@ -154,7 +161,7 @@
         match kind {
             Some(_) => line.push_str(&text[1..]),
             None => {
-                let text = serde_json::Value::from(text);
+                let text = Value::from(text);
                 let _ = write!(line, "\"event\":\"{}\",\"text\":{text}}}", event::NOTE);
             }
         }
@@ -162,6 +169,35 @@
     }
 }
 
+/// Shortens the texts in a long line, since many lines may wait in memory. An id of a request, or the error text of an
+/// instance, can be as long as a message.
+fn shorten(text: String, is_event: bool) -> String {
+    if text.len() < MAX_LINE_BYTES {
+        return text;
+    }
+    let cut = |text: &mut String| {
+        if text.len() > MAX_TEXT_BYTES {
+            text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+            text.push('…');
+        }
+    };
+    match serde_json::from_str(&text) {
+        Ok(Value::Object(mut fields)) if is_event => {
+            for value in fields.values_mut() {
+                if let Value::String(text) = value {
+                    cut(text);
+                }
+            }
+            Value::Object(fields).to_string()
+        }
+        _ => {
+            let mut text = text;
+            cut(&mut text);
+            text
+        }
+    }
+}
+
 /// Escapes the characters that would end the line or that a terminal obeys, as JSON does, and ends the line. They come
 /// from content, such as the error text of an instance or a value of a malformed request.
 fn escape(mut line: String) -> String {
@@ -200,7 +236,7 @@
             let text = format!("dropped {dropped} log lines, since standard output was not read");
             self.push(now, Level::Warn, None, &text);
         }
-        self.push(now, record.level(), kind, &record.args().to_string());
+        self.push(now, record.level(), kind, &shorten(record.args().to_string(), kind.is_some()));
         Ok(())
     }
 
--- a/tests/platform_large_content.rs
+++ b/tests/platform_large_content.rs
@@ -3,7 +3,9 @@
 
 mod lines;
 
-use lines::{Caller, Fleet};
+use std::time::Instant;
+
+use lines::{Caller, Fleet, TIMEOUT};
 
 const MANY_PROXIES: [u8; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
 
@@ -76,3 +78,27 @@
     assert!(session.query("PUT slot ben").unwrap().result.starts_with("DONE"));
     assert_eq!(failed_forwards(&fleet, forwarding), 0, "{}", fleet.logs());
 }
+
+/// Guards against an id that makes each log line that names it nearly 1 MiB long: 1,024 of them wait in memory for a reader.
+#[test]
+fn the_length_of_a_log_line_is_bounded() {
+    let fleet = Fleet::up(238);
+    // Whatever takes over a millisecond is logged.
+    let configuration = lines::configuration(2, 800, lines::MAX_CONNECTIONS);
+    let configuration = configuration.replace("\"TargetLatencyMs\":200", "\"TargetLatencyMs\":1");
+    assert_eq!(fleet.put_configuration_text(&configuration), 200);
+    let mut session = fleet.connect(lines::PROXIES[0], "desk");
+    let id = format!("long-id-{}", "i".repeat(LARGE_BYTES));
+    let log = || std::fs::read_to_string(fleet.log_file(lines::PROXIES[0])).unwrap();
+    let start = Instant::now();
+    while !log().contains("long-id-") {
+        assert!(start.elapsed() < TIMEOUT, "no line names the id");
+        session.query_with_id(&id, "FETCH item").expect("the session goes on");
+    }
+    let log = log();
+    let lines: Vec<&str> = log.lines().filter(|line| line.contains("long-id-")).collect();
+    let longest = lines.iter().map(|line| line.len()).max().unwrap();
+    assert!(longest < 64 * 1024, "a line of {longest} bytes");
+    let line: serde_json::Value = serde_json::from_str(lines[0]).unwrap();
+    assert_eq!((&line["event"], &line["group"]), (&"request".into(), &"books".into()));
+}
