Bound the size of a caller's prepared statements

A caller could keep 1,000 prepared statements of up to 16 MiB each in the memory of a proxy. They may now have 16 MiB together; one that goes beyond is refused with 08P01, and the session goes on.

the_size_of_a_callers_prepared_statements_is_bounded, with texts of 4 MiB: before, the fourth was accepted; after, it is refused, and accepted after DEALLOCATE ALL.

--- a/src/proxy/batch.rs
+++ b/src/proxy/batch.rs
@@ -10,11 +10,14 @@
 
 use super::classify::{self, Kind, KindCache, Tags};
 use super::relay::{Exchange, Step};
-use crate::pgsql::{Error, Message};
+use crate::pgsql::{Error, MAX_MESSAGE_BYTES, Message};
 
 /// The maximum number of prepared statements of one caller.
 const MAX_STATEMENTS: usize = 1_000;
 
+/// The maximum length of the prepared statements of one caller in bytes.
+const MAX_STATEMENTS_BYTES: usize = MAX_MESSAGE_BYTES;
+
 /// A statement prepared by the caller.
 #[derive(Debug, Clone)]
 struct PreparedStatement {
@@ -30,6 +33,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Statements {
     prepared: HashMap<String, PreparedStatement>,
+    /// The length of the `Parse` messages of `prepared`.
+    bytes: usize,
 }
 
 /// The messages that the caller sent since its last `Sync`.
@@ -155,6 +160,11 @@
             if caller_name.is_empty() { String::new() } else { upstream_name(&parse) };
         parse.name = (!upstream_name.is_empty()).then(|| upstream_name.clone());
         let parse = encode(b'P', &parse)?;
+        self.remove(&caller_name);
+        if self.bytes + parse.body.len() > MAX_STATEMENTS_BYTES {
+            return Err(Error::Protocol("the prepared statements are too large together"));
+        }
+        self.bytes += parse.body.len();
         self.prepared.insert(caller_name, PreparedStatement { parse, upstream_name, kind, tags });
         Ok(())
     }
@@ -200,7 +210,7 @@
                 b'C' => {
                     let close: Close = decode(message)?;
                     if close.target_type == b'S' {
-                        self.prepared.remove(&close.name.unwrap_or_default());
+                        self.remove(&close.name.unwrap_or_default());
                         let complete = Message { tag: b'3', body: Bytes::new() };
                         builder.steps.push_back(Step::LocalReply(complete));
                     } else {
@@ -220,6 +230,13 @@
     /// Removes all statements.
     pub(super) fn clear(&mut self) {
         self.prepared.clear();
+        self.bytes = 0;
+    }
+
+    fn remove(&mut self, name: &str) {
+        if let Some(removed) = self.prepared.remove(name) {
+            self.bytes -= removed.parse.body.len();
+        }
     }
 
     /// Returns the digest of the single statement that a batch executes, over its text and its parameters.
--- a/tests/request_process.rs
+++ b/tests/request_process.rs
@@ -368,3 +368,27 @@
     }
     assert_eq!(answers, ["1", "2"]);
 }
+
+/// Guards against a caller whose memory is bounded only by 1,000 prepared statements of 16 MiB each.
+#[test]
+fn the_size_of_a_callers_prepared_statements_is_bounded() {
+    let fleet = Fleet::up();
+    let mut caller = RawClient::open(&fleet, "ops-1");
+    let text = format!("SELECT '{}'", "x".repeat(4 * 1024 * 1024));
+    let prepare = |caller: &mut RawClient, number: usize| {
+        caller.send(b'P', format!("s{number}\0{text}\0\0\0").as_bytes());
+        caller.send(b'S', b"");
+        let answer = caller.receive_until_ready();
+        let refused = answer.iter().find(|(tag, _)| *tag == b'E');
+        assert_eq!(answer.last().map(|(tag, _)| *tag), Some(b'Z'), "{answer:?}");
+        refused.map(|(_, text)| text.clone())
+    };
+    for number in 0..3 {
+        assert_eq!(prepare(&mut caller, number), None);
+    }
+    let refused = prepare(&mut caller, 3).expect("a refusal");
+    assert!(refused.contains("08P01") && refused.contains("too large together"), "{refused}");
+    caller.send(b'Q', b"DEALLOCATE ALL\0");
+    caller.receive_until_ready();
+    assert_eq!(prepare(&mut caller, 3), None);
+}
