Draw content of the tests of second answers from line ends and messages

Their data was plain, so that answers which content only resembles never met second answers. Sessions now may draw what follows the number in written data, from a seed; all comparisons are of bytes. Threads are joined before one that failed is reported: a thread that still ran kept the processes of its fleet, and with them the lock under which the tests ran.

--- a/tests/platform_second_answers.rs
+++ b/tests/platform_second_answers.rs
@@ -221,8 +221,10 @@
         .map(|session| std::thread::spawn(move || session.work(ends)))
         .collect();
     let mut total = Figures::default();
-    for thread in threads {
-        let figures = thread.join().unwrap();
+    // A thread that still runs would keep the fleet's processes if another one has failed.
+    let ended: Vec<_> = threads.into_iter().map(std::thread::JoinHandle::join).collect();
+    for figures in ended {
+        let figures = figures.unwrap();
         total.served += figures.served;
         total.refused += figures.refused;
         total.unknown += figures.unknown;
@@ -283,3 +285,18 @@
     let figures = measure(185, SecondAnswers { one_in: 3, delay, busy_one_in, extent, ..WHOLE });
     assert!(figures.is_right(), "{figures:?}");
 }
+
+/// Rows that contain keywords or whole messages were taken for second answers.
+#[test]
+fn odd_content_is_not_mixed_while_instances_answer_twice() {
+    let figures = measure_with(220, WHOLE, Some(1));
+    assert!(figures.is_right(), "{figures:?}");
+}
+
+#[test]
+fn odd_content_is_not_mixed_with_parts_of_second_answers() {
+    let delay = (Duration::ZERO, Duration::from_millis(50));
+    let answers = SecondAnswers { extent: Extent::Any, delay, ..WHOLE };
+    let figures = measure_with(221, answers, Some(2));
+    assert!(figures.is_right(), "{figures:?}");
+}
