End lines at CR LF in the other stand-ins of the tests

The stand-in of review/ and the instances of two test files ended lines at LF, with or without CR, and the first trimmed them, as the codec under test does, so that none of them could see a message in a field. They now end lines at CR LF alone; the shape of a prepared statement extends to the end of the line in review/ as well. The check of `CONNECT` asks for the whole last field.

The scripts of review/ were not run.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -25,6 +25,18 @@
     Duration::from_millis(n)
 }
 
+/// Reads a line, which ends at CR LF and nowhere else. A line that the end of the connection cuts off is none.
+fn read_line(input: &mut impl BufRead) -> Option<String> {
+    let mut line = Vec::new();
+    while !line.ends_with(b"\r\n") {
+        if input.read_until(b'\n', &mut line).ok()? == 0 {
+            return None;
+        }
+    }
+    line.truncate(line.len() - 2);
+    Some(String::from_utf8_lossy(&line).into_owned())
+}
+
 fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
 }
@@ -194,14 +206,11 @@
         let connection = self.number();
         let mut session = Session { connection, values: BTreeMap::new(), prepared: BTreeMap::new(), transaction: None };
         let mut lines = BufReader::new(socket.try_clone().unwrap());
-        let mut line = String::new();
         let mut socket = socket;
-        loop {
-            line.clear();
-            if !matches!(lines.read_line(&mut line), Ok(n) if n > 0) || !self.lock()[index].up {
+        while let Some(text) = read_line(&mut lines) {
+            if !self.lock()[index].up {
                 break;
             }
-            let text = line.trim_end();
             let words: Vec<&str> = text.splitn(4, ' ').collect();
             let answer = match words[0] {
                 "CONNECT" => {
@@ -298,8 +307,8 @@
                 session.values.insert((*key).into(), value.join(" "));
                 (vec![], Ok("-".into()))
             }
-            ["PREPARE", key, verb, shape] => {
-                session.prepared.insert((*key).into(), ((*verb).into(), (*shape).into()));
+            ["PREPARE", key, verb, shape @ ..] if !shape.is_empty() => {
+                session.prepared.insert((*key).into(), ((*verb).into(), shape.join(" ")));
                 (vec![], Ok("-".into()))
             }
             ["BEGIN"] if !state[index].primary => (vec![], read_only()),
@@ -643,8 +652,7 @@
     }
 
     fn line(&mut self) -> Option<String> {
-        let mut line = String::new();
-        self.lines.read_line(&mut line).ok().filter(|n| *n > 0).map(|_| line.trim_end().to_owned())
+        read_line(&mut self.lines)
     }
 
     /// Sends a statement with a new id, and returns the answer up to READY.
--- a/tests/platform_odd_entries.rs
+++ b/tests/platform_odd_entries.rs
@@ -4,13 +4,13 @@
 mod lines;
 mod odd;
 
-use std::io::{BufRead, BufReader, Read};
+use std::io::{BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
-use lines::{Fleet, PROXIES};
+use lines::{Fleet, PROXIES, content};
 use odd::{CONTROL_PORT, VOTERS, assert_all_run, nested_lists, read_on_each_proxy, restart, send};
 
 const INSTANCE_PORT: u16 = 17_306;
@@ -160,9 +160,9 @@
             let counter = Arc::clone(&counter);
             std::thread::spawn(move || {
                 let mut lines = BufReader::new(socket);
-                let mut line = String::new();
-                let _ = lines.read_line(&mut line);
-                if line.starts_with("CONNECT books ") && line.trim_end().ends_with(id) {
+                let line = content::read_line(&mut lines).ok().flatten();
+                let line = line.map(|line| line.content.text()).unwrap_or_default();
+                if line.starts_with("CONNECT books ") && line.ends_with(&format!(" {id}")) {
                     counter.fetch_add(1, Ordering::SeqCst);
                 }
                 let _ = lines.read_to_end(&mut Vec::new());
--- a/tests/platform_second_answer_proof.rs
+++ b/tests/platform_second_answer_proof.rs
@@ -1,10 +1,13 @@
 //! Tests of a connection on which an instance answers twice: which answer is taken for that to a command.
 
+#[path = "lines/content.rs"]
+#[allow(dead_code, reason = "only lines are needed")]
+mod content;
 #[path = "../platform/line.rs"]
 #[allow(dead_code, reason = "only a client is needed")]
 mod line;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::TcpListener;
 use std::time::Duration;
 
@@ -26,16 +29,17 @@
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         let (mut socket, _) = listener.accept().expect("a connection");
-        let mut lines = BufReader::new(socket.try_clone().expect("a socket")).lines();
-        lines.next().expect("a line").expect("a line");
+        let mut lines = BufReader::new(socket.try_clone().expect("a socket"));
+        let mut next = || content::read_line(&mut lines).ok().flatten();
+        next().expect("a line");
         socket.write_all(b"READY I 1.1\r\n").expect("the answer is sent");
         for (command, answer) in script {
-            let line = lines.next().expect("a line").expect("a line");
-            assert!(line.contains(command), "{line} instead of {command}");
+            let line = next().expect("a line").content.text();
+            assert!(line.contains(command), "{line:?} instead of {command}");
             socket.write_all(answer.replace('|', "\r\n").as_bytes()).expect("the answer is sent");
         }
         // The connection stays open until the other end closes it.
-        lines.next();
+        next();
     });
     let replica = Replica {
         group: "books".parse().unwrap(),
