Accept a prepared statement with an empty shape

`PREPARE s1 PUT ` was refused with MALFORMED. The protocol allows any last field, and instances judge it; the shape is content, which the session doesn't interpret.

--- a/src/broker/session.rs
+++ b/src/broker/session.rs
@@ -201,8 +201,8 @@
     }
 
     fn prepare(&mut self, name: Text, template: Template) -> Action {
-        if name.is_empty() || template.text.is_empty() {
-            return Action::Refuse(Code::Malformed, "a prepared statement needs a name and a text");
+        if name.is_empty() {
+            return Action::Refuse(Code::Malformed, "a prepared statement needs a name");
         }
         if self.prepared.len() >= MAX_PREPARED && !self.prepared.contains_key(&name) {
             return Action::Refuse(Code::Failed, "the session has prepared too many statements");
--- a/tests/platform_line_codec.rs
+++ b/tests/platform_line_codec.rs
@@ -413,7 +413,6 @@
     fn values_and_shapes_are_replayed_unchanged(
         name in word(), value in last_field(), shape in last_field(), reads in any::<bool>(),
     ) {
-        prop_assume!(!shape.is_empty());
         let verb: &[u8] = if reads { b"FETCH" } else { b"PUT" };
         let set = [b"SET ", &name[..], b" ", &value].concat();
         let prepare = [b"PREPARE c1 ", verb, b" ", &shape].concat();
