Refuse a message of a caller that can't be read before its session ends

A caller whose message could not be read saw its connection end without an answer. It gets ERR MALFORMED with the reason now, before CONNECT too. The transaction is rolled back at once, and nothing behind the message is read. The proxy ends its direction and waits up to 1 s for the caller's end: a close with unread input resets the connection, and the kernel may discard the refusal. This holds for the other refusals of a session as well.

malformed_input_does_not_affect_other_connections expected an end without an answer. It expects the refusal and the end now, which is stricter.

--- a/src/broker/caller.rs
+++ b/src/broker/caller.rs
@@ -1,6 +1,6 @@
 //! A caller's connection: reads messages, runs their statements and writes the answers.
 
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -33,6 +33,9 @@
 /// How long a caller may leave an answer unread before it is disconnected.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How long a caller whose connection is refused may take to close it.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// The text for a caller whose key has no account.
 const NO_ACCOUNT: &str = "the key is not known";
 
@@ -92,7 +95,12 @@
         forwarder: Forwarder::new(Arc::clone(&shared)),
         shared: Arc::clone(&shared),
     };
-    if let Err(error) = caller.run().await {
+    let mut ended = caller.run().await;
+    if let Err(Error::Malformed(error)) = &ended {
+        let text = error.to_string();
+        ended = caller.refuse(Code::Malformed, &text).await;
+    }
+    if let Err(error) = ended {
         log::debug!("caller connection ended: {error}");
     }
     drop(caller);
@@ -455,11 +463,18 @@
         self.shared.codec.encode_reply(&ready, &mut self.output)
     }
 
-    /// Refuses the connection.
+    /// Rolls back, refuses the connection, and waits a little for the caller to close it. A close with unread input would
+    /// make the kernel discard the refusal if the caller has not received it yet.
     async fn refuse(&mut self, code: Code, text: &str) -> Result<(), Error> {
+        self.roll_back();
         let answer = Answer::Failed { code, text: text.into() };
         self.shared.codec.encode_reply(&answer, &mut self.output)?;
-        self.flush().await
+        self.flush().await?;
+        self.socket.shutdown(Shutdown::Write)?;
+        let mut buffer = [0; READ_BUFFER_BYTES];
+        let closed = async { while matches!(self.socket.read(&mut buffer).await, Ok(1..)) {} };
+        self.shared.clock.timeout(CLOSE_TIMEOUT, closed).await;
+        Ok(())
     }
 
     async fn flush(&mut self) -> Result<(), Error> {
--- a/tests/platform_process.rs
+++ b/tests/platform_process.rs
@@ -237,10 +237,13 @@
     let mut good = fleet.connect(PROXIES[0], "desk");
     let mut bad = fleet.connect(PROXIES[0], "desk");
     bad.send("HELLO \u{7}");
+    assert_eq!(bad.line().as_deref(), Some("ERR MALFORMED a message of an unknown kind"));
     assert_eq!(bad.line(), None);
     let mut oversized = fleet.connect(PROXIES[0], "desk");
     let long = "x".repeat(1_100_000);
     let _ = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| oversized.send(&long)));
+    let reason = "ERR MALFORMED a message is longer than 1048576 bytes";
+    assert_eq!(oversized.line().as_deref(), Some(reason));
     assert_eq!(oversized.line(), None);
     let gateway = fleet.address(1, 17_303);
     for (request_line, body) in [
--- a/tests/platform_unreadable.rs
+++ b/tests/platform_unreadable.rs
@@ -4,6 +4,7 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 
 use lines::{Fleet, METRICS_PORT, PROXIES, send_http};
 use serde_json::Value;
@@ -87,3 +88,36 @@
     });
     assert!(!fleet.logs().contains("hidden"), "the content of a message is in a log");
 }
+
+#[test]
+fn nothing_behind_an_unreadable_message_of_a_caller_runs() {
+    static ROLLBACKS: AtomicU32 = AtomicU32::new(0);
+    let fleet = Fleet::up(242);
+    fleet.group.change_conditions(|conditions| {
+        conditions.replacement = |_, statement| {
+            ROLLBACKS.fetch_add(u32::from(statement == "ROLLBACK"), Relaxed);
+            None
+        };
+    });
+    fleet.connect(PROXIES[0], "desk").query_until_done("PUT known x");
+    let long = [b"QUERY q1 PUT long ", &vec![b'x'; 3 * 1024 * 1024][..], b"\r\n"].concat();
+    for (unreadable, reason) in [
+        (&b"WHAT\r\n"[..], "ERR MALFORMED a message of an unknown kind"),
+        (b"QUERY\r\n", "ERR MALFORMED a message with a missing or unreadable field"),
+        (&long, "ERR MALFORMED a message is longer than 1048576 bytes"),
+    ] {
+        let behind = b"QUERY q2 PUT behind x\r\nQUERY q3 COMMIT\r\n";
+        let opened = b"CONNECT desk me\r\nQUERY q4 BEGIN\r\nQUERY q5 PUT open x\r\n";
+        let (_, received) = send(&fleet, PROXIES[0], &[&opened[..], unreadable, behind].concat());
+        let lines: Vec<&str> = received.split_terminator("\r\n").collect();
+        assert!(lines.len() == 6 && lines[4].starts_with("READY T"), "{received}");
+        assert_eq!(lines[5], reason);
+        let (_, received) = send(&fleet, PROXIES[0], &[unreadable, &opened[..]].concat());
+        assert_eq!(received, format!("{reason}\r\n"));
+    }
+    fleet.wait_until("every transaction is rolled back", |_| ROLLBACKS.load(Relaxed) == 3);
+    let executed = fleet.group.executed(&fleet.group.primary());
+    let is_behind = |text: &str| text.contains("behind") || text.contains("long");
+    assert!(!executed.iter().any(|(text, _)| is_behind(text)), "{executed:?}");
+    assert_eq!(fleet.group.values_of("open"), Vec::<String>::new());
+}
