Let an unreadable answer cost its statement and not its instance

Any answer that couldn't be read made its instance faulty for all sessions of the proxy, and was reported to control.

The connection and the statement end now. A read gets two unreadable answers at most, the second on a new connection and, where it may, from another instance, and is FAILED then; a write or commit is UNKNOWN; a transaction is ABORTED. An unreadable answer behind others of its connection still counts as cut off, and is tried four times at the primary. The health follows from what this process asks: after an unreadable answer the instance is pinged on a new connection, and is faulty if that answer can't be read either, until a ping is answered. A connection that opens no longer ends that. An invalid first message of a connection still means a faulty instance. For control, two statuses in a row that can't be read do.

The rule for control has no test.

--- a/src/broker/checkout.rs
+++ b/src/broker/checkout.rs
@@ -59,7 +59,8 @@
         Err((entry.seats.take(), reason))
     }
 
-    /// Takes an idle connection of any account for a ping by this proxy. If there is none, the caller may open one.
+    /// Takes an idle connection of any account for a ping by this proxy. If there is none, or only the answer on a new one
+    /// shows how the instance is, the caller may open one.
     pub(super) fn any_idle_connection(
         &self,
         instance: &id::Instance,
@@ -68,7 +69,9 @@
         let mut state = self.lock();
         let entry = state.instances.get_mut(instance).ok_or_else(Seat::default)?;
         let suitable = |connection: &SharedConnection| connection.setup.has_values(&no_values);
-        while let Some(mut connection) = entry.idle.pop_any(suitable) {
+        while !entry.health.is_suspect()
+            && let Some(mut connection) = entry.idle.pop_any(suitable)
+        {
             if connection.upstream.is_quiet(&self.clock) {
                 return Ok(connection);
             }
@@ -116,11 +119,11 @@
         let (mut upstream, position) = match opened {
             Ok(opened) => opened,
             Err(error) => {
-                if let ConnectionError::Malformed(error) = error {
+                if let ConnectionError::Foreign(error) = error {
                     self.metrics.upstream().record_unreadable(error);
                 }
                 match error.health() {
-                    Health::Fine => self.record_answer(instance, None),
+                    Health::Fine => self.record_greeting(instance, None),
                     Health::Refused | Health::Silent | Health::Faulty => {
                         self.record_failure(instance, &error);
                     }
@@ -129,7 +132,7 @@
             }
         };
         upstream.observe(self.metrics.upstream(), seat.suspicion.clone());
-        self.record_answer(instance, position);
+        self.record_greeting(instance, position);
         let is_same_term = term.is_some() && term == self.primary_term(&replica.group, instance);
         if let Some(mark) = position.filter(|_| is_same_term) {
             self.record_sample(&replica.group, started, mark);
--- a/src/broker/health.rs
+++ b/src/broker/health.rs
@@ -22,6 +22,8 @@
     last_answer: Instant,
     /// The health according to the last answer or failure.
     current: wire::Health,
+    /// Whether a message of the instance could not be read since it last answered a command.
+    suspect: bool,
     /// The last report to the control plane, and the heartbeat that carried it.
     reported: Option<(id::Sequence, wire::Health)>,
     /// The send times of the unanswered commits.
@@ -34,17 +36,38 @@
         Self {
             last_answer: now,
             current: wire::Health::Fine,
+            suspect: false,
             reported: None,
             pending_commits: Vec::new(),
         }
     }
 
-    /// Records that the instance answered. Returns whether it recovered from a failure.
+    /// Records that the instance answered a command. Returns whether it recovered from a failure.
     pub fn record_answer(&mut self, now: Instant) -> bool {
+        self.suspect = false;
         self.last_answer = now;
         std::mem::replace(&mut self.current, wire::Health::Fine) != wire::Health::Fine
     }
 
+    /// Records that the instance accepted or refused a connection, which doesn't show that its answers can be read. Returns
+    /// whether it recovered from a failure.
+    pub fn record_greeting(&mut self, now: Instant) -> bool {
+        let suspect = self.suspect;
+        let recovered = self.current != wire::Health::Faulty && self.record_answer(now);
+        (self.last_answer, self.suspect) = (now, suspect);
+        recovered
+    }
+
+    /// Records that a message of the instance could not be read.
+    pub fn record_unreadable(&mut self) {
+        self.suspect = true;
+    }
+
+    /// Returns whether the instance should be pinged on a new connection, since a message could not be read.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect
+    }
+
     /// Records a failure. Returns whether it differs from the last one.
     pub fn record_failure(&mut self, health: wire::Health) -> bool {
         let new = health != wire::Health::Fine && health != self.current;
@@ -59,6 +82,7 @@
     pub fn reset(&mut self, now: Instant) {
         self.last_answer = now;
         self.current = wire::Health::Fine;
+        self.suspect = false;
         self.reported = None;
     }
 
--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -11,7 +11,7 @@
 use crate::id;
 use crate::statement::Command;
 use crate::upstream::connection::{Error, Outcome};
-use crate::wire::Replica;
+use crate::wire::{Health, Replica};
 
 /// How often the instances are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -31,7 +31,9 @@
         let now = shared.clock.now();
         let stale = shared.stale_primaries();
         let due = shared.map_instances(|entry| {
-            let is_due = entry.health.silence(now) >= MAX_SILENCE || !entry.health.is_usable();
+            let health = &entry.health;
+            let is_due =
+                health.silence(now) >= MAX_SILENCE || !health.is_usable() || health.is_suspect();
             let needs_ping = is_due || stale.contains(&entry.replica.instance);
             needs_ping.then(|| entry.replica.clone())
         });
@@ -71,7 +73,9 @@
 ) {
     let instance = &replica.instance;
     let deadline = shared.clock.now() + PING_TIMEOUT;
-    let connection = match shared.any_idle_connection(instance) {
+    let idle = shared.any_idle_connection(instance);
+    let is_new = idle.is_err();
+    let connection = match idle {
         Ok(connection) => Ok(connection),
         Err(seat) => shared.open_connection(instance, None, seat, deadline).await,
     };
@@ -100,6 +104,10 @@
                 shared.return_connection(instance, connection);
             }
         }
+        // What an instance answers to a statement may be the fault of its content. A ping has none.
+        Err(error) if is_new && error.is_unreadable() => {
+            shared.record_health(instance, Health::Faulty, &error);
+        }
         Err(error) => shared.record_failure(instance, &error),
     }
     drop(guard);
--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -8,8 +8,10 @@
 use crate::broker::need::Need;
 use crate::broker::server::Shared;
 use crate::id;
+use crate::report::Evidence;
 use crate::schedule::Reason;
 use crate::statement::Code;
+use crate::upstream::connection::Error;
 
 /// The number of instances on which a statement may fail.
 const MAX_INSTANCES: usize = 3;
@@ -17,6 +19,9 @@
 /// How often a statement is tried again on another connection to the same instance because one was out of step.
 const MAX_REPLACED: u32 = 3;
 
+/// How often the answer to a statement may be unreadable.
+const MAX_UNREADABLE: u32 = 2;
+
 /// How long a statement waits for capacity, in percent of its target latency. The rest is left for running it.
 const MAX_WAIT_PERCENT: u32 = 60;
 
@@ -128,6 +133,42 @@
         }
     }
 
+    /// Limits the attempts of a statement whose answers can't be read. The statement is tried again on a new
+    /// connection, and on another instance where one may run it. Otherwise fails with `code`.
+    pub(super) fn limit_unreadable(
+        &self,
+        execution: &mut Execution<'_>,
+        (need, instance): (Need, &id::Instance),
+        failure: &Failure,
+        code: Code,
+    ) -> Result<(), Refusal> {
+        let Failure::Connection(error) = failure else { return Ok(()) };
+        match error {
+            Error::Malformed(_) => execution.unreadable += 1,
+            // So is an unreadable one that follows others on its connection, such as those that set it up.
+            Error::OutOfStep(Evidence::Cut)
+                if need == Need::Primary && execution.replaced >= MAX_REPLACED =>
+            {
+                execution.unreadable = MAX_UNREADABLE;
+            }
+            _ => return Ok(()),
+        }
+        if execution.unreadable >= MAX_UNREADABLE {
+            let text = format!("{instance}: an answer could not be read: {error}");
+            return Err(Refusal {
+                after: Some(FULL_DELAY).filter(|_| code == Code::Busy),
+                ..Refusal::new(code, text)
+            });
+        }
+        execution.replaced += 1;
+        if need != Need::Primary
+            && self.shared.has_other_instance(&execution.database.group, instance)
+        {
+            execution.excluded.push(instance.clone());
+        }
+        Ok(())
+    }
+
     /// Excludes an instance from further attempts, unless only the connection to it was unfit.
     pub(super) fn exclude_after(
         &self,
@@ -135,9 +176,13 @@
         instance: id::Instance,
         failure: &Failure,
     ) -> Result<(), Refusal> {
-        let is_out_of_step =
-            matches!(failure, Failure::Connection(error) if error.is_out_of_step());
-        if is_out_of_step && execution.replaced < MAX_REPLACED {
+        let Failure::Connection(error) = failure else {
+            return self.exclude(execution, instance);
+        };
+        if error.is_unreadable() {
+            return Ok(());
+        }
+        if error.is_out_of_step() && execution.replaced < MAX_REPLACED {
             execution.replaced += 1;
             return Ok(());
         }
@@ -159,6 +204,13 @@
 }
 
 impl Execution<'_> {
+    /// Makes the next attempt use a new connection if the last one ended in a part of an answer.
+    pub(super) fn replace_after(&mut self, failure: &Failure) {
+        if let Failure::Connection(Error::OutOfStep(Evidence::Cut)) = failure {
+            self.replaced += 1;
+        }
+    }
+
     /// Waits, as for capacity, until the group is served. Returns whether this proxy should run the statement by itself:
     /// whether it serves the group and, in a deployment with accounts, is a home of the account.
     pub(in crate::broker) async fn wait_until_served(&mut self, shared: &Shared) -> bool {
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -72,6 +72,8 @@
     excluded: SmallVec<[id::Instance; 2]>,
     /// How often a connection that was out of step was replaced.
     replaced: u32,
+    /// How often its answer could not be read.
+    unreadable: u32,
     /// What the statement requires of the instance that it runs on or waits for.
     need: Option<Need>,
     /// Whether the statement is forwarded to another proxy.
@@ -219,6 +221,7 @@
             deadline: received_at + database.timeout.0,
             excluded: SmallVec::new(),
             replaced: 0,
+            unreadable: 0,
             need: None,
             forwarded: false,
             waited: Duration::ZERO,
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -41,6 +41,7 @@
                         return Err(refusal);
                     }
                     self.record_failure(&instance, &failure);
+                    self.limit_unreadable(execution, (need, &instance), &failure, Code::Failed)?;
                     if self.shared.clock.now() >= execution.deadline {
                         return Err(Refusal::new(Code::Timeout, format!("{instance}: {failure}")));
                     }
@@ -86,8 +87,11 @@
                     self.return_connection(checkout, State::Idle);
                     return Err(refusal);
                 }
-                self.record_retry(execution, &instance, failure.to_string());
                 self.record_failure(&instance, &failure);
+                let attempt = (Need::Primary, &instance);
+                self.limit_unreadable(execution, attempt, &failure, Code::Busy)?;
+                self.record_retry(execution, &instance, failure.to_string());
+                execution.replace_after(&failure);
                 continue;
             }
             match self.check_send(execution, &checkout).await {
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -87,6 +87,10 @@
         instance: crate::id::Instance,
         failure: &Failure,
     ) -> Result<(), Refusal> {
+        self.limit_unreadable(execution, (need, &instance), failure, Code::Aborted)?;
+        if need == Need::Primary {
+            execution.replace_after(failure);
+        }
         match need {
             Need::Primary if self.shared.clock.now() < execution.deadline => Ok(()),
             Need::Primary => Err(Refusal::busy("the primary did not answer in time", FULL_DELAY)),
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -7,6 +7,7 @@
 
 use super::explain::ms_since_renewal;
 use super::guard::{CommitGuard, PingGuard};
+use super::health::Health as Record;
 use super::identity::Credential;
 use super::monitor;
 use super::need::{self, Need, PositionSample};
@@ -232,6 +233,15 @@
         need::read(database.reads, sample, last_write)
     }
 
+    /// Returns whether a group has another usable instance.
+    pub(super) fn has_other_instance(&self, group: &id::Group, instance: &id::Instance) -> bool {
+        self.lock().instances.values().any(|entry| {
+            entry.replica.group == *group
+                && entry.replica.instance != *instance
+                && entry.health.is_usable()
+        })
+    }
+
     /// Returns the usable primary of a group.
     pub(super) fn primary(&self, group: &id::Group) -> Option<Replica> {
         let state = self.lock();
@@ -239,14 +249,28 @@
         state.instances.get(primary).map(|entry| entry.replica.clone())
     }
 
-    /// Records that an instance answered, and its position.
+    /// Records that an instance answered a command, and its position.
     pub(super) fn record_answer(&self, instance: &id::Instance, position: Option<Mark>) {
+        self.record(instance, position, Record::record_answer);
+    }
+
+    /// Records that an instance accepted or refused a connection, and its position.
+    pub(super) fn record_greeting(&self, instance: &id::Instance, position: Option<Mark>) {
+        self.record(instance, position, Record::record_greeting);
+    }
+
+    fn record(
+        &self,
+        instance: &id::Instance,
+        position: Option<Mark>,
+        record: fn(&mut Record, Instant) -> bool,
+    ) {
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(entry) = state.instances.get_mut(instance) else {
             return;
         };
-        let recovered = entry.health.record_answer(now);
+        let recovered = record(&mut entry.health, now);
         let group = entry.replica.group.clone();
         if let Some(mark) = position
             && let Some(queue) = state.groups.get_mut(&group)
@@ -269,7 +293,21 @@
 
     /// Records a failed connection of an instance.
     pub(super) fn record_failure(&self, instance: &id::Instance, error: &ConnectionError) {
-        let health = error.health();
+        if error.is_suspect()
+            && let Some(entry) = self.lock().instances.get_mut(instance)
+        {
+            entry.health.record_unreadable();
+        }
+        self.record_health(instance, error.health(), error);
+    }
+
+    /// Records the health of an instance that failed.
+    pub(super) fn record_health(
+        &self,
+        instance: &id::Instance,
+        health: Health,
+        error: &ConnectionError,
+    ) {
         let now = self.clock.now();
         let mut state = self.lock();
         let Some(entry) = state.instances.get_mut(instance) else {
--- a/src/control/promotion/client.rs
+++ b/src/control/promotion/client.rs
@@ -64,6 +64,8 @@
             Ok(Some(status)) => Ok(status),
             // The instance is alive, but too busy to return its status.
             Ok(None) => Err(Health::Fine),
+            // Two answers in a row to commands of this process can't be read.
+            Err(error) if error.is_unreadable() => Err(Health::Faulty),
             Err(error) => Err(error.health()),
         };
         Input::Probed { instance, requested_at, result }
@@ -144,7 +146,7 @@
                 let opened_at = self.clock.now();
                 let (clock, codec, replica) = (&self.clock, self.codec, &self.replica);
                 let connected = Connection::connect(clock, codec, replica, None, deadline).await;
-                if let Err(connection::Error::Malformed(error)) = connected {
+                if let Err(connection::Error::Foreign(error)) = connected {
                     self.tally.record_unreadable(error);
                 }
                 let (mut connection, _) = connected?;
--- a/src/upstream/connection/error.rs
+++ b/src/upstream/connection/error.rs
@@ -17,6 +17,9 @@
     /// The instance did not answer before the deadline.
     #[error("no answer in time")]
     Timeout,
+    /// The first message on the connection is invalid, so what listens at the address may be no instance.
+    #[error("no instance answers there: {0}")]
+    Foreign(DecodeError),
     /// The instance sent an invalid message.
     #[error("{0}")]
     Malformed(#[from] DecodeError),
@@ -50,6 +53,16 @@
         matches!(self, Self::OutOfStep(_))
     }
 
+    /// Returns whether an answer could not be read, on a connection that is not known to be out of step.
+    pub fn is_unreadable(&self) -> bool {
+        matches!(self, Self::Malformed(_))
+    }
+
+    /// Returns whether the instance should be asked on another connection whether it can be read at all.
+    pub fn is_suspect(&self) -> bool {
+        matches!(self, Self::Malformed(_) | Self::OutOfStep(Evidence::Cut))
+    }
+
     /// Returns the health of the instance that this error implies.
     pub fn health(&self) -> Health {
         use std::io::ErrorKind;
@@ -65,9 +78,12 @@
             // Another instance has taken over the address, so the process of the expected instance has ended.
             Self::Refused { code: Code::Misrouted, .. } => Health::Refused,
             // An instance that refuses, for example because it has no free connection, is alive. So is one that answers
-            // twice.
-            Self::Refused { .. } | Self::OutOfStep(_) | Self::Unencodable(_) => Health::Fine,
-            Self::Closed | Self::Malformed(_) | Self::TooManyRows => Health::Faulty,
+            // twice, or whose answer to one statement can't be read.
+            Self::Refused { .. }
+            | Self::OutOfStep(_)
+            | Self::Malformed(_)
+            | Self::Unencodable(_) => Health::Fine,
+            Self::Closed | Self::Foreign(_) | Self::TooManyRows => Health::Faulty,
         }
     }
 }
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -171,13 +171,17 @@
         let command = Command::Open { group: &replica.group, instance: &replica.instance, account };
         codec.encode_command(&command, &mut connection.output)?;
         connection.write(clock, deadline).await?;
-        match connection.receive(clock, deadline).await? {
+        let answer = match connection.receive(clock, deadline).await {
+            Err(Error::Malformed(error)) => return Err(Error::Foreign(error)),
+            answer => answer?,
+        };
+        match answer {
             Answer::Ready { position, .. } => Ok((connection, position)),
             Answer::Failed { code, text } => Err(Error::Refused { code, text }),
             Answer::Row(_) | Answer::Done(_) => {
                 let place = connection.last;
                 connection.record_unreadable(clock, DecodeError::Kind, place);
-                Err(DecodeError::Kind.into())
+                Err(Error::Foreign(DecodeError::Kind))
             }
         }
     }
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -619,6 +619,22 @@
     assert_eq!(stranded.retry_after(since + BALANCER_NOTICE, 0.0), None);
 }
 
+/// An instance none of whose answers can be read still accepts connections, which must not make it usable again.
+#[test]
+fn only_an_answer_to_a_command_ends_the_suspicion_that_answers_are_unreadable() {
+    let mut health = Health::new(at(0));
+    health.record_unreadable();
+    assert!(health.is_usable() && health.is_suspect());
+    assert!(!health.record_greeting(at(10)) && health.is_suspect());
+    assert!(health.record_failure(wire::Health::Faulty));
+    assert!(!health.record_greeting(at(20)) && !health.is_usable());
+    assert_eq!(health.silence(at(25)), Duration::from_millis(5));
+    assert!(health.record_answer(at(30)) && health.is_usable() && !health.is_suspect());
+    // A connection shows that an instance which was silent or had ended is there again.
+    assert!(health.record_failure(wire::Health::Silent));
+    assert!(health.record_greeting(at(40)) && health.is_usable());
+}
+
 /// After a partition, what a proxy observed of the new primary while it was cut off must not cause another replacement.
 #[test]
 fn health_is_reset_when_the_proxy_regains_its_lease() {
--- a/tests/platform_unreadable.rs
+++ b/tests/platform_unreadable.rs
@@ -121,3 +121,86 @@
     assert!(!executed.iter().any(|(text, _)| is_behind(text)), "{executed:?}");
     assert_eq!(fleet.group.values_of("open"), Vec::<String>::new());
 }
+
+fn was_faulty(fleet: &Fleet) -> bool {
+    fleet.logs().contains("\"trouble\":\"Faulty\"")
+}
+
+/// One row that could not be read made its instance count as faulty for all sessions.
+#[test]
+fn an_answer_that_cannot_be_read_costs_only_its_own_statement() {
+    static SENT: AtomicU32 = AtomicU32::new(0);
+    let fleet = Fleet::up(243);
+    let mut session = fleet.connect(PROXIES[0], "desk");
+    session.query_until_done("PUT plain x");
+    fleet.group.change_conditions(|conditions| {
+        conditions.replacement = |_, statement| {
+            let is_odd = statement.ends_with(" odd") || statement.contains("PUT odd");
+            SENT.fetch_add(u32::from(is_odd), Relaxed);
+            is_odd.then(|| "ROW a\r\nWHAT\r\nDONE s\r\nREADY I 1.1\r\n".to_owned())
+        };
+    });
+    let mut others: Vec<_> =
+        ["desk", "menu"].into_iter().map(|name| fleet.connect(PROXIES[0], name)).collect();
+    for name in ["desk", "menu"] {
+        let mut session = fleet.connect(PROXIES[0], name);
+        for (statements, result, attempts) in [
+            (&["FETCH odd"][..], "ERR FAILED", 4),
+            (&["PUT odd x"], "ERR UNKNOWN", 1),
+            (&["BEGIN", "FETCH odd", "ROLLBACK"], "ERR ABORTED", 4),
+            (&["BEGIN", "FETCH plain", "FETCH odd", "ROLLBACK"], "ERR ABORTED", 1),
+        ] {
+            for _ in 0..10 {
+                let before = SENT.load(Relaxed);
+                for statement in statements {
+                    let answer = session.query(statement).expect("the session goes on");
+                    let is_special =
+                        [" odd", " large", "odd x"].iter().any(|end| statement.ends_with(end));
+                    let expected = if is_special { result } else { "DONE" };
+                    assert!(answer.result.starts_with(expected), "{name}, {statement}: {answer:?}");
+                }
+                let sent = SENT.load(Relaxed) - before;
+                assert!(sent <= attempts, "{name}, {statements:?}: sent {sent} times");
+                for other in &mut others {
+                    let answer = other.query("FETCH plain").expect("the session goes on");
+                    assert!(answer.result.starts_with("DONE"), "{answer:?}\n{}", fleet.logs());
+                }
+                let answer = others[0].query("PUT plain x").expect("the session goes on");
+                assert!(answer.result.starts_with("DONE"), "{answer:?}\n{}", fleet.logs());
+            }
+        }
+    }
+    assert!(!was_faulty(&fleet), "{}", fleet.logs());
+}
+
+/// An instance that answers nothing in a way that can be read is not used until it does.
+#[test]
+fn an_instance_whose_every_answer_is_unreadable_is_not_used() {
+    static ASKED: AtomicU32 = AtomicU32::new(0);
+    let fleet = Fleet::up(244);
+    fleet.connect(PROXIES[0], "desk").query_until_done("PUT plain x");
+    let mut session = fleet.connect(PROXIES[0], "menu");
+    fleet.group.change_conditions(|conditions| {
+        conditions.replacement = |instance, statement| {
+            let is_odd = instance == "i-22" && statement != "CONNECT";
+            ASKED.fetch_add(u32::from(is_odd && statement.contains("FETCH")), Relaxed);
+            is_odd.then(|| "WHAT\r\n".to_owned())
+        };
+    });
+    let mut read = || {
+        let answer = session.query("FETCH plain").expect("the session goes on");
+        assert!(answer.result.starts_with("DONE"), "{answer:?}\n{}", fleet.logs());
+    };
+    let faulty = "\"instance\":\"i-22\",\"group\":\"books\",\"trouble\":\"Faulty\"";
+    fleet.wait_until("both proxies know", |fleet| {
+        fleet.logs().matches(faulty).count() >= PROXIES.len()
+    });
+    let before = ASKED.load(Relaxed);
+    (0..500).for_each(|_| read());
+    assert_eq!(ASKED.load(Relaxed), before, "a faulty instance is asked");
+    assert_eq!(fleet.logs().matches(faulty).count(), PROXIES.len(), "its health goes up and down");
+    fleet.group.change_conditions(|conditions| conditions.replacement = |_, _| None);
+    let fine = "\"instance\":\"i-22\",\"group\":\"books\",\"trouble\":\"Fine\"";
+    fleet.wait_until("the instance is used again", |fleet| fleet.logs().contains(fine));
+    read();
+}
