Let an answer with too many rows cost its statement and not its instance

An answer with over 4 MiB of rows made its instance faulty for all sessions, and the statement was tried at each instance in turn. It is FAILED at once now, inside of a transaction too, and its instance stays in use.

--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Limits the attempts of a statement whose answers can't be read. The statement is tried again on a new
+    /// Limits the attempts of a statement whose answers can't be read or delivered. The statement is tried again on a new
     /// connection, and on another instance where one may run it. Otherwise fails with `code`.
     pub(super) fn limit_unreadable(
         &self,
@@ -144,6 +144,9 @@
     ) -> Result<(), Refusal> {
         let Failure::Connection(error) = failure else { return Ok(()) };
         match error {
+            Error::TooManyRows => {
+                return Err(Refusal::new(Code::Failed, format!("{instance}: {error}")));
+            }
             Error::Malformed(_) => execution.unreadable += 1,
             // So is an unreadable one that follows others on its connection, such as those that set it up.
             Error::OutOfStep(Evidence::Cut)
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -207,7 +207,11 @@
                     return Err(refusal);
                 }
                 self.record_failure(&instance, &failure);
-                return Err(Refusal::new(Code::Aborted, format!("{instance}: {failure}")));
+                let code = match &failure {
+                    Failure::Connection(Error::TooManyRows) => Code::Failed,
+                    _ => Code::Aborted,
+                };
+                return Err(Refusal::new(code, format!("{instance}: {failure}")));
             }
         };
         let Outcome { rows, result, state, .. } = outcome;
--- a/src/upstream/connection/error.rs
+++ b/src/upstream/connection/error.rs
@@ -82,8 +82,9 @@
             Self::Refused { .. }
             | Self::OutOfStep(_)
             | Self::Malformed(_)
-            | Self::Unencodable(_) => Health::Fine,
-            Self::Closed | Self::Foreign(_) | Self::TooManyRows => Health::Faulty,
+            | Self::Unencodable(_)
+            | Self::TooManyRows => Health::Fine,
+            Self::Closed | Self::Foreign(_) => Health::Faulty,
         }
     }
 }
--- a/tests/platform_unreadable.rs
+++ b/tests/platform_unreadable.rs
@@ -126,9 +126,10 @@
     fleet.logs().contains("\"trouble\":\"Faulty\"")
 }
 
-/// One row that could not be read made its instance count as faulty for all sessions.
+/// One row that could not be read made its instance count as faulty for all sessions, and so did an answer with too many
+/// rows, which each instance was asked for in turn.
 #[test]
-fn an_answer_that_cannot_be_read_costs_only_its_own_statement() {
+fn an_answer_that_cannot_be_delivered_costs_only_its_own_statement() {
     static SENT: AtomicU32 = AtomicU32::new(0);
     let fleet = Fleet::up(243);
     let mut session = fleet.connect(PROXIES[0], "desk");
@@ -136,8 +137,14 @@
     fleet.group.change_conditions(|conditions| {
         conditions.replacement = |_, statement| {
             let is_odd = statement.ends_with(" odd") || statement.contains("PUT odd");
-            SENT.fetch_add(u32::from(is_odd), Relaxed);
-            is_odd.then(|| "ROW a\r\nWHAT\r\nDONE s\r\nREADY I 1.1\r\n".to_owned())
+            let is_large = statement.ends_with(" large");
+            SENT.fetch_add(u32::from(is_odd || is_large), Relaxed);
+            let row = || format!("ROW {}\r\n", "x".repeat(100_000));
+            match (is_odd, is_large) {
+                (true, _) => Some("ROW a\r\nWHAT\r\nDONE s\r\nREADY I 1.1\r\n".to_owned()),
+                (_, true) => Some(format!("{}DONE s\r\nREADY I 1.1\r\n", row().repeat(45))),
+                _ => None,
+            }
         };
     });
     let mut others: Vec<_> =
@@ -149,6 +156,9 @@
             (&["PUT odd x"], "ERR UNKNOWN", 1),
             (&["BEGIN", "FETCH odd", "ROLLBACK"], "ERR ABORTED", 4),
             (&["BEGIN", "FETCH plain", "FETCH odd", "ROLLBACK"], "ERR ABORTED", 1),
+            (&["FETCH large"], "ERR FAILED", 1),
+            (&["BEGIN", "FETCH large", "ROLLBACK"], "ERR FAILED", 1),
+            (&["BEGIN", "FETCH plain", "FETCH large", "ROLLBACK"], "ERR FAILED", 1),
         ] {
             for _ in 0..10 {
                 let before = SENT.load(Relaxed);
--- a/tests/unreadable_answers.rs
+++ b/tests/unreadable_answers.rs
@@ -63,6 +63,15 @@
     assert!(metrics.encode().lines().any(|line| line == counted));
 }
 
+#[test]
+fn an_answer_with_too_many_rows_does_not_make_its_instance_faulty() {
+    let row = [b"ROW ", &vec![b'x'; 1_000_000][..], b"\r\n"].concat();
+    let rows: &'static [u8] = [&row.repeat(5), &b"DONE s\r\n"[..], READY].concat().leak();
+    let error = read(READY, rows, &Metrics::default()).expect_err("an error");
+    assert!(matches!(error, Error::TooManyRows), "{error:?}");
+    assert_eq!(error.health(), Health::Fine);
+}
+
 #[test]
 fn a_peer_whose_first_message_is_unreadable_is_no_instance() {
     for greeting in [&b"HTTP/1.1 400 Bad Request\r\n"[..], b"DONE -\r\n", b"READY X -\r\n"] {
