--- a/tests/platform_line_codec.rs
+++ b/tests/platform_line_codec.rs
@@ -371,7 +371,7 @@
         for (command, fields) in cases {
             let is_last_free = !matches!(command, Command::Execute { arguments: None, .. });
             let words = if is_last_free { &fields[..fields.len() - 1] } else { &fields[..] };
-            let is_readable = !words.iter().any(|word| word.contains(&b' '))
+            let is_readable = !words.iter().any(|word| word.is_empty() || word.contains(&b' '))
                 && !fields.iter().any(|field| has(field, b"\r\n"));
             match encode(&command) {
                 Ok(line) => {
