Refuse a statement whose setup the instance refuses, instead of trying it again

Callers of a prepared statement whose text the instance refused got BUSY at their deadline: the proxy answers PREPARE by itself, and replayed it on new connections until the time was over, each of which replaced a pooled one. Nothing was sent of the statement and the refusal would be the same again, so it is passed on at once, and the connection is not used again. Refusals that mean that nothing ran, such as BUSY, are tried again as before.

a_prepared_text_that_an_instance_refuses_is_refused_once, before: `ERR BUSY no instance took it in time`. After: the instance's refusal, with one PREPARE sent.

--- a/src/broker/run/acquire.rs
+++ b/src/broker/run/acquire.rs
@@ -134,7 +134,8 @@
     }
 
     /// Limits the attempts of a statement whose answers can't be read or delivered. The statement is tried again on a new
-    /// connection, and on another instance where one may run it. Otherwise fails with `code`.
+    /// connection, and on another instance where one may run it. Otherwise fails with `code`. A statement whose session
+    /// variables or prepared text the instance refuses was not sent, and would be refused again.
     pub(super) fn limit_unreadable(
         &self,
         execution: &mut Execution<'_>,
@@ -147,6 +148,9 @@
             Error::TooManyRows => {
                 return Err(Refusal::new(Code::Failed, format!("{instance}: {error}")));
             }
+            Error::Refused { code, text } if !code.is_not_run() => {
+                return Err(Refusal::new(code.clone(), text.clone()));
+            }
             Error::Malformed(_) => execution.unreadable += 1,
             // So is an unreadable one that follows others on its connection, such as those that set it up.
             Error::OutOfStep(Evidence::Cut)
--- a/tests/platform_unreadable.rs
+++ b/tests/platform_unreadable.rs
@@ -227,3 +227,27 @@
     fleet.wait_until("the instance is used again", |fleet| fleet.logs().contains(fine));
     read();
 }
+
+/// A statement whose prepared text the instance refused was tried again on new connections until its deadline.
+#[test]
+fn a_prepared_text_that_an_instance_refuses_is_refused_once() {
+    static SENT: AtomicU32 = AtomicU32::new(0);
+    let fleet = Fleet::up(245);
+    let mut session = fleet.connect(PROXIES[0], "desk");
+    session.query_until_done("PREPARE odd PUT refused");
+    fleet.group.change_conditions(|conditions| {
+        conditions.replacement = |_, statement| {
+            let is_refused = statement.starts_with("PREPARE") && statement.ends_with("refused");
+            SENT.fetch_add(u32::from(is_refused), Relaxed);
+            is_refused.then(|| "ERR MALFORMED no such table\r\nREADY I 1.0\r\n".to_owned())
+        };
+    });
+    let answer = session.query("EXEC odd item x").expect("the session goes on");
+    assert_eq!(
+        (answer.result.as_str(), answer.state.as_str()),
+        ("ERR MALFORMED no such table", "I")
+    );
+    assert_eq!(SENT.load(Relaxed), 1);
+    let answer = session.query("PUT item x").expect("the session goes on");
+    assert!(answer.result.starts_with("DONE"), "{answer:?}");
+}
