Take content that looks like joined messages for a doubt, and read again

Callers saw reads in transactions fail with ABORTED, "out of step: cut", and reads outside refused, where a stored value held words of the line protocol, though no instance answered twice.

Cause: `Codec::is_joined` looked for a message's first word anywhere in a field, and the connection took it for a part of an earlier answer: it was given up and the instance suspected. So content decided whether an answer was believed.

A joined line is P + M: P is a proper beginning of a line that was received before, M the first line of the next answer.

| P from | M | What the line is | What shows it | |---|---|---|---| | ROW | DONE, ERR of the answer | a row that hides the end | structure: READY follows rows without a result | | ROW | DONE, ERR of a copy | a row that precedes the answer's | content, and a row that follows: doubt | | ROW | ROW | one longer row | content: doubt | | DONE | ROW | a signature that hides a row | structure: another result or row follows it | | DONE | DONE, ERR | a longer signature | a signature with a result in it, behind a beginning that a success had: cut, as signatures hold no content | | ERR | ROW | a refusal that hides a row | structure: something else than READY follows it | | ERR | DONE, ERR | a longer refusal | content: doubt | | READY, or within a keyword | any | no message | it can't be decoded |

A doubt arises only if the line begins as one that the connection had (64 bytes of the last 256 lines). It isn't a second answer and raises no suspicion. A doubtful read runs again on its connection, at most twice; an answer without doubt, or three equal ones, are delivered. A write never runs again. While the instance has shown a second answer in the last ten seconds a doubtful read is given up as before, and so it is for ten seconds after one reading was the end of another.

--- a/src/broker/connection.rs
+++ b/src/broker/connection.rs
@@ -12,7 +12,7 @@
 use crate::id;
 use crate::proxy::floor::Mark;
 use crate::report::Target;
-use crate::statement::{Code, Command, Id, Template, Text};
+use crate::statement::{Access, Code, Command, Id, Template, Text};
 use crate::upstream::connection::{Connection, Error, Outcome, Suspicion};
 
 static NO_ARGUMENTS: Text = Text::from_static("");
@@ -161,21 +161,36 @@
         after: Option<Mark>,
         deadline: Instant,
     ) -> Result<Outcome, Error> {
+        let SharedConnection { upstream, setup, .. } = &mut self.connection;
         let (template, arguments) = match &operation.body {
             Body::Text(text) => {
                 let command = Command::Data { id, after, text };
-                return self.connection.upstream.request(clock, &command, deadline).await;
+                return send(upstream, clock, operation.access, &command, deadline).await;
             }
             Body::Prepared { template, arguments } => {
                 (template, Some(arguments).filter(|arguments| !arguments.is_empty()))
             }
             Body::PreparedWithEmpty(template) => (template, Some(&NO_ARGUMENTS)),
         };
-        let name = self.connection.setup.prepared_name(template).ok_or_else(|| Error::Refused {
+        let name = setup.prepared_name(template).ok_or_else(|| Error::Refused {
             code: Code::NoStatement,
             text: "it is not prepared on this connection".into(),
         })?;
         let command = Command::Execute { id, after, name, arguments };
-        self.connection.upstream.request(clock, &command, deadline).await
+        send(upstream, clock, operation.access, &command, deadline).await
+    }
+}
+
+/// Sends a statement, a read again if its answer is doubtful, and receives its answer.
+async fn send(
+    upstream: &mut Connection,
+    clock: &Clock,
+    access: Access,
+    command: &Command<'_>,
+    deadline: Instant,
+) -> Result<Outcome, Error> {
+    match access {
+        Access::Read => upstream.read(clock, command, deadline).await,
+        Access::Write => upstream.request(clock, command, deadline).await,
     }
 }
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -147,6 +147,8 @@
         Cut = "cut",
         /// Rows that begin with one of another answer.
         Rows = "rows",
+        /// A row or refusal that may be joined to a part of an earlier answer, and that reading again didn't confirm.
+        Doubtful = "doubtful",
         /// An answer that is not followed by the nonce of its statement.
         Nonce = "nonce",
     }
--- a/src/statement/codec.rs
+++ b/src/statement/codec.rs
@@ -46,6 +46,24 @@
     TooLong,
 }
 
+/// The kinds of messages with which an answer begins.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// A row.
+    Row,
+    /// A success or a failure.
+    Result,
+}
+
+/// Where a message that was cut off may be joined to others, as byte offsets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Joint {
+    /// The least that may be left of the first message.
+    pub first: usize,
+    /// Where the first complete keyword of another message begins.
+    pub next: usize,
+}
+
 /// Encodes and decodes messages. A decoder removes one complete message from the front of its input, also if it can't be
 /// read, or leaves the input unchanged while the message is incomplete. What an encoder writes is decoded as the same message; otherwise it
 /// writes nothing and fails.
@@ -82,9 +100,10 @@
     /// Fails when the bytes are not a valid message.
     fn decode_answer(&self, input: &mut Input) -> Result<Option<Answer>, DecodeError>;
 
-    /// Returns whether a field of an upstream's answer contains the beginning of another message, as it does when the
-    /// message was cut off and the next one follows.
-    fn is_joined(&self, field: &[u8]) -> bool;
+    /// Finds where an encoded message of an upstream's answer may have been cut off, so that the first message of another
+    /// answer follows within it: one of kind `next`, perhaps behind the beginnings of others. The content of a message can
+    /// look the same.
+    fn find_joint(&self, message: &[u8], next: Next) -> Option<Joint>;
 
     /// Decodes the row that answers [`Command::Status`] and similar commands.
     ///
--- a/src/statement/mod.rs
+++ b/src/statement/mod.rs
@@ -13,7 +13,7 @@
 mod text;
 
 pub use answer::{Answer, Code, State};
-pub use codec::{Codec, DecodeError, EncodeError, MAX_LINE_BYTES};
+pub use codec::{Codec, DecodeError, EncodeError, Joint, MAX_LINE_BYTES, Next};
 pub use command::Command;
 pub use input::Input;
 pub use place::Place;
--- a/src/upstream/connection/memory.rs
+++ b/src/upstream/connection/memory.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
+use super::beginnings::Beginnings;
 use super::{Outcome, is_own_success};
 use crate::proxy::floor::Mark;
 use crate::statement::{State, Text};
@@ -16,7 +17,7 @@
 /// The number of answers whose rows are remembered.
 const MAX_ROWS: usize = 64;
 
-/// Hashes of the newest answers, oldest first.
+/// What is known of the newest answers, oldest first. Texts are known by their hashes.
 #[derive(Debug, Default)]
 pub(super) struct Memory {
     signatures: VecDeque<Signed>,
@@ -28,6 +29,9 @@
     last_idle: Option<Option<Mark>>,
     last: Option<Mark>,
     had_refusal: bool,
+    /// How answers began, and how their successes did.
+    pub(super) beginnings: Beginnings,
+    pub(super) successes: Beginnings,
 }
 
 /// A signature and all rows before it.
--- a/src/upstream/connection/mod.rs
+++ b/src/upstream/connection/mod.rs
@@ -9,14 +9,24 @@
 //! - A refusal, or a success of a command of this process on which something depends, that looks like an earlier one may
 //!   be its copy. Another command follows it then (the fence). If the next answer is that of the fence, the one before it
 //!   was the awaited one, since an instance answers in order.
+//! - A part of an answer may end within a message, so that the next answer is joined to it. Such a message shows in what
+//!   follows it (an end without a result, a result behind a result), or it can't be decoded, unless its content ends as
+//!   another message would: a row that ends in a row, or with the result of a copy before the rows of the answer, or a
+//!   refusal that ends in a result. Callers can store such content, so it only raises a doubt, and only if it begins as an
+//!   earlier answer began (`beginnings`). So do rows that begin with one of another statement. A read with doubtful rows
+//!   runs again (`reading`), unless the instance has answered twice lately; other doubtful answers are given up. A doubt is
+//!   no second answer and raises no suspicion. Status rows and signatures have no content of callers, so what looks joined
+//!   there is a part of an answer.
 //! - Nothing may have arrived when a command is sent while no answer is awaited.
 //!
 //! A connection on which a second answer was seen goes on until the awaited answer is here, but isn't used again.
 
 mod awaited;
+mod beginnings;
 mod error;
 mod memory;
 mod proof;
+mod reading;
 mod suspicion;
 
 use std::collections::VecDeque;
@@ -29,6 +39,7 @@
 use bytes::BytesMut;
 use log::Level;
 use memory::Memory;
+use proof::Candidate;
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use socket2::SockRef;
@@ -296,9 +307,23 @@
         clock: &Clock,
         deadline: Instant,
     ) -> Result<Outcome, Error> {
+        let Candidate { outcome, doubt } = self.receive_answer(clock, deadline).await?;
+        match doubt {
+            Some(evidence) => Err(self.give_up(clock, evidence)),
+            None => Ok(outcome),
+        }
+    }
+
+    /// Receives the answer to the oldest unanswered command. Only its rows, or the text of its refusal, may be doubtful.
+    async fn receive_answer(
+        &mut self,
+        clock: &Clock,
+        deadline: Instant,
+    ) -> Result<Candidate, Error> {
         let awaited = self.awaited.pop_front().ok_or(DecodeError::Kind)?;
         self.command = awaited.kind.name();
-        let mut outcome = self.receive_candidate(clock, awaited, false, deadline).await?;
+        let Candidate { mut outcome, mut doubt } =
+            self.receive_candidate(clock, awaited, false, deadline).await?;
         let mut fence = self.take_fence();
         loop {
             let is_certain = !awaited.needs_proof(&outcome) || !self.memory.has_answer(&outcome);
@@ -314,7 +339,8 @@
                 None => self.send_fence(clock, awaited, &outcome, deadline).await?,
             };
             fence = Some(sent);
-            let next = self.receive_candidate(clock, awaited, true, deadline).await?;
+            let Candidate { outcome: next, doubt: next_doubt } =
+                self.receive_candidate(clock, awaited, true, deadline).await?;
             if sent.is_answered_by(&next, &outcome) {
                 if is_own_success(&outcome) && awaited.kind != Kind::Status {
                     outcome.position = next.position;
@@ -326,11 +352,13 @@
             // Only the awaited answer, and copies, can precede that of the fence.
             self.note(clock, Evidence::Repeated);
             if is_certain {
-                if next.result.is_err() {
-                    break;
+                match next_doubt {
+                    Some(evidence) => return Err(self.give_up(clock, evidence)),
+                    None if next.result.is_err() => break,
+                    None => {}
                 }
             } else if !is_own_success(&next) || awaited.kind == Kind::Status {
-                outcome = next;
+                (outcome, doubt) = (next, next_doubt);
                 if !awaited.needs_proof(&outcome) || !self.memory.has_answer(&outcome) {
                     break;
                 }
@@ -341,7 +369,7 @@
             self.memory.add_answer(&outcome);
         }
         self.state = outcome.state;
-        Ok(outcome)
+        Ok(Candidate { outcome, doubt })
     }
 
     /// Sends a command and receives its answer.
@@ -355,22 +383,7 @@
         command: &Command<'_>,
         deadline: Instant,
     ) -> Result<Outcome, Error> {
-        self.queue(command)?;
-        if let (Command::Reset, Some(last)) = (command, self.awaited.back_mut()) {
-            last.kind = Kind::Ping;
-        }
-        // An answer that will look like an earlier one is proved without a round trip more.
-        let fence = match command {
-            Command::Begin { .. } if self.memory.may_repeat(State::Open) => {
-                Some(Command::Prepare { name: FENCE_NAME, template: &FENCE })
-            }
-            Command::Reset if self.memory.may_repeat(State::Idle) => Some(Command::Reset),
-            _ => None,
-        };
-        if let Some(fence) = fence {
-            self.queue_awaited(&fence, Awaited::fence(&fence))?;
-        }
-        self.flush(clock, deadline).await?;
+        self.send(clock, command, deadline).await?;
         self.receive_outcome(clock, deadline).await
     }
 
--- a/src/upstream/connection/proof.rs
+++ b/src/upstream/connection/proof.rs
@@ -3,6 +3,7 @@
 use std::io::{ErrorKind, Read};
 use std::mem::MaybeUninit;
 
+use bytes::BytesMut;
 use log::Level;
 use socket2::SockRef;
 
@@ -14,9 +15,44 @@
 use crate::clock::{Clock, Instant};
 use crate::report::Evidence;
 use crate::report::event::{Event, millis};
-use crate::statement::{Answer, Code, Command, State, Text};
+use crate::statement::{Answer, Command, DecodeError, Next, State, Text};
+
+/// The number of messages within one that are remembered as possible beginnings of answers.
+const MAX_JOINTS: usize = 8;
+
+/// An answer that may be the awaited one.
+pub(super) struct Candidate {
+    pub(super) outcome: Outcome,
+    /// Why its rows or its refusal may not be those of the awaited one, if so.
+    pub(super) doubt: Option<Evidence>,
+}
 
 impl Connection {
+    /// Sends a command, and a fence if its answer will need one.
+    pub(super) async fn send(
+        &mut self,
+        clock: &Clock,
+        command: &Command<'_>,
+        deadline: Instant,
+    ) -> Result<(), Error> {
+        self.queue(command)?;
+        if let (Command::Reset, Some(last)) = (command, self.awaited.back_mut()) {
+            last.kind = Kind::Ping;
+        }
+        // An answer that will look like an earlier one is proved without a round trip more.
+        let fence = match command {
+            Command::Begin { .. } if self.memory.may_repeat(State::Open) => {
+                Some(Command::Prepare { name: FENCE_NAME, template: &FENCE })
+            }
+            Command::Reset if self.memory.may_repeat(State::Idle) => Some(Command::Reset),
+            _ => None,
+        };
+        if let Some(fence) = fence {
+            self.queue_awaited(&fence, Awaited::fence(&fence))?;
+        }
+        self.flush(clock, deadline).await
+    }
+
     /// Returns the fence that was sent together with the command that is being answered.
     pub(super) fn take_fence(&mut self) -> Option<Awaited> {
         let is_fence = self.awaited.front().is_some_and(|awaited| awaited.is_fence);
@@ -51,14 +87,18 @@
         awaited: Awaited,
         or_fence: bool,
         deadline: Instant,
-    ) -> Result<Outcome, Error> {
+    ) -> Result<Candidate, Error> {
         let mut rows: Vec<Text> = Vec::new();
         let mut bytes = 0;
         let mut result = None;
+        let mut doubt = None;
+        // Whether a row may be joined to the refusal, or the result of a copy to a row that precedes those of the answer.
+        let (mut hides_row, mut hides_result) = (false, false);
         // Whether a discarded answer may still go on.
         let mut goes_on = false;
         loop {
             let answer = self.receive(clock, deadline).await?;
+            let message = self.encode(&answer)?;
             if !matches!(answer, Answer::Ready { .. }) {
                 goes_on = false;
                 match result.take() {
@@ -66,9 +106,13 @@
                     Some(Ok(signature)) if signature != NO_SIGNATURE => {
                         return Err(self.give_up(clock, Evidence::Cut));
                     }
+                    Some(Err(_)) if hides_row => {
+                        return Err(self.give_up(clock, Evidence::Cut));
+                    }
                     Some(_) => {
                         self.note(clock, Evidence::Cut);
                         rows.clear();
+                        (doubt, hides_result) = (None, false);
                     }
                     None => {}
                 }
@@ -79,13 +123,18 @@
                     if bytes > MAX_ROWS_BYTES {
                         return Err(Error::TooManyRows);
                     }
-                    if rows.is_empty() && self.is_joined(row.as_bytes()) {
+                    // A status has no content of callers.
+                    if awaited.kind == Kind::Status && self.has_joint(&message, &[Next::Row]) {
                         return Err(self.give_up(clock, Evidence::Cut));
                     }
+                    if hides_result || self.is_doubtful(clock, &message, Next::Row) {
+                        doubt = Some(Evidence::Doubtful);
+                    }
+                    hides_result |= self.is_doubtful(clock, &message, Next::Result);
                     rows.push(row);
                 }
                 Answer::Done(signature) => {
-                    if self.is_joined(signature.as_bytes()) {
+                    if self.is_joined_success(clock, awaited, &message) {
                         return Err(self.give_up(clock, Evidence::Cut));
                     }
                     if let Some(evidence) = self.judge(awaited, or_fence, &signature) {
@@ -95,6 +144,7 @@
                         }
                         self.note(clock, evidence);
                         rows.clear();
+                        (doubt, hides_result) = (None, false);
                         goes_on = true;
                         continue;
                     }
@@ -104,15 +154,10 @@
                     result = Some(Ok(signature));
                 }
                 Answer::Failed { code, text } => {
-                    let is_joined = match &code {
-                        Code::Other(code) => {
-                            self.is_joined(&[code.as_bytes(), b" ", text.as_bytes()].concat())
-                        }
-                        _ => self.is_joined(text.as_bytes()),
-                    };
-                    if is_joined {
-                        return Err(self.give_up(clock, Evidence::Cut));
-                    }
+                    // The rows before it aren't delivered.
+                    let is_doubtful = self.is_doubtful(clock, &message, Next::Result);
+                    doubt = is_doubtful.then_some(Evidence::Doubtful);
+                    hides_row = self.has_joint(&message, &[Next::Row]);
                     result = Some(Err((code, text)));
                 }
                 Answer::Ready { state, position } => {
@@ -127,6 +172,7 @@
                     };
                     let outcome =
                         Outcome { rows: std::mem::take(&mut rows), result, state, position };
+                    let doubt = doubt.take();
                     if !awaited.fits(&outcome, self.state) {
                         if outcome.result.is_ok() && !is_own_success(&outcome) {
                             // It is not a copy, so it may answer a command that was sent twice.
@@ -137,7 +183,7 @@
                             continue;
                         }
                     }
-                    return self.without_copied_rows(clock, awaited, outcome);
+                    return self.without_copied_rows(clock, awaited, Candidate { outcome, doubt });
                 }
             }
         }
@@ -153,13 +199,14 @@
         }
     }
 
-    /// Removes rows that a part of an earlier answer may have put in front of an answer, or gives up.
+    /// Removes rows that a part of an earlier answer may have put in front of an answer, or doubts it.
     fn without_copied_rows(
         &mut self,
         clock: &Clock,
         awaited: Awaited,
-        mut outcome: Outcome,
-    ) -> Result<Outcome, Error> {
+        candidate: Candidate,
+    ) -> Result<Candidate, Error> {
+        let Candidate { mut outcome, mut doubt } = candidate;
         if outcome.result.is_err() {
             let has_rows = !std::mem::take(&mut outcome.rows).is_empty();
             if has_rows && self.memory.has_answer(&outcome) {
@@ -173,21 +220,75 @@
             }
         } else if !awaited.kind.is_signed() || is_own_success(&outcome) {
             outcome.rows.clear();
+            doubt = None;
         } else if let Some(first) = outcome.rows.first() {
             let len = outcome.rows.len();
             // Different statements often have an equal row. A part of a copy precedes another row, unless there is none.
             let is_possible = len > 1 || self.suspicion.is_raised(clock.now());
             if is_possible && self.memory.has_rows_of_other(awaited.text, first, len) {
-                return Err(self.give_up(clock, Evidence::Rows));
+                if self.suspicion.is_raised(clock.now()) {
+                    return Err(self.give_up(clock, Evidence::Rows));
+                }
+                doubt = Some(Evidence::Rows);
             }
             self.memory.add_rows(awaited.text, first, len);
         }
-        Ok(outcome)
+        Ok(Candidate { outcome, doubt })
+    }
+
+    /// Returns whether a message looks like a part of an earlier one with another message behind it, of a kind that its
+    /// answer hides. The content of a caller can look so too. Remembers how it began.
+    fn is_doubtful(&mut self, clock: &Clock, message: &[u8], next: Next) -> bool {
+        let now = clock.now();
+        let is_doubtful = self.codec.find_joint(message, next).is_some_and(|joint| {
+            let part = &message[..joint.first];
+            self.suspicion.is_doubted(now)
+                || message[joint.next..].starts_with(part)
+                || self.memory.beginnings.has(part, now)
+        });
+        // The first one may be a copy, and this one that of the answer.
+        self.memory.beginnings.add(message, now);
+        if is_doubtful {
+            self.add_joined(message, next, now);
+        }
+        is_doubtful
+    }
+
+    /// Remembers how the messages began that may be joined in one, as it isn't known which is that of the answer.
+    fn add_joined(&mut self, message: &[u8], next: Next, now: Instant) {
+        let mut rest = message;
+        for _ in 0..MAX_JOINTS {
+            let Some(joint) = self.codec.find_joint(rest, next) else { return };
+            rest = &rest[joint.next..];
+            self.memory.beginnings.add(rest, now);
+        }
+        self.memory.beginnings.forget(now);
+    }
+
+    /// Returns whether a success looks like a part of an earlier one with a result behind it, or, where no signature is due,
+    /// with anything. Signatures have no content of callers.
+    fn is_joined_success(&mut self, clock: &Clock, awaited: Awaited, message: &[u8]) -> bool {
+        let now = clock.now();
+        let is_joined = match awaited.kind.is_signed() {
+            true => self.codec.find_joint(message, Next::Result).is_some_and(|joint| {
+                let part = &message[..joint.first];
+                message[joint.next..].starts_with(part) || self.memory.successes.has(part, now)
+            }),
+            false => self.has_joint(message, &[Next::Row, Next::Result]),
+        };
+        self.memory.successes.add(message, now);
+        is_joined
+    }
+
+    fn has_joint(&self, message: &[u8], next: &[Next]) -> bool {
+        next.iter().any(|next| self.codec.find_joint(message, *next).is_some())
     }
 
-    /// Returns whether a text contains a message, as it does after a part of an earlier one.
-    fn is_joined(&self, text: &[u8]) -> bool {
-        !self.memory.is_empty() && self.codec.is_joined(text)
+    /// Returns the encoded message that was received.
+    pub(super) fn encode(&self, answer: &Answer) -> Result<BytesMut, Error> {
+        let mut message = BytesMut::new();
+        self.codec.encode_reply(answer, &mut message).map_err(|_| DecodeError::TooLong)?;
+        Ok(message)
     }
 
     /// Records that a second answer was seen. The connection isn't used again after the statement or transaction.
@@ -195,8 +296,8 @@
         if let Some(tally) = &self.tally {
             tally.record(evidence);
         }
-        // Equal rows of two statements, and equal refusals, show nothing by themselves.
-        if !matches!(evidence, Evidence::Rows | Evidence::Unproven) {
+        // Equal rows of two statements, equal refusals, and content that looks like a message show nothing by themselves.
+        if !matches!(evidence, Evidence::Rows | Evidence::Unproven | Evidence::Doubtful) {
             self.suspicion.raise(clock.now());
         }
         if self.evidence.replace(evidence).is_none() {
