--- a/src/upstream/connection/reading.rs
+++ b/src/upstream/connection/reading.rs
@@ -11,7 +11,7 @@
 
 impl Connection {
     /// Sends a statement that only reads and receives its answer. A doubtful answer is read again: one without doubt is
-    /// delivered, and so is one that comes [`READINGS`] times. While the instance answers twice, none is read again, since
+    /// delivered, and so is one that comes `READINGS` times. While the instance answers twice, none is read again, since
     /// parts of several copies may follow each other.
     ///
     /// # Errors
