--- a/tests/platform_unencodable.rs
+++ b/tests/platform_unencodable.rs
@@ -5,7 +5,7 @@
 mod line;
 mod lines;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::TcpListener;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
@@ -15,7 +15,7 @@
 use cactushatch::upstream::connection::{Connection, Error};
 use cactushatch::wire::{Health, Replica};
 use line::LineCodec;
-use lines::{Fleet, PROXIES};
+use lines::{Fleet, PROXIES, content};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -26,11 +26,12 @@
     let (sender, received) = channel();
     std::thread::spawn(move || {
         let (mut socket, _) = listener.accept().expect("a connection");
-        let lines = BufReader::new(socket.try_clone().expect("a socket")).lines();
-        for (number, line) in lines.map_while(Result::ok).enumerate() {
+        let mut input = BufReader::new(socket.try_clone().expect("a socket"));
+        let lines = std::iter::from_fn(|| content::read_line(&mut input).ok().flatten());
+        for (number, line) in lines.enumerate() {
             let done = if number > 0 { format!("DONE s{number}\r\n") } else { String::new() };
             socket.write_all(format!("{done}READY I 1.1\r\n").as_bytes()).expect("it is sent");
-            sender.send(line).expect("the test goes on");
+            sender.send(line.content.text()).expect("the test goes on");
         }
     });
     let replica = Replica {
--- a/tests/unreadable_answers.rs
+++ b/tests/unreadable_answers.rs
@@ -1,10 +1,13 @@
 //! Tests of what a connection makes of an answer that can't be read.
 
+#[path = "lines/content.rs"]
+#[allow(dead_code, reason = "only lines are needed")]
+mod content;
 #[path = "../platform/line.rs"]
 #[allow(dead_code, reason = "only a client is needed")]
 mod line;
 
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufReader, Write};
 use std::net::TcpListener;
 use std::time::Duration;
 
@@ -27,12 +30,13 @@
     let address = listener.local_addr().expect("an address");
     std::thread::spawn(move || {
         let (mut socket, _) = listener.accept().expect("a connection");
-        let mut lines = BufReader::new(socket.try_clone().expect("a socket")).lines();
+        let mut input = BufReader::new(socket.try_clone().expect("a socket"));
+        let mut next = || content::read_line(&mut input).ok().flatten();
         for bytes in [greeting, answer] {
-            lines.next().expect("a line").expect("a line");
+            next().expect("a line");
             socket.write_all(bytes).expect("the answer is sent");
         }
-        lines.next();
+        next();
     });
     let replica = Replica {
         group: "books".parse().unwrap(),
