Judge a connection between control processes by what arrives on it

Cause: a process replaced its connection to another one only if it had heard nothing from that process for a second, on any connection. Frames travel one way on each, so the evidence came from the other process's own connection. As soon as one of two processes had replaced its own, the other one heard it and kept its silent one for good: pre-votes arrived and their answers didn't.

Change: a frame is preceded by a ping if nothing arrived on the connection for 250 ms; the receiver answers on the same connection. Without an answer within 750 ms (more behind long frames) the connection is replaced, and an unused one is replaced before its next use. `Ping` is known to earlier releases, which ignore it: connections to them are replaced each second and lose nothing. The receiving end closes what carried nothing for a minute, since it isn't told of a replacement. Each replacement is counted by reason and logged with the age of the last evidence.

--- a/src/control/frames.rs
+++ b/src/control/frames.rs
@@ -1,6 +1,7 @@
 //! The frames that a control process receives from other processes over connections.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use smol::net::{TcpListener, TcpStream};
 
@@ -10,14 +11,13 @@
 use crate::report;
 use crate::wire::{Body, Frame, Stream};
 
+/// How long a connection may carry no frame, or an answer not be taken, until it is closed. The other end may have given it
+/// up without this end being told.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
 impl Shared {
     /// Handles a Raft message from another control process.
     pub(super) fn handle_peer_message(self: &Arc<Self>, from: Peer, message: Message) {
-        let now = self.clock.now();
-        self.last_contact
-            .lock()
-            .expect("no thread panics while holding this lock")
-            .insert(from.node.clone(), now);
         let mut core = self.core();
         match message {
             Message::Hello { members } => {
@@ -77,6 +77,8 @@
                 self.handle_greeting(&greeting);
                 Some(Body::Meet(self.greeting(&self.core())))
             }
+            // Its sender judges the connection by the answer.
+            Body::Ping => Some(Body::Ping),
             _ => None,
         }
     }
@@ -106,10 +108,14 @@
     socket: TcpStream,
 ) -> Result<(), crate::wire::Error> {
     let mut stream = Stream::from_accepted(socket)?.with_seal(&shared.credentials.seal);
-    loop {
-        let frame = stream.receive().await?;
-        if let Some(answer) = shared.handle_frame(frame).await {
-            stream.send(&shared.frame(answer)).await?;
+    while let Some(frame) = shared.clock.timeout(MAX_IDLE, stream.receive()).await {
+        if let Some(answer) = shared.handle_frame(frame?).await {
+            let frame = shared.frame(answer);
+            let Some(sent) = shared.clock.timeout(MAX_IDLE, stream.send(&frame)).await else {
+                break;
+            };
+            sent?;
         }
     }
+    Ok(())
 }
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -15,7 +15,7 @@
 pub mod leader;
 mod leader_stream;
 pub mod lease;
-mod link;
+pub mod link;
 pub mod member;
 pub mod operator;
 pub mod position;
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -63,8 +63,6 @@
     pub(super) entries_applied: event_listener::Event,
     /// Notified of each Raft message that has been handled.
     pub(super) voter_answered: event_listener::Event,
-    /// When a Raft message last arrived from each control process.
-    pub(super) last_contact: Mutex<BTreeMap<id::Node, Instant>>,
     pub(super) jobs: mpsc::Sender<Job>,
     pub(super) udp: UdpSocket,
 }
@@ -154,7 +152,6 @@
         watched: Mutex::default(),
         links: Mutex::default(),
         leader_streams: Mutex::default(),
-        last_contact: Mutex::default(),
         jobs,
         udp,
     });
@@ -329,20 +326,13 @@
         let frame = self.frame(Body::Raft { start: core.raft.me().start, message });
         let mut links = self.links.lock().expect("no thread panics while holding this lock");
         if links.get(to).is_none_or(|link| link.address != address) {
-            links.insert(to.clone(), Link::open(Arc::clone(self), to.clone(), address));
+            links.insert(to.clone(), Link::open(self, to.clone(), address));
         }
         if links.get(to).is_some_and(|link| !link.send(frame)) {
             self.metrics.frame_dropped();
         }
     }
 
-    /// Returns how long ago a Raft message last arrived from a process, or `Duration::MAX` if none has.
-    pub(super) fn time_since_contact(&self, now: Instant, node: &id::Node) -> Duration {
-        let last_contact =
-            self.last_contact.lock().expect("no thread panics while holding this lock");
-        last_contact.get(node).map_or(Duration::MAX, |at| now.since(*at))
-    }
-
     /// Returns the leader's address for operators if the leader is another process.
     pub(super) fn leader_admin_address(&self) -> Option<SocketAddr> {
         let core = self.core();
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -9,7 +9,7 @@
 use log::Level;
 use serde::{Serialize, Serializer};
 
-use super::label::Peer;
+use super::label::{Peer, Replacement};
 use crate::id;
 use crate::statement::Place;
 use crate::wire::{Health, Phase};
@@ -243,6 +243,18 @@
         /// The reserved term.
         term: id::Term,
     },
+    /// A connection to another control process was replaced.
+    Link {
+        /// The other process.
+        node: &'a id::Node,
+        /// Its address.
+        address: SocketAddr,
+        /// Why.
+        #[serde(serialize_with = "as_text")]
+        reason: Replacement,
+        /// Time since anything arrived on the connection, or since it was opened.
+        evidence_ms: u64,
+    },
     /// This process became the leader of the control plane, or is no longer the leader.
     Leader {
         /// Whether this process is the leader.
@@ -393,6 +405,7 @@
             Self::UnorderedPromotion { .. } => "event.unordered_promotion",
             Self::MissingWrites { .. } => "event.missing_writes",
             Self::Inherited { .. } => "event.inherited",
+            Self::Link { .. } => "event.link",
             Self::Leader { .. } => "event.leader",
         }
     }
--- a/src/report/label.rs
+++ b/src/report/label.rs
@@ -74,6 +74,21 @@
         Evicted = "evicted",
     }
 );
+label!(
+    /// Why a connection to another control process was replaced.
+    Replacement {
+        /// A ping on it was not answered, though the process has answered others.
+        Silent = "silent",
+        /// A ping on it was not answered, and the process has never answered one: it may be of an earlier release.
+        Unproven = "unproven",
+        /// Nothing could be written to it in time.
+        Stalled = "stalled",
+        /// The other process closed it, or it failed.
+        Closed = "closed",
+        /// It was unused for so long that it may have gone silent.
+        Idle = "idle",
+    }
+);
 label!(
     /// What an operation of an account with a quota got.
     QuotaResult {
@@ -283,6 +298,11 @@
     pub(super) reason: Opening,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(super) struct ReplacementLabels {
+    pub(super) reason: Replacement,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(super) struct EvidenceLabels {
     pub(super) evidence: Evidence,
--- a/src/report/metrics/mod.rs
+++ b/src/report/metrics/mod.rs
@@ -15,7 +15,7 @@
 use super::label::{
     ClassLabels, Evidence, EvidenceLabels, FailureLabels, ForwardLabels, LeaseLabels,
     OpeningLabels, Peer, PromotionLabels, ProtocolErrorLabels, QuotaLabels, RefusalLabels,
-    RejectionLabels, RequestLabels, RoleLabels, SchedulingLabels, TargetLabels,
+    RejectionLabels, ReplacementLabels, RequestLabels, RoleLabels, SchedulingLabels, TargetLabels,
 };
 use super::largest::Largest;
 use crate::statement::DecodeError;
@@ -97,6 +97,7 @@
     index: Gauge,
     suppressed_lines: Counter,
     frames_dropped: Counter,
+    links_replaced: Family<ReplacementLabels, Counter>,
 }
 
 fn request_histogram() -> Histogram {
@@ -155,6 +156,7 @@
             index: Gauge::default(),
             suppressed_lines: Counter::default(),
             frames_dropped: Counter::default(),
+            links_replaced: Family::default(),
         };
         let mut registry = Registry::with_prefix("cactushatch");
         metrics.register_requests(&mut registry);
@@ -359,6 +361,11 @@
             "Frames to voters whose queue was full",
             self.frames_dropped.clone(),
         );
+        registry.register(
+            "links_replaced",
+            "Connections to voters that were replaced, by reason",
+            self.links_replaced.clone(),
+        );
     }
 
     /// Returns all metrics in the Prometheus text format.
--- a/src/report/metrics/record.rs
+++ b/src/report/metrics/record.rs
@@ -8,7 +8,8 @@
     self, ClassLabels, Failure, FailureLabels, ForwardLabels, ForwardResult, LeaseAnswer,
     LeaseLabels, Opening, OpeningLabels, Outcome, Peer, PromotionAnswer, PromotionLabels,
     ProtocolErrorLabels, QuotaLabels, QuotaResult, Refusal, RefusalLabels, Rejection,
-    RejectionLabels, RequestLabels, RoleLabels, SchedulingLabels, Target, TargetLabels,
+    RejectionLabels, Replacement, ReplacementLabels, RequestLabels, RoleLabels, SchedulingLabels,
+    Target, TargetLabels,
 };
 use crate::{id, schedule, wire};
 
@@ -154,6 +155,11 @@
         self.frames_dropped.inc();
     }
 
+    /// Counts a connection to another control process that was replaced.
+    pub fn record_replacement(&self, reason: Replacement) {
+        self.links_replaced.get_or_create(&ReplacementLabels { reason }).inc();
+    }
+
     /// Counts an answer to a proxy's request for a lease.
     pub fn record_lease_answer(&self, answer: LeaseAnswer) {
         self.leases.get_or_create(&LeaseLabels { answer }).inc();
--- a/src/report/mod.rs
+++ b/src/report/mod.rs
@@ -14,7 +14,7 @@
 pub use event::Event;
 pub use label::{
     Evidence, Failure, ForwardResult, LeaseAnswer, Opening, Outcome, Peer, PromotionAnswer,
-    QuotaResult, Refusal, Rejection, Target,
+    QuotaResult, Refusal, Rejection, Replacement, Target,
 };
 pub use metrics::{Metrics, Tally};
 pub use queue::Queue;
--- a/src/wire/stream.rs
+++ b/src/wire/stream.rs
@@ -80,12 +80,21 @@
     ///
     /// Returns an error if the frame is too long or the socket fails.
     pub async fn send(&mut self, frame: &Frame) -> Result<(), Error> {
+        self.send_sized(frame).await.map(drop)
+    }
+
+    /// Sends a frame and returns the number of bytes written.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the frame is too long or the socket fails.
+    pub async fn send_sized(&mut self, frame: &Frame) -> Result<usize, Error> {
         let body = self.seal.encode(frame)?;
         let mut bytes = Vec::with_capacity(4 + body.len());
         bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
         bytes.extend_from_slice(&body);
         self.socket.write_all(&bytes).await?;
-        Ok(())
+        Ok(bytes.len())
     }
 
     /// Receives a frame. The length is checked before memory is allocated for it.
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -2,10 +2,13 @@
 
 mod cluster;
 mod disk;
+mod link;
 mod raft;
+mod relay;
 mod seeds;
 mod seeds_server;
 mod server;
+mod silence;
 mod state;
 mod store;
 mod vote;
--- a/tests/control/server.rs
+++ b/tests/control/server.rs
@@ -134,7 +134,7 @@
 /// Returns loopback addresses with free ports.
 /// Returns addresses on a loopback host of their own: on 127.0.0.1, a port that is free for a moment may be given to an outgoing
 /// connection of another process before a voter binds it.
-fn free_addresses(count: usize) -> Vec<String> {
+pub fn free_addresses(count: usize) -> Vec<String> {
     let host = Ipv4Addr::new(127, fastrand::u8(..), fastrand::u8(1..), fastrand::u8(1..u8::MAX));
     let bound: Vec<TcpListener> =
         (0..count).map(|_| TcpListener::bind((host, 0)).unwrap()).collect();
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -10,7 +10,7 @@
 use cactushatch::config::Rate;
 use cactushatch::id;
 use cactushatch::report::event::{Request, Retry, Unreadable};
-use cactushatch::report::{Event, Peer, Queue, RateLimiter, Verdict};
+use cactushatch::report::{Event, Peer, Queue, RateLimiter, Replacement, Verdict};
 use cactushatch::statement::Place;
 use cactushatch::wire::{Health, Phase};
 
@@ -157,6 +157,12 @@
             is_accepted: false,
         },
         Event::Inherited { group, instance, term },
+        Event::Link {
+            node: server,
+            address: "127.0.0.1:7440".parse().unwrap(),
+            reason: Replacement::Silent,
+            evidence_ms: 1_000,
+        },
         Event::Leader { leads: true, term },
     ];
     let is_covered = |event: &Event<'_>| match event {
@@ -180,6 +186,7 @@
         | Event::UnorderedPromotion { .. }
         | Event::MissingWrites { .. }
         | Event::Inherited { .. }
+        | Event::Link { .. }
         | Event::Leader { .. } => true,
     };
     examples.iter().filter(|event| is_covered(event)).map(ToString::to_string).collect()
--- a/tests/metrics.rs
+++ b/tests/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use cactushatch::id;
-use cactushatch::report::{Metrics, Outcome, Peer, PromotionAnswer, Refusal, Target};
+use cactushatch::report::{Metrics, Outcome, Peer, PromotionAnswer, Refusal, Replacement, Target};
 use cactushatch::statement::DecodeError;
 use cactushatch::wire::Role;
 
@@ -25,6 +25,7 @@
     metrics.record_promotion_call(PromotionAnswer::Declined);
     metrics.record_promotion_call(PromotionAnswer::Unanswered);
     metrics.record_unordered_promotion();
+    metrics.record_replacement(Replacement::Silent);
     metrics.record_protocol_error(Peer::Caller, DecodeError::Field.kind());
     metrics.upstream().record_unreadable(DecodeError::Kind);
     metrics.set_revision(id::Revision(3));
@@ -49,6 +50,7 @@
         "cactushatch_promotion_calls_total{answer=\"declined\"} 1",
         "cactushatch_promotion_calls_total{answer=\"unanswered\"} 1",
         "cactushatch_unordered_promotions_total 1",
+        "cactushatch_links_replaced_total{reason=\"silent\"} 1",
         "cactushatch_protocol_errors_total{peer=\"caller\",reason=\"field\"} 1",
         "cactushatch_protocol_errors_total{peer=\"upstream\",reason=\"kind\"} 1",
         "cactushatch_configuration_revision 3",
