Count an instance as silent only by a connection that was just opened

Cause: a statement without an answer on a kept connection made the instance count as silent at once, and a ping took an idle connection, which was silent as well. All proxies reported it within the same moments, so control froze the epoch and had another instance promoted.

Change: a kept connection without an answer raises a doubt. The idle ones are closed, and a ping on a new connection decides; a ping over an idle one leaves half of its time for a new one, so that a dark primary is found as soon as before. A primary that lost its replicas was found by the same time-outs whenever its commits had less than a second; it is found now by commits that all get no answer (`health::Commits`), unless one that was sent later has succeeded.

--- a/src/broker/checkout.rs
+++ b/src/broker/checkout.rs
@@ -79,6 +79,12 @@
         Err(entry.seats.take())
     }
 
+    /// Counts a new connection to an instance.
+    pub(super) fn seat(&self, instance: &id::Instance) -> Seat {
+        let state = self.lock();
+        state.instances.get(instance).map_or_else(Seat::default, |entry| entry.seats.take())
+    }
+
     /// Returns the instances of a group with an idle connection of an account.
     pub(super) fn warm_instances(
         &self,
@@ -125,7 +131,7 @@
                 match error.health() {
                     Health::Fine => self.record_greeting(instance, None),
                     Health::Refused | Health::Silent | Health::Faulty => {
-                        self.record_failure(instance, &error);
+                        self.record_health(instance, error.health(), &error);
                     }
                 }
                 return Err(error);
--- a/src/broker/guard.rs
+++ b/src/broker/guard.rs
@@ -6,9 +6,12 @@
 use smol::channel::Receiver;
 
 use super::dispatch::{self, Ticket};
+use super::run::Failure;
 use super::server::Shared;
 use crate::clock::Instant;
 use crate::id;
+use crate::upstream::connection::Outcome;
+use crate::wire::Health;
 
 /// Marks a commit as pending until dropped.
 #[derive(Debug)]
@@ -18,6 +21,24 @@
     pub(super) sent: Instant,
 }
 
+impl CommitGuard {
+    /// Records whether the commit succeeded, or got no answer.
+    pub(super) fn end(self, outcome: &Result<Outcome, Failure>) {
+        let now = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        let Some(entry) = state.instances.get_mut(&self.instance) else {
+            return;
+        };
+        match outcome {
+            Ok(Outcome { result: Ok(_), .. }) => entry.health.record_committed(self.sent),
+            Err(Failure::Connection(error)) if error.health() == Health::Silent => {
+                entry.health.abandon_commit(now, self.sent);
+            }
+            _ => {}
+        }
+    }
+}
+
 impl Drop for CommitGuard {
     fn drop(&mut self) {
         if let Some(entry) = self.shared.lock().instances.get_mut(&self.instance) {
--- a/src/broker/health.rs
+++ b/src/broker/health.rs
@@ -22,12 +22,50 @@
     last_answer: Instant,
     /// The health according to the last answer or failure.
     current: wire::Health,
-    /// Whether a message of the instance could not be read since it last answered a command.
+    /// Whether a message of the instance could not be read, or one of its connections went silent, since it last answered a
+    /// command.
     suspect: bool,
     /// The last report to the control plane, and the heartbeat that carried it.
     reported: Option<(id::Sequence, wire::Health)>,
-    /// The send times of the unanswered commits.
-    pending_commits: Vec<Instant>,
+    commits: Commits,
+}
+
+/// The commits on the instance. A single one may be unanswered because its connection went silent; the instance has stalled
+/// only if no commit that was sent later has succeeded.
+#[derive(Debug, Default)]
+struct Commits {
+    /// The send times of those that wait for an answer.
+    pending: Vec<Instant>,
+    /// The send time of the newest one that succeeded.
+    succeeded: Instant,
+    /// The send time of the first one that got no answer within its time limit, and when the last one was given up.
+    abandoned: Option<(Instant, Instant)>,
+}
+
+impl Commits {
+    fn end(&mut self, sent: Instant) {
+        if let Some(at) = self.pending.iter().position(|known| *known == sent) {
+            self.pending.swap_remove(at);
+        }
+    }
+
+    fn abandon(&mut self, now: Instant, sent: Instant) {
+        self.end(sent);
+        let first = self.recently_abandoned(now).unwrap_or(sent);
+        self.abandoned = Some((first, now));
+    }
+
+    /// Returns when the first commit was sent that got no answer, unless a later one succeeded or none was tried lately.
+    fn recently_abandoned(&self, now: Instant) -> Option<Instant> {
+        let (sent, ended) = self.abandoned?;
+        (sent > self.succeeded && now.since(ended) < COMMIT_TIMEOUT).then_some(sent)
+    }
+
+    fn have_stalled(&self, now: Instant) -> bool {
+        let pending = self.pending.iter().copied().filter(|sent| *sent > self.succeeded);
+        let mut unanswered = pending.chain(self.recently_abandoned(now));
+        unanswered.any(|sent| now.since(sent) >= COMMIT_TIMEOUT)
+    }
 }
 
 impl Health {
@@ -38,7 +76,7 @@
             current: wire::Health::Fine,
             suspect: false,
             reported: None,
-            pending_commits: Vec::new(),
+            commits: Commits::default(),
         }
     }
 
@@ -63,7 +101,13 @@
         self.suspect = true;
     }
 
-    /// Returns whether the instance should be pinged on a new connection, since a message could not be read.
+    /// Records that a connection to the instance went silent on which it had answered.
+    pub fn record_silent_connection(&mut self) {
+        self.suspect = true;
+    }
+
+    /// Returns whether the instance should be pinged on a new connection, since a message could not be read or a connection
+    /// went silent.
     pub fn is_suspect(&self) -> bool {
         self.suspect
     }
@@ -98,14 +142,22 @@
 
     /// Records that a commit was sent.
     pub fn begin_commit(&mut self, sent: Instant) {
-        self.pending_commits.push(sent);
+        self.commits.pending.push(sent);
     }
 
-    /// Records that a commit was answered or abandoned.
+    /// Records that a commit was answered, or is no longer waited for.
     pub fn end_commit(&mut self, sent: Instant) {
-        if let Some(at) = self.pending_commits.iter().position(|known| *known == sent) {
-            self.pending_commits.swap_remove(at);
-        }
+        self.commits.end(sent);
+    }
+
+    /// Records that a commit succeeded.
+    pub fn record_committed(&mut self, sent: Instant) {
+        self.commits.succeeded = self.commits.succeeded.max(sent);
+    }
+
+    /// Records that a commit got no answer within its time limit.
+    pub fn abandon_commit(&mut self, now: Instant, sent: Instant) {
+        self.commits.abandon(now, sent);
     }
 
     /// Returns the health to report in heartbeat `sequence`, or `None` if the control plane has acknowledged a report
@@ -116,7 +168,7 @@
         sequence: id::Sequence,
         acknowledged: impl Fn(id::Sequence) -> bool,
     ) -> Option<wire::Health> {
-        let stalled = self.pending_commits.iter().any(|sent| now.since(*sent) >= COMMIT_TIMEOUT);
+        let stalled = self.commits.have_stalled(now);
         let health = match self.current {
             wire::Health::Fine if stalled => wire::Health::Silent,
             health => health,
--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -10,7 +10,7 @@
 use crate::clock::Instant;
 use crate::id;
 use crate::statement::Command;
-use crate::upstream::connection::{Error, Outcome};
+use crate::upstream::connection::Error;
 use crate::wire::{Health, Replica};
 
 /// How often the instances are checked.
@@ -23,6 +23,10 @@
 /// slots, so this covers many round trips between failure domains and opening a new connection.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// How long an idle connection may take to answer a ping. It may have gone silent, so that the rest of [`PING_TIMEOUT`] is left
+/// for a new one.
+const IDLE_PING_TIMEOUT: Duration = Duration::from_millis(175);
+
 /// Pings instances in a loop until the process ends.
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
@@ -71,53 +75,58 @@
     permit: Option<Permit>,
     guard: PingGuard,
 ) {
-    let instance = &replica.instance;
     let deadline = shared.clock.now() + PING_TIMEOUT;
-    let idle = shared.any_idle_connection(instance);
-    let is_new = idle.is_err();
-    let connection = match idle {
-        Ok(connection) => Ok(connection),
-        Err(seat) => shared.open_connection(instance, None, seat, deadline).await,
-    };
-    let mut connection = match connection {
-        Ok(connection) => connection,
-        Err(error) => {
-            // The failure was recorded when the connection failed to open.
-            if let (true, Some(permit)) = (error.is_at_connection_limit(), &permit) {
-                shared.record_refused_connection(permit);
+    let seat = match shared.any_idle_connection(&replica.instance) {
+        Ok(connection) => {
+            let idle_deadline = shared.clock.now() + IDLE_PING_TIMEOUT;
+            match ping(&shared, &replica, connection, &permit, idle_deadline).await {
+                Ok(()) => return,
+                Err(error) => shared.record_failure(&replica.instance, &error),
             }
-            return;
+            shared.seat(&replica.instance)
         }
+        Err(seat) => seat,
     };
-    // Opening the connection may have taken long, and the lease may have been granted meanwhile.
-    let term = shared.primary_term(&replica.group, instance);
-    let sent = shared.clock.now();
-    match ping(&shared, &mut connection, deadline).await {
-        Ok(outcome) => {
-            shared.record_answer(instance, outcome.position);
-            let is_same_term =
-                term.is_some() && term == shared.primary_term(&replica.group, instance);
-            if let Some(mark) = outcome.position.filter(|_| is_same_term) {
-                shared.record_sample(&replica.group, sent, mark);
+    match shared.open_connection(&replica.instance, None, seat, deadline).await {
+        Ok(connection) => match ping(&shared, &replica, connection, &permit, deadline).await {
+            Ok(()) => {}
+            // What an instance answers to a statement may be the fault of its content. A ping has none.
+            Err(error) if error.is_unreadable() => {
+                shared.record_health(&replica.instance, Health::Faulty, &error);
             }
-            if permit.is_some() {
-                shared.return_connection(instance, connection);
+            Err(error) => shared.record_health(&replica.instance, error.health(), &error),
+        },
+        // The failure was recorded when the connection failed to open.
+        Err(error) => {
+            if let (true, Some(permit)) = (error.is_at_connection_limit(), &permit) {
+                shared.record_refused_connection(permit);
             }
         }
-        // What an instance answers to a statement may be the fault of its content. A ping has none.
-        Err(error) if is_new && error.is_unreadable() => {
-            shared.record_health(instance, Health::Faulty, &error);
-        }
-        Err(error) => shared.record_failure(instance, &error),
     }
     drop(guard);
 }
 
+/// Pings an instance over a connection, and returns it to the pool if it was taken with a permit.
 async fn ping(
     shared: &Shared,
-    connection: &mut SharedConnection,
+    replica: &Replica,
+    mut connection: SharedConnection,
+    permit: &Option<Permit>,
     deadline: Instant,
-) -> Result<Outcome, Error> {
+) -> Result<(), Error> {
+    let instance = &replica.instance;
+    // Opening the connection may have taken long, and the lease may have been granted meanwhile.
+    let term = shared.primary_term(&replica.group, instance);
+    let sent = shared.clock.now();
     connection.setup.clear();
-    connection.upstream.request(&shared.clock, &Command::Reset, deadline).await
+    let outcome = connection.upstream.request(&shared.clock, &Command::Reset, deadline).await?;
+    shared.record_answer(instance, outcome.position);
+    let is_same_term = term.is_some() && term == shared.primary_term(&replica.group, instance);
+    if let Some(mark) = outcome.position.filter(|_| is_same_term) {
+        shared.record_sample(&replica.group, sent, mark);
+    }
+    if permit.is_some() {
+        shared.return_connection(instance, connection);
+    }
+    Ok(())
 }
--- a/src/broker/run/mod.rs
+++ b/src/broker/run/mod.rs
@@ -96,7 +96,7 @@
 }
 
 /// The reason why no answer arrived.
-enum Failure {
+pub(super) enum Failure {
     /// The connection failed.
     Connection(Error),
     /// The epoch is being replaced, so answers of this primary no longer count.
--- a/src/broker/run/single.rs
+++ b/src/broker/run/single.rs
@@ -111,7 +111,7 @@
             let sent = clock.now();
             let running = checkout.run(clock, (execution.id, operation), None, execution.deadline);
             let outcome = self.unless_replaced(&group, term, running).await;
-            drop(committing);
+            committing.end(&outcome);
             let outcome = match outcome {
                 Ok(outcome) => outcome,
                 Err(failure) => {
--- a/src/broker/run/transaction.rs
+++ b/src/broker/run/transaction.rs
@@ -270,7 +270,9 @@
             let committed =
                 checkout.connection.upstream.request(&clock, &command, execution.deadline);
             let outcome = self.unless_replaced(&group, term.filter(|_| wrote), committed).await;
-            drop(committing);
+            if let Some(committing) = committing {
+                committing.end(&outcome);
+            }
             let outcome = match outcome {
                 Ok(outcome) => outcome,
                 Err(failure) => {
--- a/src/broker/shared.rs
+++ b/src/broker/shared.rs
@@ -291,14 +291,21 @@
         }
     }
 
-    /// Records a failed connection of an instance.
+    /// Records a failed connection on which the instance had answered. One that went silent says little about the instance:
+    /// new ones may work. So the idle ones are closed, which may be silent too, and a ping on a new one decides.
     pub(super) fn record_failure(&self, instance: &id::Instance, error: &ConnectionError) {
-        if error.is_suspect()
-            && let Some(entry) = self.lock().instances.get_mut(instance)
-        {
-            entry.health.record_unreadable();
+        let is_silent = error.health() == Health::Silent;
+        if let Some(entry) = self.lock().instances.get_mut(instance) {
+            if is_silent {
+                entry.health.record_silent_connection();
+                entry.idle.clear();
+            } else if error.is_suspect() {
+                entry.health.record_unreadable();
+            }
+        }
+        if !is_silent {
+            self.record_health(instance, error.health(), error);
         }
-        self.record_health(instance, error.health(), error);
     }
 
     /// Records the health of an instance that failed.
--- a/src/control/link/liveness.rs
+++ b/src/control/link/liveness.rs
@@ -14,9 +14,9 @@
 /// How long an answer to a ping may take: several round trips between regions.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(750);
 
-/// How long a connection without a pending ping may be unused. It may have gone silent meanwhile, and opening another one
-/// takes less time than finding that out.
-pub const IDLE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// How long nothing may have arrived on a connection without a pending ping, which is then unused. It may have gone silent
+/// meanwhile, and opening another one takes less time than finding that out.
+pub const IDLE_TIMEOUT: Duration = PING_INTERVAL.saturating_mul(2);
 
 /// The rate in bytes a second at which frames in front of a ping pass at least. The answer may come later by that much.
 pub const MIN_RATE: u32 = 128 * 1024;
--- a/tests/broker.rs
+++ b/tests/broker.rs
@@ -676,6 +676,53 @@
     assert_eq!(health.report(late, id::Sequence(3), |_| true), Some(wire::Health::Fine));
 }
 
+/// Guards against a primary without replicas that is never reported, since each commit is given up before it counts as stalled.
+#[test]
+fn a_primary_whose_commits_are_all_given_up_is_reported() {
+    let mut health = Health::new(at(0));
+    let (mut reported, limit) = (None, COMMIT_TIMEOUT / 4);
+    for n in 0..8 {
+        let sent = at(100) + limit * n;
+        health.begin_commit(sent);
+        health.record_answer(sent);
+        health.abandon_commit(sent + limit, sent);
+        let report = health.report(sent + limit, id::Sequence(1), |_| false);
+        if report == Some(wire::Health::Silent) {
+            reported = reported.or(Some(sent + limit));
+        }
+    }
+    assert_eq!(reported, Some(at(100) + COMMIT_TIMEOUT));
+    let later = at(100) + limit * 8 + COMMIT_TIMEOUT;
+    assert_eq!(health.report(later, id::Sequence(2), |_| false), Some(wire::Health::Fine));
+}
+
+/// Guards against a primary that is replaced because the connection of one commit went silent.
+#[test]
+fn a_commit_without_an_answer_counts_only_if_no_later_one_has_succeeded() {
+    let mut health = Health::new(at(0));
+    health.begin_commit(at(100));
+    health.begin_commit(at(110));
+    health.abandon_commit(at(500), at(110));
+    health.begin_commit(at(510));
+    health.record_committed(at(510));
+    health.end_commit(at(510));
+    let late = at(600) + COMMIT_TIMEOUT;
+    assert_eq!(health.report(late, id::Sequence(1), |_| true), Some(wire::Health::Fine));
+    health.begin_commit(at(520));
+    assert_eq!(health.report(late, id::Sequence(2), |_| true), Some(wire::Health::Silent));
+}
+
+/// Guards against an instance that counts as silent although only a connection to it is.
+#[test]
+fn a_silent_connection_raises_a_doubt_and_no_more() {
+    let mut health = Health::new(at(0));
+    health.record_silent_connection();
+    assert!(health.is_usable() && health.is_suspect());
+    assert_eq!(health.report(at(10), id::Sequence(1), |_| false), Some(wire::Health::Fine));
+    health.record_answer(at(20));
+    assert!(!health.is_suspect());
+}
+
 #[test]
 fn a_cancelled_statement_takes_no_permit() {
     let mut dispatcher = group(1);
--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -24,6 +24,8 @@
     pub(super) running: bool,
     /// Number of crashes. Connections from before a crash end.
     pub(super) crashes: usize,
+    /// How often the open connections to the instance went silent. Those from before carry nothing any more.
+    pub(super) silences: usize,
     /// Whether the instance can't reach the others: it receives nothing, and follows no new primary.
     pub(super) detached: bool,
     /// The term with which the instance was made to stop receiving writes from the primary, or 0 if it receives them.
@@ -136,6 +138,11 @@
         let _ = TcpStream::connect(instance.address);
     }
 
+    /// Makes the open connections to all instances go silent for good. New ones work.
+    pub fn silence_connections(&self) {
+        self.lock().iter_mut().for_each(|instance| instance.silences += 1);
+    }
+
     /// Starts a crashed instance again with its log; as a replica if another one has been promoted meanwhile.
     pub fn recover(self: &Arc<Self>, id: &str) {
         let start = Instant::now();
@@ -377,7 +384,11 @@
         let socket = Arc::new(Mutex::new(socket));
         let connection = self.ledger.next_connection();
         let mut session = Session { connection, ..Session::default() };
-        let crashes = self.lock()[index].crashes;
+        let (crashes, silences) = {
+            let instances = self.lock();
+            (instances[index].crashes, instances[index].silences)
+        };
+        let is_silent = || self.lock()[index].silences != silences;
         let instance = self.lock()[index].id.clone();
         while let Some(Line { content: line, is_cut }) = content::read_line(&mut lines)? {
             self.service.wait_while_deaf(&instance);
@@ -387,6 +398,9 @@
             if !self.lock()[index].running || self.lock()[index].crashes != crashes {
                 return Ok(());
             }
+            if is_silent() {
+                continue;
+            }
             if let Some(rest) = line.strip_prefix(b"CONNECT ") {
                 let connect_delay = self.lock()[index].connect_delay;
                 std::thread::sleep(connect_delay);
@@ -467,7 +481,9 @@
             let position = last_position(&self.lock()[index].log);
             answer.push(format!("READY {state} {position}\r\n").as_bytes());
             let answer = self.service.replacement(&instance, statement).unwrap_or(answer);
-            self.answer(&socket, &word, &answer)?;
+            if !is_silent() {
+                self.answer(&socket, &word, &answer)?;
+            }
         }
         Ok(())
     }
--- a/tests/lines/mod.rs
+++ b/tests/lines/mod.rs
@@ -145,6 +145,7 @@
                 log: Vec::new(),
                 running,
                 crashes: 0,
+                silences: 0,
                 detached: false,
                 held_term: 0,
                 state,
