Let a frozen group go on after the replica chosen to lead it was lost

Cause: the returned primary alone held all acknowledged writes, so control proposed to put its epoch in force again, at each tick. That is refused while a later term is reserved, since the order that the platform accepted may be carried out late, and a reservation was never replaced. The choice ended there, before the paused replica was told to receive. No log line said that a command was refused.

Change: with a term reserved for another instance, the replicas receive from the frozen primary, and the next term goes to one that has caught up. If none does within three seconds, the next term is reserved for the primary itself and the platform is asked to promote it; if its status a second later shows its old term, the epoch goes on (a later term that is reserved for the epoch's own primary refuses this no more). Voters of earlier releases would refuse that, so it waits while one is in touch. A primary that came back as a replica of the lost instance counts as holding what it acknowledged, and an instance that holds more than the epoch's history is taken if it is the best one left. A refused decision is logged.

--- a/src/control/core.rs
+++ b/src/control/core.rs
@@ -14,7 +14,7 @@
 use super::raft::{Bootstrap, Entry, EntryId, Message, Output, Raft, Snapshot};
 use super::registry::Verdict;
 use super::relay::Refreshes;
-use super::state::{Action, Command, State};
+use super::state::{Action, Command, Outcome, State};
 use crate::clock::Instant;
 use crate::config::{self, Change};
 use crate::id;
@@ -177,6 +177,12 @@
     fn apply(&mut self, now: Instant, entry: &Entry) {
         let outcome = self.state.apply(&entry.command);
         self.applied = (entry.term, entry.index);
+        if let Outcome::Refused { reason } = &outcome
+            && self.leading_since.is_some()
+            && let Some((decision, group, term)) = entry.command.action.decision()
+        {
+            Event::RefusedDecision { group, decision, term, reason }.log(Level::Warn);
+        }
         if let Some((term, waiter)) = self.waiters.remove(&entry.index) {
             let is_same_entry = term == entry.term;
             let _ = waiter.try_send(if is_same_entry {
--- a/src/control/failover/candidate.rs
+++ b/src/control/failover/candidate.rs
@@ -35,6 +35,8 @@
     pub(super) draining: &'a BTreeSet<id::Instance>,
     /// Whether an outside service promotes instances.
     pub(super) promoted_outside: bool,
+    /// Whether an outside service was asked to promote another instance than the epoch's primary.
+    pub(super) is_reserved: bool,
     /// Whether control has waited long enough for instances that have not answered yet.
     pub(super) waited: bool,
     /// The position up to which proxies may have acknowledged writes, as far as they reported it.
@@ -85,9 +87,13 @@
         self.readings.iter().filter(|reading| *reading.instance != self.epoch.primary)
     }
 
+    /// Returns the epoch's primary if it still holds every write that it acknowledged: on its own term, or as a replica of
+    /// an instance that had a term reserved. That one held all of these writes, so following it has taken back none.
     fn primary(&self) -> Option<&Reading<'a>> {
         let primary = self.readings.iter().find(|r| *r.instance == self.epoch.primary)?;
-        (primary.status.term == self.epoch.term).then_some(primary)
+        let Status { role, term, .. } = *primary.status;
+        let follows = self.is_reserved && role == Role::Replica && term > self.epoch.term;
+        (term == self.epoch.term || follows).then_some(primary)
     }
 
     /// Chooses among the instances other than the primary. Every acknowledged write is held by a majority that
@@ -150,18 +156,22 @@
         self.promoted_outside && role == Role::Primary && term == self.epoch.term
     }
 
-    /// Returns the best instance other than the primary that holds the history up to `position`.
+    /// Returns the best instance other than the primary that holds the history up to `position`. If an outside service
+    /// promotes, it may hold other data beyond that: no other instance may ever replace it, and nobody was told that this
+    /// data is not kept.
     fn best_at(&self, position: id::Position) -> Option<Reading<'a>> {
+        let accepts_diverged = self.promoted_outside && self.waited;
         let eligible = self.others().filter(|reading| {
             let progress = self.progress(reading);
             reading.usable
-                && !progress.diverged
+                && (accepts_diverged || !progress.diverged)
                 && progress.position >= position
                 && !self.is_returned_primary(reading)
         });
         let rank = |reading: &&Reading<'a>| {
             let progress = self.progress(reading);
-            (!self.draining.contains(reading.instance), progress.position, progress.term)
+            let stays = !self.draining.contains(reading.instance);
+            (!progress.diverged, stays, progress.position, progress.term)
         };
         eligible.max_by_key(rank).copied()
     }
--- a/src/control/failover/frozen.rs
+++ b/src/control/failover/frozen.rs
@@ -151,7 +151,8 @@
     fn complete(&mut self, now: Instant, epoch: &Epoch, claim: &Claim) -> Vec<Output> {
         let promoted_outside = self.promoted_outside;
         let Some(status) = self.promoted_status(now, epoch, claim).copied() else {
-            return self.promote(now, claim);
+            let reinstated = self.reinstate(now, epoch, claim);
+            return reinstated.unwrap_or_else(|| self.promote(now, claim));
         };
         let status = &status;
         let mut outputs = self.check_start(epoch, &claim.primary, status);
@@ -220,11 +221,10 @@
             }
             return outputs;
         };
-        if self.promoted_outside && *chosen.instance == epoch.primary && !unordered {
-            // An outside service doesn't promote an instance that is primary already, so the old epoch is put in force
-            // again.
-            let action = Action::Thaw { group: self.group.clone(), term: epoch.term };
-            return self.order(now, Output::Submit(action));
+        let leads = chosen.status.role == Role::Primary;
+        if self.promoted_outside && *chosen.instance == epoch.primary && leads && !unordered {
+            let behind = candidates.behind_primary();
+            return self.continue_with_primary(now, epoch, view, behind);
         }
         let action = self.claim_action(epoch, view.claim, &chosen);
         self.order(now, Output::Submit(action))
@@ -232,7 +232,7 @@
 
     /// Makes replicas receive again while the epoch is frozen. Nothing is added to the log meanwhile, because proxies
     /// write only under an epoch in force.
-    fn resume(&mut self, now: Instant, replicas: Replicas) -> Vec<Output> {
+    pub(super) fn resume(&mut self, now: Instant, replicas: Replicas) -> Vec<Output> {
         let resume = |instance| self.order(now, Output::Resume { instance });
         replicas.into_iter().flat_map(resume).collect()
     }
@@ -259,6 +259,11 @@
             durability: view.durability,
             draining: view.draining,
             promoted_outside: self.promoted_outside,
+            is_reserved: self.promoted_outside
+                && !self.unordered.is_found()
+                && view
+                    .claim
+                    .is_some_and(|claim| claim.term > epoch.term && claim.primary != epoch.primary),
             waited,
             acknowledged: self.acknowledged(epoch),
             has_departure: self.promoted_outside && self.witnesses.has_departure(),
--- a/src/control/failover/message.rs
+++ b/src/control/failover/message.rs
@@ -66,6 +66,11 @@
         /// The instance.
         instance: id::Instance,
     },
+    /// The outside service accepted the order to promote the instance.
+    PromotionAccepted {
+        /// The instance.
+        instance: id::Instance,
+    },
     /// Time has passed.
     Tick(View<'a>),
 }
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -9,6 +9,7 @@
 mod damper;
 mod frozen;
 mod message;
+mod reinstated;
 mod reports;
 mod switchover;
 mod unordered;
@@ -21,6 +22,8 @@
 use self::damper::Damper;
 pub use self::damper::{DAMPING_DELAY, DAMPING_RESET, MAX_DAMPING_DELAY};
 pub use self::message::{Input, Output, View};
+use self::reinstated::Reinstated;
+pub use self::reinstated::{CATCH_UP_WAIT, SETTLE_WAIT};
 pub use self::reports::FAULTY_TIMEOUT;
 use self::reports::{Reports, Verdict};
 use self::switchover::Switchover;
@@ -93,6 +96,7 @@
     /// Whether the epoch was put in force again after a freeze, so that replicas may still be paused.
     thawed: bool,
     unordered: Unordered,
+    reinstated: Reinstated,
     /// When a choice, or the lack of one, was last reported.
     reported_at: Option<Instant>,
     witnesses: Witnesses,
@@ -124,6 +128,7 @@
             paused: BTreeMap::new(),
             thawed: false,
             unordered: Unordered::default(),
+            reinstated: Reinstated::default(),
             reported_at: None,
             witnesses: Witnesses::default(),
         }
@@ -166,6 +171,9 @@
                 self.witnesses.record_departure(now);
             }
             Input::PromotionDeclined { instance } => self.declined = Some(instance),
+            Input::PromotionAccepted { instance } => {
+                self.reinstated.record_accepted(now, instance);
+            }
             Input::Tick(view) => return self.tick(now, view),
         }
         Vec::new()
@@ -209,6 +217,7 @@
                 self.last_phase = Some((epoch.term, epoch.phase, now));
                 self.fenced_at = None;
                 self.attempt = None;
+                self.reinstated = Reinstated::default();
                 self.thawed = epoch.phase == Phase::Active
                     && last.is_some_and(|(term, phase, _)| {
                         (term, phase) == (epoch.term, Phase::Frozen)
--- a/src/control/link/mod.rs
+++ b/src/control/link/mod.rs
@@ -6,6 +6,7 @@
 mod liveness;
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
@@ -37,12 +38,14 @@
 pub(super) struct Link {
     pub(super) address: SocketAddr,
     queue: Sender<Frame>,
+    has_answered: Arc<AtomicBool>,
 }
 
 impl Link {
     /// Starts the task that connects and sends queued frames.
     pub(super) fn open(shared: &Shared, node: id::Node, address: SocketAddr) -> Self {
         let (queue, frames) = smol::channel::bounded(QUEUE_FRAMES);
+        let has_answered = Arc::new(AtomicBool::new(false));
         let sender = FrameSender {
             clock: shared.clock.clone(),
             metrics: shared.metrics.clone(),
@@ -51,10 +54,15 @@
             node,
             address,
             connection: None,
-            has_answered: false,
+            has_answered: Arc::clone(&has_answered),
         };
         smol::spawn(sender.run(frames)).detach();
-        Self { address, queue }
+        Self { address, queue, has_answered }
+    }
+
+    /// Returns whether the process has answered a ping, which one of an earlier release never does.
+    pub(super) fn has_answered(&self) -> bool {
+        self.has_answered.load(Ordering::Relaxed)
     }
 
     /// Queues a frame. Returns `false` if the queue is full and the frame is dropped.
@@ -74,7 +82,7 @@
     connection: Option<Connection>,
     /// Whether the process has answered on any connection. One of an earlier release ignores pings, and its connections
     /// are replaced again and again.
-    has_answered: bool,
+    has_answered: Arc<AtomicBool>,
 }
 
 /// An open connection to one process.
@@ -89,7 +97,6 @@
 #[derive(Debug)]
 struct Received {
     liveness: Liveness,
-    has_answered: bool,
     /// Whether the connection was closed, or something arrived that can't be read.
     has_ended: bool,
 }
@@ -122,7 +129,6 @@
         let now = self.clock.now();
         let (has_ended, verdict) = {
             let received = connection.received();
-            self.has_answered |= received.has_answered;
             (received.has_ended, received.liveness.verdict(now))
         };
         match verdict {
@@ -130,7 +136,9 @@
             Verdict::Usable => {}
             Verdict::Ping => return true,
             Verdict::Idle => self.replace(Replacement::Idle),
-            Verdict::Silent if self.has_answered => self.replace(Replacement::Silent),
+            Verdict::Silent if self.has_answered.load(Ordering::Relaxed) => {
+                self.replace(Replacement::Silent)
+            }
             Verdict::Silent => self.replace(Replacement::Unproven),
         }
         false
@@ -144,9 +152,9 @@
         };
         let stream = stream.with_seal(&self.seal);
         let liveness = Liveness::new(self.clock.now());
-        let received = Received { liveness, has_answered: false, has_ended: false };
-        let received = Arc::new(Mutex::new(received));
-        let reading = read(self.clock.clone(), stream.clone(), Arc::clone(&received));
+        let received = Arc::new(Mutex::new(Received { liveness, has_ended: false }));
+        let has_answered = Arc::clone(&self.has_answered);
+        let reading = read(self.clock.clone(), stream.clone(), Arc::clone(&received), has_answered);
         self.connection = Some(Connection { stream, received, _reader: smol::spawn(reading) });
         true
     }
@@ -190,11 +198,15 @@
 }
 
 /// Records what arrives on a connection until it ends.
-async fn read(clock: Clock, mut stream: Stream, received: Arc<Mutex<Received>>) {
+async fn read(
+    clock: Clock,
+    mut stream: Stream,
+    received: Arc<Mutex<Received>>,
+    has_answered: Arc<AtomicBool>,
+) {
     while let Ok(Frame { body: Body::Ping, .. }) = stream.receive().await {
-        let mut received = lock(&received);
-        received.has_answered = true;
-        received.liveness.record_answer(clock.now());
+        has_answered.store(true, Ordering::Relaxed);
+        lock(&received).liveness.record_answer(clock.now());
     }
     lock(&received).has_ended = true;
 }
--- a/src/control/promotion/order.rs
+++ b/src/control/promotion/order.rs
@@ -156,6 +156,11 @@
     pub(in crate::control) fn carry_out(self: &Arc<Self>, term: id::Term, output: Output) {
         match output {
             Output::Submit(action) => {
+                if !self.is_understood(&action) {
+                    return log::warn!(
+                        "a voter of an earlier release would refuse {action:?}, upgrade it"
+                    );
+                }
                 log_decision(&action);
                 match &action {
                     Action::Freeze { .. } => self.metrics.record_freeze(),
@@ -202,6 +207,17 @@
         }
     }
 
+    /// Returns whether all voters in touch apply an action alike. Earlier releases refuse to put an epoch in force again once a
+    /// later term is reserved, and the replicated states would differ.
+    fn is_understood(&self, action: &Action) -> bool {
+        let Action::Thaw { group, term } = action else {
+            return true;
+        };
+        let core = self.core();
+        let is_reserved = core.state.claims.get(group).is_some_and(|claim| claim.term > *term);
+        !is_reserved || self.are_voters_current(&core)
+    }
+
     fn order(&self, term: id::Term, instance: &id::Instance, order: Order) {
         if let Some(orders) = self.order_queues().get(instance) {
             let _ = orders.try_send((term, order));
@@ -281,17 +297,15 @@
 
 /// Logs an action that control proposes.
 fn log_decision(action: &Action) {
-    let (decision, group, term, instance, start) = match action {
-        Action::Freeze { group, term } => ("freeze", group, *term, None, None),
-        Action::Thaw { group, term } => ("thaw", group, *term, None, None),
-        Action::Claim { group, term, primary } => ("claim", group, *term, Some(primary), None),
-        Action::Promote { group, term, primary, start } => {
-            ("promote", group, *term, Some(primary), Some(*start))
-        }
-        Action::Adopt { group, term, primary, start } => {
-            ("adopt", group, *term, Some(primary), Some(*start))
+    let Some((decision, group, term)) = action.decision() else {
+        return log::info!("control proposes {action:?}");
+    };
+    let (instance, start) = match action {
+        Action::Claim { primary, .. } => (Some(primary), None),
+        Action::Promote { primary, start, .. } | Action::Adopt { primary, start, .. } => {
+            (Some(primary), Some(*start))
         }
-        action => return log::info!("control proposes {action:?}"),
+        _ => (None, None),
     };
     Event::Decision { group, decision, term, instance, start }.log(Level::Info);
 }
--- a/src/control/promotion/outside.rs
+++ b/src/control/promotion/outside.rs
@@ -78,7 +78,7 @@
             Some(Ok(())) => {
                 *accepted = Some(Accepted { at: self.clock.now(), epoch });
                 log(Some("accepted".to_owned()), Level::Info);
-                None
+                Some(Input::PromotionAccepted { instance: instance.clone() })
             }
             Some(Err(refusal)) => {
                 log(Some(refusal.to_string()), Level::Warn);
--- a/src/control/server.rs
+++ b/src/control/server.rs
@@ -333,6 +333,16 @@
         }
     }
 
+    /// Returns whether every voter in touch applies commands as this release does. One of an earlier release never answers a
+    /// ping.
+    pub(super) fn are_voters_current(&self, core: &Core) -> bool {
+        let now = self.clock.now();
+        let links = self.links.lock().expect("no thread panics while holding this lock");
+        let others = core.raft.members().voters.keys().filter(|node| **node != self.me.node);
+        let mut in_touch = others.filter(|node| core.raft.is_reachable(now, node));
+        in_touch.all(|node| links.get(node).is_some_and(Link::has_answered))
+    }
+
     /// Returns the leader's address for operators if the leader is another process.
     pub(super) fn leader_admin_address(&self) -> Option<SocketAddr> {
         let core = self.core();
--- a/src/control/state/apply.rs
+++ b/src/control/state/apply.rs
@@ -98,9 +98,12 @@
     }
 
     fn thaw(&mut self, group: &id::Group, term: id::Term) -> Outcome {
-        let newer_claim = self.claims.get(group).is_some_and(|claim| claim.term > term);
+        let newer_claim = self.claims.get(group).filter(|claim| claim.term > term);
         match self.epochs.get_mut(group) {
-            Some(epoch) if epoch.term == term && !newer_claim => {
+            Some(epoch)
+                if epoch.term == term
+                    && newer_claim.is_none_or(|claim| claim.primary == epoch.primary) =>
+            {
                 epoch.phase = wire::Phase::Active;
                 self.done()
             }
--- a/src/control/state/mod.rs
+++ b/src/control/state/mod.rs
@@ -180,8 +180,8 @@
     Declare(Declaration),
     /// Record that an instance joined, is about to leave, or left.
     Announce(wire::Announcement),
-    /// Put a frozen epoch in force again with the same term. Refused if a newer term was reserved, since another
-    /// instance may have been promoted already.
+    /// Put a frozen epoch in force again with the same term. Refused if a newer term was reserved for another instance, since
+    /// that may have been promoted already.
     Thaw {
         /// The group.
         group: id::Group,
@@ -231,6 +231,20 @@
     },
 }
 
+impl Action {
+    /// Returns the name, the group and the term of a decision on a group's primary; `None` for other actions.
+    pub fn decision(&self) -> Option<(&'static str, &id::Group, id::Term)> {
+        match self {
+            Self::Freeze { group, term } => Some(("freeze", group, *term)),
+            Self::Thaw { group, term } => Some(("thaw", group, *term)),
+            Self::Claim { group, term, .. } => Some(("claim", group, *term)),
+            Self::Promote { group, term, .. } => Some(("promote", group, *term)),
+            Self::Adopt { group, term, .. } => Some(("adopt", group, *term)),
+            _ => None,
+        }
+    }
+}
+
 impl Command {
     /// Returns the encoded size of the command in bytes.
     pub fn size(&self) -> usize {
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -169,6 +169,17 @@
         /// Where the term's history begins.
         start: Option<id::Position>,
     },
+    /// A decision for a group was refused when it was applied.
+    RefusedDecision {
+        /// The group.
+        group: &'a id::Group,
+        /// The decision.
+        decision: &'static str,
+        /// The term that was to be frozen, claimed or put in force.
+        term: id::Term,
+        /// Why.
+        reason: &'a str,
+    },
     /// An instance was chosen for a frozen group, or none has been chosen for a while.
     Choice {
         /// The group.
@@ -400,6 +411,7 @@
             Self::Configuration { .. } => "event.configuration",
             Self::Session { .. } => "event.session",
             Self::Decision { .. } => "event.decision",
+            Self::RefusedDecision { .. } => "event.refused_decision",
             Self::Choice { .. } => "event.choice",
             Self::Promotion { .. } => "event.promotion",
             Self::UnorderedPromotion { .. } => "event.unordered_promotion",
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -129,6 +129,7 @@
         },
         Event::Session { database: "desk", was_open: false, reason: "unknown_key".to_owned() },
         Event::Decision { group, decision: "freeze", term, instance: None, start: None },
+        Event::RefusedDecision { group, decision: "thaw", term, reason: "it can't go on" },
         Event::Choice {
             group,
             decision: "claim",
@@ -181,6 +182,7 @@
         | Event::Configuration { .. }
         | Event::Session { .. }
         | Event::Decision { .. }
+        | Event::RefusedDecision { .. }
         | Event::Choice { .. }
         | Event::Promotion { .. }
         | Event::UnorderedPromotion { .. }
--- a/tests/machine/outside.rs
+++ b/tests/machine/outside.rs
@@ -2,6 +2,7 @@
 //! service may carry out an order long after control has given it up.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 use cactushatch::config::Durability;
 use cactushatch::control::failover::{Group, Input, Output, View};
@@ -20,6 +21,25 @@
 /// How long a primary goes on once it can reach an instance that was promoted in its place.
 pub const ROLLBACK_MS: u64 = 1_000;
 
+/// How long control knows an instance that announces itself no more, unless it is the primary in force.
+const KNOWN_MS: u64 = 10_000;
+
+/// How long an order that the service has accepted is not given again.
+const ACCEPTED_MS: u64 = 10_000;
+
+/// What the service does with orders.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Service {
+    /// It carries them out.
+    Works,
+    /// It accepts them and never carries them out.
+    Forgets,
+    /// It carries them out, and its answers are lost.
+    AnswersLost,
+    /// It refuses them, as by 429 or 5xx, or they don't reach it.
+    Refuses,
+}
+
 /// A write: the term of the primary that ran it, and its number.
 pub type Write = (u64, u64);
 
@@ -38,6 +58,15 @@
     paused: bool,
     /// Since when a replaced primary reaches the instance that replaced it.
     rolls_back_at: Option<u64>,
+    /// When the instance was last heard of.
+    heard_at: u64,
+}
+
+impl fmt::Display for Upstream {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { role, term, start, runs, paused, log, .. } = self;
+        write!(f, "{role:?} {term} from {start}, {} long, runs {runs}, paused {paused}", log.len())
+    }
 }
 
 impl Upstream {
@@ -70,6 +99,9 @@
     newest_term: u64,
     /// Orders that the service has accepted, with the time at which they take effect.
     orders: Vec<(u64, id::Instance)>,
+    pub service: Service,
+    /// When the leader's orders were accepted, and the epoch of that time.
+    accepted: BTreeMap<id::Instance, (u64, Option<id::Term>)>,
     pub acknowledged: BTreeSet<Write>,
     /// When a write was last acknowledged by an instance that the service had replaced.
     pub acknowledged_at_replaced: Option<u64>,
@@ -101,6 +133,7 @@
             linked: true,
             paused: false,
             rolls_back_at: None,
+            heard_at: 0,
         };
         let mut upstreams: BTreeMap<id::Instance, Upstream> =
             ["i1", "i2", "i3"].map(|id| (name(id), replica.clone())).into();
@@ -113,6 +146,8 @@
             leading,
             newest_term: 1,
             orders: Vec::new(),
+            service: Service::Works,
+            accepted: BTreeMap::new(),
             acknowledged: BTreeSet::new(),
             acknowledged_at_replaced: None,
             seen: BTreeMap::new(),
@@ -159,9 +194,25 @@
     pub fn elect(&mut self) {
         self.machine = Group::new(at(self.now), group());
         self.machine.set_promoted_outside(true);
+        self.accepted.clear();
+        self.probe();
+    }
+
+    /// Makes a running instance register under another id at its address.
+    pub fn rename(&mut self, from: &str, to: &str) {
+        let upstream = self.upstreams.remove(&name::<id::Instance>(from)).expect("an instance");
+        self.upstreams.insert(name(to), upstream);
+        if self.leading.as_str() == from {
+            self.leading = name(to);
+        }
         self.probe();
     }
 
+    /// Stops an instance for good.
+    pub fn lose(&mut self, instance: &str) {
+        self.upstream(instance).runs = false;
+    }
+
     /// Starts or restarts an instance. A primary that was replaced meanwhile starts as a replica, with its log.
     pub fn start(&mut self, instance: &str) {
         let leads = self.leading == name(instance);
@@ -258,7 +309,9 @@
         }
         self.write_count += 1;
         let write = (term, self.write_count);
-        let upstream = self.upstreams.get_mut(&primary).expect("an instance");
+        let Some(upstream) = self.upstreams.get_mut(&primary) else {
+            return;
+        };
         let serves = upstream.runs && upstream.in_touch && upstream.role == Role::Primary;
         if !serves || upstream.term != term {
             return;
@@ -299,7 +352,7 @@
     fn tick(&mut self) {
         let frozen = self.epoch().is_some_and(|epoch| epoch.phase == Phase::Frozen);
         self.fenced_at = frozen.then(|| self.fenced_at.unwrap_or(self.now + self.fence_ms));
-        let known_instances: Vec<id::Instance> = self.upstreams.keys().cloned().collect();
+        let known_instances = self.known_instances();
         let live_proxies: BTreeSet<id::Node> = ["p1", "p2", "p3"].map(name).into();
         let view = View {
             epoch: self.state.epochs.get(&group()),
@@ -316,7 +369,56 @@
         }
     }
 
+    /// Returns the instances that announced themselves lately, and the primary in force.
+    fn known_instances(&mut self) -> Vec<id::Instance> {
+        let epoch = self.state.epochs.get(&group());
+        let active = epoch.filter(|epoch| epoch.phase == Phase::Active);
+        let (now, mut known) = (self.now, Vec::new());
+        for (id, upstream) in &mut self.upstreams {
+            if upstream.runs {
+                upstream.heard_at = now;
+            }
+            let is_primary = active.is_some_and(|epoch| epoch.primary == *id);
+            if now - upstream.heard_at < KNOWN_MS || is_primary {
+                known.push(id.clone());
+            }
+        }
+        known
+    }
+
+    /// Gives the service an order to promote an instance, unless it has accepted one that is still open.
+    fn order_promotion(&mut self, instance: id::Instance) {
+        let epoch = self.epoch().map(|epoch| epoch.term);
+        let is_open =
+            |(at, term): &(u64, Option<id::Term>)| *term == epoch && self.now < *at + ACCEPTED_MS;
+        if self.accepted.get(&instance).is_some_and(is_open) || self.service == Service::Refuses {
+            return;
+        }
+        let answers = self.service != Service::AnswersLost;
+        if !self.upstreams[&instance].runs {
+            if answers {
+                self.machine.step(at(self.now), Input::PromotionDeclined { instance });
+            }
+            return;
+        }
+        if self.service != Service::Forgets {
+            self.orders.push((self.now + PROMOTION_MS, instance.clone()));
+        }
+        if answers {
+            self.accepted.insert(instance.clone(), (self.now, epoch));
+            self.machine.step(at(self.now), Input::PromotionAccepted { instance });
+        }
+    }
+
     fn carry_out(&mut self, output: Output) {
+        if let Output::Promote { instance, .. }
+        | Output::Pause { instance, .. }
+        | Output::Resume { instance }
+        | Output::Follow { instance, .. } = &output
+            && !self.upstreams.contains_key(instance)
+        {
+            return;
+        }
         match output {
             Output::Submit(action) => {
                 if let Action::Adopt { primary, .. } = &action {
@@ -328,14 +430,7 @@
                     self.fenced_at = None;
                 }
             }
-            Output::Promote { instance, .. } => {
-                let upstream = &self.upstreams[&instance];
-                if upstream.runs {
-                    self.orders.push((self.now + PROMOTION_MS, instance));
-                } else {
-                    self.machine.step(at(self.now), Input::PromotionDeclined { instance });
-                }
-            }
+            Output::Promote { instance, .. } => self.order_promotion(instance),
             Output::Pause { instance, term } => {
                 let newest = self.newest_term;
                 let upstream = self.upstreams.get_mut(&instance).expect("an instance");
@@ -380,6 +475,12 @@
         assert_eq!(given_up, 0, "{primary} lacks writes that {} holds", epoch.primary);
     }
 
+    /// Returns whether an instance holds all acknowledged writes, other than those in `lost`.
+    pub fn has_holder(&self, lost: &[&str]) -> bool {
+        let present = self.upstreams.iter().filter(|(id, _)| !lost.contains(&id.as_str()));
+        present.into_iter().any(|(_, up)| up.lacking(self.acknowledged.iter()) == 0)
+    }
+
     /// Returns whether the epoch in force is that of the instance that leads.
     pub fn is_served(&self) -> bool {
         let leading = &self.upstreams[&self.leading];
--- a/tests/registry.rs
+++ b/tests/registry.rs
@@ -193,3 +193,15 @@
     claim(&mut state, "i2", 4);
     assert!(!thaw(&mut state, 3));
 }
+
+/// Guards against a group that can't go on with its own primary, the only instance left, once a term was reserved.
+#[test]
+fn a_frozen_epoch_thaws_if_the_later_term_is_reserved_for_its_own_primary() {
+    let mut state = State::default();
+    state.epochs.insert(group(), epoch(3, "i1", Phase::Frozen, &[(3, 0)]));
+    claim(&mut state, "i2", 4);
+    claim(&mut state, "i1", 5);
+    assert!(thaw(&mut state, 3));
+    let epoch = &state.epochs[&group()];
+    assert_eq!((epoch.primary.as_str(), epoch.term), ("i1", id::Term(3)));
+}
