Take no term that was reserved before the epoch in force

A release or a failover could wait twelve seconds for nothing: the platform gives terms itself, so an epoch often comes into force on a lower term than the one reserved for its primary. When that epoch was frozen while its primary was usable, as in a release, the primary was ordered to take the old reservation, and no other instance was chosen until that had timed out.

Change: a term that was reserved while the epoch was in force is spent and isn't taken in a later freeze. A new leader that finds the group frozen can't know that and waits as before.

--- a/src/control/failover/frozen.rs
+++ b/src/control/failover/frozen.rs
@@ -118,7 +118,8 @@
     /// come into force on a lower term than the one reserved for its primary. Once that primary has failed, such a
     /// reservation is left over.
     fn open_claim<'a>(&self, now: Instant, epoch: &Epoch, view: View<'a>) -> Option<&'a Claim> {
-        let claim = view.claim.filter(|claim| claim.term > epoch.term)?;
+        let is_newer = |claim: &&Claim| claim.term > epoch.term && claim.term > self.spent_claim;
+        let claim = view.claim.filter(is_newer)?;
         let is_left_over = self.promoted_outside
             && claim.primary == epoch.primary
             && !self.unordered.is_found()
--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -84,6 +84,9 @@
     fenced_at: Option<Instant>,
     /// The reserved term of the current attempt, when the attempt began, and the number of attempts before it.
     attempt: Option<(id::Term, Instant, u32)>,
+    /// The newest term that was reserved when the epoch was last seen in force. It was for the epoch's own primary, and is not
+    /// taken in a later freeze.
+    spent_claim: id::Term,
     damper: Damper,
     switchover: Switchover,
     /// Whether an outside service promotes instances. The service may take long, and the instance adopts the next term,
@@ -121,6 +124,7 @@
             last_phase: None,
             fenced_at: None,
             attempt: None,
+            spent_claim: id::Term::default(),
             damper: Damper::default(),
             switchover: Switchover::default(),
             promoted_outside: false,
@@ -257,6 +261,7 @@
         since: Instant,
         view: View<'_>,
     ) -> Vec<Output> {
+        self.spent_claim = view.claim.map_or(epoch.term, |claim| claim.term);
         let verdict = self.verdict(now, &epoch.primary);
         let contradicts = !self.switchover.is_running() && self.contradicts(now, epoch, since);
         let failed = verdict != Verdict::Usable || contradicts;
--- a/src/control/failover/unordered.rs
+++ b/src/control/failover/unordered.rs
@@ -59,7 +59,8 @@
             return Vec::new();
         }
         if epoch.phase == Phase::Frozen
-            && let Some(claim) = view.claim.filter(|claim| claim.term > epoch.term)
+            && let Some(claim) =
+                view.claim.filter(|claim| claim.term > epoch.term.max(self.spent_claim))
             && !self.unordered.ordered.contains(&claim.primary)
         {
             self.unordered.ordered.push(claim.primary.clone());
--- a/tests/failover_outside.rs
+++ b/tests/failover_outside.rs
@@ -175,6 +175,28 @@
     assert!(OUTSIDE_PROMOTION_TIMEOUT > OUTSIDE_ORDER_REPEAT * 2);
 }
 
+/// Guards against a release that stalls: the primary of the epoch in force had a term reserved above the one that it took, and
+/// was ordered to take it once its epoch was frozen to replace it.
+#[test]
+fn a_term_that_was_reserved_before_the_epoch_came_into_force_is_not_taken_after_a_freeze() {
+    let mut rig = Rig::frozen();
+    rig.epoch.phase = Phase::Active;
+    rig.claim = Some(Claim { term: id::Term(7), primary: name("i1") });
+    rig.tick(at(10));
+    rig.epoch.phase = Phase::Frozen;
+    rig.fenced = true;
+    rig.tick(at(20));
+    rig.probe(at(30), "i1", status(Role::Primary, 3, 9, 0));
+    rig.probe(at(30), "i2", status(Role::Replica, 3, 9, 0));
+    rig.probe(at(30), "i3", status(Role::Replica, 3, 9, 0));
+    let outputs = rig.tick(at(30));
+    let claims = |output: &Output| {
+        matches!(output, Output::Submit(Action::Claim { term: id::Term(8), primary, .. })
+            if primary.as_str() != "i1")
+    };
+    assert!(outputs.iter().any(claims), "{outputs:?}");
+}
+
 /// If the primary turns out to be available and no replica is proven to hold all acknowledged writes, the epoch is
 /// thawed. Replicas that were paused must then be resumed, or they would fall behind.
 #[test]
