Replace a primary in force that isn't registered any more

Cause: the registry spares a primary in force that is silent, but not one that is deregistered or whose address another instance takes. Reports on an instance that isn't registered are dropped, so that no observer was left who could find it unusable, and it counted as usable.

Change: where an outside service promotes, a primary in force that isn't registered counts as crashed, as long as another instance is registered. The returned primary is then succeeded by a replica that has caught up with it, as after a freeze. Without a replica it still waits for one (docs/PLATFORM.md).

The new test in tests/failover_exits.rs fails without the change (the group stays on the primary that left) and passes with it.

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -262,7 +262,10 @@
         view: View<'_>,
     ) -> Vec<Output> {
         self.spent_claim = view.claim.map_or(epoch.term, |claim| claim.term);
-        let verdict = self.verdict(now, &epoch.primary);
+        let verdict = match self.has_left(epoch, view) {
+            true => Verdict::Crashed,
+            false => self.verdict(now, &epoch.primary),
+        };
         let contradicts = !self.switchover.is_running() && self.contradicts(now, epoch, since);
         let failed = verdict != Verdict::Usable || contradicts;
         if failed && self.damper.allows(now, verdict) {
@@ -293,6 +296,14 @@
         self.reports.verdict(now, instance, own)
     }
 
+    /// Returns whether the primary in force was deregistered, or another instance has registered at its address: the registry
+    /// removes no such primary for its silence alone. Nobody reports on it any more.
+    fn has_left(&self, epoch: &Epoch, view: View<'_>) -> bool {
+        self.promoted_outside
+            && !view.known_instances.is_empty()
+            && !view.known_instances.contains(&epoch.primary)
+    }
+
     /// Returns whether the primary's own status shows that it is not the primary of the epoch's term: it was restarted
     /// as a replica, demoted by a switchover that was not completed, or restored from an older copy.
     fn contradicts(&self, now: Instant, epoch: &Epoch, since: Instant) -> bool {
--- a/tests/failover_exits.rs
+++ b/tests/failover_exits.rs
@@ -107,6 +107,22 @@
     }
 }
 
+/// Guards against review/2: nobody reports on a primary in force that isn't registered any more.
+#[test]
+fn a_primary_that_is_registered_under_another_id_before_a_freeze_is_succeeded() {
+    let mut simulation = Simulation::new();
+    simulation.run(3_000);
+    simulation.upstream("i3").linked = false;
+    simulation.run(500);
+    simulation.rename("i1", "i4");
+    simulation.run(500);
+    simulation.upstream("i3").linked = true;
+    simulation.run(RECOVERY_MS);
+    let epoch = simulation.epoch().expect("an epoch");
+    assert!(simulation.is_served(), "{epoch:?}");
+    assert_eq!((epoch.primary.as_str() != "i1", simulation.lost()), (true, 0));
+}
+
 const INSTANCES: [&str; 3] = ["i1", "i2", "i3"];
 
 /// Stops an instance for good, if another one holds all acknowledged writes.
