--- a/tests/control/silence.rs
+++ b/tests/control/silence.rs
@@ -7,7 +7,8 @@
 use cactushatch::config::Settings;
 use cactushatch::control::state::{Action, Command};
 use cactushatch::control::{Server, spawn_with_disk};
-use cactushatch::wire::Answer;
+use cactushatch::id;
+use cactushatch::wire::{Answer, Body, Frame, Stream};
 
 use crate::disk::Memory;
 use crate::relay::Relay;
@@ -85,6 +86,47 @@
     }
 }
 
+/// Guards against descriptors that are kept for connections which the other end has given up without this one being told.
+#[test]
+fn a_connection_that_carries_nothing_for_a_minute_is_closed() {
+    let free = free_addresses(2);
+    let text = format!(
+        "node = \"control-0\"\ndomain = \"a\"\ndata = \"unused\"\nvoters = [{{ node = \"control-0\", \
+         domain = \"a\", address = \"{0}\", admin = \"{1}\" }}]\n[control]\naddress = \"{0}\"\n\
+         admin = \"{1}\"\n",
+        free[0], free[1]
+    );
+    let settings = Settings::parse("settings", &text).unwrap();
+    let clock = Clock::paused();
+    let starting = spawn_with_disk(clock.clone(), &settings, Memory::default());
+    let _server = smol::block_on(starting).unwrap();
+    let ping = Frame {
+        sender: "control-1".parse().unwrap(),
+        incarnation: id::Incarnation(1),
+        body: Body::Ping,
+    };
+    smol::block_on(async {
+        let mut stream = Stream::connect(free[0].parse().unwrap()).await.unwrap();
+        for _ in 0..3 {
+            clock.advance(Duration::from_secs(59));
+            stream.send(&ping).await.unwrap();
+            assert_eq!(stream.receive().await.unwrap().body, Body::Ping);
+        }
+        // The process may not wait for the next frame yet when the time passes.
+        let ended = async {
+            loop {
+                clock.advance(Duration::from_secs(61));
+                Clock::system().sleep(Duration::from_millis(20)).await;
+                if stream.is_closed().await {
+                    return;
+                }
+            }
+        };
+        let ended = Clock::system().timeout(START_TIMEOUT, ended).await;
+        assert!(ended.is_some(), "the connection is still open");
+    });
+}
+
 /// Guards against review/7: each voter kept a silent connection because it heard the other one on another connection, and
 /// no leader was found.
 #[test]
--- a/tests/failover_exits.rs
+++ b/tests/failover_exits.rs
@@ -107,6 +107,23 @@
     }
 }
 
+/// Guards against a promotion that ends the pause of another replica: the returned primary acknowledges with that one until the
+/// fence holds, while the promoted one is cut off from both.
+#[test]
+fn a_replica_that_is_promoted_while_it_is_cut_off_lacks_no_acknowledged_write() {
+    let mut simulation = Simulation::new();
+    simulation.fence_ms = 1_500;
+    simulation.run(3_000);
+    simulation.upstream("i1").runs = false;
+    let successor = run_until_claimed(&mut simulation);
+    simulation.run(30);
+    simulation.upstream(&successor).linked = false;
+    simulation.run(20);
+    simulation.start("i1");
+    simulation.run(3_000);
+    assert_eq!(simulation.lost(), 0);
+}
+
 /// Guards against review/2: nobody reports on a primary in force that isn't registered any more.
 #[test]
 fn a_primary_that_is_registered_under_another_id_before_a_freeze_is_succeeded() {
