Ask a primary for its status anew before its epoch goes on

Cause: a status over a kept connection counts from when that connection was opened, and nothing asked for a newer one once the platform had accepted to promote the primary. The model of the machine's tests counts each status from now, so it didn't show this.

Change: the time after which the order must have had its effect is one of those from which the group needs newer statuses. The module has a noun for its name.

--- a/src/control/failover/mod.rs
+++ b/src/control/failover/mod.rs
@@ -9,7 +9,7 @@
 mod damper;
 mod frozen;
 mod message;
-mod reinstated;
+mod reinstatement;
 mod reports;
 mod switchover;
 mod unordered;
@@ -22,8 +22,8 @@
 use self::damper::Damper;
 pub use self::damper::{DAMPING_DELAY, DAMPING_RESET, MAX_DAMPING_DELAY};
 pub use self::message::{Input, Output, View};
-use self::reinstated::Reinstated;
-pub use self::reinstated::{CATCH_UP_WAIT, SETTLE_WAIT};
+use self::reinstatement::Reinstatement;
+pub use self::reinstatement::{CATCH_UP_WAIT, SETTLE_WAIT};
 pub use self::reports::FAULTY_TIMEOUT;
 use self::reports::{Reports, Verdict};
 use self::switchover::Switchover;
@@ -99,7 +99,7 @@
     /// Whether the epoch was put in force again after a freeze, so that replicas may still be paused.
     thawed: bool,
     unordered: Unordered,
-    reinstated: Reinstated,
+    reinstatement: Reinstatement,
     /// When a choice, or the lack of one, was last reported.
     reported_at: Option<Instant>,
     witnesses: Witnesses,
@@ -132,7 +132,7 @@
             paused: BTreeMap::new(),
             thawed: false,
             unordered: Unordered::default(),
-            reinstated: Reinstated::default(),
+            reinstatement: Reinstatement::default(),
             reported_at: None,
             witnesses: Witnesses::default(),
         }
@@ -144,10 +144,16 @@
     }
 
     /// Returns the time after which a status must have been requested to count for the next decision: the group has entered a
-    /// phase, its fence has held, an unordered promotion was found, or an instance has left.
+    /// phase, its fence has held, an unordered promotion was found, an instance has left, or an order to promote the primary
+    /// itself must have had its effect.
     pub fn readings_since(&self) -> Instant {
         let phase_at = self.last_phase.map_or(self.created_at, |(.., at)| at);
-        let later = [self.fenced_at, self.unordered.found_at(), self.witnesses.departed_at()];
+        let later = [
+            self.fenced_at,
+            self.unordered.found_at(),
+            self.witnesses.departed_at(),
+            self.reinstatement.settles_at(),
+        ];
         later.into_iter().flatten().fold(phase_at, Instant::max)
     }
 
@@ -176,7 +182,7 @@
             }
             Input::PromotionDeclined { instance } => self.declined = Some(instance),
             Input::PromotionAccepted { instance } => {
-                self.reinstated.record_accepted(now, instance);
+                self.reinstatement.record_accepted(now, instance);
             }
             Input::Tick(view) => return self.tick(now, view),
         }
@@ -221,7 +227,7 @@
                 self.last_phase = Some((epoch.term, epoch.phase, now));
                 self.fenced_at = None;
                 self.attempt = None;
-                self.reinstated = Reinstated::default();
+                self.reinstatement = Reinstatement::default();
                 self.thawed = epoch.phase == Phase::Active
                     && last.is_some_and(|(term, phase, _)| {
                         (term, phase) == (epoch.term, Phase::Frozen)
--- a/src/control/failover/reinstated.rs
+++ b/src/control/failover/reinstatement.rs
@@ -25,22 +25,24 @@
 
 /// What is known of the way back in the present phase of the epoch.
 #[derive(Debug, Default)]
-pub(super) struct Reinstated {
+pub(super) struct Reinstatement {
     /// Since when replicas are to catch up with the primary.
     catching_up_since: Option<Instant>,
     /// The last order that the service accepted, and when.
     accepted: Option<(id::Instance, Instant)>,
+    /// When an accepted order to promote the epoch's primary has certainly had its effect, if it has one.
+    settles_at: Option<Instant>,
 }
 
-impl Reinstated {
+impl Reinstatement {
     pub(super) fn record_accepted(&mut self, now: Instant, instance: id::Instance) {
         self.accepted = Some((instance, now));
     }
 
-    /// Returns when an order to promote the instance has certainly had its effect, if it has one.
-    fn settled_at(&self, instance: &id::Instance) -> Option<Instant> {
-        let (accepted, at) = self.accepted.as_ref()?;
-        (accepted == instance).then(|| *at + SETTLE_WAIT)
+    /// Returns the time after which the primary must have been asked for its status, once the service has accepted to promote
+    /// it.
+    pub(super) fn settles_at(&self) -> Option<Instant> {
+        self.settles_at
     }
 }
 
@@ -58,7 +60,7 @@
         let Some(claim) = reserved.filter(|claim| claim.primary != epoch.primary) else {
             return self.thaw(now, epoch);
         };
-        let since = *self.reinstated.catching_up_since.get_or_insert(now);
+        let since = *self.reinstatement.catching_up_since.get_or_insert(now);
         if !behind.is_empty() && now.since(since) < CATCH_UP_WAIT {
             return self.resume(now, behind);
         }
@@ -78,9 +80,12 @@
         if !self.promoted_outside || claim.primary != epoch.primary {
             return None;
         }
-        let settled_at = self.reinstated.settled_at(&claim.primary)?;
+        let accepted = self.reinstatement.accepted.as_ref();
+        let accepted = accepted.filter(|(instance, _)| *instance == claim.primary);
+        let settles_at = accepted.map(|(_, at)| *at + SETTLE_WAIT)?;
+        self.reinstatement.settles_at = Some(settles_at);
         let (_, status) = self
-            .statuses_since(now, settled_at)
+            .statuses_since(now, settles_at)
             .find(|(instance, _)| **instance == claim.primary)?;
         let is_unchanged = status.role == Role::Primary && status.term == epoch.term;
         is_unchanged.then(|| self.thaw(now, epoch))
