--- a/src/control/failover/candidate.rs
+++ b/src/control/failover/candidate.rs
@@ -157,8 +157,8 @@
     }
 
     /// Returns the best instance other than the primary that holds the history up to `position`. If an outside service
-    /// promotes, it may hold other data beyond that: no other instance may ever replace it, and nobody was told that this
-    /// data is not kept.
+    /// promotes and no better instance has answered in time, it may hold other data beyond that, since the service rolls back
+    /// only replicas, and nobody was told that this data is not kept.
     fn best_at(&self, position: id::Position) -> Option<Reading<'a>> {
         let accepts_diverged = self.promoted_outside && self.waited;
         let eligible = self.others().filter(|reading| {
