Give a ping its whole time on an idle and on a new connection

Cause: since a ping on an idle connection had 175 ms, and the rest of 350 ms was left for a new one. Overloaded instances took longer, so all proxies closed their idle connections and opened new ones, which takes a slot, and reported the instances as silent.

Change: a ping has 350 ms on the idle connection, as before that commit, and 350 ms more on a new one if that gave no answer. A dark instance with idle connections is found up to 350 ms later than before.

--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -23,10 +23,6 @@
 /// slots, so this covers many round trips between failure domains and opening a new connection.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 
-/// How long an idle connection may take to answer a ping. It may have gone silent, so that the rest of [`PING_TIMEOUT`] is left
-/// for a new one.
-const IDLE_PING_TIMEOUT: Duration = Duration::from_millis(175);
-
 /// Pings instances in a loop until the process ends.
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
@@ -75,11 +71,10 @@
     permit: Option<Permit>,
     guard: PingGuard,
 ) {
-    let deadline = shared.clock.now() + PING_TIMEOUT;
     let seat = match shared.any_idle_connection(&replica.instance) {
         Ok(connection) => {
-            let idle_deadline = shared.clock.now() + IDLE_PING_TIMEOUT;
-            match ping(&shared, &replica, connection, &permit, idle_deadline).await {
+            let deadline = shared.clock.now() + PING_TIMEOUT;
+            match ping(&shared, &replica, connection, &permit, deadline).await {
                 Ok(()) => return,
                 Err(error) => shared.record_failure(&replica.instance, &error),
             }
@@ -87,6 +82,8 @@
         }
         Err(seat) => seat,
     };
+    // A connection that went silent shows nothing, so an overloaded instance has the same time again.
+    let deadline = shared.clock.now() + PING_TIMEOUT;
     match shared.open_connection(&replica.instance, None, seat, deadline).await {
         Ok(connection) => match ping(&shared, &replica, connection, &permit, deadline).await {
             Ok(()) => {}
