Test that slow answers to pings cost no connection

The regression that mended had no test in the suite: a ping on an idle connection had 175 ms, so that the idle connections of an overloaded instance were closed and opened anew by all proxies.

Change: the stand-in can delay each command, and the test counts the connections that proxies open while commands take 120 ms; a ping consists of two.

--- a/tests/lines/group.rs
+++ b/tests/lines/group.rs
@@ -262,6 +262,11 @@
         instances.iter_mut().find(|instance| instance.id == id).unwrap().max_connections = 0;
     }
 
+    /// Returns the number of connections that were opened to the instances so far.
+    pub fn opened_connections(&self) -> usize {
+        self.ledger.connections()
+    }
+
     /// Returns the number of open connections to an instance.
     pub fn connections(&self, id: &str) -> usize {
         self.lock().iter().find(|instance| instance.id == id).unwrap().connections
@@ -427,6 +432,7 @@
             if self.lock()[index].unresponsive {
                 continue;
             }
+            self.service.delay();
             let (_, text) = split_mark(statement);
             let word = Content::from(content::split_word(text).0).text();
             let is_data = matches!(word.as_str(), "FETCH" | "PUT" | "EXEC" | "BEGIN" | "COMMIT");
--- a/tests/lines/ledger.rs
+++ b/tests/lines/ledger.rs
@@ -176,6 +176,10 @@
         self.connections.fetch_add(1, Ordering::SeqCst)
     }
 
+    pub fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
+    }
+
     /// Forgets what was sent and read so far.
     pub fn clear(&self) {
         self.sent.lock().unwrap().clear();
--- a/tests/lines/service.rs
+++ b/tests/lines/service.rs
@@ -16,6 +16,8 @@
     pub slots: usize,
     /// Time that a statement runs.
     pub duration: Duration,
+    /// Time that passes until an instance runs a statement or answers a ping.
+    pub delay: Duration,
     /// One in this many statements is run and not answered; 0 for none. Every other of these connections is closed.
     pub lost_one_in: u64,
     /// Whether a line is dropped if the connection ends before the line does. Otherwise it runs as far as it came.
@@ -33,6 +35,7 @@
         Self {
             slots: usize::MAX,
             duration: Duration::ZERO,
+            delay: Duration::ZERO,
             lost_one_in: 0,
             drops_cut_lines: false,
             deaf: BTreeSet::new(),
@@ -80,6 +83,11 @@
         self.conditions.lock().unwrap().odd_signatures
     }
 
+    pub(super) fn delay(&self) {
+        let delay = self.conditions.lock().unwrap().delay;
+        std::thread::sleep(delay);
+    }
+
     pub(super) fn wait_while_deaf(&self, instance: &str) {
         while self.conditions.lock().unwrap().deaf.contains(instance) {
             std::thread::sleep(POLL_INTERVAL);
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -14,6 +14,9 @@
 /// may one that was sent on another silent connection before that was known.
 const MAX_GAP: Duration = Duration::from_millis(2 * 800 + 400);
 
+/// How long an overloaded instance takes for a command. A ping on an idle connection consists of two.
+const SLOW_ANSWER: Duration = Duration::from_millis(120);
+
 /// Guards against a primary that is given up, though new connections to it work, because the open ones went silent.
 #[test]
 fn silent_connections_to_a_primary_don_t_replace_it() {
@@ -45,3 +48,19 @@
     assert_eq!(fleet.group.primary(), primary, "{logs}");
     assert!(gaps.iter().all(|gap| *gap <= MAX_GAP), "{gaps:?}");
 }
+
+/// Guards against instances that are slow under load and lose their idle connections, so that all proxies open new ones.
+#[test]
+fn slow_answers_to_pings_cost_no_connection() {
+    let fleet = Fleet::up(206);
+    let sessions = PROXIES.map(|vm| Load::start(fleet.address(vm, FRONT_PORT), format!("s{vm}")));
+    std::thread::sleep(Duration::from_secs(1));
+    sessions.into_iter().for_each(|session| drop(session.stop()));
+    fleet.group.change_conditions(|conditions| conditions.delay = SLOW_ANSWER);
+    std::thread::sleep(Duration::from_secs(1));
+    let before = fleet.group.opened_connections();
+    std::thread::sleep(Duration::from_secs(4));
+    let opened = fleet.group.opened_connections() - before;
+    println!("{opened} connections");
+    assert_eq!(opened, 0, "{}", fleet.logs());
+}
