Close connections whose other end is gone without having closed them

Callers' sessions on the platform's edge and streams of other proxies were kept for ever if the other end lost power, or if its path went silent.

PostgreSQL's edge had TCP keepalive already.

Change: socket::keep_alive is used on both edges and for accepted streams. A stream without a transaction that carried nothing for a minute is closed, and the forwarding proxy doesn't use one that was unused for 30 s. A transaction's stream isn't limited: it ends with the idle limit of transactions.

--- a/src/broker/accept.rs
+++ b/src/broker/accept.rs
@@ -6,6 +6,7 @@
 use smol::net::{TcpListener, TcpStream};
 
 use super::server::Shared;
+use crate::socket;
 
 /// The delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -20,7 +21,13 @@
 {
     loop {
         match listener.accept().await {
-            Ok((socket, _)) => smol::spawn(serve(Arc::clone(&shared), socket)).detach(),
+            Ok((socket, _)) => {
+                if let Err(error) = socket::keep_alive(&socket) {
+                    log::debug!("an accepted connection failed: {error}");
+                    continue;
+                }
+                smol::spawn(serve(Arc::clone(&shared), socket)).detach();
+            }
             Err(error) => {
                 log::warn!(
                     "a connection could not be accepted: {error}; retrying in {ACCEPT_RETRY_DELAY:?}"
--- a/src/broker/forward.rs
+++ b/src/broker/forward.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use super::need::PositionSample;
-use super::peer::{AVOID_PERIOD, NOT_SERVING_PERIOD, Statement};
+use super::peer::{AVOID_PERIOD, MAX_UNUSED, NOT_SERVING_PERIOD, Statement};
 use super::recovery::{self, Recovery};
 use super::run::{Execution, Refusal, Reply, Runner};
 use super::server::Shared;
@@ -382,6 +382,7 @@
             }?
             .clone();
             let stream = state.peers.begin(&server);
+            let stream = stream.filter(|(used_at, _)| now.since(*used_at) < MAX_UNUSED);
             let peer = Peer { shared: Arc::clone(shared), server, stream, reusable: false };
             Some(Ok(Some(peer)))
         };
--- a/src/broker/peer.rs
+++ b/src/broker/peer.rs
@@ -32,6 +32,9 @@
 /// The maximum number of idle streams to one proxy.
 const MAX_IDLE_STREAMS: usize = 8;
 
+/// How long a stream is kept that no statement uses: less than until the serving proxy closes it.
+pub const MAX_UNUSED: Duration = Duration::from_secs(30);
+
 /// The proxies to which statements are forwarded.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -253,11 +256,12 @@
             return;
         };
         peer.active = peer.active.saturating_sub(1);
-        if let Some(stream) = stream
-            && peer.address == server.address
-            && peer.idle.len() < MAX_IDLE_STREAMS
-        {
-            peer.idle.push(stream);
+        let Some((used_at, stream)) = stream else {
+            return;
+        };
+        peer.idle.retain(|(before, _)| used_at.since(*before) < MAX_UNUSED);
+        if peer.address == server.address && peer.idle.len() < MAX_IDLE_STREAMS {
+            peer.idle.push((used_at, stream));
         }
     }
 
--- a/src/broker/serve.rs
+++ b/src/broker/serve.rs
@@ -26,6 +26,10 @@
 /// proxy ends it with an answer for the caller.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 
+/// How long a stream without a transaction may carry nothing until it is closed. The forwarding proxy may have given it up
+/// without this one being told.
+const MAX_IDLE: Duration = Duration::from_secs(60);
+
 /// The text for a statement whose answer doesn't fit a frame.
 const TOO_LARGE: &str =
     "the rows of the answer are too large to be passed on to the caller's proxy";
@@ -150,11 +154,13 @@
         }
     }
 
-    /// Receives the next frame. Returns `None` if the open transaction must end instead.
+    /// Receives the next frame. Returns `None` if the stream has been idle for too long, or the open transaction must end
+    /// instead.
     async fn receive(&self, stream: &mut Stream) -> Result<Option<Frame>, Error> {
         let receiving = async { stream.receive().await.map(Some) };
         if !self.runner.has_connection() {
-            return receiving.await;
+            let received = self.shared.clock.timeout(MAX_IDLE, receiving).await;
+            return received.unwrap_or(Ok(None));
         }
         let aborting = async {
             self.shared.shutdown.wait_for(Stage::Aborting).await;
--- a/src/proxy/caller/start.rs
+++ b/src/proxy/caller/start.rs
@@ -8,7 +8,6 @@
 use pgwire::messages::response::TransactionStatus;
 use smol::io::{AsyncWriteExt, BufReader};
 use smol::net::{TcpListener, TcpStream};
-use socket2::{SockRef, TcpKeepalive};
 
 use super::{Caller, Progress, Transaction};
 use crate::id;
@@ -29,12 +28,6 @@
 /// The size of a caller's read buffer in bytes. Longer messages bypass it.
 const READ_BUFFER_BYTES: usize = 512;
 
-/// How long a caller's connection is silent before the first TCP keepalive probe.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(60);
-
-/// The interval between TCP keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(10);
-
 /// The delay before the next accept after a failed one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -66,8 +59,7 @@
 }
 
 async fn serve(shared: &Arc<Shared>, socket: TcpStream) -> Result<(), Error> {
-    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_TIME).with_interval(KEEPALIVE_INTERVAL);
-    SockRef::from(&socket).set_tcp_keepalive(&keepalive)?;
+    crate::socket::keep_alive(&socket)?;
     let mut socket = Socket::from_accepted(socket)?;
     let negotiated = negotiate(shared, &mut socket);
     let negotiated = shared.clock.timeout(STARTUP_TIMEOUT, negotiated).await;
