Test that the forwarding proxy closes unused streams first

A statement that is sent on a stream which the serving proxy is just closing is lost with it and tried elsewhere. The test fails without the expiry in broker::peer (the first stream is still kept) and passes with it.

--- a/tests/platform_idle_connections.rs
+++ b/tests/platform_idle_connections.rs
@@ -6,11 +6,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
+use cactushatch::broker::peer::{MAX_UNUSED, Peers};
 use cactushatch::broker::{self, Server};
 use cactushatch::clock::Clock;
 use cactushatch::config::Settings;
 use cactushatch::id;
-use cactushatch::wire::{Body, Frame, Stream};
+use cactushatch::wire::{self, Body, Frame, Stream};
 use line::LineCodec;
 
 static LINE_CODEC: LineCodec = LineCodec;
@@ -106,3 +107,26 @@
         assert!(closed.is_some(), "the stream is still open");
     });
 }
+
+/// Guards against a statement that is sent on a stream which the serving proxy is just closing.
+#[test]
+fn a_stream_that_was_unused_is_closed_first_by_the_forwarding_proxy() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (node, domain) = ("proxy-1".parse().unwrap(), "a".parse().unwrap());
+    let server = wire::Server { node, domain, address };
+    let clock = Clock::paused();
+    let mut peers = Peers::default();
+    for _ in 0..2 {
+        assert!(peers.begin(&server).is_none());
+    }
+    let mut accepted = Vec::new();
+    for _ in 0..2 {
+        let stream = smol::block_on(Stream::connect(address)).unwrap();
+        accepted.push(listener.accept().unwrap());
+        peers.end(&server, Some((clock.now(), stream)));
+        clock.advance(MAX_UNUSED);
+    }
+    assert!(peers.begin(&server).is_some(), "the stream that was used last");
+    assert!(peers.begin(&server).is_none(), "the first one is still kept");
+}
