--- a/tests/platform_removed_route.rs
+++ b/tests/platform_removed_route.rs
@@ -122,3 +122,62 @@
         }
     }
 }
+
+/// Declares the account `ann` with these keys, and no route of the database `desk` if `is_open` is false.
+fn with_keys(version: u64, keys: &[&str], is_open: bool) -> String {
+    let text = configuration(version, 800, FEW_CONNECTIONS);
+    let text = if is_open { text } else { without(&text, Leaving::Route) };
+    let mut value: serde_json::Value = serde_json::from_str(&text).unwrap();
+    value["Tenants"] = serde_json::json!([{ "Name": "ann", "ApiKeys": keys }]);
+    value.to_string()
+}
+
+/// Guards against a transaction that is kept though its answer says otherwise, or whose session runs statements again, because its
+/// key was withdrawn together with its route.
+#[test]
+fn a_transaction_keeps_what_was_acknowledged_when_its_key_leaves_with_its_route() {
+    let fleet = Fleet::up_with(205, &MANY_PROXIES, FEW_CONNECTIONS);
+    let serving: BTreeSet<u8> = fleet.serving().into_iter().collect();
+    let forwarding = MANY_PROXIES.iter().find(|vm| !serving.contains(vm)).copied();
+    let mut version = 2;
+    for vm in [serving.first().copied(), forwarding].map(|vm| vm.expect("a proxy of each kind")) {
+        for ending in ["COMMIT", "ROLLBACK", "PUT second x", "FETCH second"] {
+            let place = format!("{ending}, proxy {vm}");
+            assert_eq!(fleet.put_configuration_text(&with_keys(version, &["me"], true)), 200);
+            fleet.wait_until("the key is known", |fleet| {
+                fleet.connect(vm, "desk").connect_answer.starts_with("READY")
+                    && fleet.connect_with_key(vm, "desk", "other").connect_answer.starts_with("ERR")
+            });
+            let item = format!("first{version}");
+            let mut session = begin(&fleet, vm, &format!("PUT {item} x"));
+            let without_key = with_keys(version + 1, &["other"], false);
+            assert_eq!(fleet.put_configuration_text(&without_key), 200);
+            fleet.wait_until("the key is withdrawn", |fleet| {
+                fleet.connect(vm, "desk").connect_answer.starts_with("ERR")
+            });
+            let ended = session.query(ending);
+            let committed = ending == "COMMIT"
+                && ended.as_ref().is_some_and(|answer| answer.result.starts_with("DONE"));
+            assert!(ended.is_some_and(|answer| !answer.result.is_empty()), "{place}: no answer");
+            // The transaction may go on for a while, and its session may end.
+            let mut refused = None;
+            let mut puts = 0;
+            while refused.is_none() && puts < 100 {
+                refused = match session.query("PUT again x") {
+                    Some(answer) if answer.result.starts_with("DONE") => None,
+                    answer => Some(answer.map_or_else(String::new, |answer| answer.result)),
+                };
+                puts += 1;
+                std::thread::sleep(Duration::from_millis(50));
+            }
+            println!("{place}: {puts} statements, then {refused:?}");
+            assert!(refused.is_some(), "{place}: the transaction goes on");
+            let is_final = ending == "COMMIT" || ending == "ROLLBACK";
+            assert!(!is_final || puts == 1, "{place}: {puts} statements after the transaction");
+            let kept = fleet.group.values_of(&item).len();
+            assert_eq!(kept, usize::from(committed), "{place}");
+            version += 2;
+        }
+    }
+    assert!(fleet.group.values_of("again").is_empty());
+}
