Report the silence of a hung instance before it is greeted again

A hung primary accepts connections and answers no command. It was frozen after 0.86 to 1.51 s, and after 0.42 to 0.62 s on.

Cause: since the two pings of 350 ms of a silent instance end just when the next check begins, every 100 ms. That opened a connection at once, whose greeting ends the silence, 1 ms after it was found and before a heartbeat could report it. Evidence: the "instance" lines of both proxies, Silent at 22.0208 and Fine at 22.0220.

Change: a ping that leaves the instance unusable delays the next one by 50 ms. A greeting still ends a silence, since a refusal for want of connections does so too and may be all that such an instance answers.

The test fails 3 of 3 before, passes 3 of 3.

--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -7,6 +7,7 @@
 use super::connection::{Permit, SharedConnection};
 use super::guard::PingGuard;
 use super::server::Shared;
+use super::state::Instance;
 use crate::clock::Instant;
 use crate::id;
 use crate::statement::Command;
@@ -23,6 +24,10 @@
 /// slots, so this covers many round trips between failure domains and opening a new connection.
 const PING_TIMEOUT: Duration = Duration::from_millis(350);
 
+/// How long a failed ping delays the next one. A hung instance still accepts connections, which ends its silence, so the
+/// failure must be reported before.
+const REPORT_TIME: Duration = CHECK_INTERVAL.checked_div(2).expect("the divisor is not 0");
+
 /// Pings instances in a loop until the process ends.
 pub(super) async fn run(shared: Arc<Shared>) {
     loop {
@@ -100,6 +105,11 @@
             }
         }
     }
+    let entry = |entry: &Instance| !entry.health.is_usable();
+    let has_failed = shared.lock().instances.get(&replica.instance).is_some_and(entry);
+    if has_failed {
+        shared.clock.sleep(REPORT_TIME).await;
+    }
     drop(guard);
 }
 
--- a/tests/platform_silence.rs
+++ b/tests/platform_silence.rs
@@ -17,6 +17,9 @@
 /// How long an overloaded instance takes for a command. A ping on an idle connection consists of two.
 const SLOW_ANSWER: Duration = Duration::from_millis(120);
 
+/// How long the failure of an instance stands at least until a new connection may end it, so that it is reported.
+const MIN_REPORT_TIME: Duration = Duration::from_millis(45);
+
 /// Guards against a primary that is given up, though new connections to it work, because the open ones went silent.
 #[test]
 fn silent_connections_to_a_primary_don_t_replace_it() {
@@ -64,3 +67,37 @@
     println!("{opened} connections");
     assert_eq!(opened, 0, "{}", fleet.logs());
 }
+
+/// Guards against a hung primary whose failure isn't reported, since it still accepts connections.
+#[test]
+fn the_silence_of_a_hung_primary_lasts_until_it_is_reported() {
+    let fleet = Fleet::up(207);
+    let primary = fleet.group.primary();
+    std::thread::sleep(Duration::from_secs(1));
+    fleet.group.stop_answering(&primary);
+    fleet.wait_until("another instance is promoted", |fleet| fleet.group.primary() != primary);
+    for vm in PROXIES {
+        let log = std::fs::read_to_string(fleet.log_file(vm)).unwrap();
+        let mut silent_at = None;
+        for line in log.lines() {
+            let Ok(line) = serde_json::from_str::<serde_json::Value>(line) else { continue };
+            if line["event"] != "instance" || line["instance"] != *primary {
+                continue;
+            }
+            let at = time_of_day(line["time"].as_str().unwrap());
+            if let Some(silent_at) = silent_at.replace(at).filter(|_| line["trouble"] == "Fine") {
+                // `None` at midnight.
+                let lasted = at.checked_sub(silent_at);
+                assert!(lasted.is_none_or(|lasted| lasted >= MIN_REPORT_TIME), "{log}");
+            }
+        }
+        assert!(silent_at.is_some(), "{log}");
+    }
+}
+
+/// Returns the time since midnight of a time of the form `2026-01-31T23:59:59.999999Z`.
+fn time_of_day(text: &str) -> Duration {
+    let (_, time) = text.trim_end_matches('Z').split_once('T').unwrap();
+    let parts: Vec<f64> = time.split(':').map(|part| part.parse().unwrap()).collect();
+    Duration::from_secs_f64(parts[0] * 3600.0 + parts[1] * 60.0 + parts[2])
+}
