--- a/src/broker/monitor.rs
+++ b/src/broker/monitor.rs
@@ -105,8 +105,8 @@
             }
         }
     }
-    let entry = |entry: &Instance| !entry.health.is_usable();
-    let has_failed = shared.lock().instances.get(&replica.instance).is_some_and(entry);
+    let is_unusable = |entry: &Instance| !entry.health.is_usable();
+    let has_failed = shared.lock().instances.get(&replica.instance).is_some_and(is_unusable);
     if has_failed {
         shared.clock.sleep(REPORT_TIME).await;
     }
