Name the other process of a link line by its own field

A "link" line had the field "node" twice: of the process that wrote the line and of the other end, so that a reader kept one of them. The other process is "target" now.

Measured: the new test of tests/logging.rs fails with the old name and passes.

--- a/src/control/link/mod.rs
+++ b/src/control/link/mod.rs
@@ -182,8 +182,8 @@
             Replacement::Closed => Level::Info,
             Replacement::Idle | Replacement::Unproven => Level::Debug,
         };
-        let (node, address) = (&self.node, self.address);
-        Event::Link { node, address, reason, evidence_ms }.log(level);
+        let (target, address) = (&self.node, self.address);
+        Event::Link { target, address, reason, evidence_ms }.log(level);
     }
 }
 
--- a/src/report/event.rs
+++ b/src/report/event.rs
@@ -257,7 +257,7 @@
     /// A connection to another control process was replaced.
     Link {
         /// The other process.
-        node: &'a id::Node,
+        target: &'a id::Node,
         /// Its address.
         address: SocketAddr,
         /// Why.
--- a/tests/logging.rs
+++ b/tests/logging.rs
@@ -159,7 +159,7 @@
         },
         Event::Inherited { group, instance, term },
         Event::Link {
-            node: server,
+            target: server,
             address: "127.0.0.1:7440".parse().unwrap(),
             reason: Replacement::Silent,
             evidence_ms: 1_000,
@@ -194,6 +194,18 @@
     examples.iter().filter(|event| is_covered(event)).map(ToString::to_string).collect()
 }
 
+/// Guards against lines in which a field of the event hides who wrote the line.
+#[test]
+fn no_field_of_an_event_has_the_name_of_a_field_of_each_line() {
+    for example in examples() {
+        let object: serde_json::Map<String, serde_json::Value> =
+            serde_json::from_str(&example).unwrap();
+        for field in ["time", "level", "node"] {
+            assert!(!object.contains_key(field), "{example}");
+        }
+    }
+}
+
 #[test]
 fn operations_page_documents_every_field_of_every_event() {
     let page = std::fs::read_to_string("docs/OPERATIONS.md").unwrap();
